--- /dev/null
+++ b/packages/turnford-config/src/lib.rs
@@ -0,0 +1,27 @@
+//! Settings of a node, pipeline templates and client accounts: types, parsing and checks.
+//!
+//! A file is checked as a whole: every problem is reported at once, each with its place, field,
+//! what was found and what is allowed. Nothing here does I/O.
+
+mod account;
+mod object;
+mod problem;
+mod reader;
+mod settings;
+mod template;
+
+pub use account::hash_key;
+pub use account::ClientAccount;
+pub use account::TemplateParameters;
+pub use object::ConfigObject;
+pub use object::ObjectKind;
+pub use problem::ConfigProblem;
+pub use settings::LogLevel;
+pub use settings::LogSettings;
+pub use settings::NodeSettings;
+pub use template::CallKind;
+pub use template::PipelineTemplate;
+pub use template::StageSpec;
+
+/// Highest class rank; rank 0 is served first.
+pub const LOWEST_CLASS: u8 = 3;
--- /dev/null
+++ b/packages/turnford-config/src/reader.rs
@@ -0,0 +1,364 @@
+//! Reads TOML tables field by field and collects every problem.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::fmt::Display;
+use std::ops::Range;
+use std::ops::RangeInclusive;
+use std::rc::Rc;
+use std::str::FromStr;
+
+use toml::de::DeTable;
+use toml::de::DeValue;
+use toml::Spanned;
+
+use crate::ConfigProblem;
+
+/// Longest name of anything.
+const NAME_LIMIT: usize = 64;
+
+/// What is allowed for a name.
+const NAME_RULE: &str = "1 to 64 characters of a-z, 0-9, '-' and '.', no '.' first";
+
+/// Problems of one file, shared by the readers of its tables.
+struct ProblemLog {
+    file: String,
+    text: String,
+    problems: RefCell<Vec<ConfigProblem>>,
+}
+
+impl ProblemLog {
+    fn add(&self, at: &Range<usize>, field: &str, found: impl Display, allowed: impl Display) {
+        let start = at.start.min(self.text.len());
+        let line = self.text.as_bytes()[..start]
+            .iter()
+            .filter(|byte| **byte == b'\n')
+            .count()
+            + 1;
+        self.problems.borrow_mut().push(ConfigProblem {
+            file: self.file.clone(),
+            line,
+            field: field.to_owned(),
+            found: found.to_string(),
+            allowed: allowed.to_string(),
+        });
+    }
+}
+
+/// Reader of one table. Fields that were never asked for are problems at [`TableReader::finish`].
+pub(crate) struct TableReader<'a> {
+    log: Rc<ProblemLog>,
+    table: &'a DeTable<'a>,
+    place: Range<usize>,
+    path: String,
+    asked: RefCell<BTreeSet<String>>,
+}
+
+/// Parses a file and reads its top table.
+///
+/// # Errors
+///
+/// Returns all problems in the order of their lines.
+pub(crate) fn read_file<T>(
+    file: &str,
+    text: &str,
+    read: impl FnOnce(&TableReader<'_>) -> Option<T>,
+) -> Result<T, Vec<ConfigProblem>> {
+    let log = Rc::new(ProblemLog {
+        file: file.to_owned(),
+        text: text.to_owned(),
+        problems: RefCell::new(Vec::new()),
+    });
+    let (table, errors) = DeTable::parse_recoverable(text);
+    for error in &errors {
+        let place = error.span().unwrap_or(0..0);
+        log.add(&place, "(syntax)", error.message().trim(), "TOML");
+    }
+    let mut value = None;
+    if errors.is_empty() {
+        let reader = TableReader::new(log.clone(), table.get_ref(), 0..0, String::new());
+        value = read(&reader);
+        reader.finish();
+    }
+    let mut problems = log.problems.borrow().clone();
+    problems.sort_by(|left, right| (left.line, &left.field).cmp(&(right.line, &right.field)));
+    match value {
+        Some(value) if problems.is_empty() => Ok(value),
+        _ => Err(problems),
+    }
+}
+
+impl<'a> TableReader<'a> {
+    fn new(log: Rc<ProblemLog>, table: &'a DeTable<'a>, place: Range<usize>, path: String) -> Self {
+        let asked = RefCell::new(BTreeSet::new());
+        Self {
+            log,
+            table,
+            place,
+            path,
+            asked,
+        }
+    }
+
+    /// Adds a problem at a field that stands in the table, or at the table itself.
+    pub(crate) fn problem(&self, field: &str, found: impl Display, allowed: impl Display) {
+        let place = self.place_of(field);
+        self.log.add(&place, &self.path_of(field), found, allowed);
+    }
+
+    /// Tells whether a field stands in the table.
+    pub(crate) fn has(&self, field: &str) -> bool {
+        self.asked.borrow_mut().insert(field.to_owned());
+        self.table.contains_key(field)
+    }
+
+    /// Reads a text.
+    pub(crate) fn text(&self, field: &str) -> Option<String> {
+        let value = self.required(field, "a text")?;
+        self.as_text(field, value)
+    }
+
+    /// Reads a text that may be absent.
+    pub(crate) fn optional_text(&self, field: &str) -> Option<String> {
+        let value = self.value(field)?;
+        self.as_text(field, value)
+    }
+
+    /// Reads a name.
+    pub(crate) fn name(&self, field: &str) -> Option<String> {
+        let name = self.text(field)?;
+        if is_name(&name) {
+            return Some(name);
+        }
+        self.problem(field, format!("{name:?}"), NAME_RULE);
+        None
+    }
+
+    /// Reads a whole number within a range.
+    pub(crate) fn integer(&self, field: &str, range: RangeInclusive<i64>) -> Option<i64> {
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        let value = self.required(field, &allowed)?;
+        let number = value
+            .get_ref()
+            .as_integer()
+            .and_then(|found| found.to_string().parse().ok());
+        match number {
+            Some(number) if range.contains(&number) => Some(number),
+            _ => {
+                self.problem(field, describe(value.get_ref()), allowed);
+                None
+            }
+        }
+    }
+
+    /// Reads a whole number, or takes a default if it is absent.
+    pub(crate) fn integer_or(&self, field: &str, range: RangeInclusive<i64>, default: i64) -> i64 {
+        if !self.has(field) {
+            return default;
+        }
+        self.integer(field, range).unwrap_or(default)
+    }
+
+    /// Reads a number within a range, or takes a default if it is absent.
+    pub(crate) fn number_or(&self, field: &str, range: RangeInclusive<f64>, default: f64) -> f64 {
+        let Some(value) = self.value(field) else {
+            return default;
+        };
+        let text = match value.get_ref() {
+            DeValue::Float(number) => number.to_string(),
+            DeValue::Integer(number) => number.to_string(),
+            _ => String::new(),
+        };
+        match text.parse::<f64>() {
+            Ok(number) if range.contains(&number) => number,
+            _ => {
+                let allowed = format!("a number from {} to {}", range.start(), range.end());
+                self.problem(field, describe(value.get_ref()), allowed);
+                default
+            }
+        }
+    }
+
+    /// Reads true or false, or takes a default if it is absent.
+    pub(crate) fn flag_or(&self, field: &str, default: bool) -> bool {
+        let Some(value) = self.value(field) else {
+            return default;
+        };
+        value.get_ref().as_bool().unwrap_or_else(|| {
+            self.problem(field, describe(value.get_ref()), "true or false");
+            default
+        })
+    }
+
+    /// Reads a text that a type understands, for example an address.
+    pub(crate) fn parsed<T: FromStr>(&self, field: &str, allowed: &str) -> Option<T> {
+        let text = self.text(field)?;
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            self.problem(field, format!("{text:?}"), allowed);
+        }
+        parsed
+    }
+
+    /// Reads one of some words.
+    pub(crate) fn word<T: Copy>(&self, field: &str, words: &[(&str, T)]) -> Option<T> {
+        let text = self.text(field)?;
+        let found = words.iter().find(|(word, _)| *word == text);
+        if found.is_none() {
+            let known: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+            self.problem(
+                field,
+                format!("{text:?}"),
+                format!("one of {}", known.join(", ")),
+            );
+        }
+        found.map(|(_, value)| *value)
+    }
+
+    /// Reads each table of a list.
+    pub(crate) fn tables<T>(
+        &self,
+        field: &str,
+        read: impl Fn(&TableReader<'_>) -> Option<T>,
+    ) -> Vec<Option<T>> {
+        let Some(value) = self.required(field, "a list of tables") else {
+            return Vec::new();
+        };
+        let Some(list) = value.get_ref().as_array() else {
+            self.problem(field, describe(value.get_ref()), "a list of tables");
+            return Vec::new();
+        };
+        let mut found = Vec::new();
+        for (at, item) in list.iter().enumerate() {
+            let path = format!("{}[{at}]", self.path_of(field));
+            found.push(self.read_table(item, path, &read));
+        }
+        found
+    }
+
+    /// Reads each named table inside a table; absent means none.
+    pub(crate) fn named_tables<T>(
+        &self,
+        field: &str,
+        read: impl Fn(&TableReader<'_>) -> Option<T>,
+    ) -> Vec<(String, T)> {
+        let Some(value) = self.value(field) else {
+            return Vec::new();
+        };
+        let Some(table) = value.get_ref().as_table() else {
+            self.problem(field, describe(value.get_ref()), "a table of tables");
+            return Vec::new();
+        };
+        let mut found = Vec::new();
+        for (name, item) in table {
+            let path = format!("{}.{}", self.path_of(field), name.get_ref());
+            if !is_name(name.get_ref()) {
+                self.log.add(
+                    &name.span(),
+                    &path,
+                    format!("{:?}", name.get_ref()),
+                    NAME_RULE,
+                );
+            }
+            if let Some(inner) = self.read_table(item, path, &read) {
+                found.push((name.get_ref().to_string(), inner));
+            }
+        }
+        found
+    }
+
+    /// Reads a table inside this one; absent means `None`.
+    pub(crate) fn table<T>(
+        &self,
+        field: &str,
+        read: impl Fn(&TableReader<'_>) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.value(field)?;
+        self.read_table(value, self.path_of(field), &read)
+    }
+
+    fn read_table<T>(
+        &self,
+        item: &Spanned<DeValue<'_>>,
+        path: String,
+        read: &impl Fn(&TableReader<'_>) -> Option<T>,
+    ) -> Option<T> {
+        let Some(table) = item.get_ref().as_table() else {
+            self.log
+                .add(&item.span(), &path, describe(item.get_ref()), "a table");
+            return None;
+        };
+        let reader = TableReader::new(self.log.clone(), table, item.span(), path);
+        let value = read(&reader);
+        reader.finish();
+        value
+    }
+
+    /// Reports each field that nobody asked for.
+    fn finish(&self) {
+        let asked = self.asked.borrow();
+        let known: Vec<&str> = asked.iter().map(String::as_str).collect();
+        for (name, _) in self.table {
+            if !asked.contains(name.get_ref().as_ref()) {
+                let path = self.path_of(name.get_ref());
+                let allowed = format!("one of the fields {}", known.join(", "));
+                self.log
+                    .add(&name.span(), &path, "an unknown field", allowed);
+            }
+        }
+    }
+
+    fn value(&self, field: &str) -> Option<&'a Spanned<DeValue<'a>>> {
+        self.asked.borrow_mut().insert(field.to_owned());
+        self.table.get(field)
+    }
+
+    fn required(&self, field: &str, allowed: &str) -> Option<&'a Spanned<DeValue<'a>>> {
+        let value = self.value(field);
+        if value.is_none() {
+            self.problem(field, "nothing", allowed);
+        }
+        value
+    }
+
+    fn as_text(&self, field: &str, value: &Spanned<DeValue<'_>>) -> Option<String> {
+        let text = value.get_ref().as_str().map(str::to_owned);
+        if text.is_none() {
+            self.problem(field, describe(value.get_ref()), "a text");
+        }
+        text
+    }
+
+    fn place_of(&self, field: &str) -> Range<usize> {
+        let found = self.table.get_key_value(field);
+        found.map_or(self.place.clone(), |(name, _)| name.span())
+    }
+
+    fn path_of(&self, field: &str) -> String {
+        if self.path.is_empty() {
+            return field.to_owned();
+        }
+        format!("{}.{field}", self.path)
+    }
+}
+
+/// Tells whether a text may name a template, account, service, hall or target.
+fn is_name(text: &str) -> bool {
+    let allowed = |byte: u8| {
+        byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-' || byte == b'.'
+    };
+    !text.is_empty()
+        && text.len() <= NAME_LIMIT
+        && !text.starts_with('.')
+        && text.bytes().all(allowed)
+}
+
+fn describe(value: &DeValue<'_>) -> String {
+    match value {
+        DeValue::String(text) => format!("{text:?}"),
+        DeValue::Integer(number) => number.to_string(),
+        DeValue::Float(number) => number.to_string(),
+        DeValue::Boolean(flag) => flag.to_string(),
+        other => format!("a value of type {}", other.type_str()),
+    }
+}
--- /dev/null
+++ b/packages/turnford-config/src/settings.rs
@@ -0,0 +1,125 @@
+//! Settings of one node.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::reader::read_file;
+use crate::reader::TableReader;
+use crate::ConfigProblem;
+
+/// Traffic threads unless the settings say otherwise.
+const DEFAULT_THREADS: i64 = 2;
+
+/// Where log lines go and from what level.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LogSettings {
+    /// Lowest level that is written.
+    pub level: LogLevel,
+    /// File; standard error if absent.
+    pub file: Option<PathBuf>,
+}
+
+/// Lowest level of log lines that is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Failures only.
+    Error,
+    /// Also what an operator should look at.
+    Warn,
+    /// Also changes of state and one line a request.
+    Info,
+    /// Also details.
+    Debug,
+}
+
+/// Words of the settings file for log levels.
+const LEVEL_WORDS: [(&str, LogLevel); 4] = [
+    ("error", LogLevel::Error),
+    ("warn", LogLevel::Warn),
+    ("info", LogLevel::Info),
+    ("debug", LogLevel::Debug),
+];
+
+/// Settings of one node, from its file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeSettings {
+    /// Name, unique in the fleet.
+    pub name: Arc<str>,
+    /// Hall that the VM stands in.
+    pub hall: Arc<str>,
+    /// Region that the hall is in.
+    pub region: Arc<str>,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for the other nodes.
+    pub inner: SocketAddr,
+    /// Address of the platform's object API.
+    pub objects: SocketAddr,
+    /// Address of the platform's VM list.
+    pub vms: SocketAddr,
+    /// Traffic threads.
+    pub threads: usize,
+    /// Most pieces of work held for one service.
+    pub hold_limit: usize,
+    /// Most calls a second to the platform.
+    pub platform_calls: f64,
+    /// Longest time that a planned stop waits for running requests.
+    pub drain: Duration,
+    /// Log lines.
+    pub log: LogSettings,
+}
+
+impl NodeSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem of the file.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<ConfigProblem>> {
+        read_file(file, text, read_settings)
+    }
+}
+
+fn read_settings(reader: &TableReader<'_>) -> Option<NodeSettings> {
+    const ADDRESS: &str = "an IP number and port, as 127.0.0.1:7000";
+    let name = reader.name("name");
+    let hall = reader.name("hall");
+    let region = reader.name("region");
+    let listen = reader.parsed("listen", ADDRESS);
+    let inner = reader.parsed("inner", ADDRESS);
+    let objects = reader.parsed("objects", ADDRESS);
+    let vms = reader.parsed("vms", ADDRESS);
+    let threads = reader.integer_or("threads", 1..=64, DEFAULT_THREADS);
+    let hold_limit = reader.integer_or("hold_limit", 1..=100_000, 512);
+    let platform_calls = reader.number_or("platform_calls_per_second", 0.1..=1000.0, 20.0);
+    let drain = reader.integer_or("drain_ms", 0..=600_000, 10_000);
+    let log = reader.table("log", read_log);
+    Some(NodeSettings {
+        name: Arc::from(name?),
+        hall: Arc::from(hall?),
+        region: Arc::from(region?),
+        listen: listen?,
+        inner: inner?,
+        objects: objects?,
+        vms: vms?,
+        threads: threads as usize,
+        hold_limit: hold_limit as usize,
+        platform_calls,
+        drain: Duration::from_millis(drain as u64),
+        log: log.unwrap_or(LogSettings {
+            level: LogLevel::Info,
+            file: None,
+        }),
+    })
+}
+
+fn read_log(reader: &TableReader<'_>) -> Option<LogSettings> {
+    let level = reader.word("level", &LEVEL_WORDS);
+    let file = reader.optional_text("file").map(PathBuf::from);
+    Some(LogSettings {
+        level: level?,
+        file,
+    })
+}
--- /dev/null
+++ b/packages/turnford-http/src/fault.rs
@@ -0,0 +1,43 @@
+//! What can go wrong in one HTTP exchange, with what is known of the bytes sent.
+
+use std::fmt;
+
+/// A failed exchange. The variant tells whether the other side can have seen the call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HttpFault {
+    /// No connection was made, so no byte of the call was handed over.
+    NotConnected,
+    /// The call was handed over, wholly or in part, and no whole answer came back.
+    Broken,
+    /// The time ran out before a byte was handed over.
+    LateBeforeSend,
+    /// The time ran out after the call was handed over.
+    LateAfterSend,
+    /// The answer's body is larger than the caller accepts.
+    TooLarge,
+    /// The answer ended before its announced length.
+    Truncated,
+}
+
+impl HttpFault {
+    /// Tells whether a byte of the call can have reached the other side.
+    pub fn was_sent(self) -> bool {
+        !matches!(self, HttpFault::NotConnected | HttpFault::LateBeforeSend)
+    }
+}
+
+impl fmt::Display for HttpFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = match self {
+            HttpFault::NotConnected => "no connection",
+            HttpFault::Broken => "connection broke after the call was sent",
+            HttpFault::LateBeforeSend => "out of time before the call was sent",
+            HttpFault::LateAfterSend => "out of time after the call was sent",
+            HttpFault::TooLarge => "answer larger than allowed",
+            HttpFault::Truncated => "answer cut short",
+        };
+        f.write_str(text)
+    }
+}
+
+impl std::error::Error for HttpFault {}
--- /dev/null
+++ b/packages/turnford-http/src/lib.rs
@@ -0,0 +1,20 @@
+//! HTTP/1.1 as every outside interface uses it: kept connections on the calling side, a bounded
+//! serving loop on the other. The protocol itself comes from `async-h1`.
+
+mod body;
+mod client;
+mod fault;
+mod server;
+
+pub use body::stream_body;
+pub use client::HttpAnswer;
+pub use client::HttpClient;
+pub use client::HttpStream;
+pub use fault::HttpFault;
+pub use server::bind_listener;
+pub use server::serve_connection;
+pub use server::HttpCall;
+
+/// Largest head plus body that a client or server of this package accepts unless told otherwise,
+/// in bytes. The platform's values are bounded by a megabyte; the rest leaves room for framing.
+pub const DEFAULT_BODY_LIMIT: usize = 1_200_000;
--- /dev/null
+++ b/packages/turnford-node/src/answer.rs
@@ -0,0 +1,103 @@
+//! The one end that a caller gets.
+
+use std::time::Duration;
+
+use http_types::Response;
+use http_types::StatusCode;
+use serde::Serialize;
+use turnford_policy::AttemptId;
+use turnford_policy::RanWord;
+use turnford_policy::ResultCode;
+
+/// What one stage did, for the caller and the log.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct StageRecord {
+    pub(crate) stage: String,
+    pub(crate) target: String,
+    pub(crate) attempts: u8,
+    pub(crate) wait_ms: f64,
+    pub(crate) run_ms: f64,
+    pub(crate) tokens: u32,
+    pub(crate) cached: u32,
+}
+
+/// The end of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestEnd {
+    pub(crate) code: ResultCode,
+    pub(crate) ran: RanWord,
+    pub(crate) message: String,
+    pub(crate) output: Option<String>,
+    pub(crate) retry_after: Option<Duration>,
+    pub(crate) stages: Vec<StageRecord>,
+}
+
+/// Body of an answer, and data of a stream's last event.
+#[derive(Serialize)]
+struct EndBody<'a> {
+    code: u16,
+    name: &'static str,
+    ran: &'static str,
+    whole: bool,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    message: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    output: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    trace: String,
+    stages: &'a [StageRecord],
+}
+
+impl RequestEnd {
+    /// Makes an end of a request for which nothing was ever handed to a target.
+    pub(crate) fn not_run(code: ResultCode, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            ran: RanWord::No,
+            message: message.into(),
+            output: None,
+            retry_after: None,
+            stages: Vec::new(),
+        }
+    }
+
+    /// Adds when a try is likely to fit.
+    pub(crate) fn retry_after(mut self, span: Duration) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
+    /// Returns the JSON form; a stream's last event leaves the output out.
+    pub(crate) fn json(&self, trace: AttemptId, with_output: bool) -> Vec<u8> {
+        let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        let body = EndBody {
+            code: self.code.number(),
+            name: self.code.name(),
+            ran: self.ran.as_str(),
+            whole: self.code.is_whole(),
+            message: &self.message,
+            output: self.output.as_deref().filter(|_| with_output),
+            retry_after_ms: self.retry_after.map(millis),
+            trace: trace.to_string(),
+            stages: &self.stages,
+        };
+        // The type holds only text and numbers, so it always has a JSON form.
+        serde_json::to_vec(&body).unwrap_or_default()
+    }
+
+    /// Returns the whole answer.
+    pub(crate) fn response(&self, trace: AttemptId) -> Response {
+        let status = StatusCode::try_from(self.code.http_status());
+        let mut response = Response::new(status.unwrap_or(StatusCode::InternalServerError));
+        response.set_body(self.json(trace, true));
+        response.insert_header("content-type", "application/json");
+        response.insert_header("turnford-code", self.code.number().to_string());
+        response.insert_header("turnford-trace", trace.to_string());
+        if let Some(span) = self.retry_after {
+            let seconds = span.as_secs_f64().ceil().max(1.0);
+            response.insert_header("retry-after", format!("{seconds:.0}"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/packages/turnford-node/src/control/targets.rs
@@ -0,0 +1,170 @@
+//! Follows the VM list and the targets' load reports.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use turnford_platform::VmClient;
+use turnford_platform::VmEntry;
+use turnford_platform::VmState;
+use turnford_policy::LoadReport;
+use turnford_policy::ServiceId;
+use turnford_policy::TargetFacts;
+use turnford_policy::TargetId;
+
+use super::note_ready;
+use crate::place::StagePool;
+use crate::state::AddressMap;
+use crate::state::NodeState;
+use crate::state::PoolMap;
+
+/// Pause between reads of the VM list.
+const LIST_PAUSE: Duration = Duration::from_millis(1000);
+
+/// Pause between rounds of load reports.
+const REPORT_PAUSE: Duration = Duration::from_millis(250);
+
+/// One-way delay assumed inside a hall, between halls and between regions.
+const DISTANCES: [Duration; 3] = [
+    Duration::from_micros(100),
+    Duration::from_micros(600),
+    Duration::from_millis(15),
+];
+
+/// Reads the VM list again and again. A failed read keeps the last list.
+pub(super) async fn follow_targets(state: Arc<NodeState>, vms: VmClient) {
+    let mut last: Vec<VmEntry> = Vec::new();
+    loop {
+        match vms.list().await {
+            Ok(list) if list != last => {
+                apply_list(&state, &list);
+                last = list;
+                note_ready(&state);
+            }
+            Ok(_) => (),
+            Err(fault) => log::warn!("the VM list can't be read: {fault}"),
+        }
+        Timer::after(LIST_PAUSE).await;
+    }
+}
+
+/// Asks each target for its load, all at once in each round.
+pub(super) async fn follow_reports(state: Arc<NodeState>) {
+    loop {
+        Timer::after(REPORT_PAUSE).await;
+        let executor = LocalExecutor::new();
+        let mut tasks = Vec::new();
+        for (service, pool) in state.pools.load().iter() {
+            for target in live_targets(pool) {
+                let ask = ask_report(state.clone(), service.clone(), target);
+                tasks.push(executor.spawn(ask));
+            }
+        }
+        let round = async {
+            for task in tasks {
+                task.await;
+            }
+        };
+        executor.run(round).await;
+    }
+}
+
+async fn ask_report(state: Arc<NodeState>, service: ServiceId, target: TargetId) {
+    let Some(address) = state.addresses.load().get(&target).copied() else {
+        return;
+    };
+    let Ok(report) = state.targets.report(address).await else {
+        return;
+    };
+    let Some(pool) = state.pool(&service) else {
+        return;
+    };
+    let left = pool.with(|now, pool| {
+        let taken_at = now.saturating_sub(Duration::from_millis(report.age_ms));
+        let inflight = report.running.saturating_add(report.queued);
+        pool.apply_report(&target, LoadReport { inflight, taken_at });
+        report.leaving && pool.mark_leaving(&target)
+    });
+    if left {
+        log::info!("target {target} leaves, by its own report");
+    }
+}
+
+fn live_targets(pool: &StagePool) -> Vec<TargetId> {
+    pool.with(|_, pool| {
+        let live = pool.views().iter().filter(|view| !view.leaving);
+        live.map(|view| view.facts.id.clone()).collect()
+    })
+}
+
+fn apply_list(state: &NodeState, list: &[VmEntry]) {
+    let mut by_service: HashMap<ServiceId, Vec<TargetFacts>> = HashMap::new();
+    let mut addresses = AddressMap::new();
+    for entry in list {
+        let service: ServiceId = Arc::from(entry.service.as_str());
+        let facts = facts_of(state, entry);
+        addresses.insert(facts.id.clone(), entry.address);
+        by_service.entry(service).or_default().push(facts);
+    }
+    // Targets that left the list may still run calls of this node.
+    let old = state.addresses.load();
+    for (target, address) in old.iter() {
+        addresses.entry(target.clone()).or_insert(*address);
+    }
+    state.addresses.store(Arc::new(addresses));
+    let mut pools: PoolMap = (**state.pools.load()).clone();
+    for service in by_service.keys() {
+        pools.entry(service.clone()).or_insert_with(|| {
+            let settings = state.pool_settings.clone();
+            Arc::new(StagePool::new(settings, state.clock.clone()))
+        });
+    }
+    for (service, pool) in &pools {
+        let facts = by_service.remove(service).unwrap_or_default();
+        pool.with(|_, pool| pool.apply_list(facts));
+    }
+    mark_leaving(&pools, list);
+    log::info!(
+        "VM list: {} targets in {} services",
+        list.len(),
+        pools.len()
+    );
+    state.pools.store(Arc::new(pools));
+}
+
+fn mark_leaving(pools: &PoolMap, list: &[VmEntry]) {
+    for entry in list.iter().filter(|entry| entry.state == VmState::Leaving) {
+        let Some(pool) = pools.get(entry.service.as_str()) else {
+            continue;
+        };
+        if pool.with(|_, pool| pool.mark_leaving(&entry.name)) {
+            log::info!("target {} leaves, by the VM list", entry.name);
+        }
+    }
+}
+
+fn facts_of(state: &NodeState, entry: &VmEntry) -> TargetFacts {
+    let settings = &state.settings;
+    let [hall, region, far] = DISTANCES;
+    let distance = if entry.hall == *settings.hall {
+        hall
+    } else if entry.region == *settings.region {
+        region
+    } else {
+        far
+    };
+    TargetFacts {
+        id: Arc::from(entry.name.as_str()),
+        hardware: Arc::from(entry.hardware.as_str()),
+        slots: entry.slots,
+        cost: entry.cost,
+        distance,
+        models: entry
+            .models
+            .iter()
+            .map(|model| Arc::from(model.as_str()))
+            .collect(),
+    }
+}
--- /dev/null
+++ b/packages/turnford-node/src/node.rs
@@ -0,0 +1,177 @@
+//! A running node: its threads and its planned stop.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_executor::Executor;
+use async_io::Timer;
+use async_net::TcpListener;
+use turnford_config::NodeSettings;
+use turnford_http::bind_listener;
+use turnford_http::serve_connection;
+use turnford_http::DEFAULT_BODY_LIMIT;
+use turnford_policy::Clock;
+use turnford_policy::PoolSettings;
+use turnford_policy::SystemClock;
+
+use crate::control::pump_pools;
+use crate::control::run_control;
+use crate::entry::handle_call;
+use crate::state::NodeState;
+
+/// Pause between looks whether running requests ended.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// What is set from outside the settings file, for baselines and tests.
+#[derive(Clone, Debug)]
+pub struct NodeOptions {
+    /// How pools behave.
+    pub pool: PoolSettings,
+    /// Whether admission over the whole chain is used.
+    pub admits: bool,
+}
+
+impl Default for NodeOptions {
+    fn default() -> Self {
+        Self {
+            pool: PoolSettings::default(),
+            admits: true,
+        }
+    }
+}
+
+/// A running node.
+pub struct Node {
+    state: Arc<NodeState>,
+    address: SocketAddr,
+    stop: Sender<()>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Node {
+    /// Starts a node. Port 0 lets the system choose; [`Node::address`] tells which.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if an address can't be bound or a thread not started.
+    pub fn start(mut settings: NodeSettings, options: NodeOptions) -> io::Result<Self> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+        let listener = bind_listener(settings.listen)?;
+        let address = listener.local_addr()?;
+        settings.listen = address;
+        settings.hold_limit = settings.hold_limit.max(1);
+        let mut pool_settings = options.pool;
+        pool_settings.hold_limit = settings.hold_limit;
+        let incarnation: u64 = rand::random();
+        pool_settings.seed ^= incarnation;
+        let admits = options.admits;
+        let state = NodeState::new(settings, pool_settings, admits, clock, incarnation);
+        let state = Arc::new(state);
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let mut threads = Vec::new();
+        let control_state = state.clone();
+        let control_stop = stopped.clone();
+        threads.push(spawn_thread("control".to_owned(), move || {
+            run_control(control_state, wait_stop(control_stop));
+        })?);
+        for number in 0..state.settings.threads {
+            let traffic_state = state.clone();
+            let traffic_stop = stopped.clone();
+            let listener = listener.clone();
+            threads.push(spawn_thread(format!("traffic-{number}"), move || {
+                run_traffic(traffic_state, listener, number, wait_stop(traffic_stop));
+            })?);
+        }
+        log::info!("node {} listens on {address}", state.settings.name);
+        Ok(Self {
+            state,
+            address,
+            stop,
+            threads,
+        })
+    }
+
+    /// Returns the address for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Tells whether configuration and targets are known.
+    pub fn is_ready(&self) -> bool {
+        self.state.ready.load(Ordering::SeqCst)
+    }
+
+    /// Tells whether a planned stop was asked for.
+    pub fn is_draining(&self) -> bool {
+        self.state.draining.load(Ordering::SeqCst)
+    }
+
+    /// Stops taking requests, waits until the running ones ended or the grace time passed, and
+    /// returns how many were still running then.
+    pub async fn drain(&self) -> u64 {
+        self.state.draining.store(true, Ordering::SeqCst);
+        let begun = self.state.clock.now();
+        loop {
+            let running = self.state.running.load(Ordering::SeqCst);
+            let waited = self.state.clock.now().saturating_sub(begun);
+            if running == 0 || waited >= self.state.settings.drain {
+                return running;
+            }
+            Timer::after(DRAIN_PAUSE).await;
+        }
+    }
+
+    /// Ends the node's threads at once. Requests that still run are cut; a planned stop calls
+    /// [`Node::drain`] first.
+    pub fn stop(mut self) {
+        self.stop.close();
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                log::error!("a thread of node {} panicked", self.state.settings.name);
+            }
+        }
+    }
+}
+
+fn spawn_thread(name: String, run: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
+    std::thread::Builder::new().name(name).spawn(run)
+}
+
+async fn wait_stop(stopped: async_channel::Receiver<()>) {
+    // Nothing is ever sent; the channel's end is the word.
+    let _ = stopped.recv().await;
+}
+
+/// Serves callers on one thread.
+fn run_traffic(
+    state: Arc<NodeState>,
+    listener: TcpListener,
+    number: usize,
+    stop: impl std::future::Future<Output = ()>,
+) {
+    let executor = Arc::new(Executor::new());
+    if number == 0 {
+        executor.spawn(pump_pools(state.clone())).detach();
+    }
+    let connections = executor.clone();
+    let accept = async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                Timer::after(DRAIN_PAUSE).await;
+                continue;
+            };
+            let state = state.clone();
+            let serve = serve_connection(stream, DEFAULT_BODY_LIMIT, move |call| {
+                handle_call(state.clone(), call)
+            });
+            connections.spawn(serve).detach();
+        }
+    };
+    executor.spawn(accept).detach();
+    async_io::block_on(executor.run(stop));
+}
--- /dev/null
+++ b/packages/turnford-node/src/state.rs
@@ -0,0 +1,139 @@
+//! What the threads of one node share.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use arc_swap::ArcSwap;
+use turnford_config::ClientAccount;
+use turnford_config::NodeSettings;
+use turnford_platform::CallBudget;
+use turnford_policy::AccountId;
+use turnford_policy::AccountLimit;
+use turnford_policy::AttemptSource;
+use turnford_policy::Clock;
+use turnford_policy::LimitRefusal;
+use turnford_policy::PoolSettings;
+use turnford_policy::ServiceId;
+use turnford_policy::TargetId;
+use turnford_target::TargetClient;
+
+use crate::metrics::NodeMetrics;
+use crate::place::StagePool;
+use crate::snapshot::ConfigSnapshot;
+
+/// Pools by service. The map is replaced when a service appears; the pools stay.
+pub(crate) type PoolMap = HashMap<ServiceId, Arc<StagePool>>;
+
+/// Addresses of targets.
+pub(crate) type AddressMap = HashMap<TargetId, SocketAddr>;
+
+/// Shared state of one node.
+pub(crate) struct NodeState {
+    pub(crate) settings: NodeSettings,
+    pub(crate) pool_settings: PoolSettings,
+    pub(crate) admits: bool,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) attempts: AttemptSource,
+    pub(crate) config: ArcSwap<ConfigSnapshot>,
+    pub(crate) pools: ArcSwap<PoolMap>,
+    pub(crate) addresses: ArcSwap<AddressMap>,
+    pub(crate) targets: TargetClient,
+    pub(crate) metrics: NodeMetrics,
+    pub(crate) budget: Arc<CallBudget>,
+    /// Set once configuration and targets are known.
+    pub(crate) ready: AtomicBool,
+    pub(crate) draining: AtomicBool,
+    pub(crate) running: AtomicU64,
+    limits: Mutex<HashMap<AccountId, AccountLimit>>,
+}
+
+/// A request's place within its account's limits; given back when dropped.
+pub(crate) struct AccountPlace {
+    state: Arc<NodeState>,
+    account: AccountId,
+}
+
+impl Drop for AccountPlace {
+    fn drop(&mut self) {
+        if let Some(limit) = self.state.limits().get_mut(&self.account) {
+            limit.finish();
+        }
+    }
+}
+
+/// Counts a running request until dropped.
+pub(crate) struct RunningGuard(Arc<NodeState>);
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl NodeState {
+    pub(crate) fn new(
+        settings: NodeSettings,
+        pool_settings: PoolSettings,
+        admits: bool,
+        clock: Arc<dyn Clock>,
+        incarnation: u64,
+    ) -> Self {
+        let budget = Arc::new(CallBudget::new(settings.platform_calls));
+        Self {
+            settings,
+            pool_settings,
+            admits,
+            clock,
+            attempts: AttemptSource::new(incarnation),
+            config: ArcSwap::default(),
+            pools: ArcSwap::default(),
+            addresses: ArcSwap::default(),
+            targets: TargetClient::new(),
+            metrics: NodeMetrics::new(),
+            budget,
+            ready: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            running: AtomicU64::new(0),
+            limits: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Returns the pool of a service if any target of it was ever listed.
+    pub(crate) fn pool(&self, service: &str) -> Option<Arc<StagePool>> {
+        self.pools.load().get(service).cloned()
+    }
+
+    /// Takes a place within an account's limits.
+    pub(crate) fn enter_account(
+        self: &Arc<Self>,
+        account: &ClientAccount,
+    ) -> Result<AccountPlace, LimitRefusal> {
+        let now = self.clock.now();
+        let mut limits = self.limits();
+        let fresh = || AccountLimit::new(now, account.rate, account.concurrency);
+        let limit = limits.entry(account.name.clone()).or_insert_with(fresh);
+        limit.start(now)?;
+        Ok(AccountPlace {
+            state: self.clone(),
+            account: account.name.clone(),
+        })
+    }
+
+    /// Counts a running request.
+    pub(crate) fn enter(self: &Arc<Self>) -> RunningGuard {
+        self.running.fetch_add(1, Ordering::SeqCst);
+        RunningGuard(self.clone())
+    }
+
+    /// Returns the limits of all accounts on this node.
+    pub(crate) fn limits(&self) -> MutexGuard<'_, HashMap<AccountId, AccountLimit>> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/packages/turnford-node/src/status.rs
@@ -0,0 +1,79 @@
+//! The node's own view, for operators.
+
+use std::sync::atomic::Ordering;
+
+use http_types::Response;
+use http_types::StatusCode;
+use serde_json::json;
+use serde_json::Value;
+use turnford_policy::HealthState;
+use turnford_policy::Moment;
+use turnford_policy::ServicePool;
+use turnford_policy::TargetView;
+
+use crate::state::NodeState;
+
+/// Returns the status as JSON.
+pub(crate) fn node_status(state: &NodeState) -> Response {
+    let config = state.config.load();
+    let pools = state.pools.load();
+    let mut services = serde_json::Map::new();
+    for (service, pool) in pools.iter() {
+        services.insert(service.to_string(), pool.with(pool_status));
+    }
+    let counts = state.budget.counts();
+    let status = json!({
+        "node": &*state.settings.name,
+        "hall": &*state.settings.hall,
+        "region": &*state.settings.region,
+        "incarnation": format!("{:016x}", state.attempts.incarnation()),
+        "ready": state.ready.load(Ordering::SeqCst),
+        "draining": state.draining.load(Ordering::SeqCst),
+        "running": state.running.load(Ordering::SeqCst),
+        "config_version": config.version,
+        "templates": config.templates.len(),
+        "accounts": config.accounts.len(),
+        "platform_calls": { "reads": counts.reads, "writes": counts.writes,
+            "refused": counts.refused },
+        "services": services,
+    });
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(status.to_string());
+    response.insert_header("content-type", "application/json");
+    response
+}
+
+fn pool_status(now: Moment, pool: &mut ServicePool) -> Value {
+    let summary = pool.summary();
+    let targets: Vec<Value> = pool
+        .views()
+        .iter()
+        .map(|view| target_status(now, view))
+        .collect();
+    json!({
+        "slots": summary.slots,
+        "own": summary.own,
+        "held": summary.held,
+        "backlog_s": summary.backlog,
+        "targets": targets,
+    })
+}
+
+fn target_status(now: Moment, view: &TargetView) -> Value {
+    let health = match view.health.state {
+        HealthState::Healthy => "healthy",
+        HealthState::Ejected(_) => "ejected",
+        HealthState::Probation(_) => "probation",
+    };
+    json!({
+        "name": &*view.facts.id,
+        "hardware": &*view.facts.hardware,
+        "own": view.own(),
+        "inflight": view.inflight(now),
+        "report_age_ms": view.report_age(now).map(|age| age.as_millis() as u64),
+        "leaving": view.leaving,
+        "health": health,
+        "failure": view.health.failure(),
+        "slowness": view.health.slowness(),
+    })
+}
--- /dev/null
+++ b/packages/turnford-platform/src/object.rs
@@ -0,0 +1,222 @@
+//! The object API.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_types::Method;
+use http_types::Request;
+use serde::Deserialize;
+use serde::Serialize;
+use turnford_http::HttpAnswer;
+use turnford_http::HttpClient;
+
+use crate::CallBudget;
+use crate::ObjectVersion;
+use crate::PlatformFault;
+use crate::VALUE_LIMIT;
+
+/// Header with an object's version.
+const VERSION_HEADER: &str = "object-version";
+
+/// Header with the version that a write expects.
+const GUARD_HEADER: &str = "if-version";
+
+/// Longest wait for an answer other than a watch's.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Added to a watch's wait before it counts as silent.
+const WATCH_GRACE: Duration = Duration::from_secs(2);
+
+/// Condition of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionGuard {
+    /// The object must not exist.
+    Absent,
+    /// The object must have this version.
+    At(ObjectVersion),
+}
+
+impl VersionGuard {
+    /// Returns the guard for an object last seen at a version; 0 means that it was absent.
+    pub fn from_version(version: ObjectVersion) -> Self {
+        if version == 0 {
+            return VersionGuard::Absent;
+        }
+        VersionGuard::At(version)
+    }
+
+    fn header(self) -> String {
+        match self {
+            VersionGuard::Absent => "0".to_owned(),
+            VersionGuard::At(version) => version.to_string(),
+        }
+    }
+}
+
+/// A value with its version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ObjectValue {
+    /// Version of the value.
+    pub version: ObjectVersion,
+    /// Bytes of the value.
+    pub bytes: Vec<u8>,
+}
+
+/// One object of a list or watch; a text value only.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectEvent {
+    /// Key of the object.
+    pub key: String,
+    /// Version after the change.
+    pub version: ObjectVersion,
+    /// Value; `None` if the object was deleted or its value is no text.
+    pub value: Option<String>,
+}
+
+/// Answer to a list or watch.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectList {
+    /// Revision up to which the answer is complete.
+    pub revision: ObjectVersion,
+    /// Objects, in the order of their versions.
+    pub objects: Vec<ObjectEvent>,
+}
+
+/// Client of the object API.
+#[derive(Clone)]
+pub struct ObjectClient {
+    http: Arc<HttpClient>,
+    address: SocketAddr,
+    budget: Arc<CallBudget>,
+}
+
+impl ObjectClient {
+    /// Makes a client.
+    pub fn new(address: SocketAddr, budget: Arc<CallBudget>) -> Self {
+        let http = Arc::new(HttpClient::new());
+        Self {
+            http,
+            address,
+            budget,
+        }
+    }
+
+    /// Returns the budget that the client's calls count against.
+    pub fn budget(&self) -> &CallBudget {
+        &self.budget
+    }
+
+    /// Reads one object.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformFault::Absent`] if there is none, or the fault of the call.
+    pub async fn get(&self, key: &str) -> Result<ObjectValue, PlatformFault> {
+        self.count_read()?;
+        let request = self.request(Method::Get, &format!("/objects/{key}"))?;
+        let answer = self.http.send(self.address, request, CALL_LIMIT).await?;
+        match answer.status {
+            200 => Ok(ObjectValue {
+                version: version_of(&answer)?,
+                bytes: answer.body,
+            }),
+            404 => Err(PlatformFault::Absent),
+            _ => Err(PlatformFault::Unavailable),
+        }
+    }
+
+    /// Writes one object if the guard holds, and returns its new version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformFault::Conflict`] if the guard does not hold. After
+    /// [`PlatformFault::AnswerLost`] the write may have taken effect; the caller reads the object
+    /// and looks for its own mark.
+    pub async fn put(
+        &self,
+        key: &str,
+        guard: VersionGuard,
+        bytes: Vec<u8>,
+    ) -> Result<ObjectVersion, PlatformFault> {
+        if bytes.len() > VALUE_LIMIT {
+            return Err(PlatformFault::TooLarge);
+        }
+        if !self.budget.take_write() {
+            return Err(PlatformFault::OverBudget);
+        }
+        let mut request = self.request(Method::Put, &format!("/objects/{key}"))?;
+        request.insert_header(GUARD_HEADER, guard.header());
+        request.set_body(bytes);
+        let answer = self.http.send(self.address, request, CALL_LIMIT).await?;
+        match answer.status {
+            200 => version_of(&answer),
+            409 => Err(PlatformFault::Conflict {
+                current: version_of(&answer)?,
+            }),
+            // A store that answers 503 has not written; any other answer leaves it open.
+            503 => Err(PlatformFault::Unavailable),
+            _ => Err(PlatformFault::Invalid),
+        }
+    }
+
+    /// Lists the objects below a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault of the call.
+    pub async fn list(&self, prefix: &str) -> Result<ObjectList, PlatformFault> {
+        self.count_read()?;
+        let request = self.request(Method::Get, &format!("/list?prefix={prefix}"))?;
+        let answer = self.http.send(self.address, request, CALL_LIMIT).await?;
+        parse_list(&answer)
+    }
+
+    /// Waits up to `wait` for changes below a prefix after a revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformFault::HistoryGone`] if the list must be read again. A watch that stays
+    /// silent past its wait is a fault, too: it may be dead.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> Result<ObjectList, PlatformFault> {
+        self.count_read()?;
+        let wait_ms = wait.as_millis();
+        let path = format!("/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        let request = self.request(Method::Get, &path)?;
+        let limit = wait + WATCH_GRACE;
+        let answer = self.http.send(self.address, request, limit).await?;
+        if answer.status == 410 {
+            return Err(PlatformFault::HistoryGone);
+        }
+        parse_list(&answer)
+    }
+
+    fn count_read(&self) -> Result<(), PlatformFault> {
+        if self.budget.take_read() {
+            return Ok(());
+        }
+        Err(PlatformFault::OverBudget)
+    }
+
+    fn request(&self, method: Method, path: &str) -> Result<Request, PlatformFault> {
+        Ok(HttpClient::request(method, self.address, path)?)
+    }
+}
+
+fn version_of(answer: &HttpAnswer) -> Result<ObjectVersion, PlatformFault> {
+    let text = answer.header(VERSION_HEADER);
+    let version = text.and_then(|text| text.parse().ok());
+    version.ok_or(PlatformFault::Invalid)
+}
+
+fn parse_list(answer: &HttpAnswer) -> Result<ObjectList, PlatformFault> {
+    if answer.status != 200 {
+        return Err(PlatformFault::Unavailable);
+    }
+    serde_json::from_slice(&answer.body).map_err(|_| PlatformFault::Invalid)
+}
--- /dev/null
+++ b/packages/turnford-platform/src/vm.rs
@@ -0,0 +1,89 @@
+//! The VM list.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_types::Method;
+use serde::Deserialize;
+use serde::Serialize;
+use turnford_http::HttpClient;
+
+use crate::CallBudget;
+use crate::PlatformFault;
+
+/// Longest wait for the list.
+const LIST_LIMIT: Duration = Duration::from_secs(2);
+
+/// State of a VM as the list has it, late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum VmState {
+    /// Takes work.
+    Live,
+    /// Will go away.
+    Leaving,
+}
+
+/// One target VM.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VmEntry {
+    /// Name, unique in the fleet.
+    pub name: String,
+    /// Service that it runs.
+    pub service: String,
+    /// Address for calls.
+    pub address: SocketAddr,
+    /// Hall that it stands in.
+    pub hall: String,
+    /// Region of the hall.
+    pub region: String,
+    /// Hardware class.
+    pub hardware: String,
+    /// Calls that it runs at a time.
+    pub slots: u32,
+    /// Cost of one second of one slot.
+    pub cost: f64,
+    /// Models and adapters present.
+    #[serde(default)]
+    pub models: Vec<String>,
+    /// State.
+    pub state: VmState,
+}
+
+/// Client of the VM list.
+#[derive(Clone)]
+pub struct VmClient {
+    http: Arc<HttpClient>,
+    address: SocketAddr,
+    budget: Arc<CallBudget>,
+}
+
+impl VmClient {
+    /// Makes a client.
+    pub fn new(address: SocketAddr, budget: Arc<CallBudget>) -> Self {
+        let http = Arc::new(HttpClient::new());
+        Self {
+            http,
+            address,
+            budget,
+        }
+    }
+
+    /// Reads the whole list.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault of the call.
+    pub async fn list(&self) -> Result<Vec<VmEntry>, PlatformFault> {
+        if !self.budget.take_read() {
+            return Err(PlatformFault::OverBudget);
+        }
+        let request = HttpClient::request(Method::Get, self.address, "/vms")?;
+        let answer = self.http.send(self.address, request, LIST_LIMIT).await?;
+        if answer.status != 200 {
+            return Err(PlatformFault::Unavailable);
+        }
+        serde_json::from_slice(&answer.body).map_err(|_| PlatformFault::Invalid)
+    }
+}
--- /dev/null
+++ b/packages/turnford-platform/src/weight.rs
@@ -0,0 +1,65 @@
+//! The rate-limited store of model weights.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_types::Method;
+use serde::Deserialize;
+use turnford_http::HttpClient;
+
+use crate::CallBudget;
+use crate::PlatformFault;
+
+/// Longest wait for an answer.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Answer to a question for a load's place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub(crate) struct LoadSlot {
+    /// Milliseconds until the load may begin; 0 means now.
+    pub(crate) wait_ms: u64,
+}
+
+/// Client of the weight store.
+#[derive(Clone)]
+pub struct WeightClient {
+    http: Arc<HttpClient>,
+    address: SocketAddr,
+    budget: Arc<CallBudget>,
+}
+
+impl WeightClient {
+    /// Makes a client.
+    pub fn new(address: SocketAddr, budget: Arc<CallBudget>) -> Self {
+        let http = Arc::new(HttpClient::new());
+        Self {
+            http,
+            address,
+            budget,
+        }
+    }
+
+    /// Asks when a model's weights may be loaded next.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformFault::Absent`] for an unknown model, or the fault of the call.
+    pub async fn reserve(&self, model: &str) -> Result<Duration, PlatformFault> {
+        if !self.budget.take_read() {
+            return Err(PlatformFault::OverBudget);
+        }
+        let path = format!("/weights/{model}");
+        let request = HttpClient::request(Method::Post, self.address, &path)?;
+        let answer = self.http.send(self.address, request, CALL_LIMIT).await?;
+        match answer.status {
+            200 => {
+                let slot: LoadSlot =
+                    serde_json::from_slice(&answer.body).map_err(|_| PlatformFault::Invalid)?;
+                Ok(Duration::from_millis(slot.wait_ms))
+            }
+            404 => Err(PlatformFault::Absent),
+            _ => Err(PlatformFault::Unavailable),
+        }
+    }
+}
--- /dev/null
+++ b/packages/turnford-policy/src/estimate.rs
@@ -0,0 +1,112 @@
+//! Learned stage times by hardware class and input length.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::AgedHistogram;
+use crate::Moment;
+
+/// Half-life of what was learned. A burst must show within seconds, a lull must not erase all.
+const HALF_LIFE: Duration = Duration::from_secs(20);
+
+/// Stage time assumed before anything was measured.
+const UNKNOWN_TIME: Duration = Duration::from_millis(50);
+
+/// Samples needed before a bucket of its own is trusted over the whole.
+const TRUSTED_WEIGHT: f32 = 5.0;
+
+/// Samples needed before a call can look lost.
+const PATIENCE_WEIGHT: f32 = 20.0;
+
+/// Quantile of the time that patience is counted from.
+const PATIENCE_QUANTILE: f64 = 0.99;
+
+/// Factor on that quantile.
+const PATIENCE_FACTOR: u32 = 2;
+
+/// Stage times of one service.
+#[derive(Debug)]
+pub struct StageEstimates {
+    by_bucket: HashMap<(Arc<str>, u8), AgedHistogram>,
+    by_length: HashMap<u8, AgedHistogram>,
+    all: AgedHistogram,
+}
+
+impl StageEstimates {
+    /// Makes empty estimates.
+    pub fn new() -> Self {
+        Self {
+            by_bucket: HashMap::new(),
+            by_length: HashMap::new(),
+            all: AgedHistogram::new(HALF_LIFE),
+        }
+    }
+
+    /// Learns one whole stage time on a hardware class.
+    pub fn record(&mut self, now: Moment, hardware: &Arc<str>, length: u32, time: Duration) {
+        let bucket = length_bucket(length);
+        let fresh = || AgedHistogram::new(HALF_LIFE);
+        let key = (hardware.clone(), bucket);
+        self.by_bucket
+            .entry(key)
+            .or_insert_with(fresh)
+            .record(now, time);
+        self.by_length
+            .entry(bucket)
+            .or_insert_with(fresh)
+            .record(now, time);
+        self.all.record(now, time);
+    }
+
+    /// Returns the mean time on a hardware class, from the closest trusted data.
+    pub fn mean(&self, hardware: &Arc<str>, length: u32) -> Duration {
+        let bucket = length_bucket(length);
+        let own = self.by_bucket.get(&(hardware.clone(), bucket));
+        let trusted = own.filter(|found| found.weight() >= TRUSTED_WEIGHT);
+        let mean = trusted.and_then(AgedHistogram::mean);
+        mean.unwrap_or_else(|| self.mean_of_length(length))
+    }
+
+    /// Returns the mean time over all hardware for an input length.
+    pub fn mean_of_length(&self, length: u32) -> Duration {
+        let found = self.any_hardware(length).and_then(AgedHistogram::mean);
+        found.unwrap_or(UNKNOWN_TIME)
+    }
+
+    /// Returns a quantile of the time over all hardware for an input length.
+    pub fn quantile(&self, length: u32, quantile: f64) -> Duration {
+        let found = self.any_hardware(length);
+        let time = found.and_then(|histogram| histogram.quantile(quantile));
+        time.unwrap_or(UNKNOWN_TIME)
+    }
+
+    /// Returns how long a call may take before it looks lost; `None` before enough was learned.
+    pub fn patience(&self, length: u32) -> Option<Duration> {
+        let own = self.by_length.get(&length_bucket(length))?;
+        if own.weight() < PATIENCE_WEIGHT {
+            return None;
+        }
+        own.quantile(PATIENCE_QUANTILE)
+            .map(|time| time * PATIENCE_FACTOR)
+    }
+
+    fn any_hardware(&self, length: u32) -> Option<&AgedHistogram> {
+        let own = self.by_length.get(&length_bucket(length));
+        let trusted = own.filter(|found| found.weight() >= TRUSTED_WEIGHT);
+        let whole = Some(&self.all).filter(|found| found.weight() > 0.0);
+        trusted.or(whole)
+    }
+}
+
+impl Default for StageEstimates {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Returns the bucket of an input length: one per doubling.
+fn length_bucket(length: u32) -> u8 {
+    let bits = u32::BITS - length.leading_zeros();
+    bits as u8
+}
--- /dev/null
+++ b/packages/turnford-policy/src/evidence.rs
@@ -0,0 +1,78 @@
+//! What is known of an attempt, and the only way to the caller's `ran` word.
+
+/// What the node knows of one attempt at one target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEvidence {
+    /// No byte of the call was handed to a target.
+    NotSent,
+    /// The call was handed over and nothing more is known yet.
+    Sent,
+    /// The target itself refused before it started.
+    RefusedBeforeStart,
+    /// The target ran the call, whole or not.
+    Ran,
+    /// The call was handed over and its outcome can't be learned.
+    Unknown,
+}
+
+/// The word that a caller gets about whether anything ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RanWord {
+    /// Nothing ran, and nothing is billed.
+    No,
+    /// Something ran.
+    Yes,
+    /// Something may have run.
+    Unknown,
+}
+
+impl RanWord {
+    /// Returns the word as the interface spells it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RanWord::No => "no",
+            RanWord::Yes => "yes",
+            RanWord::Unknown => "unknown",
+        }
+    }
+}
+
+/// Evidence over all attempts of one request; it only ever gets worse.
+#[derive(Clone, Debug, Default)]
+pub struct RequestEvidence {
+    open: u32,
+    ran: bool,
+    unknown: bool,
+}
+
+impl RequestEvidence {
+    /// Notes that a call is about to be handed to a target.
+    ///
+    /// It is called before the first byte is written, so that a request that is cut off in between
+    /// counts as sent.
+    pub fn note_send(&mut self) {
+        self.open += 1;
+    }
+
+    /// Notes how an attempt ended, after [`RequestEvidence::note_send`].
+    pub fn note_end(&mut self, evidence: AttemptEvidence) {
+        debug_assert!(self.open > 0, "an attempt ended that was never sent");
+        self.open = self.open.saturating_sub(1);
+        match evidence {
+            AttemptEvidence::NotSent | AttemptEvidence::RefusedBeforeStart => (),
+            AttemptEvidence::Ran => self.ran = true,
+            AttemptEvidence::Sent | AttemptEvidence::Unknown => self.unknown = true,
+        }
+    }
+
+    /// Returns the caller's word. An attempt still open counts as unknown.
+    pub fn ran(&self) -> RanWord {
+        if self.ran {
+            RanWord::Yes
+        } else if self.unknown || self.open > 0 {
+            RanWord::Unknown
+        } else {
+            RanWord::No
+        }
+    }
+}
--- /dev/null
+++ b/packages/turnford-policy/src/lib.rs
@@ -0,0 +1,81 @@
+//! The decisions about single requests: deadlines, admission, hold, shed, routing, retries, health
+//! and limits.
+//!
+//! Everything here is plain state: an event and the time go in, a decision comes out. Time is a
+//! [`Moment`], the span since an arbitrary start, so that tests and sweeps run in virtual time.
+
+mod admission;
+mod attempt;
+mod budget;
+mod clock;
+mod code;
+mod estimate;
+mod evidence;
+mod health;
+mod histogram;
+mod hold;
+mod limit;
+mod pool;
+mod retry;
+mod routing;
+mod target;
+
+pub use admission::plan_admission;
+pub use admission::AdmissionPlan;
+pub use admission::StageDemand;
+pub use attempt::AttemptId;
+pub use attempt::AttemptSource;
+pub use budget::DeadlineBudget;
+pub use clock::Clock;
+pub use clock::ManualClock;
+pub use clock::SystemClock;
+pub use code::ResultCode;
+pub use estimate::StageEstimates;
+pub use evidence::AttemptEvidence;
+pub use evidence::RanWord;
+pub use evidence::RequestEvidence;
+pub use health::HealthSettings;
+pub use health::HealthState;
+pub use health::TargetHealth;
+pub use histogram::AgedHistogram;
+pub use hold::HeldWork;
+pub use hold::HoldQueue;
+pub use limit::AccountLimit;
+pub use limit::LimitRefusal;
+pub use pool::HoldVerdict;
+pub use pool::PoolOffer;
+pub use pool::PoolSettings;
+pub use pool::PoolSummary;
+pub use pool::ServicePool;
+pub use pool::StageOutcome;
+pub use pool::StagePlacement;
+pub use pool::StageWork;
+pub use retry::RetryBudget;
+pub use routing::RoutingPolicy;
+pub use target::LoadReport;
+pub use target::TargetFacts;
+pub use target::TargetView;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time since an arbitrary start of the process or the test.
+pub type Moment = Duration;
+
+/// Name of a target, unique in the fleet.
+pub type TargetId = Arc<str>;
+
+/// Name of a client account.
+pub type AccountId = Arc<str>;
+
+/// Name of a service, which is a pool of targets that do the same.
+pub type ServiceId = Arc<str>;
+
+/// Priority class of an account: 0 is served first and shed last.
+pub type ClassRank = u8;
+
+/// Hash of a prompt's prefix.
+pub type PrefixHash = u64;
+
+/// Number of a held piece of work, unique in one pool.
+pub type HoldTicket = u64;
--- /dev/null
+++ b/packages/turnford-policy/src/pool.rs
@@ -0,0 +1,603 @@
+//! One service's pool on one node: views, held work, estimates, health and retries together.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+
+use crate::routing::choose_baseline;
+use crate::routing::choose_estimated;
+use crate::routing::RoutingInput;
+use crate::AccountId;
+use crate::ClassRank;
+use crate::HealthSettings;
+use crate::HoldQueue;
+use crate::HoldTicket;
+use crate::LoadReport;
+use crate::Moment;
+use crate::PrefixHash;
+use crate::ResultCode;
+use crate::RetryBudget;
+use crate::RoutingPolicy;
+use crate::StageDemand;
+use crate::StageEstimates;
+use crate::TargetFacts;
+use crate::TargetId;
+use crate::TargetView;
+
+/// Pieces of held work that one round looks at beyond the first, when the first needs a model that
+/// no free target has.
+const LOOK_AHEAD: usize = 32;
+
+/// Smallest hint for a caller's next try.
+const SMALLEST_HINT: Duration = Duration::from_millis(100);
+
+/// Number of classes that promises are kept for; higher ranks share the last.
+const CLASS_COUNT: usize = 4;
+
+/// How one pool behaves.
+#[derive(Clone, Debug)]
+pub struct PoolSettings {
+    /// Choice of targets.
+    pub policy: RoutingPolicy,
+    /// Whether work is held for a slot; baselines send at once.
+    pub holds: bool,
+    /// Most pieces of work held.
+    pub hold_limit: usize,
+    /// When targets are taken out; `None` never takes one out (baseline).
+    pub health: Option<HealthSettings>,
+    /// Seed of the choices.
+    pub seed: u64,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            policy: RoutingPolicy::Estimated,
+            holds: true,
+            hold_limit: 512,
+            health: Some(HealthSettings::default()),
+            seed: 1,
+        }
+    }
+}
+
+/// One stage of one request, as the pool sees it.
+#[derive(Clone, Debug)]
+pub struct StageWork {
+    /// Account that asked.
+    pub account: AccountId,
+    /// Class of the account.
+    pub class: ClassRank,
+    /// Share of the account inside its class; 1 is usual.
+    pub share: f64,
+    /// Weight of cost against time, from 0 to 1.
+    pub cost_weight: f64,
+    /// Input length in tokens.
+    pub length: u32,
+    /// Expected time on the mean target.
+    pub expected: Duration,
+    /// Latest start that leaves the later stages their reserves.
+    pub latest_start: Moment,
+    /// Latest end that leaves the later stages their reserves.
+    pub latest_end: Moment,
+    /// After this time the request can't finish even if all goes as expected.
+    pub hopeless_after: Moment,
+    /// Model or adapter needed.
+    pub model: Option<Arc<str>>,
+    /// Hash of the prompt's prefix.
+    pub prefix: Option<PrefixHash>,
+    /// Targets that failed this stage already.
+    pub tried: Vec<TargetId>,
+}
+
+/// A target chosen for a piece of work. It must be given back with [`ServicePool::finish`].
+#[derive(Clone, Debug)]
+pub struct StagePlacement {
+    /// The target.
+    pub target: TargetId,
+    /// When it was chosen.
+    pub placed_at: Moment,
+    /// Input length of the work.
+    pub length: u32,
+    /// Prefix of the work.
+    pub prefix: Option<PrefixHash>,
+    /// Time that was expected.
+    pub expected: Duration,
+}
+
+/// Answer to an offer of work.
+#[derive(Clone, Debug)]
+pub enum PoolOffer {
+    /// Runs now.
+    Run(StagePlacement),
+    /// Waits; [`ServicePool::pump`] gives the verdict.
+    Held(HoldTicket),
+    /// Refused; nothing was started.
+    Refused {
+        /// Why.
+        code: ResultCode,
+        /// When a try is likely to fit.
+        retry_after: Duration,
+    },
+}
+
+/// End of a wait.
+#[derive(Clone, Debug)]
+pub enum HoldVerdict {
+    /// Runs now.
+    Run(HoldTicket, StagePlacement),
+    /// Dropped before it ran.
+    Shed(HoldTicket, ResultCode),
+}
+
+/// How a placed call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StageOutcome {
+    /// Whole answer.
+    Whole,
+    /// The target failed the call.
+    Failed,
+    /// The call was given up after its time ran out.
+    GivenUp,
+    /// The target refused before it started because it is full.
+    RefusedFull,
+    /// The target refused or closed because it leaves.
+    Leaving,
+    /// The caller went away; says nothing of the target.
+    Cancelled,
+}
+
+/// Numbers of a pool for status pages, digests and admission.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PoolSummary {
+    /// Targets known.
+    pub targets: usize,
+    /// Targets that get no work because they fail.
+    pub ejected: usize,
+    /// Targets that leave.
+    pub leaving: usize,
+    /// Slots of the targets that get work.
+    pub slots: u32,
+    /// Calls of this node in flight.
+    pub own: u32,
+    /// Pieces of work held.
+    pub held: usize,
+    /// Expected seconds of held and promised work of this node.
+    pub backlog: f64,
+}
+
+/// The pool of one service.
+#[derive(Debug)]
+pub struct ServicePool {
+    settings: PoolSettings,
+    views: Vec<TargetView>,
+    index: HashMap<TargetId, usize>,
+    queue: HoldQueue,
+    estimates: StageEstimates,
+    retries: RetryBudget,
+    promised: [f64; CLASS_COUNT],
+    peer_backlog: f64,
+    node_share: f64,
+    turn: usize,
+    rng: SmallRng,
+}
+
+impl ServicePool {
+    /// Makes a pool without targets.
+    pub fn new(settings: PoolSettings) -> Self {
+        let queue = HoldQueue::new(settings.hold_limit);
+        let rng = SmallRng::seed_from_u64(settings.seed);
+        Self {
+            settings,
+            views: Vec::new(),
+            index: HashMap::new(),
+            queue,
+            estimates: StageEstimates::new(),
+            retries: RetryBudget::new(),
+            promised: [0.0; CLASS_COUNT],
+            peer_backlog: 0.0,
+            node_share: 1.0,
+            turn: 0,
+            rng,
+        }
+    }
+
+    /// Takes the targets of a VM list. Views of targets that stay keep what was learned.
+    pub fn apply_list(&mut self, list: Vec<TargetFacts>) {
+        let mut old: HashMap<TargetId, TargetView> = HashMap::new();
+        for view in self.views.drain(..) {
+            old.insert(view.facts.id.clone(), view);
+        }
+        for facts in list {
+            let view = match old.remove(&facts.id) {
+                Some(mut view) => {
+                    view.facts = facts;
+                    view
+                }
+                None => TargetView::new(facts),
+            };
+            self.views.push(view);
+        }
+        // A target that is gone from the list but still runs calls of this node stays as leaving.
+        let running = old.into_values().filter(|view| view.own() > 0);
+        self.views.extend(running.map(|mut view| {
+            view.leaving = true;
+            view
+        }));
+        self.views
+            .sort_by(|left, right| left.facts.id.cmp(&right.facts.id));
+        self.reindex();
+    }
+
+    /// Takes a late load report of a target.
+    pub fn apply_report(&mut self, target: &str, report: LoadReport) {
+        if let Some(view) = self.view_mut(target) {
+            view.apply_report(report);
+        }
+    }
+
+    /// Takes the sum of what peers have in flight at a target.
+    pub fn apply_peer_load(&mut self, now: Moment, target: &str, inflight: u32) {
+        if let Some(view) = self.view_mut(target) {
+            view.apply_peers(now, inflight);
+        }
+    }
+
+    /// Takes the expected seconds of work that peers hold for this service, and this node's part.
+    pub fn apply_peers(&mut self, backlog: f64, node_share: f64) {
+        self.peer_backlog = backlog.max(0.0);
+        self.node_share = node_share.clamp(0.0, 1.0);
+    }
+
+    /// Marks a target as leaving, by any signal. A target that leaves never comes back by itself:
+    /// only a VM list that names it live after it was gone does that.
+    pub fn mark_leaving(&mut self, target: &str) -> bool {
+        let Some(view) = self.view_mut(target) else {
+            return false;
+        };
+        let first = !view.leaving;
+        view.leaving = true;
+        first
+    }
+
+    /// Takes a cache event of an engine.
+    pub fn note_prefix(&mut self, target: &str, prefix: PrefixHash, present: bool) {
+        let Some(view) = self.view_mut(target) else {
+            return;
+        };
+        if present {
+            view.note_prefix(prefix);
+        } else {
+            view.drop_prefix(prefix);
+        }
+    }
+
+    /// Forgets what an engine was thought to hold, after a gap in its events.
+    pub fn note_prefix_gap(&mut self, target: &str) {
+        if let Some(view) = self.view_mut(target) {
+            view.clear_prefixes();
+        }
+    }
+
+    /// Returns what a new request would meet at this service.
+    pub fn demand(&self, now: Moment, class: ClassRank, length: u32, quantile: f64) -> StageDemand {
+        StageDemand {
+            wait: self.expected_wait(now, class),
+            reserve: self.estimates.quantile(length, quantile),
+        }
+    }
+
+    /// Returns the expected time of work on the mean target.
+    pub fn expected(&self, length: u32) -> Duration {
+        self.estimates.mean_of_length(length)
+    }
+
+    /// Returns how long a call may take before it looks lost; `None` before enough was learned.
+    pub fn patience(&self, length: u32) -> Option<Duration> {
+        self.estimates.patience(length)
+    }
+
+    /// Notes that an admitted request will come to this service later.
+    pub fn promise(&mut self, class: ClassRank, expected: Duration) {
+        self.promised[class_index(class)] += expected.as_secs_f64();
+    }
+
+    /// Takes a promise back when its stage is offered or the request ended before.
+    pub fn settle(&mut self, class: ClassRank, expected: Duration) {
+        let promised = &mut self.promised[class_index(class)];
+        *promised = (*promised - expected.as_secs_f64()).max(0.0);
+    }
+
+    /// Offers a piece of work.
+    pub fn offer(&mut self, now: Moment, work: StageWork) -> PoolOffer {
+        self.refresh_health(now);
+        if !self.has_usable(now, &work) {
+            let code = ResultCode::NoTarget;
+            let retry_after = Duration::from_secs(1);
+            return PoolOffer::Refused { code, retry_after };
+        }
+        self.retries.note_primary();
+        if self.queue.is_empty() || !self.settings.holds {
+            if let Some(placement) = self.place(now, &work) {
+                return PoolOffer::Run(placement);
+            }
+        }
+        let class = work.class;
+        match self.queue.push(now, work) {
+            Some(ticket) => PoolOffer::Held(ticket),
+            None => PoolOffer::Refused {
+                code: ResultCode::QueueFull,
+                retry_after: self.expected_wait(now, class).max(SMALLEST_HINT),
+            },
+        }
+    }
+
+    /// Offers a further try of work that failed, if the budget allows it.
+    pub fn offer_retry(&mut self, now: Moment, work: &StageWork) -> Option<StagePlacement> {
+        let in_time = now + work.expected <= work.latest_end.max(work.hopeless_after);
+        // Under overload a retry takes the place of work that was not tried yet.
+        if !in_time || !self.queue.is_empty() || !self.has_free(now, work) {
+            return None;
+        }
+        if !self.retries.take() {
+            return None;
+        }
+        self.place(now, work)
+    }
+
+    /// Serves held work while targets have slots, and drops what can no longer finish.
+    pub fn pump(&mut self, now: Moment) -> Vec<HoldVerdict> {
+        let mut verdicts = Vec::new();
+        if self.queue.is_empty() {
+            return verdicts;
+        }
+        self.refresh_health(now);
+        for ticket in self.queue.hopeless(now) {
+            self.queue.remove(ticket);
+            verdicts.push(HoldVerdict::Shed(ticket, ResultCode::Shed));
+        }
+        while let Some(held) = self.queue.pop_excess() {
+            verdicts.push(HoldVerdict::Shed(held.ticket, ResultCode::QueueFull));
+        }
+        while let Some((ticket, placement)) = self.serve_one(now) {
+            verdicts.push(HoldVerdict::Run(ticket, placement));
+        }
+        verdicts
+    }
+
+    /// Takes back held work whose caller went away. Returns false if it was served already.
+    pub fn withdraw(&mut self, ticket: HoldTicket) -> bool {
+        self.queue.remove(ticket).is_some()
+    }
+
+    /// Gives a placement back with its outcome.
+    pub fn finish(&mut self, now: Moment, placement: &StagePlacement, outcome: StageOutcome) {
+        let Some(at) = self.index.get(&placement.target).copied() else {
+            return;
+        };
+        let time = now.saturating_sub(placement.placed_at);
+        let hardware = self.views[at].facts.hardware.clone();
+        let mean = self.estimates.mean(&hardware, placement.length);
+        let ratio = time.as_secs_f64() / mean.as_secs_f64().max(1e-6);
+        let view = &mut self.views[at];
+        view.note_end(now);
+        match outcome {
+            StageOutcome::Whole => view.health.note_success(ratio),
+            StageOutcome::Failed => view.health.note_failure(),
+            StageOutcome::GivenUp => view.health.note_given_up(ratio),
+            StageOutcome::Leaving => view.leaving = true,
+            StageOutcome::RefusedFull | StageOutcome::Cancelled => (),
+        }
+        if outcome == StageOutcome::Whole {
+            if let Some(prefix) = placement.prefix {
+                view.note_prefix(prefix);
+            }
+            self.estimates
+                .record(now, &hardware, placement.length, time);
+        }
+        self.judge(now, at);
+    }
+
+    /// Returns the numbers of the pool.
+    pub fn summary(&self) -> PoolSummary {
+        let mut summary = PoolSummary {
+            targets: self.views.len(),
+            held: self.queue.len(),
+            ..PoolSummary::default()
+        };
+        for view in &self.views {
+            summary.own += view.own();
+            summary.leaving += usize::from(view.leaving);
+            summary.ejected += usize::from(view.health.is_ejected());
+            if !view.leaving && !view.health.is_ejected() {
+                summary.slots += view.facts.slots;
+            }
+        }
+        summary.backlog = self.own_backlog(ClassRank::MAX);
+        summary
+    }
+
+    /// Returns the views for status pages and digests.
+    pub fn views(&self) -> &[TargetView] {
+        &self.views
+    }
+
+    /// Returns the expected wait of a new piece of work of a class.
+    pub fn expected_wait(&self, now: Moment, class: ClassRank) -> Duration {
+        let mut slots = 0.0;
+        let mut over = 0.0;
+        let mean = self.estimates.mean_of_length(0).as_secs_f64();
+        for view in &self.views {
+            if view.leaving || view.health.is_ejected() {
+                continue;
+            }
+            let own_slots = f64::from(view.facts.slots);
+            slots += own_slots;
+            over += (view.inflight(now) - own_slots).max(0.0);
+        }
+        if slots <= 0.0 {
+            return Duration::ZERO;
+        }
+        let backlog = self.own_backlog(class) + self.peer_backlog + over * mean;
+        Duration::from_secs_f64(backlog / slots)
+    }
+
+    fn own_backlog(&self, class: ClassRank) -> f64 {
+        let promised: f64 = self.promised[..=class_index(class)].iter().sum();
+        self.queue.held_time(class).as_secs_f64() + promised
+    }
+
+    fn serve_one(&mut self, now: Moment) -> Option<(HoldTicket, StagePlacement)> {
+        let first = self.queue.first()?.ticket;
+        if let Some(found) = self.serve_ticket(now, first) {
+            return Some(found);
+        }
+        // The first can wait for a model that no free target has; others need not wait for it.
+        let heads = self.queue.heads(LOOK_AHEAD);
+        heads
+            .into_iter()
+            .find_map(|ticket| self.serve_ticket(now, ticket))
+    }
+
+    fn serve_ticket(
+        &mut self,
+        now: Moment,
+        ticket: HoldTicket,
+    ) -> Option<(HoldTicket, StagePlacement)> {
+        let work = self.queue.get(ticket)?.work.clone();
+        let placement = self.place(now, &work)?;
+        self.queue.serve(ticket);
+        Some((ticket, placement))
+    }
+
+    fn place(&mut self, now: Moment, work: &StageWork) -> Option<StagePlacement> {
+        let input = RoutingInput {
+            now,
+            work,
+            estimates: &self.estimates,
+            node_share: self.node_share,
+        };
+        let policy = self.settings.policy;
+        let chosen = if policy == RoutingPolicy::Estimated {
+            choose_estimated(&input, &self.views, &mut self.rng)
+        } else {
+            let turn = &mut self.turn;
+            choose_baseline(policy, &input, &self.views, turn, &mut self.rng)
+        };
+        let view = &mut self.views[chosen?];
+        view.note_start(now);
+        Some(StagePlacement {
+            target: view.facts.id.clone(),
+            placed_at: now,
+            length: work.length,
+            prefix: work.prefix,
+            expected: work.expected,
+        })
+    }
+
+    fn has_usable(&self, now: Moment, work: &StageWork) -> bool {
+        let input = self.input(now, work);
+        self.views.iter().any(|view| input.is_usable(view))
+    }
+
+    fn has_free(&self, now: Moment, work: &StageWork) -> bool {
+        let input = self.input(now, work);
+        let mut views = self.views.iter();
+        views.any(|view| input.is_usable(view) && input.has_slot(view))
+    }
+
+    fn input<'a>(&'a self, now: Moment, work: &'a StageWork) -> RoutingInput<'a> {
+        RoutingInput {
+            now,
+            work,
+            estimates: &self.estimates,
+            node_share: self.node_share,
+        }
+    }
+
+    fn refresh_health(&mut self, now: Moment) {
+        for view in &mut self.views {
+            view.health.refresh(now);
+        }
+    }
+
+    /// Takes a target out if it is bad next to its peers and the pool can spare it.
+    fn judge(&mut self, now: Moment, at: usize) {
+        let Some(settings) = self.settings.health.clone() else {
+            return;
+        };
+        let health = &self.views[at].health;
+        if health.is_ejected() {
+            return;
+        }
+        let (failure, slowness) = self.peer_medians(at);
+        let bad = self.views[at].health.is_bad(&settings, failure, slowness);
+        let bad = bad || self.views[at].health.fails_probation(&settings);
+        if bad && self.can_spare(&settings) {
+            self.views[at].health.eject(now, &settings);
+        }
+    }
+
+    /// Returns the median failure and slowness of the other targets of the same hardware class, or
+    /// of all others if the class has no other.
+    fn peer_medians(&self, at: usize) -> (f64, f64) {
+        let hardware = &self.views[at].facts.hardware;
+        let others = || {
+            self.views
+                .iter()
+                .enumerate()
+                .filter(|(place, _)| *place != at)
+        };
+        let same: Vec<&TargetView> = others()
+            .filter(|(_, view)| view.facts.hardware == *hardware)
+            .map(|(_, view)| view)
+            .collect();
+        let peers = if same.is_empty() {
+            others().map(|(_, view)| view).collect()
+        } else {
+            same
+        };
+        let failures = peers.iter().map(|view| view.health.failure()).collect();
+        let slownesses = peers.iter().map(|view| view.health.slowness()).collect();
+        (median(failures, 0.0), median(slownesses, 1.0))
+    }
+
+    fn can_spare(&self, settings: &HealthSettings) -> bool {
+        let live = self.views.iter().filter(|view| !view.leaving).count();
+        let ejected = self
+            .views
+            .iter()
+            .filter(|view| view.health.is_ejected())
+            .count();
+        let allowed = (live as f64 * settings.ejected_part).floor() as usize;
+        let allowed = if live >= 2 { allowed.max(1) } else { 0 };
+        ejected < allowed
+    }
+
+    fn view_mut(&mut self, target: &str) -> Option<&mut TargetView> {
+        let at = self.index.get(target).copied()?;
+        self.views.get_mut(at)
+    }
+
+    fn reindex(&mut self) {
+        let places = self.views.iter().enumerate();
+        self.index = places
+            .map(|(at, view)| (view.facts.id.clone(), at))
+            .collect();
+    }
+}
+
+fn class_index(class: ClassRank) -> usize {
+    usize::from(class).min(CLASS_COUNT - 1)
+}
+
+fn median(mut values: Vec<f64>, fallback: f64) -> f64 {
+    if values.is_empty() {
+        return fallback;
+    }
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
--- /dev/null
+++ b/packages/turnford-policy/src/routing.rs
@@ -0,0 +1,199 @@
+//! The choice of a target, and the simple policies it is measured against.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::Rng;
+
+use crate::Moment;
+use crate::StageEstimates;
+use crate::StageWork;
+use crate::TargetView;
+
+/// Candidates looked at for one decision.
+const SAMPLE_COUNT: usize = 16;
+
+/// Part of the time that a held prefix saves; learned values replace it once engines report it.
+const PREFIX_SAVING: f64 = 0.3;
+
+/// Added to the score of a candidate that is not expected to finish in time.
+const LATE_PENALTY: f64 = 10.0;
+
+/// Smallest probability of success assumed, so that a failing target's estimate stays finite.
+const SMALLEST_SUCCESS: f64 = 0.05;
+
+/// How a pool chooses its targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoutingPolicy {
+    /// Estimated time to finish, with cost by the account's weight.
+    Estimated,
+    /// Any target (baseline).
+    Random,
+    /// One after another (baseline).
+    RoundRobin,
+    /// The fewest calls in flight from this node (baseline).
+    LeastInFlight,
+}
+
+impl RoutingPolicy {
+    /// Every policy, with the name that the command line takes.
+    pub const ALL: [(&'static str, RoutingPolicy); 4] = [
+        ("estimated", RoutingPolicy::Estimated),
+        ("random", RoutingPolicy::Random),
+        ("round-robin", RoutingPolicy::RoundRobin),
+        ("least-in-flight", RoutingPolicy::LeastInFlight),
+    ];
+}
+
+/// What a choice looks at beside the targets.
+pub(crate) struct RoutingInput<'a> {
+    pub(crate) now: Moment,
+    pub(crate) work: &'a StageWork,
+    pub(crate) estimates: &'a StageEstimates,
+    /// Part of a target's slots that this node may fill whatever others are thought to have there.
+    pub(crate) node_share: f64,
+}
+
+impl RoutingInput<'_> {
+    /// Tells whether a target may take the work at all.
+    pub(crate) fn is_usable(&self, view: &TargetView) -> bool {
+        !view.leaving
+            && view.has_model(self.work.model.as_ref())
+            && !self.work.tried.contains(&view.facts.id)
+    }
+
+    /// Tells whether a target has a slot for the work.
+    pub(crate) fn has_slot(&self, view: &TargetView) -> bool {
+        if !view.health.admits(view.own()) {
+            return false;
+        }
+        let slots = f64::from(view.facts.slots);
+        let floor = (slots * self.node_share).floor();
+        f64::from(view.own()) < floor || view.inflight(self.now) < slots
+    }
+
+    /// Returns the expected time of the work itself on a target.
+    pub(crate) fn run_time(&self, view: &TargetView) -> Duration {
+        let mean = self.estimates.mean(&view.facts.hardware, self.work.length);
+        let saving = match self.work.prefix {
+            Some(prefix) if view.has_prefix(prefix) => 1.0 - PREFIX_SAVING,
+            _ => 1.0,
+        };
+        let success = (1.0 - view.health.failure()).max(SMALLEST_SUCCESS);
+        mean.mul_f64(saving * view.health.slowness().max(0.2) / success)
+    }
+
+    /// Returns the expected time until the answer is back.
+    pub(crate) fn finish_time(&self, view: &TargetView) -> Duration {
+        let run = self.run_time(view);
+        let slots = f64::from(view.facts.slots.max(1));
+        let inflight = view.inflight(self.now);
+        let over = (inflight + 1.0 - slots).max(0.0);
+        // A busy engine batches, so each call beside this one costs a little even below the slots.
+        let crowding = 1.0 + 0.25 * (inflight / slots).min(1.0);
+        run.mul_f64(crowding + over / slots) + view.facts.distance * 2
+    }
+
+    /// Returns a score; the smallest wins.
+    fn score(&self, view: &TargetView, top_cost: f64) -> f64 {
+        let finish = self.finish_time(view);
+        let left = self.work.latest_end.saturating_sub(self.now);
+        let share = finish.as_secs_f64() / left.as_secs_f64().max(0.001);
+        let late = if share > 1.0 { LATE_PENALTY } else { 0.0 };
+        let weight = self.work.cost_weight.clamp(0.0, 1.0);
+        let price = view.facts.cost * self.run_time(view).as_secs_f64();
+        (1.0 - weight) * share + weight * price / top_cost.max(1e-9) + late
+    }
+}
+
+/// Chooses among candidates by their place in `views`.
+pub(crate) fn choose_estimated(
+    input: &RoutingInput<'_>,
+    views: &[TargetView],
+    rng: &mut SmallRng,
+) -> Option<usize> {
+    let candidates = sample_candidates(input, views, rng);
+    let prices = candidates.iter().map(|at| {
+        let view = &views[*at];
+        view.facts.cost * input.run_time(view).as_secs_f64()
+    });
+    let top_cost = prices.fold(0.0, f64::max);
+    let scored = candidates
+        .into_iter()
+        .map(|at| (input.score(&views[at], top_cost), at));
+    let best = scored.min_by(|left, right| left.0.total_cmp(&right.0));
+    best.map(|(_, at)| at)
+}
+
+/// Picks a few targets with a slot, from a random place on.
+///
+/// Nodes that see the same stale report start at different places, so they do not all go to the
+/// one target that looks idle. Of a small pool at most three quarters are looked at.
+fn sample_candidates(
+    input: &RoutingInput<'_>,
+    views: &[TargetView],
+    rng: &mut SmallRng,
+) -> Vec<usize> {
+    let mut candidates = Vec::with_capacity(SAMPLE_COUNT);
+    if views.is_empty() {
+        return candidates;
+    }
+    let wanted = (views.len() * 3).div_ceil(4).min(SAMPLE_COUNT);
+    let start = rng.random_range(0..views.len());
+    // A step that shares no factor with the length visits every place once, in a mixed order.
+    let step = coprime_step(views.len(), rng);
+    let mut at = start;
+    for _ in 0..views.len() {
+        let view = &views[at];
+        if input.is_usable(view) && input.has_slot(view) {
+            candidates.push(at);
+            if candidates.len() >= wanted {
+                break;
+            }
+        }
+        at = (at + step) % views.len();
+    }
+    let prefix = input.work.prefix;
+    let holder = prefix.and_then(|prefix| find_holder(input, views, prefix));
+    candidates.extend(holder.filter(|at| !candidates.contains(at)));
+    candidates
+}
+
+fn find_holder(input: &RoutingInput<'_>, views: &[TargetView], prefix: u64) -> Option<usize> {
+    views
+        .iter()
+        .position(|view| view.has_prefix(prefix) && input.is_usable(view) && input.has_slot(view))
+}
+
+fn coprime_step(length: usize, rng: &mut SmallRng) -> usize {
+    const PRIMES: [usize; 6] = [1, 7, 11, 13, 17, 19];
+    let step = PRIMES[rng.random_range(0..PRIMES.len())];
+    if length.is_multiple_of(step) {
+        return 1;
+    }
+    step
+}
+
+/// Chooses as a baseline does: any live target, whether it has a slot or not.
+pub(crate) fn choose_baseline(
+    policy: RoutingPolicy,
+    input: &RoutingInput<'_>,
+    views: &[TargetView],
+    turn: &mut usize,
+    rng: &mut SmallRng,
+) -> Option<usize> {
+    let usable: Vec<usize> = (0..views.len())
+        .filter(|at| input.is_usable(&views[*at]))
+        .collect();
+    if usable.is_empty() {
+        return None;
+    }
+    match policy {
+        RoutingPolicy::Random => Some(usable[rng.random_range(0..usable.len())]),
+        RoutingPolicy::LeastInFlight => usable.into_iter().min_by_key(|at| views[*at].own()),
+        RoutingPolicy::RoundRobin | RoutingPolicy::Estimated => {
+            *turn = turn.wrapping_add(1);
+            Some(usable[*turn % usable.len()])
+        }
+    }
+}
--- /dev/null
+++ b/packages/turnford-standin/src/audit.rs
@@ -0,0 +1,57 @@
+//! Checks answers against the targets' journal.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use serde::Serialize;
+
+use crate::load::RequestRecord;
+use crate::JournalEntry;
+
+/// Broken promises, all of which must be zero.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct AuditCounts {
+    /// Requests that got no end at all.
+    pub lost: u64,
+    /// Requests for which a once-only service ran more than once.
+    pub doubled: u64,
+    /// Whole answers that belong to another request.
+    pub crossed: u64,
+    /// Refusals that say "not run" although a target started.
+    pub false_not_run: u64,
+}
+
+impl AuditCounts {
+    /// Tells whether every promise held.
+    pub fn is_clean(&self) -> bool {
+        *self == AuditCounts::default()
+    }
+}
+
+/// Counts broken promises over all requests of a run.
+pub(crate) fn audit_run(
+    records: &[RequestRecord],
+    journal: &[JournalEntry],
+    once: &BTreeSet<String>,
+) -> AuditCounts {
+    let mut starts: HashMap<&str, u64> = HashMap::new();
+    let mut once_starts: HashMap<(&str, &str), u64> = HashMap::new();
+    for entry in journal {
+        *starts.entry(entry.mark.as_str()).or_default() += 1;
+        if once.contains(&entry.service) {
+            let key = (entry.mark.as_str(), entry.service.as_str());
+            *once_starts.entry(key).or_default() += 1;
+        }
+    }
+    let mut counts = AuditCounts {
+        doubled: once_starts.values().filter(|runs| **runs > 1).count() as u64,
+        ..AuditCounts::default()
+    };
+    for record in records {
+        let started = starts.contains_key(record.mark.as_str());
+        counts.lost += u64::from(record.code.is_none());
+        counts.crossed += u64::from(record.whole && !record.own);
+        counts.false_not_run += u64::from(record.ran == "no" && started);
+    }
+    counts
+}
--- /dev/null
+++ b/packages/turnford-standin/src/lib.rs
@@ -0,0 +1,55 @@
+//! Stand-ins of the outside systems, and the tool that loads a fleet and audits its answers.
+//!
+//! All of it serves on loopback only. What a target really ran stands in its journal, against which
+//! the load tool counts lost, doubled and crossed results.
+
+mod audit;
+mod fault;
+mod fleet;
+mod journal;
+mod load;
+mod objects;
+mod plot;
+mod report;
+mod scenario;
+mod store;
+mod target;
+mod vms;
+
+pub use audit::AuditCounts;
+pub use fault::FaultKind;
+pub use fault::FaultSpec;
+pub use fault::FaultTable;
+pub use fleet::StandinFleet;
+pub use journal::Journal;
+pub use journal::JournalEntry;
+pub use load::run_load;
+pub use load::LoadSettings;
+pub use plot::draw_report;
+pub use report::AccountReport;
+pub use report::LoadReport;
+pub use scenario::Scenario;
+pub use scenario::ServiceSpec;
+pub use store::ObjectStore;
+pub use store::StoreFault;
+
+use std::sync::Arc;
+
+use async_executor::Executor;
+
+/// Executor that all stand-ins of a process share.
+pub type SharedExecutor = Arc<Executor<'static>>;
+
+/// Runs an executor on some threads for the rest of the process.
+pub fn start_threads(name: &str, count: usize) -> SharedExecutor {
+    let executor: SharedExecutor = Arc::new(Executor::new());
+    for number in 0..count {
+        let shared = executor.clone();
+        let thread = std::thread::Builder::new().name(format!("{name}-{number}"));
+        let run = move || async_io::block_on(shared.run(futures_lite::future::pending::<()>()));
+        if let Err(error) = thread.spawn(run) {
+            log::error!("thread {name}-{number} did not start: {error}");
+        }
+    }
+    executor
+}
--- /dev/null
+++ b/packages/turnford-standin/src/load.rs
@@ -0,0 +1,324 @@
+//! An open-loop load tool: requests start when they are due, whether others ended or not.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use http_types::Method;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
+use serde::Deserialize;
+use turnford_http::HttpClient;
+use turnford_http::HttpFault;
+
+use crate::audit::audit_run;
+use crate::report::build_report;
+use crate::scenario::TrafficSpec;
+use crate::JournalEntry;
+use crate::LoadReport;
+use crate::Scenario;
+use crate::SharedExecutor;
+
+/// Time after a request's deadline at which the tool stops waiting for its end.
+const ANSWER_GRACE: Duration = Duration::from_secs(10);
+
+/// Characters of filler for one token of input.
+const TOKEN_FILLER: &str = "abc ";
+
+/// What to load, and how much.
+#[derive(Clone, Debug)]
+pub struct LoadSettings {
+    /// Entry addresses of the nodes, used in turn.
+    pub nodes: Vec<SocketAddr>,
+    /// Control port of the stand-ins, for the journal.
+    pub control: SocketAddr,
+    /// Requests a second.
+    pub rate: f64,
+    /// How long requests are started.
+    pub span: Duration,
+    /// Deadline sent with each request; `None` leaves it to the template.
+    pub deadline: Option<Duration>,
+    /// Seed of arrivals and inputs.
+    pub seed: u64,
+    /// Begin and span of a burst in which inputs are `burst_factor` times as long.
+    pub burst: Option<(Duration, Duration)>,
+    /// Factor of the burst's inputs.
+    pub burst_factor: f64,
+    /// Whether progress is shown on standard error.
+    pub progress: bool,
+}
+
+/// What is known of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestRecord {
+    pub(crate) account: String,
+    pub(crate) mark: String,
+    /// Result code; `None` if no end came at all.
+    pub(crate) code: Option<u16>,
+    pub(crate) ran: String,
+    pub(crate) whole: bool,
+    /// Whether a whole answer carries the request's own mark.
+    pub(crate) own: bool,
+    pub(crate) latency: Duration,
+    pub(crate) first_token: Option<Duration>,
+    pub(crate) started: Duration,
+}
+
+/// Part of an answer's body that the tool reads.
+#[derive(Deserialize)]
+struct AnswerBody {
+    code: u16,
+    #[serde(default)]
+    ran: String,
+    #[serde(default)]
+    output: String,
+}
+
+/// One request before it is sent.
+struct RequestPlan {
+    node: SocketAddr,
+    traffic: TrafficSpec,
+    mark: String,
+    input: String,
+    deadline: Option<Duration>,
+    due: Instant,
+    started: Duration,
+}
+
+/// Runs the load and returns the report.
+///
+/// # Errors
+///
+/// Returns a message if there is nothing to load or the journal can't be read.
+pub async fn run_load(
+    scenario: &Scenario,
+    settings: &LoadSettings,
+    executor: &SharedExecutor,
+) -> Result<LoadReport, String> {
+    if settings.nodes.is_empty() || scenario.traffic.is_empty() || settings.rate <= 0.0 {
+        return Err("nodes, traffic and a rate above 0 are needed".to_owned());
+    }
+    let client = Arc::new(HttpClient::new());
+    let records = Arc::new(Mutex::new(Vec::new()));
+    let ended = Arc::new(AtomicU64::new(0));
+    let sent = start_requests(scenario, settings, executor, &client, &records, &ended).await;
+    wait_ends(sent, &ended, settings).await;
+    let journal = read_journal(&client, settings.control).await?;
+    let records = records
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clone();
+    let once: BTreeSet<String> = scenario
+        .services
+        .iter()
+        .filter(|service| service.once)
+        .map(|service| service.name.clone())
+        .collect();
+    let audit = audit_run(&records, &journal, &once);
+    Ok(build_report(scenario, settings, &records, &journal, audit))
+}
+
+async fn start_requests(
+    scenario: &Scenario,
+    settings: &LoadSettings,
+    executor: &SharedExecutor,
+    client: &Arc<HttpClient>,
+    records: &Arc<Mutex<Vec<RequestRecord>>>,
+    ended: &Arc<AtomicU64>,
+) -> u64 {
+    let mut rng = SmallRng::seed_from_u64(settings.seed);
+    let begin = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut sent = 0;
+    while due < settings.span {
+        let gap: f64 = rng.random_range(f64::EPSILON..1.0);
+        due += Duration::from_secs_f64(-gap.ln() / settings.rate);
+        Timer::at(begin + due).await;
+        let plan = plan_request(scenario, settings, &mut rng, sent, begin + due, due);
+        let client = client.clone();
+        let records = records.clone();
+        let ended = ended.clone();
+        let task = async move {
+            let record = send_request(&client, plan).await;
+            records
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(record);
+            ended.fetch_add(1, Ordering::SeqCst);
+        };
+        executor.spawn(task).detach();
+        sent += 1;
+        show_progress(settings, sent, due);
+    }
+    sent
+}
+
+async fn wait_ends(sent: u64, ended: &AtomicU64, settings: &LoadSettings) {
+    let longest = settings.deadline.unwrap_or(ANSWER_GRACE) + ANSWER_GRACE;
+    let begin = Instant::now();
+    while ended.load(Ordering::SeqCst) < sent && begin.elapsed() < longest {
+        Timer::after(Duration::from_millis(20)).await;
+    }
+    if settings.progress {
+        eprintln!();
+    }
+}
+
+fn show_progress(settings: &LoadSettings, sent: u64, due: Duration) {
+    if settings.progress && sent.is_multiple_of(50) {
+        let seconds = due.as_secs_f64();
+        eprint!(
+            "\r{sent} requests, {seconds:.1} s of {:.0} s",
+            settings.span.as_secs_f64()
+        );
+    }
+}
+
+fn plan_request(
+    scenario: &Scenario,
+    settings: &LoadSettings,
+    rng: &mut SmallRng,
+    number: u64,
+    due: Instant,
+    started: Duration,
+) -> RequestPlan {
+    let traffic = pick_traffic(&scenario.traffic, rng).clone();
+    let in_burst = settings
+        .burst
+        .is_some_and(|(begin, span)| started >= begin && started < begin + span);
+    let factor = if in_burst { settings.burst_factor } else { 1.0 };
+    let spread: f64 = rng.random_range(0.5..1.5);
+    let tokens = (f64::from(traffic.tokens) * spread * factor).max(8.0) as usize;
+    let mark = format!("mark:{}-{number}", settings.seed);
+    // Inputs of one account share their beginning, as conversations do.
+    let topic = rng.random_range(0..8);
+    let opening = format!("{} topic {topic} ", traffic.account);
+    let opening = format!("{opening:-<64}");
+    let input = format!("{opening} {mark} {}", TOKEN_FILLER.repeat(tokens));
+    let node = settings.nodes[number as usize % settings.nodes.len()];
+    let deadline = settings.deadline;
+    RequestPlan {
+        node,
+        traffic,
+        mark,
+        input,
+        deadline,
+        due,
+        started,
+    }
+}
+
+fn pick_traffic<'a>(traffic: &'a [TrafficSpec], rng: &mut SmallRng) -> &'a TrafficSpec {
+    let total: f64 = traffic.iter().map(|spec| spec.weight).sum();
+    let mut at = rng.random_range(0.0..total);
+    for spec in traffic {
+        if at < spec.weight {
+            return spec;
+        }
+        at -= spec.weight;
+    }
+    &traffic[traffic.len() - 1]
+}
+
+async fn send_request(client: &HttpClient, plan: RequestPlan) -> RequestRecord {
+    let mut record = RequestRecord {
+        account: plan.traffic.account.clone(),
+        mark: plan.mark.clone(),
+        code: None,
+        ran: String::new(),
+        whole: false,
+        own: false,
+        latency: Duration::ZERO,
+        first_token: None,
+        started: plan.started,
+    };
+    let answer = exchange(client, &plan, &mut record).await;
+    record.latency = plan.due.elapsed();
+    if let Ok(body) = answer {
+        record.code = Some(body.code);
+        record.whole = body.code < 100;
+        record.own = body.output.contains(&format!("{})", plan.mark))
+            || body.output.contains(&format!("{} ", plan.mark));
+        record.ran = body.ran;
+    }
+    record
+}
+
+async fn exchange(
+    client: &HttpClient,
+    plan: &RequestPlan,
+    record: &mut RequestRecord,
+) -> Result<AnswerBody, HttpFault> {
+    let path = format!("/v1/pipelines/{}", plan.traffic.template);
+    let mut request = HttpClient::request(Method::Post, plan.node, &path)?;
+    request.insert_header(
+        "authorization",
+        format!("Bearer key-{}", plan.traffic.account),
+    );
+    if plan.traffic.request_ids {
+        request.insert_header("turnford-request-id", plan.mark.as_str());
+    }
+    if let Some(deadline) = plan.deadline {
+        request.insert_header("turnford-deadline-ms", deadline.as_millis().to_string());
+    }
+    request.set_body(plan.input.as_str());
+    let limit = plan.deadline.unwrap_or(ANSWER_GRACE) + ANSWER_GRACE;
+    if plan.traffic.stream {
+        request.insert_header("accept", "text/event-stream");
+        return read_events(client, plan, request, limit, record).await;
+    }
+    let answer = client.send(plan.node, request, limit).await?;
+    serde_json::from_slice(&answer.body).map_err(|_| HttpFault::Broken)
+}
+
+/// Reads server-sent events until the last one, which carries the code.
+async fn read_events(
+    client: &HttpClient,
+    plan: &RequestPlan,
+    request: http_types::Request,
+    limit: Duration,
+    record: &mut RequestRecord,
+) -> Result<AnswerBody, HttpFault> {
+    let mut stream = client.open(plan.node, request, limit).await?;
+    if stream.status != 200 {
+        let body = stream.read_body().await?;
+        return serde_json::from_slice(&body).map_err(|_| HttpFault::Broken);
+    }
+    let mut text = String::new();
+    while let Some(line) = stream.next_line().await? {
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        let value: serde_json::Value = serde_json::from_str(data).map_err(|_| HttpFault::Broken)?;
+        if let Some(token) = value.get("token").and_then(|token| token.as_str()) {
+            record.first_token.get_or_insert_with(|| plan.due.elapsed());
+            text.push_str(token);
+            continue;
+        }
+        let mut body: AnswerBody = serde_json::from_str(data).map_err(|_| HttpFault::Broken)?;
+        body.output = text;
+        return Ok(body);
+    }
+    Err(HttpFault::Truncated)
+}
+
+async fn read_journal(
+    client: &HttpClient,
+    control: SocketAddr,
+) -> Result<Vec<JournalEntry>, String> {
+    let mut request = HttpClient::request(Method::Get, control, "/journal")
+        .map_err(|fault| format!("journal: {fault}"))?;
+    request.insert_header("connection", "close");
+    let limit = Duration::from_secs(30);
+    let answer = client.send_large(control, request, limit).await;
+    let answer = answer.map_err(|fault| format!("journal: {fault}"))?;
+    serde_json::from_slice(&answer.body).map_err(|error| format!("journal: {error}"))
+}
--- /dev/null
+++ b/packages/turnford-standin/src/objects.rs
@@ -0,0 +1,166 @@
+//! The object API's stand-in.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_types::Response;
+use http_types::StatusCode;
+use turnford_http::HttpCall;
+use turnford_platform::ObjectList;
+
+use crate::FaultKind;
+use crate::FaultTable;
+use crate::ObjectStore;
+use crate::StoreFault;
+
+/// Name of the platform in fault tables.
+const PLATFORM: &str = "platform";
+
+/// Longest wait of a watch.
+const LONGEST_WATCH_MS: u64 = 60_000;
+
+/// Pause between a watch's looks when no word of a change comes.
+const WATCH_PAUSE: Duration = Duration::from_secs(1);
+
+/// Shared state of the object API.
+pub(crate) struct ObjectService {
+    store: Mutex<ObjectStore>,
+    faults: Arc<FaultTable>,
+    watches: Mutex<Vec<async_channel::Sender<()>>>,
+}
+
+impl ObjectService {
+    pub(crate) fn new(faults: Arc<FaultTable>) -> Self {
+        Self {
+            store: Mutex::new(ObjectStore::default()),
+            faults,
+            watches: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Answers one call.
+    pub(crate) async fn handle(&self, call: HttpCall) -> Option<Response> {
+        if self.faults.active(FaultKind::Outage, &[PLATFORM]).is_some() {
+            return Some(Response::new(StatusCode::ServiceUnavailable));
+        }
+        let slow = self.faults.active(FaultKind::Slow, &[PLATFORM]);
+        if let Some(millis) = slow {
+            Timer::after(Duration::from_secs_f64(millis / 1000.0)).await;
+        }
+        let key = call.path.strip_prefix("/objects/").map(str::to_owned);
+        match (call.method.as_str(), key) {
+            ("GET", Some(key)) => Some(self.get(&key)),
+            ("PUT", Some(key)) => self.write(&call, |store, expected| {
+                store.put(&key, expected, call.body.clone())
+            }),
+            ("DELETE", Some(key)) => {
+                self.write(&call, |store, expected| store.delete(&key, expected))
+            }
+            ("GET", None) if call.path == "/list" => {
+                let list = self.store().list(call.query("prefix").unwrap_or(""));
+                Some(json(&list))
+            }
+            ("GET", None) if call.path == "/watch" => Some(self.watch(&call).await),
+            _ => Some(Response::new(StatusCode::NotFound)),
+        }
+    }
+
+    fn get(&self, key: &str) -> Response {
+        let store = self.store();
+        let Some((version, bytes)) = store.get(key) else {
+            return Response::new(StatusCode::NotFound);
+        };
+        let mut response = Response::new(StatusCode::Ok);
+        response.insert_header("object-version", version.to_string());
+        response.set_body(bytes.to_vec());
+        response
+    }
+
+    /// Writes, and loses the answer afterwards where a fault says so.
+    fn write(
+        &self,
+        call: &HttpCall,
+        change: impl FnOnce(&mut ObjectStore, Option<u64>) -> Result<u64, StoreFault>,
+    ) -> Option<Response> {
+        let expected = call.header("if-version").and_then(|text| text.parse().ok());
+        let result = change(&mut self.store(), expected);
+        if result.is_ok() {
+            self.wake_watches();
+        }
+        if let Some(part) = self.faults.active(FaultKind::LoseAnswers, &[PLATFORM]) {
+            if self.is_hit(part) {
+                return None;
+            }
+        }
+        let (status, version) = match result {
+            Ok(version) => (StatusCode::Ok, version),
+            Err(StoreFault::Conflict(current)) => (StatusCode::Conflict, current),
+            Err(StoreFault::TooLarge) => (StatusCode::PayloadTooLarge, 0),
+            Err(_) => (StatusCode::NotFound, 0),
+        };
+        let mut response = Response::new(status);
+        response.insert_header("object-version", version.to_string());
+        Some(response)
+    }
+
+    async fn watch(&self, call: &HttpCall) -> Response {
+        let prefix = call.query("prefix").unwrap_or("").to_owned();
+        let after = call.query_number("after", 0);
+        let wait_ms = call.query_number("wait_ms", 0).min(LONGEST_WATCH_MS);
+        let ends_at = std::time::Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let word = self.register_watch();
+            let found = self.store().changes(&prefix, after);
+            let list = match found {
+                Ok(list) => list,
+                Err(_) => return Response::new(StatusCode::Gone),
+            };
+            let left = ends_at.saturating_duration_since(std::time::Instant::now());
+            if !list.objects.is_empty() || left.is_zero() {
+                return json(&list);
+            }
+            let pause = left.min(WATCH_PAUSE);
+            let timer = async {
+                Timer::after(pause).await;
+            };
+            let change = async {
+                let _ = word.recv().await;
+            };
+            change.or(timer).await;
+        }
+    }
+
+    fn register_watch(&self) -> async_channel::Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let mut watches = self.watches.lock().unwrap_or_else(PoisonError::into_inner);
+        watches.retain(|watch| !watch.is_closed());
+        watches.push(sender);
+        receiver
+    }
+
+    fn wake_watches(&self) {
+        let mut watches = self.watches.lock().unwrap_or_else(PoisonError::into_inner);
+        for watch in watches.drain(..) {
+            let _ = watch.try_send(());
+        }
+    }
+
+    /// Tells whether a fault on a part of the writes hits this one, by the revision's order.
+    fn is_hit(&self, part: f64) -> bool {
+        let revision = self.store().revision() as f64;
+        (revision * part).floor() > ((revision - 1.0) * part).floor()
+    }
+
+    fn store(&self) -> MutexGuard<'_, ObjectStore> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn json(list: &ObjectList) -> Response {
+    crate::vms::json_response(list)
+}
--- /dev/null
+++ b/packages/turnford-standin/src/plot.rs
@@ -0,0 +1,53 @@
+//! Plots of load reports as SVG.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::LoadReport;
+
+/// Size of the plot in pixels.
+const SIZE: (u32, u32) = (900, 400);
+
+/// Draws started and attained requests by second.
+///
+/// # Errors
+///
+/// Returns the drawing library's message, for example that the file can't be written.
+pub fn draw_report(report: &LoadReport, file: &Path) -> Result<(), String> {
+    let root = SVGBackend::new(file, SIZE).into_drawing_area();
+    root.fill(&WHITE).map_err(|error| error.to_string())?;
+    let top = report
+        .by_second
+        .iter()
+        .map(|(_, sent)| *sent)
+        .max()
+        .unwrap_or(1);
+    let seconds = report.by_second.len();
+    let mut chart = ChartBuilder::on(&root)
+        .margin(20)
+        .x_label_area_size(30)
+        .y_label_area_size(40)
+        .build_cartesian_2d(0..seconds, 0..top + 1)
+        .map_err(|error| error.to_string())?;
+    // Text needs a font on the machine; axes without labels need none.
+    chart
+        .configure_mesh()
+        .x_labels(0)
+        .y_labels(0)
+        .draw()
+        .map_err(|error| error.to_string())?;
+    let points = report.by_second.iter().enumerate();
+    let sent = points.clone().map(|(second, (_, sent))| (second, *sent));
+    let attained = points.map(|(second, (attained, _))| (second, *attained));
+    for (line, color) in [
+        (sent.collect::<Vec<_>>(), &RED),
+        (attained.collect(), &BLUE),
+    ] {
+        let series = LineSeries::new(line, color);
+        chart
+            .draw_series(series)
+            .map_err(|error| error.to_string())?;
+    }
+    root.present().map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/packages/turnford-standin/src/report.rs
@@ -0,0 +1,207 @@
+//! The report of a load run.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::load::RequestRecord;
+use crate::AuditCounts;
+use crate::JournalEntry;
+use crate::LoadSettings;
+use crate::Scenario;
+
+/// Significant digits of latency histograms.
+const DIGITS: u8 = 3;
+
+/// Numbers of one account, or of all together.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct AccountReport {
+    /// Requests sent.
+    pub sent: u64,
+    /// Answers whole and within the deadline.
+    pub attained: u64,
+    /// Share of attained requests.
+    pub attainment: f64,
+    /// Latency from the intended start at 50, 95 and 99 in 100, over whole answers, in ms.
+    pub latency_ms: [f64; 3],
+    /// Time to the first token at 50, 95 and 99 in 100, over streams, in ms.
+    pub first_token_ms: [f64; 3],
+    /// Requests by result code; "none" got no end.
+    pub codes: BTreeMap<String, u64>,
+    /// Cost by service, work for requests that failed included.
+    pub cost: BTreeMap<String, f64>,
+    /// Cost for each attained request.
+    pub cost_per_attained: f64,
+}
+
+/// The whole report.
+#[derive(Clone, Debug, Serialize)]
+pub struct LoadReport {
+    /// Scenario's name.
+    pub scenario: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// Seconds over which requests were started.
+    pub seconds: f64,
+    /// Seed.
+    pub seed: u64,
+    /// All accounts together.
+    pub total: AccountReport,
+    /// Each account.
+    pub accounts: BTreeMap<String, AccountReport>,
+    /// Broken promises.
+    pub audit: AuditCounts,
+    /// Attained and sent requests by second of their start, for the plot.
+    pub by_second: Vec<(u64, u64)>,
+}
+
+/// Numbers while they are added up.
+struct AccountSum {
+    report: AccountReport,
+    latency: Histogram<u64>,
+    first_token: Histogram<u64>,
+}
+
+impl AccountSum {
+    fn new() -> Self {
+        // Three digits are within what the histogram takes, so both calls succeed.
+        let histogram = || Histogram::new(DIGITS).unwrap_or_else(|_| unreachable!());
+        Self {
+            report: AccountReport::default(),
+            latency: histogram(),
+            first_token: histogram(),
+        }
+    }
+
+    fn add(&mut self, record: &RequestRecord) {
+        self.report.sent += 1;
+        self.report.attained += u64::from(record.code == Some(0));
+        let code = record
+            .code
+            .map_or("none".to_owned(), |code| code.to_string());
+        *self.report.codes.entry(code).or_default() += 1;
+        if record.whole {
+            self.latency.saturating_record(micros(record.latency));
+        }
+        if let Some(time) = record.first_token {
+            self.first_token.saturating_record(micros(time));
+        }
+    }
+
+    fn finish(mut self) -> AccountReport {
+        let report = &mut self.report;
+        report.attainment = report.attained as f64 / report.sent.max(1) as f64;
+        report.latency_ms = quantiles(&self.latency);
+        report.first_token_ms = quantiles(&self.first_token);
+        let cost: f64 = report.cost.values().sum();
+        report.cost_per_attained = cost / report.attained.max(1) as f64;
+        self.report
+    }
+}
+
+pub(crate) fn build_report(
+    scenario: &Scenario,
+    settings: &LoadSettings,
+    records: &[RequestRecord],
+    journal: &[JournalEntry],
+    audit: AuditCounts,
+) -> LoadReport {
+    let mut total = AccountSum::new();
+    let mut accounts: BTreeMap<String, AccountSum> = BTreeMap::new();
+    let mut account_of: HashMap<&str, &str> = HashMap::new();
+    let seconds = settings.span.as_secs_f64();
+    let mut by_second = vec![(0, 0); seconds.ceil() as usize + 1];
+    for record in records {
+        total.add(record);
+        let sum = accounts
+            .entry(record.account.clone())
+            .or_insert_with(AccountSum::new);
+        sum.add(record);
+        account_of.insert(&record.mark, &record.account);
+        let last = by_second.len() - 1;
+        let slot = &mut by_second[(record.started.as_secs() as usize).min(last)];
+        slot.0 += u64::from(record.code == Some(0));
+        slot.1 += 1;
+    }
+    for entry in journal {
+        let Some(account) = account_of.get(entry.mark.as_str()) else {
+            continue;
+        };
+        *total.report.cost.entry(entry.service.clone()).or_default() += entry.cost;
+        if let Some(sum) = accounts.get_mut(*account) {
+            *sum.report.cost.entry(entry.service.clone()).or_default() += entry.cost;
+        }
+    }
+    let accounts = accounts
+        .into_iter()
+        .map(|(name, sum)| (name, sum.finish()))
+        .collect();
+    LoadReport {
+        scenario: scenario.name.clone(),
+        rate: settings.rate,
+        seconds,
+        seed: settings.seed,
+        total: total.finish(),
+        accounts,
+        audit,
+        by_second,
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            scenario,
+            rate,
+            seconds,
+            seed,
+            ..
+        } = self;
+        writeln!(
+            f,
+            "{scenario}: {rate:.1} requests/s for {seconds:.0} s, seed {seed}"
+        )?;
+        write_row(f, "all", &self.total)?;
+        for (name, report) in &self.accounts {
+            write_row(f, name, report)?;
+        }
+        writeln!(f, "codes: {:?}", self.total.codes)?;
+        writeln!(f, "cost by stage:")?;
+        for (service, cost) in &self.total.cost {
+            let each = cost / self.total.attained.max(1) as f64;
+            writeln!(
+                f,
+                "  {service:12} {cost:10.3}  {each:.5} an attained request"
+            )?;
+        }
+        let audit = &self.audit;
+        write!(
+            f,
+            "audit: lost {}, doubled {}, crossed {}, false \"not run\" {}",
+            audit.lost, audit.doubled, audit.crossed, audit.false_not_run
+        )
+    }
+}
+
+fn write_row(f: &mut fmt::Formatter<'_>, name: &str, report: &AccountReport) -> fmt::Result {
+    let [median, p95, p99] = report.latency_ms;
+    let first = report.first_token_ms[1];
+    writeln!(
+        f,
+        "  {name:14} sent {:6}  attained {:.4}  latency ms {median:.0}/{p95:.0}/{p99:.0}  \
+         first token p95 {first:.0}  cost {:.5}",
+        report.sent, report.attainment, report.cost_per_attained
+    )
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> [f64; 3] {
+    [0.5, 0.95, 0.99].map(|quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0)
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/packages/turnford-target/src/call.rs
@@ -0,0 +1,92 @@
+//! One call and its answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_types::Method;
+use http_types::Request;
+use serde::Deserialize;
+use serde::Serialize;
+use turnford_http::HttpClient;
+use turnford_policy::AttemptId;
+use turnford_policy::ClassRank;
+
+use crate::TargetFault;
+
+/// One attempt of one stage.
+#[derive(Clone, Debug)]
+pub struct TargetCall {
+    /// Id of the attempt.
+    pub attempt: AttemptId,
+    /// Priority that the target honours, 0 first.
+    pub priority: ClassRank,
+    /// Input text.
+    pub input: String,
+    /// Most tokens to generate; 0 for stages that generate none.
+    pub max_tokens: u32,
+    /// Tokens that the caller has already, when a broken stream is resumed.
+    pub resume_from: u32,
+    /// Time that is left for the whole call.
+    pub limit: Duration,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetAnswer {
+    /// Output text.
+    pub output: String,
+    /// Tokens generated.
+    pub tokens: u32,
+    /// Input tokens that came from the target's prefix cache.
+    pub cached: u32,
+}
+
+/// Body of a call.
+#[derive(Serialize)]
+struct CallBody<'a> {
+    attempt: String,
+    priority: ClassRank,
+    input: &'a str,
+    max_tokens: u32,
+    resume_from: u32,
+    limit_ms: u64,
+    stream: bool,
+}
+
+/// Body of a refusal.
+#[derive(Deserialize)]
+struct RefusalBody {
+    refused: Option<String>,
+}
+
+impl TargetCall {
+    pub(crate) fn request(&self, to: SocketAddr, stream: bool) -> Result<Request, TargetFault> {
+        let body = CallBody {
+            attempt: self.attempt.to_string(),
+            priority: self.priority,
+            input: &self.input,
+            max_tokens: self.max_tokens,
+            resume_from: self.resume_from,
+            limit_ms: u64::try_from(self.limit.as_millis()).unwrap_or(u64::MAX),
+            stream,
+        };
+        let bytes = serde_json::to_vec(&body).map_err(|_| TargetFault::NotSent)?;
+        let mut request = HttpClient::request(Method::Post, to, "/run")?;
+        request.set_body(bytes);
+        Ok(request)
+    }
+}
+
+/// Reads the fault of an answer other than 200.
+///
+/// Only an explicit refusal counts as "did not start"; any other answer comes from a target that
+/// may have started.
+pub(crate) fn fault_of(status: u16, body: &[u8]) -> TargetFault {
+    let refusal: Option<RefusalBody> = serde_json::from_slice(body).ok();
+    let reason = refusal.and_then(|body| body.refused);
+    match (status, reason.as_deref()) {
+        (503, Some("full")) => TargetFault::Full,
+        (503, Some("leaving")) => TargetFault::Leaving,
+        _ => TargetFault::Failed,
+    }
+}
--- /dev/null
+++ b/packages/turnford-target/src/engine.rs
@@ -0,0 +1,144 @@
+//! Token streams of model engines.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use serde::Deserialize;
+use turnford_http::HttpFault;
+use turnford_http::HttpStream;
+use turnford_policy::AttemptId;
+
+use crate::call::fault_of;
+use crate::TargetCall;
+use crate::TargetClient;
+use crate::TargetFault;
+
+/// One line of a stream.
+#[derive(Deserialize)]
+struct StreamLine {
+    attempt: String,
+    #[serde(default)]
+    index: u32,
+    #[serde(default)]
+    token: Option<String>,
+    #[serde(default)]
+    done: bool,
+    #[serde(default)]
+    cached: u32,
+}
+
+/// One step of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamStep {
+    /// The next token.
+    Token(String),
+    /// The stream is whole.
+    Done {
+        /// Tokens in all, those before a resume among them.
+        tokens: u32,
+        /// Input tokens that came from the prefix cache.
+        cached: u32,
+    },
+}
+
+/// A token stream. Dropping it closes the connection, which cancels the work at the engine.
+pub struct EngineStream<'a> {
+    stream: Option<HttpStream<'a>>,
+    attempt: AttemptId,
+    next_index: u32,
+    ends_at: Instant,
+}
+
+impl TargetClient {
+    /// Starts a stream and returns once the engine accepted the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault, which says what is known of the attempt.
+    pub async fn stream(
+        &self,
+        to: SocketAddr,
+        call: &TargetCall,
+    ) -> Result<EngineStream<'_>, TargetFault> {
+        let request = call.request(to, true)?;
+        let ends_at = Instant::now() + call.limit;
+        let mut stream = self.http.open(to, request, call.limit).await?;
+        if stream.status != 200 {
+            let body = stream.read_body().await?;
+            let fault = fault_of(stream.status, &body);
+            stream.keep();
+            return Err(fault);
+        }
+        Ok(EngineStream {
+            stream: Some(stream),
+            attempt: call.attempt,
+            next_index: call.resume_from,
+            ends_at,
+        })
+    }
+}
+
+impl EngineStream<'_> {
+    /// Waits for the next step.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`TargetFault::OtherAttempt`] for a line of another attempt,
+    /// [`TargetFault::Unreadable`] for a token out of order, [`TargetFault::Broken`] or
+    /// [`TargetFault::Late`] if the stream stops before its end.
+    pub async fn next(&mut self) -> Result<StreamStep, TargetFault> {
+        let stream = self.stream.as_mut().ok_or(TargetFault::Broken)?;
+        let left = self.ends_at.saturating_duration_since(Instant::now());
+        let line = line_within(stream, left).await?;
+        let line = line.ok_or(TargetFault::Broken)?;
+        let parsed: Result<StreamLine, _> = serde_json::from_str(&line);
+        let line = parsed.map_err(|_| TargetFault::Unreadable)?;
+        if line.attempt.parse() != Ok(self.attempt) {
+            return Err(TargetFault::OtherAttempt);
+        }
+        if line.done {
+            self.finish().await?;
+            return Ok(StreamStep::Done {
+                tokens: self.next_index,
+                cached: line.cached,
+            });
+        }
+        if line.index != self.next_index {
+            return Err(TargetFault::Unreadable);
+        }
+        self.next_index += 1;
+        let token = line.token.ok_or(TargetFault::Unreadable)?;
+        Ok(StreamStep::Token(token))
+    }
+
+    /// Returns the number of tokens received in order, those before a resume among them.
+    pub fn received(&self) -> u32 {
+        self.next_index
+    }
+
+    /// Reads the end of the body and keeps the connection.
+    async fn finish(&mut self) -> Result<(), TargetFault> {
+        let Some(mut stream) = self.stream.take() else {
+            return Ok(());
+        };
+        if stream.next_line().await?.is_some() {
+            return Err(TargetFault::Unreadable);
+        }
+        stream.keep();
+        Ok(())
+    }
+}
+
+async fn line_within(
+    stream: &mut HttpStream<'_>,
+    limit: Duration,
+) -> Result<Option<String>, HttpFault> {
+    let timer = async {
+        Timer::after(limit).await;
+        Err(HttpFault::LateAfterSend)
+    };
+    stream.next_line().or(timer).await
+}
--- /dev/null
+++ b/packages/turnford/src/cli.rs
@@ -0,0 +1,573 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+
+use turnford_config::ObjectKind;
+use turnford_policy::RoutingPolicy;
+
+/// Seed of a load run unless one is given.
+const DEFAULT_SEED: u64 = 1;
+
+/// A parsed command.
+#[derive(Debug)]
+pub(crate) enum Command {
+    Help(&'static str),
+    Version,
+    Node(NodeArgs),
+    Check(Vec<PathBuf>),
+    Apply(ObjectArgs<Vec<PathBuf>>),
+    Get(ObjectArgs<ObjectName>),
+    Delete(ObjectArgs<ObjectName>),
+    History(ObjectArgs<ObjectName>),
+    Status(SocketAddr),
+    Drain(SocketAddr),
+    Demo,
+    Standin(StandinArgs),
+    Load(LoadArgs),
+}
+
+/// Arguments of `node`.
+#[derive(Debug)]
+pub(crate) struct NodeArgs {
+    pub(crate) config: PathBuf,
+    pub(crate) policy: RoutingPolicy,
+    pub(crate) admits: bool,
+}
+
+/// Arguments of the commands on objects.
+#[derive(Debug)]
+pub(crate) struct ObjectArgs<T> {
+    pub(crate) objects: SocketAddr,
+    pub(crate) author: String,
+    /// Version that the object must have; without it, the one that is read first.
+    pub(crate) expected: Option<u64>,
+    pub(crate) subject: T,
+}
+
+/// Kind and name of one object.
+#[derive(Clone, Debug)]
+pub(crate) struct ObjectName {
+    pub(crate) kind: ObjectKind,
+    pub(crate) name: String,
+}
+
+/// Arguments of `standin`.
+#[derive(Debug)]
+pub(crate) struct StandinArgs {
+    pub(crate) scenario: PathBuf,
+    pub(crate) objects_port: u16,
+    pub(crate) control_port: u16,
+    pub(crate) span: Option<Duration>,
+}
+
+/// Arguments of `load`.
+#[derive(Debug)]
+pub(crate) struct LoadArgs {
+    pub(crate) scenario: PathBuf,
+    pub(crate) nodes: Vec<SocketAddr>,
+    pub(crate) control: Option<SocketAddr>,
+    /// Number of nodes to start in this process when none is given.
+    pub(crate) own_nodes: usize,
+    pub(crate) rate: f64,
+    pub(crate) span: Duration,
+    pub(crate) deadline: Option<Duration>,
+    pub(crate) seed: u64,
+    pub(crate) policy: RoutingPolicy,
+    pub(crate) admits: bool,
+    pub(crate) burst: Option<(Duration, Duration)>,
+    pub(crate) burst_factor: f64,
+    pub(crate) json: Option<PathBuf>,
+    pub(crate) plot: Option<PathBuf>,
+}
+
+/// What is wrong with the arguments, all of it.
+#[derive(Debug)]
+pub(crate) struct UsageError(Vec<String>);
+
+impl fmt::Display for UsageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}\nSee 'turnford --help'.", self.0.join("\nturnford: "))
+    }
+}
+
+/// Options of one command as given, with every problem found so far.
+struct OptionBag {
+    command: &'static str,
+    named: Vec<(String, OsString)>,
+    values: Vec<OsString>,
+    problems: Vec<String>,
+}
+
+/// One option of a command.
+struct OptionSpec {
+    name: &'static str,
+    takes_value: bool,
+}
+
+/// Names, options and help of every command.
+const COMMANDS: &[(&str, &[OptionSpec], &str)] = &[
+    (
+        "node",
+        &[value("config"), value("policy"), flag("no-admission")],
+        NODE_HELP,
+    ),
+    ("check", &[], CHECK_HELP),
+    (
+        "apply",
+        &[value("objects"), value("author"), value("expect")],
+        APPLY_HELP,
+    ),
+    ("get", &[value("objects")], GET_HELP),
+    (
+        "delete",
+        &[value("objects"), value("author"), value("expect")],
+        DELETE_HELP,
+    ),
+    ("history", &[value("objects")], HISTORY_HELP),
+    ("status", &[value("node")], STATUS_HELP),
+    ("drain", &[value("node")], DRAIN_HELP),
+    ("demo", &[], DEMO_HELP),
+    (
+        "standin",
+        &[
+            value("scenario"),
+            value("objects-port"),
+            value("control-port"),
+            value("seconds"),
+        ],
+        STANDIN_HELP,
+    ),
+    (
+        "load",
+        &[
+            value("scenario"),
+            value("node"),
+            value("control"),
+            value("own-nodes"),
+            value("rate"),
+            value("seconds"),
+            value("deadline-ms"),
+            value("seed"),
+            value("policy"),
+            flag("no-admission"),
+            value("burst-at"),
+            value("burst-seconds"),
+            value("burst-factor"),
+            value("json"),
+            value("plot"),
+        ],
+        LOAD_HELP,
+    ),
+];
+
+const fn value(name: &'static str) -> OptionSpec {
+    OptionSpec {
+        name,
+        takes_value: true,
+    }
+}
+
+const fn flag(name: &'static str) -> OptionSpec {
+    OptionSpec {
+        name,
+        takes_value: false,
+    }
+}
+
+const HELP: &str = "\
+turnford serves multi-stage model pipelines.
+
+Usage: turnford COMMAND [OPTIONS]
+
+Commands:
+  node      run a node
+  check     check settings, templates and accounts
+  apply     put templates and accounts into force
+  get       print an object
+  delete    delete an object
+  history   print an object's last changes
+  status    print what a node knows
+  drain     begin a node's planned stop
+  demo      run stand-ins and nodes in this process and show requests
+  standin   run stand-ins of the outside systems
+  load      load nodes and audit their answers
+
+'turnford COMMAND --help' tells a command's options. Exit codes: docs/CODES.md.";
+
+const NODE_HELP: &str = "\
+Usage: turnford node --config FILE [--policy NAME] [--no-admission]
+
+Runs a node until it is drained.
+
+  --config FILE    settings
+  --policy NAME    estimated (default), or a baseline: random, round-robin, least-in-flight
+  --no-admission   start requests that can't finish in time (baseline)";
+
+const CHECK_HELP: &str = "\
+Usage: turnford check FILE...
+
+Checks settings, templates and accounts, and prints every problem with its place.";
+
+const APPLY_HELP: &str = "\
+Usage: turnford apply --objects IP:PORT [--author NAME] [--expect VERSION] FILE...
+
+Checks all files, then puts them into force. With --expect, one file only, and only if the
+object has that version (0: it must not exist).";
+
+const GET_HELP: &str = "\
+Usage: turnford get --objects IP:PORT KIND NAME
+
+Prints an object's text, and its version on standard error. KIND: template or account.";
+
+const DELETE_HELP: &str = "\
+Usage: turnford delete --objects IP:PORT [--author NAME] [--expect VERSION] KIND NAME
+
+Deletes an object. The deletion is a version of its own.";
+
+const HISTORY_HELP: &str = "\
+Usage: turnford history --objects IP:PORT KIND NAME
+
+Prints an object's last changes, newest first.";
+
+const STATUS_HELP: &str = "\
+Usage: turnford status --node IP:PORT
+
+Prints what a node knows, as JSON.";
+
+const DRAIN_HELP: &str = "\
+Usage: turnford drain --node IP:PORT
+
+Begins a node's planned stop: it takes no new requests and ends when the running ones ended.";
+
+const DEMO_HELP: &str = "\
+Usage: turnford demo
+
+Runs stand-ins and three nodes in this process on loopback, applies the files of both
+associations, sends requests through every template and prints the answers.";
+
+const STANDIN_HELP: &str = "\
+Usage: turnford standin --scenario FILE [--objects-port PORT] [--control-port PORT] [--seconds N]
+
+Runs stand-ins of the object API, the VM list, the weight store and all targets on loopback.";
+
+const LOAD_HELP: &str = "\
+Usage: turnford load --scenario FILE [--node IP:PORT]... [--control IP:PORT] [OPTIONS]
+
+Loads nodes at an open-loop rate and audits the answers against the targets' journal. Without
+--node, stand-ins and nodes are run in this process.
+
+  --own-nodes N        nodes to run in this process (default 3)
+  --rate R             requests a second (default: the scenario's full rate)
+  --seconds N          span of the load (default 20)
+  --deadline-ms N      deadline of each request
+  --seed N             seed of arrivals and inputs (default 1)
+  --policy NAME        estimated, random, round-robin or least-in-flight, for own nodes
+  --no-admission       no admission over the chain, for own nodes
+  --burst-at S         begin of a burst of long inputs
+  --burst-seconds S    span of the burst (default 5)
+  --burst-factor F     factor on input lengths in the burst (default 8)
+  --json FILE          write the report as JSON
+  --plot FILE          write a plot as SVG";
+
+/// Parses the arguments after the program's name.
+pub(crate) fn parse_arguments(arguments: Vec<OsString>) -> Result<Command, UsageError> {
+    let mut parser = Parser::from_args(arguments);
+    let first = parser
+        .next()
+        .map_err(|error| UsageError(vec![error.to_string()]))?;
+    let name = match first {
+        None => return Err(UsageError(vec!["a command is missing".to_owned()])),
+        Some(Arg::Long("help") | Arg::Short('h')) => return Ok(Command::Help(HELP)),
+        Some(Arg::Long("version") | Arg::Short('V')) => return Ok(Command::Version),
+        Some(Arg::Value(name)) => name.to_string_lossy().into_owned(),
+        Some(other) => return Err(UsageError(vec![other.unexpected().to_string()])),
+    };
+    let known = COMMANDS.iter().find(|(known, _, _)| *known == name);
+    let Some((command, options, help)) = known else {
+        return Err(UsageError(vec![format!("unknown command {name:?}")]));
+    };
+    let mut bag = OptionBag {
+        command,
+        named: Vec::new(),
+        values: Vec::new(),
+        problems: Vec::new(),
+    };
+    if bag.collect(&mut parser, options) {
+        return Ok(Command::Help(help));
+    }
+    let parsed = bag.parse();
+    match parsed {
+        Some(parsed) if bag.problems.is_empty() => Ok(parsed),
+        _ => Err(UsageError(bag.problems)),
+    }
+}
+
+impl OptionBag {
+    /// Collects all options; true if help was asked for.
+    fn collect(&mut self, parser: &mut Parser, options: &[OptionSpec]) -> bool {
+        loop {
+            let argument = match parser.next() {
+                Ok(Some(argument)) => argument,
+                Ok(None) => return false,
+                Err(error) => {
+                    self.problems.push(error.to_string());
+                    return false;
+                }
+            };
+            match argument {
+                Arg::Long("help") | Arg::Short('h') => return true,
+                Arg::Value(value) => self.values.push(value),
+                Arg::Long(name) => {
+                    let name = name.to_owned();
+                    self.collect_named(parser, options, name);
+                }
+                Arg::Short(name) => self.problems.push(format!("unknown option -{name}")),
+            }
+        }
+    }
+
+    fn collect_named(&mut self, parser: &mut Parser, options: &[OptionSpec], name: String) {
+        let Some(spec) = options.iter().find(|spec| spec.name == name) else {
+            self.problems
+                .push(format!("{}: unknown option --{name}", self.command));
+            // A value given with '=' belongs to the unknown option.
+            let _ = parser.optional_value();
+            return;
+        };
+        if !spec.takes_value {
+            self.named.push((name, OsString::new()));
+            return;
+        }
+        match parser.value() {
+            Ok(value) => self.named.push((name, value)),
+            Err(_) => self.problems.push(format!("--{name} needs a value")),
+        }
+    }
+
+    fn parse(&mut self) -> Option<Command> {
+        match self.command {
+            "node" => self.node().map(Command::Node),
+            "check" => self.files().map(Command::Check),
+            "apply" => self.apply().map(Command::Apply),
+            "get" => self.object().map(Command::Get),
+            "delete" => self.object().map(Command::Delete),
+            "history" => self.object().map(Command::History),
+            "status" => self.only_node().map(Command::Status),
+            "drain" => self.only_node().map(Command::Drain),
+            "demo" => {
+                self.no_values();
+                Some(Command::Demo)
+            }
+            "standin" => self.standin().map(Command::Standin),
+            _ => self.load().map(Command::Load),
+        }
+    }
+
+    fn node(&mut self) -> Option<NodeArgs> {
+        self.no_values();
+        let config = self.required::<PathBuf>("config");
+        let policy = self.policy();
+        let admits = !self.has("no-admission");
+        Some(NodeArgs {
+            config: config?,
+            policy,
+            admits,
+        })
+    }
+
+    fn apply(&mut self) -> Option<ObjectArgs<Vec<PathBuf>>> {
+        let files = self.files();
+        let expected = self.optional::<u64>("expect");
+        if expected.is_some() && self.values.len() > 1 {
+            self.problems.push("--expect takes one file".to_owned());
+        }
+        self.object_args(files)
+    }
+
+    fn object(&mut self) -> Option<ObjectArgs<ObjectName>> {
+        let subject = match self.values.as_slice() {
+            [kind, name] => {
+                let word = kind.to_string_lossy().into_owned();
+                let kind = ObjectKind::WORDS.iter().find(|(known, _)| *known == word);
+                if kind.is_none() {
+                    let text = format!("unknown kind {word:?}; allowed: template, account");
+                    self.problems.push(text);
+                }
+                let name = name.to_string_lossy().into_owned();
+                kind.map(|(_, kind)| ObjectName { kind: *kind, name })
+            }
+            _ => {
+                self.problems.push("KIND and NAME are needed".to_owned());
+                None
+            }
+        };
+        self.object_args(subject)
+    }
+
+    fn object_args<T>(&mut self, subject: Option<T>) -> Option<ObjectArgs<T>> {
+        let objects = self.required("objects");
+        let author = self
+            .optional("author")
+            .unwrap_or_else(|| "operator".to_owned());
+        let expected = self.optional("expect");
+        Some(ObjectArgs {
+            objects: objects?,
+            author,
+            expected,
+            subject: subject?,
+        })
+    }
+
+    fn only_node(&mut self) -> Option<SocketAddr> {
+        self.no_values();
+        self.required("node")
+    }
+
+    fn standin(&mut self) -> Option<StandinArgs> {
+        self.no_values();
+        let scenario = self.required("scenario");
+        let objects_port = self.optional("objects-port").unwrap_or(0);
+        let control_port = self.optional("control-port").unwrap_or(0);
+        let span = self.seconds("seconds");
+        Some(StandinArgs {
+            scenario: scenario?,
+            objects_port,
+            control_port,
+            span,
+        })
+    }
+
+    fn load(&mut self) -> Option<LoadArgs> {
+        self.no_values();
+        let scenario = self.required("scenario");
+        let nodes: Vec<SocketAddr> = self.all("node");
+        let control = self.optional("control");
+        if !nodes.is_empty() && control.is_none() {
+            self.problems
+                .push("--node needs --control for the targets' journal".to_owned());
+        }
+        let own_nodes = self.optional("own-nodes").unwrap_or(3);
+        let rate = self.optional("rate").unwrap_or(0.0);
+        let span = self.seconds("seconds").unwrap_or(Duration::from_secs(20));
+        let deadline = self.optional("deadline-ms").map(Duration::from_millis);
+        let seed = self.optional("seed").unwrap_or(DEFAULT_SEED);
+        let policy = self.policy();
+        let admits = !self.has("no-admission");
+        let burst_span = self
+            .seconds("burst-seconds")
+            .unwrap_or(Duration::from_secs(5));
+        let burst = self.seconds("burst-at").map(|at| (at, burst_span));
+        let burst_factor = self.optional("burst-factor").unwrap_or(8.0);
+        let json = self.optional("json");
+        let plot = self.optional("plot");
+        Some(LoadArgs {
+            scenario: scenario?,
+            nodes,
+            control,
+            own_nodes,
+            rate,
+            span,
+            deadline,
+            seed,
+            policy,
+            admits,
+            burst,
+            burst_factor,
+            json,
+            plot,
+        })
+    }
+
+    fn files(&mut self) -> Option<Vec<PathBuf>> {
+        if self.values.is_empty() {
+            self.problems.push("at least one FILE is needed".to_owned());
+            return None;
+        }
+        Some(self.values.iter().map(PathBuf::from).collect())
+    }
+
+    fn policy(&mut self) -> RoutingPolicy {
+        let Some(word) = self.optional::<String>("policy") else {
+            return RoutingPolicy::Estimated;
+        };
+        let found = RoutingPolicy::ALL.iter().find(|(name, _)| *name == word);
+        if found.is_none() {
+            let names: Vec<&str> = RoutingPolicy::ALL.iter().map(|(name, _)| *name).collect();
+            let text = format!("--policy: found {word:?}; allowed: {}", names.join(", "));
+            self.problems.push(text);
+        }
+        found.map_or(RoutingPolicy::Estimated, |(_, policy)| *policy)
+    }
+
+    fn seconds(&mut self, name: &str) -> Option<Duration> {
+        let seconds = self.optional::<f64>(name)?;
+        let span = Duration::try_from_secs_f64(seconds).ok();
+        if span.is_none() {
+            self.problems.push(format!(
+                "--{name}: found {seconds}; allowed: seconds from 0 on"
+            ));
+        }
+        span
+    }
+
+    fn has(&self, name: &str) -> bool {
+        self.named.iter().any(|(known, _)| known == name)
+    }
+
+    fn required<T: FromStr>(&mut self, name: &str) -> Option<T>
+    where
+        T::Err: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        if !self.has(name) {
+            self.problems
+                .push(format!("{}: --{name} is missing", self.command));
+            return None;
+        }
+        self.optional(name)
+    }
+
+    fn optional<T: FromStr>(&mut self, name: &str) -> Option<T>
+    where
+        T::Err: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let mut found = self.all(name);
+        found.pop()
+    }
+
+    fn all<T: FromStr>(&mut self, name: &str) -> Vec<T>
+    where
+        T::Err: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let mut parsed = Vec::new();
+        let mut problems = Vec::new();
+        for (_, value) in self.named.iter().filter(|(known, _)| known == name) {
+            match value.parse::<T>() {
+                Ok(value) => parsed.push(value),
+                Err(error) => problems.push(format!("--{name}: {error}")),
+            }
+        }
+        for problem in problems {
+            if !self.problems.contains(&problem) {
+                self.problems.push(problem);
+            }
+        }
+        parsed
+    }
+
+    fn no_values(&mut self) {
+        for value in &self.values {
+            let text = value.to_string_lossy();
+            self.problems
+                .push(format!("{}: unexpected argument {text:?}", self.command));
+        }
+    }
+}
--- /dev/null
+++ b/packages/turnford/src/command/remote.rs
@@ -0,0 +1,54 @@
+//! `turnford status` and `turnford drain`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_types::Method;
+use turnford_http::HttpAnswer;
+use turnford_http::HttpClient;
+use turnford_http::HttpFault;
+
+use crate::exit::ExitStatus;
+
+/// Longest wait for a node.
+const CALL_LIMIT: Duration = Duration::from_secs(3);
+
+/// Prints what a node knows.
+pub(super) fn show_status(node: SocketAddr) -> ExitStatus {
+    match call_node(node, Method::Get, "/status") {
+        Ok(answer) => {
+            let value: Option<serde_json::Value> = serde_json::from_slice(&answer.body).ok();
+            match value.and_then(|value| serde_json::to_string_pretty(&value).ok()) {
+                Some(text) => {
+                    println!("{text}");
+                    ExitStatus::Done
+                }
+                None => fail(node, "the answer can't be read"),
+            }
+        }
+        Err(fault) => fail(node, &fault.to_string()),
+    }
+}
+
+/// Begins a planned stop.
+pub(super) fn start_drain(node: SocketAddr) -> ExitStatus {
+    match call_node(node, Method::Post, "/drain") {
+        Ok(answer) if answer.status == 202 => {
+            println!("{node}: the planned stop begins");
+            ExitStatus::Done
+        }
+        Ok(answer) => fail(node, &format!("status {}", answer.status)),
+        Err(fault) => fail(node, &fault.to_string()),
+    }
+}
+
+fn call_node(node: SocketAddr, method: Method, path: &str) -> Result<HttpAnswer, HttpFault> {
+    let client = HttpClient::new();
+    let request = HttpClient::request(method, node, path)?;
+    async_io::block_on(client.send(node, request, CALL_LIMIT))
+}
+
+fn fail(node: SocketAddr, message: &str) -> ExitStatus {
+    eprintln!("{node}: {message}");
+    ExitStatus::Unavailable
+}
--- /dev/null
+++ b/packages/turnford/src/logging.rs
@@ -0,0 +1,50 @@
+//! Log lines by `log4rs`.
+
+use std::path::Path;
+
+use log::LevelFilter;
+use log4rs::append::console::ConsoleAppender;
+use log4rs::append::console::Target;
+use log4rs::append::file::FileAppender;
+use log4rs::append::Append;
+use log4rs::config::Appender;
+use log4rs::config::Root;
+use log4rs::encode::pattern::PatternEncoder;
+use log4rs::Config;
+use turnford_config::LogLevel;
+use turnford_config::LogSettings;
+
+/// One line: time, level, part of the program, text.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {t} {m}{n}";
+
+/// Starts logging as the settings say.
+///
+/// # Errors
+///
+/// Returns a message if the file can't be opened or logging was started before.
+pub(crate) fn start_logging(settings: &LogSettings) -> Result<(), String> {
+    let level = match settings.level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+    };
+    let appender = make_appender(settings.file.as_deref())?;
+    let appender = Appender::builder().build("out", appender);
+    let root = Root::builder().appender("out").build(level);
+    let config = Config::builder().appender(appender).build(root);
+    let config = config.map_err(|error| error.to_string())?;
+    log4rs::init_config(config).map_err(|error| error.to_string())?;
+    Ok(())
+}
+
+fn make_appender(file: Option<&Path>) -> Result<Box<dyn Append>, String> {
+    let encoder = Box::new(PatternEncoder::new(PATTERN));
+    let Some(file) = file else {
+        let console = ConsoleAppender::builder().target(Target::Stderr);
+        return Ok(Box::new(console.encoder(encoder).build()));
+    };
+    let appender = FileAppender::builder().encoder(encoder).build(file);
+    let appender = appender.map_err(|error| format!("log file {}: {error}", file.display()))?;
+    Ok(Box::new(appender))
+}
