Count marks and latencies of load runs right

Cause: The load tool showed latencies of 0 and no cost for once-only services: the histogram did not grow, and a mark in front of a bracket was read with the bracket. Change: The histogram has a fixed range of an hour; a mark ends at the first character that is no letter, digit or dash.

--- a/packages/turnford-standin/src/journal.rs
+++ b/packages/turnford-standin/src/journal.rs
@@ -49,11 +49,14 @@
     }
 }
 
-/// Returns the mark inside an input or output: the text from `mark:` to the next space.
+/// Returns the mark inside an input or output: `mark:` and the letters, digits and dashes after it.
 pub(crate) fn mark_of(text: &str) -> &str {
-    let Some(at) = text.find("mark:") else {
+    const LABEL: &str = "mark:";
+    let Some(at) = text.find(LABEL) else {
         return "";
     };
     let rest = &text[at..];
-    rest.split_whitespace().next().unwrap_or("")
+    let belongs = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-';
+    let tail = rest[LABEL.len()..].bytes().position(|byte| !belongs(byte));
+    tail.map_or(rest, |length| &rest[..LABEL.len() + length])
 }
--- a/packages/turnford-standin/src/load.rs
+++ b/packages/turnford-standin/src/load.rs
@@ -20,6 +20,7 @@
 use turnford_http::HttpFault;
 
 use crate::audit::audit_run;
+use crate::journal::mark_of;
 use crate::report::build_report;
 use crate::scenario::TrafficSpec;
 use crate::JournalEntry;
@@ -245,8 +246,7 @@
     if let Ok(body) = answer {
         record.code = Some(body.code);
         record.whole = body.code < 100;
-        record.own = body.output.contains(&format!("{})", plan.mark))
-            || body.output.contains(&format!("{} ", plan.mark));
+        record.own = mark_of(&body.output) == plan.mark;
         record.ran = body.ran;
     }
     record
--- a/packages/turnford-standin/src/report.rs
+++ b/packages/turnford-standin/src/report.rs
@@ -17,6 +17,9 @@
 /// Significant digits of latency histograms.
 const DIGITS: u8 = 3;
 
+/// Longest time that is told apart, in microseconds.
+const LONGEST_MICROS: u64 = 3_600_000_000;
+
 /// Numbers of one account, or of all together.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct AccountReport {
@@ -68,8 +71,9 @@
 
 impl AccountSum {
     fn new() -> Self {
-        // Three digits are within what the histogram takes, so both calls succeed.
-        let histogram = || Histogram::new(DIGITS).unwrap_or_else(|_| unreachable!());
+        // The bounds and digits are within what the histogram takes, so both calls succeed.
+        let histogram =
+            || Histogram::new_with_max(LONGEST_MICROS, DIGITS).unwrap_or_else(|_| unreachable!());
         Self {
             report: AccountReport::default(),
             latency: histogram(),
