--- a/packages/turnford-config/src/reader.rs
+++ b/packages/turnford-config/src/reader.rs
@@ -200,6 +200,33 @@
         parsed
     }
 
+    /// Reads a list of texts that a type understands; absent means empty.
+    pub(crate) fn parsed_list<T: FromStr>(&self, field: &str, allowed: &str) -> Vec<T> {
+        let Some(value) = self.value(field) else {
+            return Vec::new();
+        };
+        let Some(list) = value.get_ref().as_array() else {
+            self.problem(
+                field,
+                describe(value.get_ref()),
+                format!("a list, each {allowed}"),
+            );
+            return Vec::new();
+        };
+        let mut parsed = Vec::new();
+        for (at, item) in list.iter().enumerate() {
+            match item.get_ref().as_str().and_then(|text| text.parse().ok()) {
+                Some(value) => parsed.push(value),
+                None => {
+                    let path = format!("{}[{at}]", self.path_of(field));
+                    self.log
+                        .add(&item.span(), &path, describe(item.get_ref()), allowed);
+                }
+            }
+        }
+        parsed
+    }
+
     /// Reads one of some words.
     pub(crate) fn word<T: Copy>(&self, field: &str, words: &[(&str, T)]) -> Option<T> {
         let text = self.text(field)?;
--- a/packages/turnford-config/src/settings.rs
+++ b/packages/turnford-config/src/settings.rs
@@ -59,6 +59,10 @@
     pub objects: SocketAddr,
     /// Address of the platform's VM list.
     pub vms: SocketAddr,
+    /// Addresses of other nodes to ask while the platform is away; may be empty.
+    pub peers: Vec<SocketAddr>,
+    /// Most nodes that the fleet ever has; each has a floor of every limit.
+    pub fleet_size: u32,
     /// Traffic threads.
     pub threads: usize,
     /// Most pieces of work held for one service.
@@ -91,6 +95,8 @@
     let inner = reader.parsed("inner", ADDRESS);
     let objects = reader.parsed("objects", ADDRESS);
     let vms = reader.parsed("vms", ADDRESS);
+    let peers = reader.parsed_list("peers", ADDRESS);
+    let fleet_size = reader.integer_or("fleet_size", 1..=10_000, 8);
     let threads = reader.integer_or("threads", 1..=64, DEFAULT_THREADS);
     let hold_limit = reader.integer_or("hold_limit", 1..=100_000, 512);
     let platform_calls = reader.number_or("platform_calls_per_second", 0.1..=1000.0, 20.0);
@@ -104,6 +110,8 @@
         inner: inner?,
         objects: objects?,
         vms: vms?,
+        peers,
+        fleet_size: fleet_size as u32,
         threads: threads as usize,
         hold_limit: hold_limit as usize,
         platform_calls,
--- a/packages/turnford-fleet/src/config.rs
+++ b/packages/turnford-fleet/src/config.rs
@@ -9,7 +9,7 @@
 use crate::Version;
 
 /// One object's change as nodes pass it on.
-#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, bincode::Encode, bincode::Decode)]
 pub struct ConfigChange {
     /// Key, for example `config/account/one`.
     pub key: String,
@@ -19,6 +19,17 @@
     pub text: Option<String>,
 }
 
+/// By what two nodes see whether they have the same configuration.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct ConfigMark {
+    /// Revision up to which nothing is missing.
+    pub complete_to: Version,
+    /// Highest version of any object.
+    pub newest: Version,
+    /// Sum over keys and versions.
+    pub checksum: u64,
+}
+
 /// All configuration objects with their versions, deleted ones among them.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigView {
@@ -108,6 +119,15 @@
         hasher.finish()
     }
 
+    /// Returns the mark that probes carry.
+    pub fn mark(&self) -> ConfigMark {
+        ConfigMark {
+            complete_to: self.complete_to,
+            newest: self.newest(),
+            checksum: self.checksum(),
+        }
+    }
+
     fn change(&self, version: Version, key: &str) -> Option<ConfigChange> {
         let (_, text) = self.objects.get(key)?;
         Some(ConfigChange {
--- /dev/null
+++ b/packages/turnford-fleet/src/duty.rs
@@ -0,0 +1,58 @@
+//! Who tries to do a duty: rendezvous hashing over the members.
+//!
+//! The choice only saves work. Two nodes that disagree on the members may both try; a conditional
+//! update or a lease at the platform decides who may.
+
+use std::fmt;
+use std::hash::Hasher;
+
+use siphasher::sip::SipHasher13;
+
+/// A thing that one or a few nodes do for all.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// Watches the configuration for a hall.
+    Watch(String),
+    /// Commits the claims of a range.
+    Claims(u16),
+    /// Lends the limits of a group of accounts.
+    Lend(u16),
+    /// Removes the platform's records of nodes that are gone.
+    Sweep,
+}
+
+impl fmt::Display for Duty {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Duty::Watch(hall) => write!(f, "watch/{hall}"),
+            Duty::Claims(range) => write!(f, "claims/{range}"),
+            Duty::Lend(group) => write!(f, "lend/{group}"),
+            Duty::Sweep => f.write_str("sweep"),
+        }
+    }
+}
+
+/// Returns up to `count` members in the order in which they should do a duty.
+///
+/// A member that leaves moves only its own duties; the others keep theirs.
+pub fn rank_members<'a>(
+    duty: &Duty,
+    members: impl Iterator<Item = &'a str>,
+    count: usize,
+) -> Vec<&'a str> {
+    let name = duty.to_string();
+    let mut ranked: Vec<(u64, &str)> = members
+        .map(|member| (weight(&name, member), member))
+        .collect();
+    ranked.sort_unstable_by(|left, right| right.cmp(left));
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, member)| member).collect()
+}
+
+fn weight(duty: &str, member: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(duty.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(member.as_bytes());
+    hasher.finish()
+}
--- a/packages/turnford-fleet/src/lib.rs
+++ b/packages/turnford-fleet/src/lib.rs
@@ -4,16 +4,66 @@
 //! State machines only: events and the time go in, actions come out. What must be agreed goes
 //! through conditional updates of the platform's objects; everything else may be lost at any time.
 
+mod block;
+mod claim;
 mod config;
+mod digest;
+mod duty;
 mod envelope;
+mod lease;
+mod lender;
+mod member;
+mod rumor;
+mod share;
 
+pub use block::ClaimBlock;
+pub use block::ClaimEntry;
+pub use block::ClaimKey;
+pub use block::ClaimOwner;
+pub use block::ClaimState;
+pub use claim::ClaimAction;
+pub use claim::ClaimAsk;
+pub use claim::ClaimRange;
+pub use claim::ClaimStep;
+pub use claim::ClaimTicket;
+pub use claim::ClaimVerdict;
+pub use claim::RangeRead;
+pub use claim::RangeWrite;
+pub use claim::RANGE_COUNT;
 pub use config::ConfigChange;
+pub use config::ConfigMark;
 pub use config::ConfigView;
+pub use digest::DigestTable;
+pub use digest::LoadDigest;
+pub use digest::ServiceLoad;
+pub use duty::rank_members;
+pub use duty::Duty;
 pub use envelope::ConfigEnvelope;
 pub use envelope::EnvelopeChange;
+pub use lease::LeaseAction;
+pub use lease::LeaseAnswer;
+pub use lease::LeaseHolder;
+pub use lease::LeaseRecord;
+pub use lease::LeaseSettings;
+pub use lender::ShareLender;
+pub use member::MemberRecord;
+pub use member::MemberState;
+pub use member::MemberTable;
+pub use member::MemberUpdate;
+pub use member::ProbePlan;
+pub use rumor::Rumor;
+pub use rumor::RumorTable;
+pub use rumor::RUMOR_FANOUT;
+pub use share::GrantNumber;
+pub use share::ShareDemand;
+pub use share::ShareGrant;
+pub use share::ShareHolder;
 
 /// Name of a node, unique in the fleet.
-pub type NodeName = std::sync::Arc<str>;
+pub type NodeName = String;
 
 /// Version of an object at the platform, rising over all objects.
 pub type Version = u64;
+
+/// Time since an arbitrary start, on the node's own monotonic clock.
+pub type Moment = std::time::Duration;
--- a/packages/turnford-node/src/admit.rs
+++ b/packages/turnford-node/src/admit.rs
@@ -22,6 +22,7 @@
 
 use crate::answer::RequestEnd;
 use crate::place::StagePool;
+use crate::snapshot::ConfigSnapshot;
 use crate::state::AccountPlace;
 use crate::state::NodeState;
 use crate::state::RunningGuard;
@@ -91,13 +92,14 @@
 /// Admits a call, or says why not. A refusal here has started nothing.
 pub(crate) fn admit_call(
     state: &Arc<NodeState>,
-    call: HttpCall,
+    call: &HttpCall,
     trace: AttemptId,
 ) -> Result<AdmittedRequest, RequestEnd> {
     check_node(state)?;
     let started = state.clock.now();
     let config = state.config.load_full();
-    let account = find_account(&config.accounts, &call)?;
+    let account = find_account(&config, call)
+        .ok_or_else(|| RequestEnd::not_run(ResultCode::UnknownAccount, "unknown account key"))?;
     let name = call.path.strip_prefix("/v1/pipelines/").unwrap_or("");
     let template = config.templates.get(name).cloned().ok_or_else(|| {
         RequestEnd::not_run(ResultCode::UnknownTemplate, "no such pipeline template")
@@ -106,10 +108,10 @@
         let message = "the account has no parameters for this template";
         RequestEnd::not_run(ResultCode::TemplateNotAllowed, message)
     })?;
-    let request_id = read_request_id(&call)?;
+    let request_id = read_request_id(call)?;
     let own = parameters.deadline.unwrap_or(template.deadline);
-    let deadline = started + read_deadline(&call)?.map_or(own, |asked| asked.min(own));
-    let input = read_input(&account, call.body)?;
+    let deadline = started + read_deadline(call)?.map_or(own, |asked| asked.min(own));
+    let input = read_input(&account, &call.body)?;
     let place = enter_account(state, &account)?;
     let running = state.enter();
     let chain = ChainInput {
@@ -146,14 +148,15 @@
     Err(RequestEnd::not_run(code, "try another node").retry_after(ELSEWHERE_HINT))
 }
 
-fn find_account(
-    accounts: &std::collections::HashMap<String, Arc<ClientAccount>>,
-    call: &HttpCall,
-) -> Result<Arc<ClientAccount>, RequestEnd> {
+/// Returns the account whose key a call carries.
+pub(crate) fn account_of(state: &NodeState, call: &HttpCall) -> Option<Arc<ClientAccount>> {
+    find_account(&state.config.load(), call)
+}
+
+fn find_account(config: &ConfigSnapshot, call: &HttpCall) -> Option<Arc<ClientAccount>> {
     let header = call.header("authorization").unwrap_or("");
     let key = header.strip_prefix("Bearer ").unwrap_or("");
-    let found = accounts.get(&hash_key(key)).cloned();
-    found.ok_or_else(|| RequestEnd::not_run(ResultCode::UnknownAccount, "unknown account key"))
+    config.accounts.get(&hash_key(key)).cloned()
 }
 
 fn read_request_id(call: &HttpCall) -> Result<Option<String>, RequestEnd> {
@@ -182,7 +185,7 @@
     }
 }
 
-fn read_input(account: &ClientAccount, body: Vec<u8>) -> Result<String, RequestEnd> {
+fn read_input(account: &ClientAccount, body: &[u8]) -> Result<String, RequestEnd> {
     if body.len() > account.max_input {
         let message = format!(
             "the account's inputs have at most {} bytes",
@@ -190,7 +193,8 @@
         );
         return Err(RequestEnd::not_run(ResultCode::InputTooLarge, message));
     }
-    String::from_utf8(body)
+    std::str::from_utf8(body)
+        .map(str::to_owned)
         .map_err(|_| RequestEnd::not_run(ResultCode::BadRequest, "the body must be UTF-8 text"))
 }
 
--- a/packages/turnford-node/src/control.rs
+++ b/packages/turnford-node/src/control.rs
@@ -1,35 +1,71 @@
-//! The control thread: configuration, targets and their reports.
+//! The control thread: members, configuration, targets, digests, claims and shares.
 
+mod claims;
 mod config;
+mod context;
+mod digests;
+mod members;
+mod peers;
+mod rumors;
+mod shares;
 mod targets;
 
 use std::future::Future;
+use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use async_io::Timer;
-use turnford_platform::ObjectClient;
-use turnford_platform::VmClient;
+use async_net::TcpListener;
 
+use crate::inbox::ControlInbox;
 use crate::state::NodeState;
+use context::ControlContext;
 
 /// Pause between looks whether held work can be served.
 const PUMP_PAUSE: Duration = Duration::from_millis(5);
 
 /// Runs all control work of a node; returns when `stop` does.
-pub(crate) fn run_control(state: Arc<NodeState>, stop: impl Future<Output = ()>) {
-    let executor = LocalExecutor::new();
-    let objects = ObjectClient::new(state.settings.objects, state.budget.clone());
-    let vms = VmClient::new(state.settings.vms, state.budget.clone());
+pub(crate) fn run_control(
+    state: Arc<NodeState>,
+    inbox: ControlInbox,
+    listener: TcpListener,
+    stop: impl Future<Output = ()>,
+) {
+    let context = Rc::new(ControlContext::new(state));
+    let executor = context.executor.clone();
     executor
-        .spawn(config::follow_config(state.clone(), objects))
+        .spawn(peers::serve_peers(context.clone(), listener))
         .detach();
     executor
-        .spawn(targets::follow_targets(state.clone(), vms))
+        .spawn(members::follow_members(context.clone()))
         .detach();
-    executor.spawn(targets::follow_reports(state)).detach();
+    executor
+        .spawn(config::follow_config(context.clone()))
+        .detach();
+    executor
+        .spawn(config::check_config(context.clone()))
+        .detach();
+    executor
+        .spawn(targets::follow_targets(context.clone()))
+        .detach();
+    executor
+        .spawn(targets::follow_reports(context.clone()))
+        .detach();
+    executor
+        .spawn(targets::follow_signals(context.clone(), inbox.signals))
+        .detach();
+    executor
+        .spawn(digests::exchange_digests(context.clone()))
+        .detach();
+    executor
+        .spawn(claims::take_claims(context.clone(), inbox.claims))
+        .detach();
+    executor
+        .spawn(shares::take_fetches(context.clone(), inbox.shares))
+        .detach();
+    executor.spawn(shares::follow_shares(context)).detach();
     async_io::block_on(executor.run(stop));
 }
 
@@ -43,9 +79,11 @@
     }
 }
 
-/// Notes that the node can serve once both configuration and targets are known.
+/// Notes that the node can serve once configuration, targets and lenders are known.
 fn note_ready(state: &NodeState) {
-    let known = !state.config.load().accounts.is_empty() && !state.pools.load().is_empty();
+    let known = !state.config.load().accounts.is_empty()
+        && !state.pools.load().is_empty()
+        && state.lenders_known.load(Ordering::SeqCst);
     if known && !state.ready.swap(true, Ordering::SeqCst) {
         log::info!(
             "ready: configuration version {}",
--- /dev/null
+++ b/packages/turnford-node/src/control/digests.rs
@@ -0,0 +1,102 @@
+//! Tells the other nodes of this node's work, and hands their word to the pools.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use turnford_fleet::LoadDigest;
+use turnford_fleet::ServiceLoad;
+use turnford_policy::ServicePool;
+use turnford_wire::PeerRequest;
+
+use super::context::ControlContext;
+
+/// Pause between digests.
+const DIGEST_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest wait for a peer to take a digest.
+const DIGEST_LIMIT: Duration = Duration::from_millis(300);
+
+/// Most peers that a digest goes to. A larger fleet relies on the targets' own reports.
+const DIGEST_PEERS: usize = 15;
+
+/// Sends digests for as long as the node runs.
+pub(super) async fn exchange_digests(context: Rc<ControlContext>) {
+    let mut number = 0;
+    loop {
+        Timer::after(DIGEST_PAUSE).await;
+        number += 1;
+        let digest = make_digest(&context, number);
+        let peers = context.members.borrow_mut().sample(DIGEST_PEERS);
+        for peer in peers {
+            let request = PeerRequest::Digest {
+                node: context.state.settings.name.to_string(),
+                digest: digest.clone(),
+            };
+            let told = context.clone();
+            let tell = async move {
+                // The next digest replaces a lost one.
+                let _ = told.peers.call(peer.address, &request, DIGEST_LIMIT).await;
+            };
+            context.executor.spawn(tell).detach();
+        }
+        hand_to_pools(&context);
+    }
+}
+
+fn make_digest(context: &ControlContext, number: u64) -> LoadDigest {
+    let pools = context.state.pools.load();
+    let mut services = Vec::new();
+    for (service, pool) in pools.iter() {
+        let load = pool.with(|_, pool| service_load(service, pool));
+        if load.backlog_ms > 0 || !load.inflight.is_empty() {
+            services.push(load);
+        }
+    }
+    LoadDigest {
+        number,
+        incarnation: context.state.attempts.incarnation(),
+        services,
+    }
+}
+
+fn service_load(service: &str, pool: &ServicePool) -> ServiceLoad {
+    let busy = pool.views().iter().filter(|view| view.own() > 0);
+    let inflight = busy.map(|view| {
+        let count = u16::try_from(view.own()).unwrap_or(u16::MAX);
+        (view.facts.id.to_string(), count)
+    });
+    ServiceLoad {
+        service: service.to_owned(),
+        backlog_ms: (pool.summary().backlog * 1000.0) as u32,
+        inflight: inflight.collect(),
+    }
+}
+
+fn hand_to_pools(context: &ControlContext) {
+    let now = context.now();
+    let mut digests = context.digests.borrow_mut();
+    digests.expire(now);
+    let others = context.members.borrow().live().count();
+    // Only the word of all peers may stand in for what a target itself reports.
+    let complete = others > 0 && digests.len() >= others;
+    let node_share = 1.0 / (others as f64 + 1.0);
+    for (service, pool) in context.state.pools.load().iter() {
+        let (backlog, inflight) = digests.service_load(service);
+        pool.with(|now, pool| {
+            pool.apply_peers(backlog, node_share);
+            if !complete {
+                return;
+            }
+            let targets: Vec<_> = pool
+                .views()
+                .iter()
+                .map(|view| view.facts.id.clone())
+                .collect();
+            for target in targets {
+                let count = inflight.get(&*target).copied().unwrap_or(0);
+                pool.apply_peer_load(now, &target, count);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/packages/turnford-node/src/control/members.rs
@@ -0,0 +1,349 @@
+//! Finds the other nodes and watches them.
+
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_io::Timer;
+use serde::Deserialize;
+use serde::Serialize;
+use turnford_fleet::ConfigMark;
+use turnford_fleet::Duty;
+use turnford_fleet::MemberState;
+use turnford_fleet::MemberUpdate;
+use turnford_fleet::ProbePlan;
+use turnford_platform::ObjectList;
+use turnford_platform::PlatformFault;
+use turnford_platform::VersionGuard;
+use turnford_wire::PeerReply;
+use turnford_wire::PeerRequest;
+
+use super::context::ControlContext;
+
+/// Prefix of the nodes' own records at the platform.
+const NODE_PREFIX: &str = "nodes/";
+
+/// Pause between looks whether a probe is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Longest wait for a probe's answer.
+const PROBE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Longest wait for an indirect probe's answer.
+const INDIRECT_LIMIT: Duration = Duration::from_millis(1200);
+
+/// Pause between tries to register while the platform is away.
+const REGISTER_PAUSE: Duration = Duration::from_secs(2);
+
+/// Time after its own registration in which a node lets others register.
+const SETTLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Shortest time between two pulls of the whole member list.
+const PULL_PAUSE: Duration = Duration::from_secs(3);
+
+/// Pause between sweeps of records of nodes that are gone.
+const SWEEP_PAUSE: Duration = Duration::from_secs(60);
+
+/// Members on one page.
+pub(super) const PAGE_SIZE: usize = 200;
+
+/// A node's record at the platform.
+#[derive(Serialize, Deserialize)]
+struct NodeRecord {
+    address: std::net::SocketAddr,
+    hall: String,
+}
+
+/// Registers this node, finds the others, and probes them for as long as the node runs.
+pub(super) async fn follow_members(context: Rc<ControlContext>) {
+    context.executor.spawn(register(context.clone())).detach();
+    context
+        .executor
+        .spawn(sweep_records(context.clone()))
+        .detach();
+    ask_known_peers(&context).await;
+    let mut left = false;
+    loop {
+        Timer::after(TICK).await;
+        let now = context.now();
+        let plan = {
+            let mut members = context.members.borrow_mut();
+            members.expire(now);
+            members.probe_due(now)
+        };
+        if let Some(plan) = plan {
+            context
+                .executor
+                .spawn(probe(context.clone(), plan))
+                .detach();
+        }
+        let count = i64::try_from(context.fleet_count()).unwrap_or(i64::MAX);
+        context.state.metrics.members.set(count);
+        context
+            .state
+            .metrics
+            .frame_bytes
+            .set(context.peers.frame_bytes());
+        if !left && context.state.draining.load(Ordering::SeqCst) {
+            left = true;
+            context.executor.spawn(leave(context.clone())).detach();
+        }
+    }
+}
+
+/// Returns the ping of this node.
+fn ping(context: &ControlContext) -> PeerRequest {
+    let mut members = context.members.borrow_mut();
+    PeerRequest::Ping {
+        gossip: members.take_gossip(),
+        mark: context.view.borrow().mark(),
+        members: members.checksum(),
+    }
+}
+
+/// Answers a ping.
+pub(super) fn answer_ping(
+    context: &Rc<ControlContext>,
+    gossip: Vec<MemberUpdate>,
+    mark: ConfigMark,
+) -> PeerReply {
+    let from = gossip.first().cloned();
+    apply_gossip(context, gossip);
+    if let Some(from) = from {
+        super::config::compare_mark(context, from.address, mark);
+    }
+    let mut members = context.members.borrow_mut();
+    PeerReply::Pong {
+        gossip: members.take_gossip(),
+        mark: context.view.borrow().mark(),
+        members: members.checksum(),
+    }
+}
+
+/// Asks another node for a third one.
+pub(super) async fn answer_ping_via(
+    context: &Rc<ControlContext>,
+    target: MemberUpdate,
+) -> PeerReply {
+    PeerReply::Reached(ping_once(context, target.address).await)
+}
+
+/// Returns a page of members after a name.
+pub(super) fn answer_member_pull(context: &ControlContext, after: &str) -> PeerReply {
+    let members = context.members.borrow();
+    let own = members.own().clone();
+    let others = members.live().map(|record| record.update.clone());
+    let mut updates: Vec<MemberUpdate> = others.chain(std::iter::once(own)).collect();
+    updates.retain(|update| update.name.as_str() > after);
+    updates.sort_by(|left, right| left.name.cmp(&right.name));
+    updates.truncate(PAGE_SIZE);
+    PeerReply::Members(updates)
+}
+
+fn apply_gossip(context: &ControlContext, gossip: Vec<MemberUpdate>) {
+    let now = context.now();
+    let mut members = context.members.borrow_mut();
+    for update in gossip {
+        let name = update.name.clone();
+        let state = update.state;
+        if members.apply(now, update) && state != MemberState::Suspect {
+            log::info!("member {name} is {state:?}");
+        }
+    }
+}
+
+async fn probe(context: Rc<ControlContext>, plan: ProbePlan) {
+    if ping_once(&context, plan.address).await {
+        return;
+    }
+    let helpers = context.members.borrow_mut().indirect_probes(&plan.name);
+    let target = context
+        .members
+        .borrow()
+        .get(&plan.name)
+        .map(|record| record.update.clone());
+    let Some(target) = target else {
+        return;
+    };
+    let mut tasks = Vec::new();
+    for helper in helpers {
+        let ask = ask_helper(context.clone(), helper, target.clone());
+        tasks.push(context.executor.spawn(ask));
+    }
+    let mut reached = false;
+    for task in tasks {
+        reached |= task.await;
+    }
+    if !reached {
+        let now = context.now();
+        context.members.borrow_mut().note_silent(now, &plan.name);
+    }
+}
+
+async fn ask_helper(context: Rc<ControlContext>, helper: ProbePlan, target: MemberUpdate) -> bool {
+    let request = PeerRequest::PingVia { target };
+    let reply = context
+        .peers
+        .call(helper.address, &request, INDIRECT_LIMIT)
+        .await;
+    matches!(reply, Ok(PeerReply::Reached(true)))
+}
+
+/// Pings an address; true if it answered.
+async fn ping_once(context: &Rc<ControlContext>, address: std::net::SocketAddr) -> bool {
+    let request = ping(context);
+    let reply = context.peers.call(address, &request, PROBE_LIMIT).await;
+    let Ok(PeerReply::Pong {
+        gossip,
+        mark,
+        members,
+    }) = reply
+    else {
+        return false;
+    };
+    apply_gossip(context, gossip);
+    super::config::compare_mark(context, address, mark);
+    let own = context.members.borrow().checksum();
+    if own != members {
+        pull_members(context, address).await;
+    }
+    true
+}
+
+/// Reads the whole member list of a peer whose list differs, a page at a time.
+async fn pull_members(context: &Rc<ControlContext>, address: std::net::SocketAddr) {
+    let now = context.now();
+    if now < context.next_pull.get() {
+        return;
+    }
+    context.next_pull.set(now + PULL_PAUSE);
+    let mut after = String::new();
+    loop {
+        let request = PeerRequest::MemberPull { after };
+        let reply = context.peers.call(address, &request, PROBE_LIMIT).await;
+        let Ok(PeerReply::Members(updates)) = reply else {
+            return;
+        };
+        let full = updates.len() >= PAGE_SIZE;
+        after = updates
+            .last()
+            .map_or_else(String::new, |update| update.name.clone());
+        apply_gossip(context, updates);
+        if !full {
+            return;
+        }
+    }
+}
+
+/// Asks the peers of the settings, for starts while the platform is away.
+async fn ask_known_peers(context: &Rc<ControlContext>) {
+    for address in context.state.settings.peers.clone() {
+        ping_once(context, address).await;
+    }
+}
+
+/// Writes this node's record and reads those of the others, until both worked once.
+async fn register(context: Rc<ControlContext>) {
+    loop {
+        match try_register(&context).await {
+            Ok(()) => break,
+            Err(fault) => log::warn!("this node's record can't be written yet: {fault}"),
+        }
+        Timer::after(context.jitter(REGISTER_PAUSE)).await;
+    }
+    // Nodes that start together register in this time, too.
+    Timer::after(SETTLE_PAUSE).await;
+    if let Ok(list) = context.objects.list(NODE_PREFIX).await {
+        note_records(&context, &list);
+    }
+    context.settled.set(true);
+}
+
+async fn try_register(context: &Rc<ControlContext>) -> Result<(), PlatformFault> {
+    let settings = &context.state.settings;
+    let key = format!("{NODE_PREFIX}{}", settings.name);
+    let list = context.objects.list(NODE_PREFIX).await?;
+    let known = list.objects.iter().find(|object| object.key == key);
+    let version = known
+        .filter(|object| object.value.is_some())
+        .map_or(0, |object| object.version);
+    let record = NodeRecord {
+        address: settings.inner,
+        hall: settings.hall.to_string(),
+    };
+    let bytes = serde_json::to_vec(&record).map_err(|_| PlatformFault::Invalid)?;
+    context
+        .objects
+        .put(&key, VersionGuard::from_version(version), bytes)
+        .await?;
+    note_records(context, &list);
+    Ok(())
+}
+
+/// Takes the other nodes' records as members to be probed.
+fn note_records(context: &ControlContext, list: &ObjectList) {
+    let own = format!("{NODE_PREFIX}{}", context.state.settings.name);
+    let now = context.now();
+    for object in list.objects.iter().filter(|object| object.key != own) {
+        let value = object.value.as_deref().unwrap_or("");
+        let Ok(record) = serde_json::from_str::<NodeRecord>(value) else {
+            continue;
+        };
+        let update = MemberUpdate {
+            name: object.key.trim_start_matches(NODE_PREFIX).to_owned(),
+            address: record.address,
+            hall: record.hall,
+            incarnation: 0,
+            state: MemberState::Alive,
+        };
+        context.members.borrow_mut().apply(now, update);
+    }
+}
+
+/// Tells the others that this node stops, and removes its record.
+async fn leave(context: Rc<ControlContext>) {
+    context.members.borrow_mut().leave();
+    let peers = context.members.borrow_mut().sample(PAGE_SIZE);
+    for peer in peers {
+        let request = ping(&context);
+        let told = context.clone();
+        let tell = async move {
+            // A peer that does not hear it finds out by its own probe.
+            let _ = told.peers.call(peer.address, &request, PROBE_LIMIT).await;
+        };
+        context.executor.spawn(tell).detach();
+    }
+    remove_record(&context, &context.state.settings.name).await;
+}
+
+/// Removes records of nodes that are long dead, so that new nodes do not ask for them.
+async fn sweep_records(context: Rc<ControlContext>) {
+    loop {
+        Timer::after(context.jitter(SWEEP_PAUSE)).await;
+        if !context.has_duty(&Duty::Sweep) {
+            continue;
+        }
+        let now = context.now();
+        let dead: Vec<String> = {
+            let members = context.members.borrow();
+            let gone = members.all().filter(|record| {
+                let dead = record.update.state >= MemberState::Dead;
+                dead && now.saturating_sub(record.since) > SWEEP_PAUSE
+            });
+            gone.map(|record| record.update.name.clone()).collect()
+        };
+        for name in dead {
+            remove_record(&context, &name).await;
+        }
+    }
+}
+
+async fn remove_record(context: &ControlContext, name: &str) {
+    let key = format!("{NODE_PREFIX}{name}");
+    let Ok(found) = context.objects.get(&key).await else {
+        return;
+    };
+    if let Err(fault) = context.objects.delete(&key, found.version).await {
+        log::warn!("the record of node {name} can't be removed: {fault}");
+    }
+}
--- /dev/null
+++ b/packages/turnford-node/src/control/peers.rs
@@ -0,0 +1,51 @@
+//! Answers the calls of other nodes.
+
+use std::rc::Rc;
+
+use async_net::TcpListener;
+use turnford_wire::serve_peer;
+use turnford_wire::PeerReply;
+use turnford_wire::PeerRequest;
+
+use super::context::ControlContext;
+
+/// Serves the inner protocol for as long as the node runs.
+pub(super) async fn serve_peers(context: Rc<ControlContext>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            async_io::Timer::after(std::time::Duration::from_millis(20)).await;
+            continue;
+        };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let handler_context = context.clone();
+        let handler = move |request| answer(handler_context.clone(), request);
+        let serve = serve_peer(stream, context.executor.clone(), handler);
+        context.executor.spawn(serve).detach();
+    }
+}
+
+async fn answer(context: Rc<ControlContext>, request: PeerRequest) -> PeerReply {
+    match request {
+        PeerRequest::Ping { gossip, mark, .. } => {
+            super::members::answer_ping(&context, gossip, mark)
+        }
+        PeerRequest::PingVia { target } => super::members::answer_ping_via(&context, target).await,
+        PeerRequest::MemberPull { after } => super::members::answer_member_pull(&context, &after),
+        PeerRequest::ConfigPull { after } => super::config::answer_pull(&context, after),
+        PeerRequest::Rumors(rumors) => {
+            super::rumors::take_rumors(&context, rumors);
+            PeerReply::Noted
+        }
+        PeerRequest::Digest { node, digest } => {
+            let now = context.now();
+            context.digests.borrow_mut().apply(now, &node, digest);
+            PeerReply::Noted
+        }
+        PeerRequest::Claim(ask) => super::claims::answer_claim(&context, ask).await,
+        PeerRequest::Share { node, demands } => {
+            super::shares::answer_share(&context, &node, &demands)
+        }
+    }
+}
--- a/packages/turnford-node/src/control/targets.rs
+++ b/packages/turnford-node/src/control/targets.rs
@@ -1,12 +1,13 @@
 //! Follows the VM list and the targets' load reports.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
+use async_channel::Receiver;
 use async_io::Timer;
-use turnford_platform::VmClient;
+use turnford_fleet::Rumor;
 use turnford_platform::VmEntry;
 use turnford_platform::VmState;
 use turnford_policy::LoadReport;
@@ -14,7 +15,10 @@
 use turnford_policy::TargetFacts;
 use turnford_policy::TargetId;
 
+use super::context::ControlContext;
 use super::note_ready;
+use super::rumors::tell_rumors;
+use crate::inbox::LeavingSignal;
 use crate::place::StagePool;
 use crate::state::AddressMap;
 use crate::state::NodeState;
@@ -34,14 +38,14 @@
 ];
 
 /// Reads the VM list again and again. A failed read keeps the last list.
-pub(super) async fn follow_targets(state: Arc<NodeState>, vms: VmClient) {
+pub(super) async fn follow_targets(context: Rc<ControlContext>) {
     let mut last: Vec<VmEntry> = Vec::new();
     loop {
-        match vms.list().await {
+        match context.vms.list().await {
             Ok(list) if list != last => {
-                apply_list(&state, &list);
+                apply_list(&context, &list);
                 last = list;
-                note_ready(&state);
+                note_ready(&context.state);
             }
             Ok(_) => (),
             Err(fault) => log::warn!("the VM list can't be read: {fault}"),
@@ -51,27 +55,31 @@
 }
 
 /// Asks each target for its load, all at once in each round.
-pub(super) async fn follow_reports(state: Arc<NodeState>) {
+pub(super) async fn follow_reports(context: Rc<ControlContext>) {
     loop {
         Timer::after(REPORT_PAUSE).await;
-        let executor = LocalExecutor::new();
         let mut tasks = Vec::new();
-        for (service, pool) in state.pools.load().iter() {
+        for (service, pool) in context.state.pools.load().iter() {
             for target in live_targets(pool) {
-                let ask = ask_report(state.clone(), service.clone(), target);
-                tasks.push(executor.spawn(ask));
+                let ask = ask_report(context.clone(), service.clone(), target);
+                tasks.push(context.executor.spawn(ask));
             }
         }
-        let round = async {
-            for task in tasks {
-                task.await;
-            }
-        };
-        executor.run(round).await;
+        for task in tasks {
+            task.await;
+        }
+    }
+}
+
+/// Tells the fleet of targets that traffic saw leaving.
+pub(super) async fn follow_signals(context: Rc<ControlContext>, signals: Receiver<LeavingSignal>) {
+    while let Ok(signal) = signals.recv().await {
+        tell_leaving(&context, &signal.service, &signal.target, "its refusal");
     }
 }
 
-async fn ask_report(state: Arc<NodeState>, service: ServiceId, target: TargetId) {
+async fn ask_report(context: Rc<ControlContext>, service: ServiceId, target: TargetId) {
+    let state = &context.state;
     let Some(address) = state.addresses.load().get(&target).copied() else {
         return;
     };
@@ -88,10 +96,24 @@
         report.leaving && pool.mark_leaving(&target)
     });
     if left {
-        log::info!("target {target} leaves, by its own report");
+        tell_leaving(&context, &service, &target, "its own report");
     }
 }
 
+/// Marks a target as leaving here and tells the others.
+fn tell_leaving(context: &Rc<ControlContext>, service: &str, target: &str, by: &str) {
+    if let Some(pool) = context.state.pool(service) {
+        pool.with(|_, pool| pool.mark_leaving(target));
+    }
+    log::info!("target {target} leaves, by {by}");
+    let rumor = Rumor::Leaving {
+        service: service.to_owned(),
+        target: target.to_owned(),
+        event: rand::random(),
+    };
+    tell_rumors(context, vec![rumor]);
+}
+
 fn live_targets(pool: &StagePool) -> Vec<TargetId> {
     pool.with(|_, pool| {
         let live = pool.views().iter().filter(|view| !view.leaving);
@@ -99,7 +121,8 @@
     })
 }
 
-fn apply_list(state: &NodeState, list: &[VmEntry]) {
+fn apply_list(context: &Rc<ControlContext>, list: &[VmEntry]) {
+    let state = &context.state;
     let mut by_service: HashMap<ServiceId, Vec<TargetFacts>> = HashMap::new();
     let mut addresses = AddressMap::new();
     for entry in list {
@@ -125,22 +148,22 @@
         let facts = by_service.remove(service).unwrap_or_default();
         pool.with(|_, pool| pool.apply_list(facts));
     }
-    mark_leaving(&pools, list);
     log::info!(
         "VM list: {} targets in {} services",
         list.len(),
         pools.len()
     );
     state.pools.store(Arc::new(pools));
+    mark_leaving(context, list);
 }
 
-fn mark_leaving(pools: &PoolMap, list: &[VmEntry]) {
+fn mark_leaving(context: &Rc<ControlContext>, list: &[VmEntry]) {
     for entry in list.iter().filter(|entry| entry.state == VmState::Leaving) {
-        let Some(pool) = pools.get(entry.service.as_str()) else {
+        let Some(pool) = context.state.pool(&entry.service) else {
             continue;
         };
         if pool.with(|_, pool| pool.mark_leaving(&entry.name)) {
-            log::info!("target {} leaves, by the VM list", entry.name);
+            tell_leaving(context, &entry.service, &entry.name, "the VM list");
         }
     }
 }
--- a/packages/turnford-node/src/entry.rs
+++ b/packages/turnford-node/src/entry.rs
@@ -6,9 +6,12 @@
 use http_types::Response;
 use http_types::StatusCode;
 use turnford_http::HttpCall;
+use turnford_policy::AttemptId;
 use turnford_policy::ResultCode;
 
+use crate::admit::account_of;
 use crate::admit::admit_call;
+use crate::admit::AdmittedRequest;
 use crate::answer::RequestEnd;
 use crate::runner::run_request;
 use crate::state::NodeState;
@@ -34,7 +37,7 @@
     let trace = state.attempts.next_request();
     let accept = call.header("accept").unwrap_or("");
     let streams = accept.contains("text/event-stream");
-    match admit_call(state, call, trace) {
+    match admit_with_share(state, &call, trace).await {
         Ok(request) if streams => stream_request(request),
         Ok(request) => run_request(request, None).await.response(trace),
         Err(end) => {
@@ -44,6 +47,23 @@
     }
 }
 
+/// Admits a call. Where this node's share of a limit is used up, a larger one is asked for first.
+async fn admit_with_share(
+    state: &Arc<NodeState>,
+    call: &HttpCall,
+    trace: AttemptId,
+) -> Result<AdmittedRequest, RequestEnd> {
+    let end = match admit_call(state, call, trace) {
+        Err(end) if end.code.is_limit() && state.settings.fleet_size > 1 => end,
+        other => return other,
+    };
+    let Some(account) = account_of(state, call) else {
+        return Err(end);
+    };
+    state.control.fetch_share(&account.name).await;
+    admit_call(state, call, trace)
+}
+
 /// Counts a refusal without the account's name, which may be unknown.
 fn note_refusal(state: &NodeState, end: &RequestEnd) {
     state
--- a/packages/turnford-node/src/lib.rs
+++ b/packages/turnford-node/src/lib.rs
@@ -5,11 +5,14 @@
 
 mod admit;
 mod answer;
+mod claim;
 mod control;
 mod entry;
+mod inbox;
 mod metrics;
 mod node;
 mod place;
+mod results;
 mod runner;
 mod snapshot;
 mod stage;
--- a/packages/turnford-node/src/metrics.rs
+++ b/packages/turnford-node/src/metrics.rs
@@ -62,8 +62,6 @@
     Invariant,
     /// A newer configuration came into force.
     ConfigApplied,
-    /// An old configuration was offered and not taken.
-    ConfigOld,
 }
 
 impl NodeEvent {
@@ -75,7 +73,6 @@
             NodeEvent::CallerGone => "caller-gone",
             NodeEvent::Invariant => "invariant",
             NodeEvent::ConfigApplied => "config-applied",
-            NodeEvent::ConfigOld => "config-old",
         }
     }
 }
@@ -91,6 +88,8 @@
     pub(crate) running: Gauge,
     pub(crate) config_version: Gauge<u64, AtomicU64>,
     pub(crate) members: Gauge,
+    pub(crate) lent_groups: Gauge,
+    pub(crate) frame_bytes: Gauge<u64, AtomicU64>,
     pub(crate) platform_reads: Gauge<u64, AtomicU64>,
     pub(crate) platform_writes: Gauge<u64, AtomicU64>,
 }
@@ -107,6 +106,8 @@
             running: Gauge::default(),
             config_version: Gauge::default(),
             members: Gauge::default(),
+            lent_groups: Gauge::default(),
+            frame_bytes: Gauge::default(),
             platform_reads: Gauge::default(),
             platform_writes: Gauge::default(),
         };
@@ -187,6 +188,18 @@
             "Nodes thought alive, this one among them",
             self.members.clone(),
         );
+        let lent = self.lent_groups.clone();
+        registry.register(
+            "lent_groups",
+            "Account groups that this node lends for",
+            lent,
+        );
+        let bytes = self.frame_bytes.clone();
+        registry.register(
+            "frame_bytes",
+            "Bytes of inner calls made and their answers",
+            bytes,
+        );
         let reads = self.platform_reads.clone();
         registry.register("platform_reads", "Calls to the platform that read", reads);
         let writes = self.platform_writes.clone();
--- a/packages/turnford-node/src/node.rs
+++ b/packages/turnford-node/src/node.rs
@@ -22,6 +22,7 @@
 use crate::control::pump_pools;
 use crate::control::run_control;
 use crate::entry::handle_call;
+use crate::inbox::control_channel;
 use crate::state::NodeState;
 
 /// Pause between looks whether running requests ended.
@@ -63,21 +64,24 @@
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
         let listener = bind_listener(settings.listen)?;
         let address = listener.local_addr()?;
+        let inner = bind_listener(settings.inner)?;
         settings.listen = address;
+        settings.inner = inner.local_addr()?;
         settings.hold_limit = settings.hold_limit.max(1);
         let mut pool_settings = options.pool;
         pool_settings.hold_limit = settings.hold_limit;
         let incarnation: u64 = rand::random();
         pool_settings.seed ^= incarnation;
         let admits = options.admits;
-        let state = NodeState::new(settings, pool_settings, admits, clock, incarnation);
+        let (outbox, inbox) = control_channel();
+        let state = NodeState::new(settings, pool_settings, admits, clock, incarnation, outbox);
         let state = Arc::new(state);
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let mut threads = Vec::new();
         let control_state = state.clone();
         let control_stop = stopped.clone();
         threads.push(spawn_thread("control".to_owned(), move || {
-            run_control(control_state, wait_stop(control_stop));
+            run_control(control_state, inbox, inner, wait_stop(control_stop));
         })?);
         for number in 0..state.settings.threads {
             let traffic_state = state.clone();
--- a/packages/turnford-node/src/runner.rs
+++ b/packages/turnford-node/src/runner.rs
@@ -7,6 +7,7 @@
 use crate::admit::AdmittedRequest;
 use crate::answer::RequestEnd;
 use crate::answer::StageRecord;
+use crate::claim::take_claim;
 use crate::metrics::NodeEvent;
 use crate::stage::run_stage;
 use crate::stage::StageFailure;
@@ -38,6 +39,15 @@
         request: &request,
         ended: false,
     };
+    let mut claim = match take_claim(&request).await {
+        Ok(claim) => claim,
+        Err(end) => {
+            guard.ended = true;
+            drop(guard);
+            note_end(&request, &end);
+            return end;
+        }
+    };
     let mut evidence = RequestEvidence::default();
     let mut records: Vec<StageRecord> = Vec::new();
     let mut text = request.input.clone();
@@ -47,7 +57,7 @@
         promises.settle(stage);
         let sender = tokens.as_ref().filter(|_| stage == last);
         let run = StageRun::new(&request, stage, &text, sender);
-        match run_stage(run, &mut evidence).await {
+        match run_stage(run, &mut evidence, claim.as_mut()).await {
             Ok((output, record)) => {
                 text = output;
                 records.push(record);
@@ -60,6 +70,9 @@
     }
     let mut end = make_end(&request, failure, text, &evidence);
     end.stages = records;
+    if let Some(claim) = claim {
+        claim.finish(&end);
+    }
     guard.ended = true;
     drop(guard);
     note_end(&request, &end);
--- a/packages/turnford-node/src/stage.rs
+++ b/packages/turnford-node/src/stage.rs
@@ -5,6 +5,7 @@
 use async_channel::Sender;
 use turnford_config::CallKind;
 use turnford_config::StageSpec;
+use turnford_policy::AttemptEvidence;
 use turnford_policy::Moment;
 use turnford_policy::RequestEvidence;
 use turnford_policy::ResultCode;
@@ -20,6 +21,7 @@
 use crate::admit::stage_length;
 use crate::admit::AdmittedRequest;
 use crate::answer::StageRecord;
+use crate::claim::ClaimGuard;
 use crate::metrics::NodeEvent;
 use crate::place::PlaceGuard;
 use crate::place::PlaceRefusal;
@@ -149,6 +151,7 @@
 pub(crate) async fn run_stage(
     mut run: StageRun<'_>,
     evidence: &mut RequestEvidence,
+    mut claim: Option<&mut ClaimGuard>,
 ) -> Result<(String, StageRecord), StageFailure> {
     let state = run.request.state.clone();
     let Some(pool) = state.pool(&run.spec.service) else {
@@ -163,6 +166,14 @@
     let mut attempt = 0;
     loop {
         let waited = run.now().saturating_sub(begun);
+        // Looked at right before the send, so that a request that slept does not use an old claim.
+        let claimed = claim.as_mut().filter(|_| !run.spec.repeatable);
+        if claimed.is_some_and(|claim| !claim.use_now()) {
+            return Err(failure(
+                ResultCode::ClaimUnavailable,
+                "the claim is too old to be used",
+            ));
+        }
         let result = try_once(&mut run, &pool, &work, &place, attempt, evidence).await;
         attempt += 1;
         let placement = place.placement().cloned();
@@ -178,6 +189,16 @@
         if fault == TargetFault::OtherAttempt {
             state.metrics.note(NodeEvent::OtherAttempt);
         }
+        if surely_not_run(fault) {
+            if let Some(claim) = claim.as_mut().filter(|_| !run.spec.repeatable) {
+                claim.unuse();
+            }
+        }
+        if let (TargetFault::Leaving, Some(placement)) = (fault, &placement) {
+            state
+                .control
+                .signal_leaving(&run.spec.service, &placement.target);
+        }
         work.tried
             .extend(placement.map(|placement| placement.target));
         let next = next_place(&run, &pool, &work, fault, attempt).await;
@@ -216,7 +237,7 @@
         state.targets.run(address, &call).await
     };
     let known = match &result {
-        Ok(_) => turnford_policy::AttemptEvidence::Ran,
+        Ok(_) => AttemptEvidence::Ran,
         Err(fault) => fault.evidence(),
     };
     evidence.note_end(known);
@@ -264,26 +285,31 @@
     fault: TargetFault,
     attempt: u8,
 ) -> Option<PlaceGuard> {
-    use turnford_policy::AttemptEvidence::NotSent;
-    use turnford_policy::AttemptEvidence::RefusedBeforeStart;
-
     if attempt >= TRY_LIMIT || run.now() >= run.request.budget.deadline() {
         return None;
     }
-    let surely_not_run = matches!(fault.evidence(), NotSent | RefusedBeforeStart);
-    if let Some(place) = (run.spec.repeatable || surely_not_run)
-        .then(|| pool.place_retry(work))
-        .flatten()
-    {
+    let not_run = surely_not_run(fault);
+    if !run.spec.repeatable && !not_run {
+        return None;
+    }
+    if let Some(place) = pool.place_retry(work) {
         return Some(place);
     }
     // A call that never started costs its target nothing, so it may wait like a first one.
-    if surely_not_run {
+    if not_run {
         return pool.place(work.clone()).await.ok();
     }
     None
 }
 
+/// Tells whether a call that failed so never started at its target.
+fn surely_not_run(fault: TargetFault) -> bool {
+    matches!(
+        fault.evidence(),
+        AttemptEvidence::NotSent | AttemptEvidence::RefusedBeforeStart
+    )
+}
+
 fn outcome_of(fault: TargetFault) -> StageOutcome {
     match fault {
         TargetFault::Full => StageOutcome::RefusedFull,
--- a/packages/turnford-node/src/state.rs
+++ b/packages/turnford-node/src/state.rs
@@ -24,8 +24,10 @@
 use turnford_policy::TargetId;
 use turnford_target::TargetClient;
 
+use crate::inbox::ControlOutbox;
 use crate::metrics::NodeMetrics;
 use crate::place::StagePool;
+use crate::results::ResultCache;
 use crate::snapshot::ConfigSnapshot;
 
 /// Pools by service. The map is replaced when a service appears; the pools stay.
@@ -47,10 +49,14 @@
     pub(crate) targets: TargetClient,
     pub(crate) metrics: NodeMetrics,
     pub(crate) budget: Arc<CallBudget>,
-    /// Set once configuration and targets are known.
+    /// Set once every lender answered, or was waited for long enough.
+    pub(crate) lenders_known: AtomicBool,
+    /// Set once configuration, targets and lenders are known.
     pub(crate) ready: AtomicBool,
     pub(crate) draining: AtomicBool,
     pub(crate) running: AtomicU64,
+    pub(crate) control: ControlOutbox,
+    pub(crate) results: ResultCache,
     limits: Mutex<HashMap<AccountId, AccountLimit>>,
 }
 
@@ -84,6 +90,7 @@
         admits: bool,
         clock: Arc<dyn Clock>,
         incarnation: u64,
+        control: ControlOutbox,
     ) -> Self {
         let budget = Arc::new(CallBudget::new(settings.platform_calls));
         Self {
@@ -98,9 +105,12 @@
             targets: TargetClient::new(),
             metrics: NodeMetrics::new(),
             budget,
+            lenders_known: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             running: AtomicU64::new(0),
+            control,
+            results: ResultCache::default(),
             limits: Mutex::new(HashMap::new()),
         }
     }
--- a/packages/turnford-node/src/status.rs
+++ b/packages/turnford-node/src/status.rs
@@ -31,6 +31,8 @@
         "draining": state.draining.load(Ordering::SeqCst),
         "running": state.running.load(Ordering::SeqCst),
         "config_version": config.version,
+        "members": state.metrics.members.get(),
+        "lent_groups": state.metrics.lent_groups.get(),
         "templates": config.templates.len(),
         "accounts": config.accounts.len(),
         "platform_calls": { "reads": counts.reads, "writes": counts.writes,
--- a/packages/turnford-platform/src/object.rs
+++ b/packages/turnford-platform/src/object.rs
@@ -160,6 +160,29 @@
         }
     }
 
+    /// Deletes one object if it has a version.
+    ///
+    /// # Errors
+    ///
+    /// As [`ObjectClient::put`].
+    pub async fn delete(&self, key: &str, version: ObjectVersion) -> Result<(), PlatformFault> {
+        if !self.budget.take_write() {
+            return Err(PlatformFault::OverBudget);
+        }
+        let mut request = self.request(Method::Delete, &format!("/objects/{key}"))?;
+        request.insert_header(GUARD_HEADER, version.to_string());
+        let answer = self.http.send(self.address, request, CALL_LIMIT).await?;
+        match answer.status {
+            200 => Ok(()),
+            404 => Err(PlatformFault::Absent),
+            409 => Err(PlatformFault::Conflict {
+                current: version_of(&answer)?,
+            }),
+            503 => Err(PlatformFault::Unavailable),
+            _ => Err(PlatformFault::Invalid),
+        }
+    }
+
     /// Lists the objects below a prefix.
     ///
     /// # Errors
--- a/packages/turnford-policy/src/code.rs
+++ b/packages/turnford-policy/src/code.rs
@@ -148,6 +148,14 @@
         }
     }
 
+    /// Tells whether an account's limit refused.
+    pub fn is_limit(self) -> bool {
+        matches!(
+            self,
+            ResultCode::RateLimited | ResultCode::ConcurrencyLimited
+        )
+    }
+
     /// Tells whether the answer is whole.
     pub fn is_whole(self) -> bool {
         self.number() < 100
--- a/packages/turnford-policy/src/evidence.rs
+++ b/packages/turnford-policy/src/evidence.rs
@@ -37,6 +37,15 @@
     }
 }
 
+/// What a claim says of an earlier request with the same id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimKnowledge {
+    /// It ran.
+    Ran,
+    /// It may have run or be running.
+    MayHaveRun,
+}
+
 /// Evidence over all attempts of one request; it only ever gets worse.
 #[derive(Clone, Debug, Default)]
 pub struct RequestEvidence {
@@ -46,6 +55,15 @@
 }
 
 impl RequestEvidence {
+    /// Returns the evidence of a request that was not started because its id was used before.
+    pub fn from_claim(knowledge: ClaimKnowledge) -> Self {
+        Self {
+            open: 0,
+            ran: knowledge == ClaimKnowledge::Ran,
+            unknown: knowledge == ClaimKnowledge::MayHaveRun,
+        }
+    }
+
     /// Notes that a call is about to be handed to a target.
     ///
     /// It is called before the first byte is written, so that a request that is cut off in between
--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub use code::ResultCode;
 pub use estimate::StageEstimates;
 pub use evidence::AttemptEvidence;
+pub use evidence::ClaimKnowledge;
 pub use evidence::RanWord;
 pub use evidence::RequestEvidence;
 pub use health::HealthSettings;
--- a/packages/turnford-policy/src/limit.rs
+++ b/packages/turnford-policy/src/limit.rs
@@ -33,7 +33,7 @@
     tokens: f64,
     filled_at: Moment,
     running: u32,
-    refused: u32,
+    arrivals: u32,
 }
 
 impl AccountLimit {
@@ -45,7 +45,7 @@
             tokens: burst_of(rate),
             filled_at: now,
             running: 0,
-            refused: 0,
+            arrivals: 0,
         }
     }
 
@@ -64,13 +64,12 @@
     /// Returns which limit is reached; nothing is taken then.
     pub fn start(&mut self, now: Moment) -> Result<(), LimitRefusal> {
         self.fill(now);
+        self.arrivals = self.arrivals.saturating_add(1);
         if self.running >= self.concurrency {
-            self.refused = self.refused.saturating_add(1);
             let retry_after = CONCURRENCY_HINT;
             return Err(LimitRefusal::Concurrency { retry_after });
         }
         if self.tokens < 1.0 {
-            self.refused = self.refused.saturating_add(1);
             let missing = (1.0 - self.tokens) / self.rate.max(0.001);
             let retry_after = Duration::from_secs_f64(missing.min(60.0));
             return Err(LimitRefusal::Rate { retry_after });
@@ -91,9 +90,9 @@
         self.running
     }
 
-    /// Returns the number of refusals since the last call of this function.
-    pub fn take_refused(&mut self) -> u32 {
-        std::mem::take(&mut self.refused)
+    /// Returns the number of requests that came since the last call, refused ones among them.
+    pub fn take_arrivals(&mut self) -> u32 {
+        std::mem::take(&mut self.arrivals)
     }
 
     fn fill(&mut self, now: Moment) {
--- /dev/null
+++ b/packages/turnford-wire/src/client.rs
@@ -0,0 +1,135 @@
+//! The calling side: one `h2` connection to each peer.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpStream;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use h2::client::SendRequest;
+use http::Method;
+use http::Request;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use crate::decode_reply;
+use crate::encode_request;
+use crate::server::read_body;
+use crate::FrameFault;
+use crate::PeerReply;
+use crate::PeerRequest;
+
+/// Why a call to a peer failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerFault {
+    /// No connection, or it broke.
+    Broken,
+    /// No answer in time.
+    Late,
+    /// The message or its answer was not understood.
+    Frame(FrameFault),
+}
+
+impl fmt::Display for PeerFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PeerFault::Broken => f.write_str("connection broken"),
+            PeerFault::Late => f.write_str("no answer in time"),
+            PeerFault::Frame(fault) => write!(f, "{fault}"),
+        }
+    }
+}
+
+impl std::error::Error for PeerFault {}
+
+/// Client of all peers, for one thread.
+pub struct PeerClient {
+    executor: Rc<LocalExecutor<'static>>,
+    connections: RefCell<HashMap<SocketAddr, SendRequest<Bytes>>>,
+    sent_bytes: RefCell<u64>,
+}
+
+impl PeerClient {
+    /// Makes a client whose connections are driven by an executor.
+    pub fn new(executor: Rc<LocalExecutor<'static>>) -> Self {
+        Self {
+            executor,
+            connections: RefCell::new(HashMap::new()),
+            sent_bytes: RefCell::new(0),
+        }
+    }
+
+    /// Returns the bytes of all frames sent and received so far, as the codec counts them.
+    pub fn frame_bytes(&self) -> u64 {
+        *self.sent_bytes.borrow()
+    }
+
+    /// Makes a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault; the peer may have seen the call unless it is a fault of encoding.
+    pub async fn call(
+        &self,
+        to: SocketAddr,
+        request: &PeerRequest,
+        limit: Duration,
+    ) -> Result<PeerReply, PeerFault> {
+        let frame = encode_request(request).map_err(PeerFault::Frame)?;
+        *self.sent_bytes.borrow_mut() += frame.len() as u64;
+        let exchange = self.exchange(to, frame);
+        let late = async {
+            Timer::after(limit).await;
+            Err(PeerFault::Late)
+        };
+        let answer = exchange.or(late).await;
+        if matches!(answer, Err(PeerFault::Broken | PeerFault::Late)) {
+            // A connection that failed once is made anew for the next call.
+            self.connections.borrow_mut().remove(&to);
+        }
+        let answer = answer?;
+        *self.sent_bytes.borrow_mut() += answer.len() as u64;
+        decode_reply(&answer).map_err(PeerFault::Frame)
+    }
+
+    async fn exchange(&self, to: SocketAddr, frame: Vec<u8>) -> Result<Vec<u8>, PeerFault> {
+        let sender = self.connection(to).await?;
+        let mut sender = sender.ready().await.map_err(|_| PeerFault::Broken)?;
+        let request = Request::builder().method(Method::POST).uri("http://peer/");
+        let request = request.body(()).map_err(|_| PeerFault::Broken)?;
+        let sent = sender
+            .send_request(request, false)
+            .map_err(|_| PeerFault::Broken)?;
+        let (response, mut body) = sent;
+        body.send_data(Bytes::from(frame), true)
+            .map_err(|_| PeerFault::Broken)?;
+        let response = response.await.map_err(|_| PeerFault::Broken)?;
+        read_body(response.into_body())
+            .await
+            .ok_or(PeerFault::Broken)
+    }
+
+    async fn connection(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerFault> {
+        if let Some(sender) = self.connections.borrow().get(&to) {
+            return Ok(sender.clone());
+        }
+        let stream = TcpStream::connect(to)
+            .await
+            .map_err(|_| PeerFault::Broken)?;
+        stream.set_nodelay(true).map_err(|_| PeerFault::Broken)?;
+        let shaken = h2::client::handshake(stream.compat()).await;
+        let (sender, connection) = shaken.map_err(|_| PeerFault::Broken)?;
+        let drive = async move {
+            // Its end shows in the calls that use it.
+            let _ = connection.await;
+        };
+        self.executor.spawn(drive).detach();
+        self.connections.borrow_mut().insert(to, sender.clone());
+        Ok(sender)
+    }
+}
--- a/packages/turnford-wire/src/lib.rs
+++ b/packages/turnford-wire/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! The inner protocol between the nodes of one fleet: typed messages in `bincode`, over `h2`
+//! streams, one call a stream.
+//!
+//! A frame is a version byte and a body of bounded size. A node understands frames of its own
+//! version only and refuses others by a frame that every version reads.
+
+mod client;
+mod codec;
+mod message;
+mod server;
+
+pub use client::PeerClient;
+pub use client::PeerFault;
+pub use codec::decode_reply;
+pub use codec::decode_request;
+pub use codec::encode_reply;
+pub use codec::encode_request;
+pub use codec::FrameFault;
+pub use codec::FRAME_LIMIT;
+pub use codec::PROTOCOL_VERSION;
+pub use message::PeerReply;
+pub use message::PeerRequest;
+pub use server::serve_peer;
--- a/packages/turnford/src/site.rs
+++ b/packages/turnford/src/site.rs
@@ -81,7 +81,7 @@
         apply_files(&tool_client(standins.objects), files).await?;
         let mut nodes = Vec::new();
         for number in 0..node_count {
-            let settings = node_settings(scenario, &standins, number);
+            let settings = node_settings(scenario, &standins, node_count, number);
             let node = Node::start(settings, options.clone());
             nodes.push(node.map_err(|error| format!("node {number}: {error}"))?);
         }
@@ -127,7 +127,12 @@
     Ok(())
 }
 
-fn node_settings(scenario: &Scenario, standins: &StandinFleet, number: usize) -> NodeSettings {
+fn node_settings(
+    scenario: &Scenario,
+    standins: &StandinFleet,
+    node_count: usize,
+    number: usize,
+) -> NodeSettings {
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let hall = &scenario.halls[number % scenario.halls.len()];
     NodeSettings {
@@ -138,6 +143,8 @@
         inner: any_port,
         objects: standins.objects,
         vms: standins.control,
+        peers: Vec::new(),
+        fleet_size: node_count as u32,
         threads: 2,
         hold_limit: 512,
         platform_calls: 20.0,
