--- a/packages/turnford-policy/src/hold.rs
+++ b/packages/turnford-policy/src/hold.rs
@@ -97,8 +97,9 @@
         if self.held.len() <= self.limit {
             return None;
         }
-        let (_, lines) = self.classes.iter().next_back()?;
-        let ticket = lines.last_ticket()?;
+        // A class can be empty and still remember what its accounts were served.
+        let mut classes = self.classes.values().rev();
+        let ticket = classes.find_map(ClassLines::last_ticket)?;
         self.remove(ticket)
     }
 
--- /dev/null
+++ b/packages/turnford-policy/tests/chain_budget.rs
@@ -0,0 +1,135 @@
+//! Deadlines over the chain, limits, retries, learned times.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use turnford_policy::plan_admission;
+use turnford_policy::AccountLimit;
+use turnford_policy::AdmissionPlan;
+use turnford_policy::AgedHistogram;
+use turnford_policy::AttemptSource;
+use turnford_policy::DeadlineBudget;
+use turnford_policy::LimitRefusal;
+use turnford_policy::Moment;
+use turnford_policy::RetryBudget;
+use turnford_policy::StageDemand;
+use turnford_policy::StageEstimates;
+
+const fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn demand(wait: u64, reserve: u64) -> StageDemand {
+    StageDemand {
+        wait: millis(wait),
+        reserve: millis(reserve),
+    }
+}
+
+#[test]
+fn late_stage() {
+    // A long queue at the third stage is seen before the first stage starts.
+    let stages = [demand(0, 100), demand(0, 100), demand(3_900, 200)];
+    let plan = plan_admission(Moment::ZERO, millis(4_000), &stages);
+    assert!(matches!(plan, AdmissionPlan::Refuse { retry_after } if retry_after == millis(100)));
+    // The queue drains while the first stages run, so their time is not added to the wait.
+    let stages = [demand(0, 100), demand(0, 100), demand(3_700, 200)];
+    assert!(matches!(
+        plan_admission(Moment::ZERO, millis(4_000), &stages),
+        AdmissionPlan::Admit(_)
+    ));
+}
+
+#[test]
+fn carried_slack() {
+    let budget = DeadlineBudget::new(millis(1_000), vec![millis(100), millis(200), millis(300)]);
+    assert_eq!(budget.latest_end(0), millis(500));
+    assert_eq!(budget.latest_start(2), millis(700));
+    assert_eq!(budget.reserve_from(1), millis(500));
+}
+
+#[test]
+fn rate_and_room() {
+    let mut limit = AccountLimit::new(Moment::ZERO, 2.0, 3);
+    assert_eq!(limit.start(Moment::ZERO), Ok(()));
+    assert_eq!(limit.start(Moment::ZERO), Ok(()));
+    let retry_after = millis(500);
+    assert_eq!(
+        limit.start(Moment::ZERO),
+        Err(LimitRefusal::Rate { retry_after })
+    );
+    assert_eq!(limit.start(millis(600)), Ok(()));
+    let full = limit.start(millis(5_000));
+    assert!(
+        matches!(full, Err(LimitRefusal::Concurrency { .. })),
+        "{full:?}"
+    );
+    limit.finish();
+    assert_eq!(limit.start(millis(5_000)), Ok(()));
+    assert_eq!(limit.take_arrivals(), 6);
+}
+
+#[test]
+fn lowered_rate() {
+    // What was saved under a higher rate is not spent under a lower one.
+    let mut limit = AccountLimit::new(Moment::ZERO, 100.0, 1_000);
+    limit.set(Moment::ZERO, 1.0, 1_000);
+    assert_eq!(limit.start(Moment::ZERO), Ok(()));
+    assert!(limit.start(Moment::ZERO).is_err());
+}
+
+#[test]
+fn retry_part() {
+    let mut budget = RetryBudget::new();
+    while budget.take() {}
+    let retries = (0..1_000).filter(|_| {
+        budget.note_primary();
+        budget.take()
+    });
+    let count = retries.count();
+    assert!(
+        (99..=100).contains(&count),
+        "{count} retries for 1,000 first tries"
+    );
+}
+
+#[test]
+fn aged_times() {
+    let mut histogram = AgedHistogram::new(Duration::from_secs(10));
+    for _ in 0..100 {
+        histogram.record(Moment::ZERO, millis(100));
+    }
+    // Five half-lives later a few new samples outweigh the old hundred.
+    for _ in 0..10 {
+        histogram.record(Duration::from_secs(50), millis(10));
+    }
+    let median = histogram.quantile(0.5).expect("there are samples");
+    assert!(median < millis(13), "{median:?}");
+}
+
+#[test]
+fn hardware_apart() {
+    let mut estimates = StageEstimates::new();
+    let (old, new) = (Arc::from("old"), Arc::from("new"));
+    for _ in 0..20 {
+        estimates.record(Moment::ZERO, &old, 100, millis(200));
+        estimates.record(Moment::ZERO, &new, 100, millis(100));
+    }
+    assert_eq!(estimates.mean(&old, 100), millis(200));
+    assert_eq!(estimates.mean(&new, 100), millis(100));
+    assert_eq!(estimates.mean_of_length(100), millis(150));
+}
+
+#[test]
+fn attempt_texts() {
+    let source = AttemptSource::new(u64::MAX);
+    let id = source.next_request().at(3, 2);
+    assert_eq!(id.to_string().parse(), Ok(id));
+    assert_ne!(source.next_request(), id.at(0, 0));
+    for text in ["", "1-2-3", "1-2-3-4-5", "x-1-1-1", "1-1-999-1"] {
+        assert!(
+            text.parse::<turnford_policy::AttemptId>().is_err(),
+            "{text}"
+        );
+    }
+}
--- /dev/null
+++ b/packages/turnford-policy/tests/pool_rules.rs
@@ -0,0 +1,386 @@
+//! What holds for a pool under any order of events.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use turnford_policy::HealthState;
+use turnford_policy::HoldVerdict;
+use turnford_policy::LoadReport;
+use turnford_policy::Moment;
+use turnford_policy::PoolOffer;
+use turnford_policy::PoolSettings;
+use turnford_policy::ResultCode;
+use turnford_policy::ServicePool;
+use turnford_policy::StageOutcome;
+use turnford_policy::StagePlacement;
+use turnford_policy::StageWork;
+use turnford_policy::TargetFacts;
+
+const TARGETS: usize = 5;
+const SLOTS: u32 = 2;
+const STAGE_TIME: Duration = Duration::from_millis(50);
+
+fn facts(number: usize) -> TargetFacts {
+    TargetFacts {
+        id: Arc::from(format!("t-{number}")),
+        hardware: Arc::from("plain"),
+        slots: SLOTS,
+        cost: 1.0,
+        distance: Duration::ZERO,
+        models: Vec::new(),
+    }
+}
+
+fn pool(limit: usize) -> ServicePool {
+    let settings = PoolSettings {
+        hold_limit: limit,
+        ..PoolSettings::default()
+    };
+    let mut pool = ServicePool::new(settings);
+    pool.apply_list((0..TARGETS).map(facts).collect());
+    pool
+}
+
+fn work(now: Moment, account: &str, class: u8) -> StageWork {
+    StageWork {
+        account: Arc::from(account),
+        class,
+        share: 1.0,
+        cost_weight: 0.0,
+        length: 100,
+        expected: STAGE_TIME,
+        latest_start: now + Duration::from_millis(800),
+        latest_end: now + Duration::from_millis(900),
+        hopeless_after: now + Duration::from_millis(900),
+        model: None,
+        prefix: None,
+        tried: Vec::new(),
+    }
+}
+
+fn placed(offer: PoolOffer) -> StagePlacement {
+    match offer {
+        PoolOffer::Run(placement) => placement,
+        other => panic!("not placed: {other:?}"),
+    }
+}
+
+/// Fills all slots and returns the placements.
+fn fill(pool: &mut ServicePool, now: Moment) -> Vec<StagePlacement> {
+    let count = TARGETS * SLOTS as usize;
+    (0..count)
+        .map(|_| placed(pool.offer(now, work(now, "a", 1))))
+        .collect()
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Offer { class: u8 },
+    Finish { index: usize, outcome: StageOutcome },
+    Report { target: usize, inflight: u32 },
+    Leave { target: usize },
+    Withdraw { index: usize },
+    Wait { millis: u64 },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let outcome = prop_oneof![
+        5 => Just(StageOutcome::Whole),
+        1 => Just(StageOutcome::Failed),
+        1 => Just(StageOutcome::GivenUp),
+        1 => Just(StageOutcome::RefusedFull),
+        1 => Just(StageOutcome::Cancelled),
+    ];
+    prop_oneof![
+        8 => (0_u8..4).prop_map(|class| Event::Offer { class }),
+        6 => (any::<usize>(), outcome).prop_map(|(index, outcome)| Event::Finish { index, outcome }),
+        2 => (0..TARGETS, 0_u32..6).prop_map(|(target, inflight)| Event::Report { target, inflight }),
+        1 => (0..TARGETS).prop_map(|target| Event::Leave { target }),
+        1 => any::<usize>().prop_map(|index| Event::Withdraw { index }),
+        3 => (1_u64..300).prop_map(|millis| Event::Wait { millis }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2000,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn counted_right(events in prop::collection::vec(event(), 1..150)) {
+        let mut pool = pool(6);
+        let mut now = Moment::ZERO;
+        let mut running: Vec<StagePlacement> = Vec::new();
+        let mut held: Vec<u64> = Vec::new();
+        let mut left = [false; TARGETS];
+        for event in events {
+            let mut new = Vec::new();
+            match event {
+                Event::Offer { class } => match pool.offer(now, work(now, "a", class)) {
+                    PoolOffer::Run(placement) => new.push(placement),
+                    PoolOffer::Held(ticket) => held.push(ticket),
+                    PoolOffer::Refused { .. } => (),
+                },
+                Event::Finish { index, outcome } if !running.is_empty() => {
+                    let placement = running.remove(index % running.len());
+                    pool.finish(now, &placement, outcome);
+                }
+                Event::Report { target, inflight } => {
+                    let report = LoadReport { inflight, taken_at: now };
+                    pool.apply_report(&format!("t-{target}"), report);
+                }
+                Event::Leave { target } => {
+                    left[target] = true;
+                    pool.mark_leaving(&format!("t-{target}"));
+                }
+                Event::Withdraw { index } if !held.is_empty() => {
+                    let ticket = held.remove(index % held.len());
+                    prop_assert!(pool.withdraw(ticket), "held work was not in the queue");
+                }
+                Event::Wait { millis } => now += Duration::from_millis(millis),
+                _ => (),
+            }
+            for verdict in pool.pump(now) {
+                let ticket = match verdict {
+                    HoldVerdict::Run(ticket, placement) => {
+                        new.push(placement);
+                        ticket
+                    }
+                    HoldVerdict::Shed(ticket, code) => {
+                        let known = matches!(code, ResultCode::Shed | ResultCode::QueueFull);
+                        prop_assert!(known, "{code:?}");
+                        ticket
+                    }
+                };
+                let at = held.iter().position(|known| *known == ticket);
+                prop_assert!(at.is_some(), "a verdict for work that is not held");
+                held.remove(at.unwrap_or(0));
+            }
+            for placement in new {
+                let number: usize = placement.target[2..].parse().expect("names are numbered");
+                prop_assert!(!left[number], "new work at a target that leaves");
+                running.push(placement);
+            }
+            let summary = pool.summary();
+            prop_assert_eq!(summary.own as usize, running.len());
+            prop_assert_eq!(summary.held, held.len());
+            prop_assert!(held.len() <= 6, "the queue grew to {}", held.len());
+            let most = pool.views().iter().map(|view| view.own()).max().unwrap_or(0);
+            prop_assert!(most <= SLOTS, "{} calls in {} slots", most, SLOTS);
+        }
+    }
+}
+
+#[test]
+fn class_first() {
+    let mut pool = pool(10);
+    let now = Moment::ZERO;
+    let running = fill(&mut pool, now);
+    let mut tickets = Vec::new();
+    for class in [2, 0, 1] {
+        match pool.offer(now, work(now, "a", class)) {
+            PoolOffer::Held(ticket) => tickets.push(ticket),
+            other => panic!("not held: {other:?}"),
+        }
+    }
+    let mut order = Vec::new();
+    for placement in &running[..3] {
+        pool.finish(now + STAGE_TIME, placement, StageOutcome::Whole);
+        for verdict in pool.pump(now + STAGE_TIME) {
+            if let HoldVerdict::Run(ticket, _) = verdict {
+                order.push(ticket);
+            }
+        }
+    }
+    assert_eq!(order, [tickets[1], tickets[2], tickets[0]]);
+}
+
+#[test]
+fn fair_accounts() {
+    // A large account's burst of 20 does not keep the small account's two waiting behind it.
+    let mut pool = pool(50);
+    let now = Moment::ZERO;
+    let running = fill(&mut pool, now);
+    for _ in 0..20 {
+        assert!(matches!(
+            pool.offer(now, work(now, "large", 1)),
+            PoolOffer::Held(_)
+        ));
+    }
+    let small: Vec<u64> = (0..2)
+        .map(|_| match pool.offer(now, work(now, "small", 1)) {
+            PoolOffer::Held(ticket) => ticket,
+            other => panic!("not held: {other:?}"),
+        })
+        .collect();
+    let mut order = Vec::new();
+    for placement in &running[..4] {
+        pool.finish(now + STAGE_TIME, placement, StageOutcome::Whole);
+        for verdict in pool.pump(now + STAGE_TIME) {
+            if let HoldVerdict::Run(ticket, _) = verdict {
+                order.push(ticket);
+            }
+        }
+    }
+    assert!(
+        small.iter().all(|ticket| order.contains(ticket)),
+        "{order:?}"
+    );
+}
+
+#[test]
+fn lowest_dropped() {
+    // A full queue makes room for a higher class by dropping the lowest.
+    let mut pool = pool(2);
+    let now = Moment::ZERO;
+    fill(&mut pool, now);
+    for _ in 0..2 {
+        assert!(matches!(
+            pool.offer(now, work(now, "a", 3)),
+            PoolOffer::Held(_)
+        ));
+    }
+    assert!(matches!(
+        pool.offer(now, work(now, "a", 0)),
+        PoolOffer::Held(_)
+    ));
+    let verdicts = pool.pump(now);
+    assert!(
+        matches!(verdicts[..], [HoldVerdict::Shed(_, ResultCode::QueueFull)]),
+        "{verdicts:?}"
+    );
+    let refused = pool.offer(now, work(now, "a", 3));
+    assert!(matches!(
+        refused,
+        PoolOffer::Refused {
+            code: ResultCode::QueueFull,
+            ..
+        }
+    ));
+}
+
+#[test]
+fn hopeless_shed() {
+    let mut pool = pool(10);
+    let now = Moment::ZERO;
+    fill(&mut pool, now);
+    assert!(matches!(
+        pool.offer(now, work(now, "a", 0)),
+        PoolOffer::Held(_)
+    ));
+    let verdicts = pool.pump(now + Duration::from_secs(1));
+    assert!(
+        matches!(verdicts[..], [HoldVerdict::Shed(_, ResultCode::Shed)]),
+        "{verdicts:?}"
+    );
+}
+
+/// Sends 40 rounds of calls of which those at `bad` targets fail.
+fn rounds(pool: &mut ServicePool, bad: &[usize], calls: usize) -> usize {
+    let mut at_bad = 0;
+    for round in 0..40 {
+        let now = Duration::from_millis(100 * round as u64);
+        let placements: Vec<_> = (0..calls)
+            .map(|_| placed(pool.offer(now, work(now, "a", 1))))
+            .collect();
+        for placement in placements {
+            let number: usize = placement.target[2..].parse().expect("names are numbered");
+            if bad.contains(&number) {
+                at_bad += 1;
+                // A failure is fast, so that it looks attractive.
+                pool.finish(
+                    now + Duration::from_millis(1),
+                    &placement,
+                    StageOutcome::Failed,
+                );
+            } else {
+                pool.finish(now + STAGE_TIME, &placement, StageOutcome::Whole);
+            }
+        }
+    }
+    at_bad
+}
+
+#[test]
+fn fast_failures() {
+    let mut pool = pool(10);
+    let at_bad = rounds(&mut pool, &[2], 4);
+    assert!(
+        at_bad <= 12,
+        "{at_bad} of 160 calls went to the failing target"
+    );
+}
+
+#[test]
+fn fail_open() {
+    // When every target fails alike, none is better than another and all keep serving.
+    let mut pool = pool(10);
+    rounds(&mut pool, &[0, 1, 2, 3, 4], 4);
+    assert!(pool.summary().ejected <= 1, "{:?}", pool.summary());
+}
+
+#[test]
+fn slow_return() {
+    let mut pool = pool(10);
+    // With every slot in use the failing target gets its part, too.
+    for _ in 0..3 {
+        for placement in fill(&mut pool, Moment::ZERO) {
+            let failed = &*placement.target == "t-2";
+            let outcome = if failed {
+                StageOutcome::Failed
+            } else {
+                StageOutcome::Whole
+            };
+            pool.finish(STAGE_TIME, &placement, outcome);
+        }
+    }
+    assert!(pool.views()[2].health.is_ejected());
+    // After its time out the target gets one call at a time, and is trusted after three.
+    let now = Duration::from_secs(60);
+    let mut probed = 0;
+    for _ in 0..40 {
+        let placements: Vec<_> = (0..8)
+            .map(|_| placed(pool.offer(now, work(now, "a", 1))))
+            .collect();
+        let here = placements
+            .iter()
+            .filter(|placement| &*placement.target == "t-2")
+            .count();
+        let healthy = pool.views()[2].health.state == HealthState::Healthy;
+        assert!(
+            healthy || here <= 1,
+            "{here} calls at a target on probation"
+        );
+        probed += here;
+        for placement in &placements {
+            pool.finish(now + STAGE_TIME, placement, StageOutcome::Whole);
+        }
+    }
+    assert!(probed >= 3 && pool.views()[2].health.state == HealthState::Healthy);
+}
+
+#[test]
+fn stale_report() {
+    // A report from before this node's own calls must not count them twice.
+    let mut pool = pool(10);
+    let first = placed(pool.offer(Duration::from_millis(100), work(Moment::ZERO, "a", 1)));
+    let taken_at = Duration::from_millis(200);
+    pool.apply_report(
+        &first.target,
+        LoadReport {
+            inflight: 1,
+            taken_at,
+        },
+    );
+    let view = pool
+        .views()
+        .iter()
+        .find(|view| view.facts.id == first.target);
+    let inflight = view.map(|view| view.inflight(Duration::from_millis(300)));
+    assert_eq!(inflight, Some(1.0));
+}
--- /dev/null
+++ b/packages/turnford-wire/tests/frame_bounds.rs
@@ -0,0 +1,129 @@
+//! Frames are bounded, versioned, and never bring a node down.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use turnford_fleet::ClaimAsk;
+use turnford_fleet::ClaimOwner;
+use turnford_fleet::ConfigMark;
+use turnford_fleet::LoadDigest;
+use turnford_fleet::Rumor;
+use turnford_fleet::ServiceLoad;
+use turnford_wire::decode_reply;
+use turnford_wire::decode_request;
+use turnford_wire::encode_request;
+use turnford_wire::FrameFault;
+use turnford_wire::PeerRequest;
+use turnford_wire::FRAME_LIMIT;
+use turnford_wire::PROTOCOL_VERSION;
+
+fn settings() -> ProptestConfig {
+    ProptestConfig {
+        cases: 2000,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn request() -> impl Strategy<Value = PeerRequest> {
+    let name = "[a-z]{1,12}";
+    prop_oneof![
+        any::<u64>().prop_map(|after| PeerRequest::ConfigPull { after }),
+        name.prop_map(|after| PeerRequest::MemberPull { after }),
+        (any::<[u8; 16]>(), any::<u64>(), any::<u64>()).prop_map(|(key, incarnation, sequence)| {
+            PeerRequest::Claim(ClaimAsk::Take(
+                key,
+                ClaimOwner {
+                    incarnation,
+                    sequence,
+                },
+            ))
+        }),
+        (name, name, any::<u64>()).prop_map(|(service, target, event)| {
+            PeerRequest::Rumors(vec![Rumor::Leaving {
+                service,
+                target,
+                event,
+            }])
+        }),
+        (name, prop::collection::vec((name, any::<u16>()), 0..20)).prop_map(|(node, inflight)| {
+            let services = vec![ServiceLoad {
+                service: "kort".to_owned(),
+                backlog_ms: 7,
+                inflight,
+            }];
+            PeerRequest::Digest {
+                node,
+                digest: LoadDigest {
+                    number: 1,
+                    incarnation: 2,
+                    services,
+                },
+            }
+        }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(settings())]
+
+    #[test]
+    fn same_again(request in request()) {
+        let frame = encode_request(&request).expect("a small message fits");
+        prop_assert_eq!(decode_request(&frame), Ok(request));
+    }
+
+    #[test]
+    fn any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        // Whatever comes in, the answer is a message or a fault.
+        let _ = decode_request(&bytes);
+        let mut versioned = vec![PROTOCOL_VERSION];
+        versioned.extend(bytes);
+        let _ = decode_request(&versioned);
+        let _ = decode_reply(&versioned);
+    }
+
+    #[test]
+    fn cut_frame(request in request(), part in 0.0_f64..1.0) {
+        let frame = encode_request(&request).expect("a small message fits");
+        let length = (frame.len() as f64 * part) as usize;
+        prop_assert!(decode_request(&frame[..length]).is_err());
+    }
+}
+
+#[test]
+fn other_version() {
+    let mark = ConfigMark::default();
+    let ping = PeerRequest::Ping {
+        gossip: Vec::new(),
+        mark,
+        members: 0,
+    };
+    let mut frame = encode_request(&ping).expect("a small message fits");
+    for version in [0, PROTOCOL_VERSION - 1, PROTOCOL_VERSION + 1] {
+        frame[0] = version;
+        assert_eq!(
+            decode_request(&frame),
+            Err(FrameFault::OtherVersion(version))
+        );
+    }
+}
+
+#[test]
+fn large_frame() {
+    let after = "x".repeat(FRAME_LIMIT);
+    let request = PeerRequest::MemberPull { after };
+    assert_eq!(encode_request(&request), Err(FrameFault::TooLarge));
+    assert_eq!(
+        decode_request(&vec![PROTOCOL_VERSION; FRAME_LIMIT + 1]),
+        Err(FrameFault::TooLarge)
+    );
+}
+
+#[test]
+fn claimed_length() {
+    // A short frame that announces a long text must not make the node reserve it.
+    let mut frame = vec![PROTOCOL_VERSION, 2];
+    frame.extend([253, 255, 255, 255, 255, 255, 255, 255, 127]);
+    assert_eq!(decode_request(&frame), Err(FrameFault::Damaged));
+}
