Measure the policies in virtual time and mend what they showed

Cause: Against the baselines the estimated policy refused too much at full load, cost more than round robin in calm, and with stale views at three times the load refused everything for good: long stage times were learned, everything was refused by them, and nothing was measured any more. Learned times lose trust while nothing is recorded. A few calls beyond a target's slots are let through where other nodes use it, too. Among targets that leave a margin of time the cheaper one wins.

--- a/packages/turnford-node/src/admit.rs
+++ b/packages/turnford-node/src/admit.rs
@@ -243,7 +243,7 @@
         let length = stage_length(stage, chain.input, chain.max_tokens);
         let (demand, expected) = pool.with(|now, pool| {
             let demand = pool.demand(now, class, length, stage.quantile);
-            (demand, pool.expected(length))
+            (demand, pool.expected(now, length))
         });
         demands.push(demand);
         open.push(Some((pool, expected)));
--- a/packages/turnford-node/src/stage.rs
+++ b/packages/turnford-node/src/stage.rs
@@ -92,7 +92,7 @@
     fn work(&self, pool: &StagePool) -> StageWork {
         let request = self.request;
         let length = stage_length(self.spec, self.input, request.parameters.max_tokens);
-        let expected = pool.with(|_, pool| pool.expected(length));
+        let expected = pool.with(|now, pool| pool.expected(now, length));
         let later = self.expected_later();
         let deadline = request.budget.deadline();
         let generates = self.spec.kind == CallKind::Generate;
@@ -121,7 +121,7 @@
             let length = stage_length(stage, self.input, request.parameters.max_tokens);
             let pool = request.state.pool(&stage.service);
             sum += pool.map_or(Duration::ZERO, |pool| {
-                pool.with(|_, pool| pool.expected(length))
+                pool.with(|now, pool| pool.expected(now, length))
             });
         }
         sum
@@ -140,7 +140,7 @@
         if self.spec.kind == CallKind::Generate {
             return left;
         }
-        let patience = pool.with(|_, pool| pool.patience(work.length));
+        let patience = pool.with(|now, pool| pool.patience(now, work.length));
         let patience = patience.map(|patience| patience.max(LEAST_PATIENCE));
         let fits = patience.filter(|patience| *patience + work.expected <= left);
         fits.unwrap_or(left)
--- /dev/null
+++ b/packages/turnford-policy/examples/sweep.rs
@@ -0,0 +1,721 @@
+//! Sweeps the policies over loads and faults in virtual time.
+//!
+//! `cargo run --release -p turnford-policy --example sweep [SEED]` prints one row a scenario and
+//! policy. Targets, reports and digests are modelled by a few lines each; the pools, admission and
+//! budgets are those of the node.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
+use turnford_policy::plan_admission;
+use turnford_policy::AdmissionPlan;
+use turnford_policy::DeadlineBudget;
+use turnford_policy::HoldVerdict;
+use turnford_policy::LoadReport;
+use turnford_policy::Moment;
+use turnford_policy::PoolOffer;
+use turnford_policy::PoolSettings;
+use turnford_policy::RoutingPolicy;
+use turnford_policy::ServicePool;
+use turnford_policy::StageOutcome;
+use turnford_policy::StagePlacement;
+use turnford_policy::StageWork;
+use turnford_policy::TargetFacts;
+
+const NODES: usize = 8;
+const DEADLINE: Duration = Duration::from_secs(4);
+const SPAN: Duration = Duration::from_secs(60);
+const WARM_UP: Duration = Duration::from_secs(10);
+const FAULT_AT: Duration = Duration::from_secs(20);
+const TICK: Duration = Duration::from_millis(10);
+const REPORT_EVERY: u64 = 25;
+const DIGEST_EVERY: u64 = 30;
+const QUEUE_PER_SLOT: usize = 4;
+const QUANTILE: f64 = 0.9;
+
+/// One service: name, targets, slots, base ms, ms per 1,000 tokens, ms per generated token.
+const SERVICES: [(&str, usize, u32, f64, f64, f64); 4] = [
+    ("post", 6, 8, 15.0, 10.0, 0.0),
+    ("kort", 5, 8, 30.0, 10.0, 0.0),
+    ("ejer", 6, 6, 25.0, 20.0, 0.0),
+    ("sprog", 12, 6, 20.0, 60.0, 14.0),
+];
+const TOKENS: u32 = 40;
+const INPUT: u32 = 600;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Trouble {
+    None,
+    Slow,
+    FastFail,
+    HallGone,
+    ThirdFails,
+    Burst,
+}
+
+#[derive(Clone, Copy)]
+struct Setup {
+    name: &'static str,
+    load: f64,
+    report_lag: Duration,
+    trouble: Trouble,
+}
+
+#[derive(Clone, Copy)]
+struct Variant {
+    name: &'static str,
+    policy: RoutingPolicy,
+    holds: bool,
+    admits: bool,
+    digests: bool,
+}
+
+struct Target {
+    slots: u32,
+    slowness: f64,
+    cost: f64,
+    hall: usize,
+    running: u32,
+    queue: VecDeque<usize>,
+    history: VecDeque<(Moment, u32)>,
+}
+
+struct Request {
+    node: usize,
+    account: usize,
+    class: u8,
+    length: u32,
+    deadline: Moment,
+    budget: DeadlineBudget,
+    promised: Vec<Duration>,
+    stage: usize,
+    placement: Option<(usize, StagePlacement)>,
+    alive: bool,
+    tries: u8,
+    tried: Vec<Arc<str>>,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Finish {
+        request: usize,
+        service: usize,
+        target: usize,
+        failed: bool,
+    },
+    Tick(u64),
+}
+
+#[derive(Default)]
+struct Totals {
+    sent: u64,
+    attained: u64,
+    refused: u64,
+    cost: f64,
+    after_fault: (u64, u64),
+}
+
+struct World {
+    setup: Setup,
+    variant: Variant,
+    now: Moment,
+    events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
+    sequence: u64,
+    targets: Vec<Vec<Target>>,
+    pools: Vec<Vec<ServicePool>>,
+    held: BTreeMap<(usize, usize, u64), usize>,
+    requests: Vec<Request>,
+    rate: f64,
+    rng: SmallRng,
+    totals: Totals,
+}
+
+impl World {
+    fn new(setup: Setup, variant: Variant, seed: u64) -> Self {
+        let targets: Vec<Vec<Target>> = SERVICES.iter().map(make_targets).collect();
+        let pools = (0..NODES)
+            .map(|node| make_pools(&targets, variant, seed, node))
+            .collect();
+        let rate = full_rate() * setup.load;
+        let mut world = Self {
+            setup,
+            variant,
+            now: Moment::ZERO,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            targets,
+            pools,
+            held: BTreeMap::new(),
+            requests: Vec::new(),
+            rate,
+            rng: SmallRng::seed_from_u64(seed),
+            totals: Totals::default(),
+        };
+        world.push(Moment::ZERO, Event::Arrive);
+        world.push(TICK, Event::Tick(1));
+        world
+    }
+
+    fn push(&mut self, at: Moment, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn run(mut self) -> Totals {
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > SPAN + DEADLINE * 2 {
+                break;
+            }
+            self.now = at;
+            match event {
+                Event::Arrive => self.arrive(),
+                Event::Finish {
+                    request,
+                    service,
+                    target,
+                    failed,
+                } => {
+                    self.finish(request, service, target, failed);
+                }
+                Event::Tick(number) => self.tick(number),
+            }
+        }
+        self.totals
+    }
+
+    fn arrive(&mut self) {
+        if self.now >= SPAN {
+            return;
+        }
+        let gap: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        let next = self.now + Duration::from_secs_f64(-gap.ln() / self.rate);
+        self.push(next, Event::Arrive);
+        let node = self.rng.random_range(0..NODES);
+        let account = [0, 0, 0, 1, 1, 1, 2, 3, 4][self.rng.random_range(0..9)];
+        let spread: f64 = self.rng.random_range(0.5..1.5);
+        let burst = self.setup.trouble == Trouble::Burst
+            && self.now >= FAULT_AT
+            && self.now < FAULT_AT + Duration::from_secs(10);
+        let factor = if burst { 6.0 } else { 1.0 };
+        let length = (f64::from(INPUT) * spread * factor) as u32;
+        let class = [0, 0, 1, 1, 2][account];
+        if self.counted() {
+            self.totals.sent += 1;
+            self.totals.after_fault.1 += u64::from(self.now > FAULT_AT + Duration::from_secs(5));
+        }
+        let deadline = self.now + DEADLINE;
+        let now = self.now;
+        let pools = &mut self.pools[node];
+        let demands: Vec<_> = (0..SERVICES.len())
+            .map(|service| {
+                pools[service].demand(now, class, stage_length(service, length), QUANTILE)
+            })
+            .collect();
+        let budget = match plan_admission(now, deadline, &demands) {
+            AdmissionPlan::Admit(budget) => budget,
+            AdmissionPlan::Refuse { .. } if !self.variant.admits => DeadlineBudget::new(
+                deadline,
+                demands.iter().map(|demand| demand.reserve).collect(),
+            ),
+            AdmissionPlan::Refuse { .. } => {
+                self.totals.refused += u64::from(self.now >= WARM_UP);
+                return;
+            }
+        };
+        let mut promised = Vec::new();
+        for (service, pool) in pools.iter_mut().enumerate() {
+            let expected = pool.expected(now, stage_length(service, length));
+            pool.promise(class, expected);
+            promised.push(expected);
+        }
+        let request = self.requests.len();
+        self.requests.push(Request {
+            node,
+            account,
+            class,
+            length,
+            deadline,
+            budget,
+            promised,
+            stage: 0,
+            placement: None,
+            alive: true,
+            tries: 0,
+            tried: Vec::new(),
+        });
+        self.offer(request);
+    }
+
+    fn counted(&self) -> bool {
+        self.now >= WARM_UP && self.now < SPAN
+    }
+
+    fn work(&self, number: usize) -> StageWork {
+        let request = &self.requests[number];
+        let length = stage_length(request.stage, request.length);
+        let pools = &self.pools[request.node];
+        let expected = pools[request.stage].expected(self.now, length);
+        let later: Duration = (request.stage + 1..SERVICES.len())
+            .map(|service| pools[service].expected(self.now, stage_length(service, request.length)))
+            .sum();
+        StageWork {
+            account: Arc::from(format!("a{}", request.account)),
+            class: request.class,
+            share: 1.0,
+            cost_weight: 0.1,
+            length,
+            expected,
+            latest_start: request.budget.latest_start(request.stage),
+            latest_end: request.budget.latest_end(request.stage),
+            hopeless_after: request.deadline.saturating_sub(later + expected),
+            model: None,
+            prefix: None,
+            tried: request.tried.clone(),
+        }
+    }
+
+    fn offer(&mut self, number: usize) {
+        let work = self.work(number);
+        let request = &mut self.requests[number];
+        let (node, service, class) = (request.node, request.stage, request.class);
+        let promised = std::mem::take(&mut request.promised[service]);
+        let pool = &mut self.pools[node][service];
+        pool.settle(class, promised);
+        match pool.offer(self.now, work) {
+            PoolOffer::Run(placement) => self.send(number, placement),
+            PoolOffer::Held(ticket) => {
+                self.held.insert((node, service, ticket), number);
+                self.pump(node, service);
+            }
+            PoolOffer::Refused { .. } => self.end(number, false),
+        }
+    }
+
+    fn pump(&mut self, node: usize, service: usize) {
+        for verdict in self.pools[node][service].pump(self.now) {
+            match verdict {
+                HoldVerdict::Run(ticket, placement) => {
+                    if let Some(number) = self.held.remove(&(node, service, ticket)) {
+                        self.send(number, placement);
+                    }
+                }
+                HoldVerdict::Shed(ticket, _) => {
+                    if let Some(number) = self.held.remove(&(node, service, ticket)) {
+                        self.end(number, false);
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, number: usize, placement: StagePlacement) {
+        let service = self.requests[number].stage;
+        let at = placement
+            .target
+            .rsplit('-')
+            .next()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        self.requests[number].placement = Some((at, placement));
+        let gone = self.is_gone(service, at);
+        let fails = self.fails_fast(service, at);
+        let target = &mut self.targets[service][at];
+        if gone || fails || target.queue.len() >= target.slots as usize * QUEUE_PER_SLOT {
+            let failed = gone || fails;
+            let at_once = self.now + Duration::from_millis(1);
+            if failed {
+                self.push(
+                    at_once,
+                    Event::Finish {
+                        request: number,
+                        service,
+                        target: usize::MAX,
+                        failed,
+                    },
+                );
+            } else {
+                self.retry(number, StageOutcome::RefusedFull);
+            }
+            return;
+        }
+        if target.running < target.slots {
+            self.start(number, service, at);
+        } else {
+            target.queue.push_back(number);
+            note(target, self.now);
+        }
+    }
+
+    fn start(&mut self, number: usize, service: usize, at: usize) {
+        let noise: f64 = self.rng.random_range(0.8..1.2);
+        let slow = if self.is_slow(service, at) { 10.0 } else { 1.0 };
+        let length = self.requests[number].length;
+        let (_, _, _, base, per_kilo, per_token) = SERVICES[service];
+        let target = &mut self.targets[service][at];
+        target.running += 1;
+        note(target, self.now);
+        let crowd = 1.0 + 0.25 * f64::from(target.running) / f64::from(target.slots);
+        let millis =
+            (base + per_kilo * f64::from(length) / 1000.0) * noise + per_token * f64::from(TOKENS);
+        let time = Duration::from_secs_f64(millis / 1000.0 * target.slowness * crowd * slow);
+        let end = self.now + time;
+        // A call is cancelled at its request's deadline and frees its slot.
+        let end = end.min(self.requests[number].deadline.max(self.now));
+        if self.now >= WARM_UP && self.now < SPAN {
+            self.totals.cost += (end - self.now).as_secs_f64() * target.cost;
+        }
+        let failed = self.fails_late(service, at);
+        self.push(
+            end,
+            Event::Finish {
+                request: number,
+                service,
+                target: at,
+                failed,
+            },
+        );
+    }
+
+    fn finish(&mut self, number: usize, service: usize, at: usize, failed: bool) {
+        if at != usize::MAX {
+            let target = &mut self.targets[service][at];
+            target.running -= 1;
+            let next = target.queue.pop_front();
+            note(target, self.now);
+            if let Some(next) = next {
+                self.start(next, service, at);
+            }
+        }
+        if failed {
+            self.retry(number, StageOutcome::Failed);
+            return;
+        }
+        if self.now >= self.requests[number].deadline {
+            self.give_back(number, StageOutcome::GivenUp);
+            self.end(number, false);
+            return;
+        }
+        self.give_back(number, StageOutcome::Whole);
+        let request = &mut self.requests[number];
+        request.stage += 1;
+        request.tries = 0;
+        request.tried.clear();
+        if request.stage == SERVICES.len() {
+            self.end(number, true);
+        } else {
+            self.offer(number);
+        }
+    }
+
+    fn retry(&mut self, number: usize, outcome: StageOutcome) {
+        let target = self.give_back(number, outcome);
+        let request = &mut self.requests[number];
+        request.tries += 1;
+        request.tried.extend(target);
+        if request.tries >= 4 || self.now >= request.deadline {
+            self.end(number, false);
+            return;
+        }
+        let work = self.work(number);
+        let (node, service) = (self.requests[number].node, self.requests[number].stage);
+        match self.pools[node][service].offer_retry(self.now, &work) {
+            Some(placement) => self.send(number, placement),
+            None if outcome == StageOutcome::RefusedFull => self.offer(number),
+            None => self.end(number, false),
+        }
+    }
+
+    fn give_back(&mut self, number: usize, outcome: StageOutcome) -> Option<Arc<str>> {
+        let (node, service) = (self.requests[number].node, self.requests[number].stage);
+        let (_, placement) = self.requests[number].placement.take()?;
+        self.pools[node][service].finish(self.now, &placement, outcome);
+        self.pump(node, service);
+        Some(placement.target)
+    }
+
+    fn end(&mut self, number: usize, whole: bool) {
+        let request = &mut self.requests[number];
+        if !std::mem::replace(&mut request.alive, false) {
+            return;
+        }
+        let (node, class) = (request.node, request.class);
+        let promised = std::mem::take(&mut request.promised);
+        for (service, expected) in promised.into_iter().enumerate() {
+            self.pools[node][service].settle(class, expected);
+        }
+        let request = &self.requests[number];
+        let started = request.deadline - DEADLINE;
+        if whole && started >= WARM_UP && started < SPAN {
+            self.totals.attained += 1;
+            let after = started > FAULT_AT + Duration::from_secs(5);
+            self.totals.after_fault.0 += u64::from(after);
+        }
+    }
+
+    fn tick(&mut self, number: u64) {
+        self.push(self.now + TICK, Event::Tick(number + 1));
+        for node in 0..NODES {
+            for service in 0..SERVICES.len() {
+                self.pump(node, service);
+            }
+        }
+        if number.is_multiple_of(REPORT_EVERY) {
+            self.report();
+        }
+        if self.variant.digests && number.is_multiple_of(DIGEST_EVERY) {
+            self.digest();
+        }
+    }
+
+    fn report(&mut self) {
+        let taken_at = self.now.saturating_sub(self.setup.report_lag);
+        for (service, targets) in self.targets.iter_mut().enumerate() {
+            for (at, target) in targets.iter_mut().enumerate() {
+                while target.history.len() > 1 && target.history[1].0 <= taken_at {
+                    target.history.pop_front();
+                }
+                let inflight = target.history.front().map_or(0, |(_, count)| *count);
+                let name = target_name(service, at);
+                for pools in &mut self.pools {
+                    pools[service].apply_report(&name, LoadReport { inflight, taken_at });
+                }
+            }
+        }
+    }
+
+    fn digest(&mut self) {
+        for service in 0..SERVICES.len() {
+            let backlog: Vec<f64> = self
+                .pools
+                .iter()
+                .map(|pools| pools[service].summary().backlog)
+                .collect();
+            let total: f64 = backlog.iter().sum();
+            let own: Vec<Vec<u32>> = self
+                .pools
+                .iter()
+                .map(|pools| {
+                    pools[service]
+                        .views()
+                        .iter()
+                        .map(|view| view.own())
+                        .collect()
+                })
+                .collect();
+            for (node, pools) in self.pools.iter_mut().enumerate() {
+                let pool = &mut pools[service];
+                pool.apply_peers(total - backlog[node], 1.0 / NODES as f64);
+                let names: Vec<_> = pool
+                    .views()
+                    .iter()
+                    .map(|view| view.facts.id.clone())
+                    .collect();
+                for (place, name) in names.iter().enumerate() {
+                    let others = (0..NODES).filter(|other| *other != node);
+                    let inflight = others.map(|other| own[other][place]).sum();
+                    pool.apply_peer_load(self.now, name, inflight);
+                }
+            }
+        }
+    }
+
+    fn in_trouble(&self) -> bool {
+        self.now >= FAULT_AT
+    }
+
+    fn is_slow(&self, service: usize, at: usize) -> bool {
+        self.setup.trouble == Trouble::Slow && self.in_trouble() && service == 3 && at == 2
+    }
+
+    fn fails_fast(&self, service: usize, at: usize) -> bool {
+        self.setup.trouble == Trouble::FastFail && self.in_trouble() && service == 3 && at == 2
+    }
+
+    fn is_gone(&self, service: usize, at: usize) -> bool {
+        self.setup.trouble == Trouble::HallGone
+            && self.in_trouble()
+            && self.targets[service][at].hall == 1
+    }
+
+    fn fails_late(&mut self, service: usize, at: usize) -> bool {
+        let hit = self.setup.trouble == Trouble::ThirdFails && self.in_trouble();
+        hit && service == 1 && at < 2 && self.rng.random_bool(0.8)
+    }
+}
+
+fn note(target: &mut Target, now: Moment) {
+    let inflight = target.running + target.queue.len() as u32;
+    target.history.push_back((now, inflight));
+    if target.history.len() > 4_000 {
+        target.history.pop_front();
+    }
+}
+
+fn target_name(service: usize, at: usize) -> String {
+    // Two digits keep the order of names the order of numbers.
+    format!("{}-{at:02}", SERVICES[service].0)
+}
+
+fn stage_length(service: usize, length: u32) -> u32 {
+    if service == 3 {
+        return length + TOKENS;
+    }
+    length
+}
+
+fn make_targets(spec: &(&str, usize, u32, f64, f64, f64)) -> Vec<Target> {
+    let make = |at: usize| Target {
+        slots: spec.2,
+        slowness: if at.is_multiple_of(2) { 1.0 } else { 1.6 },
+        cost: if at.is_multiple_of(2) { 1.0 } else { 0.5 },
+        hall: at % 4,
+        running: 0,
+        queue: VecDeque::new(),
+        history: VecDeque::from([(Moment::ZERO, 0)]),
+    };
+    (0..spec.1).map(make).collect()
+}
+
+fn make_pools(
+    targets: &[Vec<Target>],
+    variant: Variant,
+    seed: u64,
+    node: usize,
+) -> Vec<ServicePool> {
+    let make = |(service, targets): (usize, &Vec<Target>)| {
+        let mut settings = PoolSettings {
+            policy: variant.policy,
+            holds: variant.holds,
+            seed: seed * 1000 + (node * 10 + service) as u64,
+            ..PoolSettings::default()
+        };
+        if variant.policy != RoutingPolicy::Estimated {
+            settings.health = None;
+        }
+        let mut pool = ServicePool::new(settings);
+        let facts = targets.iter().enumerate().map(|(at, target)| TargetFacts {
+            id: Arc::from(target_name(service, at)),
+            hardware: Arc::from(if target.slowness > 1.0 { "old" } else { "new" }),
+            slots: target.slots,
+            cost: target.cost,
+            distance: Duration::from_micros(if target.hall == node % 4 { 100 } else { 600 }),
+            models: Vec::new(),
+        });
+        pool.apply_list(facts.collect());
+        pool.apply_peers(0.0, 1.0 / NODES as f64);
+        pool
+    };
+    targets.iter().enumerate().map(make).collect()
+}
+
+/// Returns the requests a second at which the busiest service's slots are all in use, as a
+/// schedule that knows everything would use them.
+fn full_rate() -> f64 {
+    let rates = SERVICES.iter().map(|spec| {
+        let millis = spec.3 + spec.4 * f64::from(INPUT) / 1000.0 + spec.5 * f64::from(TOKENS);
+        let speeds: f64 = make_targets(spec)
+            .iter()
+            .map(|target| f64::from(target.slots) / (target.slowness * 1.25))
+            .sum();
+        speeds / (millis / 1000.0)
+    });
+    rates.fold(f64::INFINITY, f64::min)
+}
+
+fn main() {
+    let seed = std::env::args()
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1);
+    let lag = Duration::from_millis(500);
+    let setup = |name, load, trouble| Setup {
+        name,
+        load,
+        report_lag: lag,
+        trouble,
+    };
+    let stale = Setup {
+        name: "stale reports 2 s, 1.0x",
+        load: 1.0,
+        report_lag: Duration::from_secs(2),
+        trouble: Trouble::None,
+    };
+    let setups = [
+        setup("calm 0.6x", 0.6, Trouble::None),
+        setup("0.9x", 0.9, Trouble::None),
+        setup("full 1.0x", 1.0, Trouble::None),
+        setup("1.5x", 1.5, Trouble::None),
+        setup("2x", 2.0, Trouble::None),
+        setup("3x", 3.0, Trouble::None),
+        setup("burst of long inputs, 0.6x", 0.6, Trouble::Burst),
+        setup("one target x10 slow, 0.6x", 0.6, Trouble::Slow),
+        setup("one target fails fast, 0.6x", 0.6, Trouble::FastFail),
+        setup("one hall gone, 0.6x", 0.6, Trouble::HallGone),
+        setup(
+            "a third of a pool fails 0.8, 0.6x",
+            0.6,
+            Trouble::ThirdFails,
+        ),
+        stale,
+    ];
+    let base = |name, policy| Variant {
+        name,
+        policy,
+        holds: false,
+        admits: false,
+        digests: false,
+    };
+    let own = Variant {
+        name: "estimated",
+        policy: RoutingPolicy::Estimated,
+        holds: true,
+        admits: true,
+        digests: true,
+    };
+    let variants = [
+        own,
+        Variant {
+            name: "estimated, no digests",
+            digests: false,
+            ..own
+        },
+        Variant {
+            name: "estimated, no admission",
+            admits: false,
+            ..own
+        },
+        base("least-in-flight", RoutingPolicy::LeastInFlight),
+        base("round-robin", RoutingPolicy::RoundRobin),
+        base("random", RoutingPolicy::Random),
+    ];
+    println!(
+        "full rate {:.1} requests/s, {NODES} nodes, seed {seed}",
+        full_rate()
+    );
+    println!("| scenario | policy | attained | goodput/s | refused | cost/attained | after 5 s |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for setup in setups {
+        for variant in variants {
+            let totals = World::new(setup, variant, seed).run();
+            let sent = totals.sent.max(1) as f64;
+            println!(
+                "| {} | {} | {:.4} | {:.1} | {:.3} | {:.4} | {:.4} |",
+                setup.name,
+                variant.name,
+                totals.attained as f64 / sent,
+                totals.attained as f64 / (SPAN - WARM_UP).as_secs_f64(),
+                totals.refused as f64 / sent,
+                totals.cost / totals.attained.max(1) as f64,
+                totals.after_fault.0 as f64 / totals.after_fault.1.max(1) as f64,
+            );
+        }
+    }
+}
--- a/packages/turnford-policy/src/estimate.rs
+++ b/packages/turnford-policy/src/estimate.rs
@@ -16,6 +16,9 @@
 /// Samples needed before a bucket of its own is trusted over the whole.
 const TRUSTED_WEIGHT: f32 = 5.0;
 
+/// Samples below which nothing is known any more.
+const LEAST_WEIGHT: f32 = 0.5;
+
 /// Samples needed before a call can look lost.
 const PATIENCE_WEIGHT: f32 = 20.0;
 
@@ -60,41 +63,41 @@
     }
 
     /// Returns the mean time on a hardware class, from the closest trusted data.
-    pub fn mean(&self, hardware: &Arc<str>, length: u32) -> Duration {
+    pub fn mean(&self, now: Moment, hardware: &Arc<str>, length: u32) -> Duration {
         let bucket = length_bucket(length);
         let own = self.by_bucket.get(&(hardware.clone(), bucket));
-        let trusted = own.filter(|found| found.weight() >= TRUSTED_WEIGHT);
+        let trusted = own.filter(|found| found.weight(now) >= TRUSTED_WEIGHT);
         let mean = trusted.and_then(AgedHistogram::mean);
-        mean.unwrap_or_else(|| self.mean_of_length(length))
+        mean.unwrap_or_else(|| self.mean_of_length(now, length))
     }
 
     /// Returns the mean time over all hardware for an input length.
-    pub fn mean_of_length(&self, length: u32) -> Duration {
-        let found = self.any_hardware(length).and_then(AgedHistogram::mean);
+    pub fn mean_of_length(&self, now: Moment, length: u32) -> Duration {
+        let found = self.any_hardware(now, length).and_then(AgedHistogram::mean);
         found.unwrap_or(UNKNOWN_TIME)
     }
 
     /// Returns a quantile of the time over all hardware for an input length.
-    pub fn quantile(&self, length: u32, quantile: f64) -> Duration {
-        let found = self.any_hardware(length);
+    pub fn quantile(&self, now: Moment, length: u32, quantile: f64) -> Duration {
+        let found = self.any_hardware(now, length);
         let time = found.and_then(|histogram| histogram.quantile(quantile));
         time.unwrap_or(UNKNOWN_TIME)
     }
 
     /// Returns how long a call may take before it looks lost; `None` before enough was learned.
-    pub fn patience(&self, length: u32) -> Option<Duration> {
+    pub fn patience(&self, now: Moment, length: u32) -> Option<Duration> {
         let own = self.by_length.get(&length_bucket(length))?;
-        if own.weight() < PATIENCE_WEIGHT {
+        if own.weight(now) < PATIENCE_WEIGHT {
             return None;
         }
         own.quantile(PATIENCE_QUANTILE)
             .map(|time| time * PATIENCE_FACTOR)
     }
 
-    fn any_hardware(&self, length: u32) -> Option<&AgedHistogram> {
+    fn any_hardware(&self, now: Moment, length: u32) -> Option<&AgedHistogram> {
         let own = self.by_length.get(&length_bucket(length));
-        let trusted = own.filter(|found| found.weight() >= TRUSTED_WEIGHT);
-        let whole = Some(&self.all).filter(|found| found.weight() > 0.0);
+        let trusted = own.filter(|found| found.weight(now) >= TRUSTED_WEIGHT);
+        let whole = Some(&self.all).filter(|found| found.weight(now) >= LEAST_WEIGHT);
         trusted.or(whole)
     }
 }
--- a/packages/turnford-policy/src/histogram.rs
+++ b/packages/turnford-policy/src/histogram.rs
@@ -47,9 +47,13 @@
         self.sum += seconds;
     }
 
-    /// Returns the aged number of samples.
-    pub fn weight(&self) -> f32 {
-        self.total
+    /// Returns the number of samples as aged until now.
+    ///
+    /// It falls while nothing is recorded, so that old times lose trust and are measured anew.
+    pub fn weight(&self, now: Moment) -> f32 {
+        let passed = now.saturating_sub(self.halved_at).as_secs_f64();
+        let halvings = (passed / self.half_life.as_secs_f64()).floor();
+        self.total * 0.5_f64.powf(halvings) as f32
     }
 
     /// Returns the mean; `None` without samples.
--- a/packages/turnford-policy/src/pool.rs
+++ b/packages/turnford-policy/src/pool.rs
@@ -286,18 +286,18 @@
     pub fn demand(&self, now: Moment, class: ClassRank, length: u32, quantile: f64) -> StageDemand {
         StageDemand {
             wait: self.expected_wait(now, class),
-            reserve: self.estimates.quantile(length, quantile),
+            reserve: self.estimates.quantile(now, length, quantile),
         }
     }
 
     /// Returns the expected time of work on the mean target.
-    pub fn expected(&self, length: u32) -> Duration {
-        self.estimates.mean_of_length(length)
+    pub fn expected(&self, now: Moment, length: u32) -> Duration {
+        self.estimates.mean_of_length(now, length)
     }
 
     /// Returns how long a call may take before it looks lost; `None` before enough was learned.
-    pub fn patience(&self, length: u32) -> Option<Duration> {
-        self.estimates.patience(length)
+    pub fn patience(&self, now: Moment, length: u32) -> Option<Duration> {
+        self.estimates.patience(now, length)
     }
 
     /// Notes that an admitted request will come to this service later.
@@ -380,7 +380,7 @@
         };
         let time = now.saturating_sub(placement.placed_at);
         let hardware = self.views[at].facts.hardware.clone();
-        let mean = self.estimates.mean(&hardware, placement.length);
+        let mean = self.estimates.mean(now, &hardware, placement.length);
         let ratio = time.as_secs_f64() / mean.as_secs_f64().max(1e-6);
         let view = &mut self.views[at];
         view.note_end(now);
@@ -429,7 +429,7 @@
     pub fn expected_wait(&self, now: Moment, class: ClassRank) -> Duration {
         let mut slots = 0.0;
         let mut over = 0.0;
-        let mean = self.estimates.mean_of_length(0).as_secs_f64();
+        let mean = self.estimates.mean_of_length(now, 0).as_secs_f64();
         for view in &self.views {
             if view.leaving || view.health.is_ejected() {
                 continue;
--- a/packages/turnford-policy/src/routing.rs
+++ b/packages/turnford-policy/src/routing.rs
@@ -16,6 +16,21 @@
 /// Part of the time that a held prefix saves; learned values replace it once engines report it.
 const PREFIX_SAVING: f64 = 0.3;
 
+/// Calls let through at a target for each slot, when other nodes use it, too.
+const OVERCOMMIT: f64 = 1.2;
+
+/// Margin of time that an account with all weight on cost wants, as a factor on the finish time.
+const LEAST_MARGIN: f64 = 1.3;
+
+/// Added to the margin for an account with all weight on attainment.
+const MARGIN_SPAN: f64 = 1.2;
+
+/// Weight of the price among targets that leave the margin.
+const PRICE_WEIGHT: f64 = 0.5;
+
+/// Weight of the time among targets that leave the margin.
+const TIME_WEIGHT: f64 = 0.02;
+
 /// Added to the score of a candidate that is not expected to finish in time.
 const LATE_PENALTY: f64 = 10.0;
 
@@ -63,18 +78,25 @@
     }
 
     /// Tells whether a target has a slot for the work.
+    ///
+    /// A few calls beyond the slots are let through: what other nodes have there is known late, and
+    /// a short queue at the target costs less than a slot that stays empty meanwhile.
     pub(crate) fn has_slot(&self, view: &TargetView) -> bool {
         if !view.health.admits(view.own()) {
             return false;
         }
         let slots = f64::from(view.facts.slots);
         let floor = (slots * self.node_share).floor();
-        f64::from(view.own()) < floor || view.inflight(self.now) < slots
+        let alone = self.node_share >= 1.0;
+        let room = if alone { slots } else { slots * OVERCOMMIT };
+        f64::from(view.own()) < floor || view.inflight(self.now) + 1.0 <= room
     }
 
     /// Returns the expected time of the work itself on a target.
     pub(crate) fn run_time(&self, view: &TargetView) -> Duration {
-        let mean = self.estimates.mean(&view.facts.hardware, self.work.length);
+        let mean = self
+            .estimates
+            .mean(self.now, &view.facts.hardware, self.work.length);
         let saving = match self.work.prefix {
             Some(prefix) if view.has_prefix(prefix) => 1.0 - PREFIX_SAVING,
             _ => 1.0,
@@ -95,14 +117,24 @@
     }
 
     /// Returns a score; the smallest wins.
+    ///
+    /// An answer in good time is worth no more for coming earlier, so among targets that leave a
+    /// margin the cheaper one wins; without the margin, time does.
     fn score(&self, view: &TargetView, top_cost: f64) -> f64 {
-        let finish = self.finish_time(view);
-        let left = self.work.latest_end.saturating_sub(self.now);
-        let share = finish.as_secs_f64() / left.as_secs_f64().max(0.001);
-        let late = if share > 1.0 { LATE_PENALTY } else { 0.0 };
+        let finish = self.finish_time(view).as_secs_f64();
+        let left = self
+            .work
+            .latest_end
+            .saturating_sub(self.now)
+            .as_secs_f64()
+            .max(0.001);
         let weight = self.work.cost_weight.clamp(0.0, 1.0);
-        let price = view.facts.cost * self.run_time(view).as_secs_f64();
-        (1.0 - weight) * share + weight * price / top_cost.max(1e-9) + late
+        let margin = LEAST_MARGIN + MARGIN_SPAN * (1.0 - weight);
+        let share = finish / left;
+        let risk = (share * margin - 1.0).max(0.0);
+        let late = if share > 1.0 { LATE_PENALTY } else { 0.0 };
+        let price = view.facts.cost * self.run_time(view).as_secs_f64() / top_cost.max(1e-9);
+        risk + late + PRICE_WEIGHT * price + TIME_WEIGHT * share
     }
 }
 
--- a/packages/turnford-policy/tests/chain_budget.rs
+++ b/packages/turnford-policy/tests/chain_budget.rs
@@ -115,9 +115,9 @@
         estimates.record(Moment::ZERO, &old, 100, millis(200));
         estimates.record(Moment::ZERO, &new, 100, millis(100));
     }
-    assert_eq!(estimates.mean(&old, 100), millis(200));
-    assert_eq!(estimates.mean(&new, 100), millis(100));
-    assert_eq!(estimates.mean_of_length(100), millis(150));
+    assert_eq!(estimates.mean(Moment::ZERO, &old, 100), millis(200));
+    assert_eq!(estimates.mean(Moment::ZERO, &new, 100), millis(100));
+    assert_eq!(estimates.mean_of_length(Moment::ZERO, 100), millis(150));
 }
 
 #[test]
