Decide in constant time, and measure slopes for the large fleet

Cause: A decision with its end took 11 us at 600 targets and 41 us at 4,500, by thread time: each one looked at all targets for ends of ejections, for holders of the prefix and for medians. Change: Ends of ejections are looked for only while a target is out; the last holder of a prefix is indexed; medians are taken only for a target that can be bad; stage times are looked up without a copy of the key and once a candidate. Adds the capacity example.

--- /dev/null
+++ b/packages/turnford-node/examples/capacity.rs
@@ -0,0 +1,450 @@
+//! Measures the slopes behind docs/CAPACITY.md.
+//!
+//! `cargo run --release -p turnford-node --example capacity` feeds the control state of one node
+//! with growing fleets and prints heap bytes (by a counting allocator), processor time (of this
+//! thread, from the system) and bytes on the inner protocol (as the codec makes them).
+
+use std::alloc::GlobalAlloc;
+use std::alloc::Layout;
+use std::alloc::System;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use turnford_config::ConfigObject;
+use turnford_config::ObjectKind;
+use turnford_fleet::ClaimAction;
+use turnford_fleet::ClaimAsk;
+use turnford_fleet::ClaimKey;
+use turnford_fleet::ClaimOwner;
+use turnford_fleet::ClaimRange;
+use turnford_fleet::ConfigChange;
+use turnford_fleet::ConfigView;
+use turnford_fleet::DigestTable;
+use turnford_fleet::LoadDigest;
+use turnford_fleet::MemberState;
+use turnford_fleet::MemberTable;
+use turnford_fleet::MemberUpdate;
+use turnford_fleet::Moment;
+use turnford_fleet::RangeRead;
+use turnford_fleet::RangeWrite;
+use turnford_fleet::Rumor;
+use turnford_fleet::ServiceLoad;
+use turnford_fleet::ShareDemand;
+use turnford_fleet::ShareLender;
+use turnford_policy::PoolOffer;
+use turnford_policy::PoolSettings;
+use turnford_policy::ServicePool;
+use turnford_policy::StageOutcome;
+use turnford_policy::StageWork;
+use turnford_policy::TargetFacts;
+use turnford_wire::decode_request;
+use turnford_wire::encode_reply;
+use turnford_wire::encode_request;
+use turnford_wire::PeerReply;
+use turnford_wire::PeerRequest;
+
+/// Counts the bytes in use.
+struct CountingAllocator;
+
+static IN_USE: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: Every call goes to the system's allocator unchanged; only a counter is kept beside it.
+unsafe impl GlobalAlloc for CountingAllocator {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        IN_USE.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: The caller's promises for `layout` are passed on.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        IN_USE.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: The pointer came from `alloc` above with the same layout.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+/// Rounds in which nodes ask a lender, 300 ms apart.
+const ROUNDS: u64 = 34;
+
+/// Returns a value and the heap bytes that it holds.
+fn weigh<T>(make: impl FnOnce() -> T) -> (T, usize) {
+    let before = IN_USE.load(Ordering::Relaxed);
+    let value = make();
+    (value, IN_USE.load(Ordering::Relaxed).saturating_sub(before))
+}
+
+/// Returns the processor time of this thread so far.
+fn thread_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanos = text
+        .split_whitespace()
+        .next()
+        .and_then(|first| first.parse().ok())
+        .unwrap_or(0);
+    Duration::from_nanos(nanos)
+}
+
+/// Returns the processor time of one run of a step, over many.
+fn time_each(count: u32, mut step: impl FnMut(u32)) -> Duration {
+    let before = thread_time();
+    for number in 0..count {
+        step(number);
+    }
+    (thread_time() - before) / count
+}
+
+fn micros(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e6
+}
+
+fn member(number: usize) -> MemberUpdate {
+    MemberUpdate {
+        name: format!("dk-vest-hal-a-node-{number:04}"),
+        address: SocketAddr::from(([10, 20, (number / 250) as u8, (number % 250) as u8], 7000)),
+        hall: format!("hal-{}", number % 7),
+        incarnation: 1,
+        state: MemberState::Alive,
+    }
+}
+
+fn measure_members() {
+    println!("\nmembers: state, one probe both ways, and its bytes");
+    println!("| members | heap KB | tick us | probe us | checksum us | ping B | pong B |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for count in [100, 300, 880] {
+        let (mut table, heap) = weigh(|| {
+            let mut table = MemberTable::new(member(0), 1);
+            for number in 1..count {
+                table.apply(Moment::ZERO, member(number));
+            }
+            table
+        });
+        let view = config_view(930);
+        let tick = time_each(40_000, |number| {
+            table.expire(Duration::from_millis(u64::from(number)));
+        });
+        let mut sizes = (0, 0);
+        let probe = time_each(40_000, |number| {
+            // A death or start every now and then keeps the gossip full.
+            let mut update = member(1 + number as usize % (count - 1));
+            update.incarnation = 2 + u64::from(number);
+            table.apply(Moment::ZERO, update);
+            let gossip = table.take_gossip("");
+            let ping = PeerRequest::Ping {
+                gossip,
+                mark: view.mark(),
+                members: table.checksum(),
+            };
+            let frame = encode_request(&ping).unwrap_or_default();
+            let back = table.take_gossip("");
+            let pong = PeerReply::Pong {
+                gossip: back,
+                mark: view.mark(),
+                members: table.checksum(),
+            };
+            let answer = encode_reply(&pong).unwrap_or_default();
+            sizes = (frame.len(), answer.len());
+            if let Ok(PeerRequest::Ping { gossip, .. }) = decode_request(&frame) {
+                for update in gossip {
+                    table.apply(Moment::ZERO, update);
+                }
+            }
+        });
+        let checksum = time_each(40_000, |_| {
+            std::hint::black_box(table.checksum());
+        });
+        println!(
+            "| {count} | {:.1} | {:.1} | {:.1} | {:.1} | {} | {} |",
+            heap as f64 / 1024.0,
+            micros(tick),
+            micros(probe),
+            micros(checksum),
+            sizes.0,
+            sizes.1
+        );
+    }
+}
+
+fn account_text(number: usize) -> String {
+    format!(
+        "name = \"account-{number}\"\nkey_sha256 = \"{number:064x}\"\nclass = 1\nrate = 60\n\
+         concurrency = 200\n[templates.chat]\nmax_tokens = 32\n[templates.draft]\n\
+         max_tokens = 48\n[templates.reserve]\ndeadline_ms = 3000\n"
+    )
+}
+
+fn config_change(number: usize, version: u64) -> ConfigChange {
+    ConfigChange {
+        key: ObjectKind::Account.key(&format!("account-{number}")),
+        version,
+        text: Some(account_text(number)),
+    }
+}
+
+fn config_view(count: usize) -> ConfigView {
+    let mut view = ConfigView::default();
+    for number in 0..count {
+        view.apply(config_change(number, number as u64 + 1));
+    }
+    view
+}
+
+fn measure_config() {
+    println!("\nconfiguration: state, mark for each ping, one change in force");
+    println!("| objects | heap KB | mark us | snapshot ms | rumor B |");
+    println!("| --- | --- | --- | --- | --- |");
+    for count in [100, 300, 930] {
+        let (view, heap) = weigh(|| config_view(count));
+        let mark = time_each(40_000, |_| {
+            std::hint::black_box(view.mark());
+        });
+        let snapshot = time_each(100, |_| {
+            for (key, _, text) in view.live() {
+                let parsed = ConfigObject::parse_kind(ObjectKind::Account, key, text);
+                std::hint::black_box(parsed.is_ok());
+            }
+        });
+        let rumor = PeerRequest::Rumors(vec![Rumor::Config(config_change(1, 1))]);
+        let bytes = encode_request(&rumor).map_or(0, |frame| frame.len());
+        println!(
+            "| {count} | {:.1} | {:.1} | {:.2} | {bytes} |",
+            heap as f64 / 1024.0,
+            micros(mark),
+            micros(snapshot) / 1000.0
+        );
+    }
+}
+
+fn facts(number: usize) -> TargetFacts {
+    TargetFacts {
+        id: Arc::from(format!("sprog-hal-a-runner-{number:04}")),
+        hardware: Arc::from(if number.is_multiple_of(2) {
+            "new"
+        } else {
+            "old"
+        }),
+        slots: 64,
+        cost: 1.0,
+        distance: Duration::from_micros(500),
+        models: Vec::new(),
+    }
+}
+
+fn work() -> StageWork {
+    StageWork {
+        account: Arc::from("account-1"),
+        class: 1,
+        share: 1.0,
+        cost_weight: 0.2,
+        length: 640,
+        expected: Duration::from_millis(700),
+        latest_start: Duration::from_secs(3),
+        latest_end: Duration::from_secs(4),
+        hopeless_after: Duration::from_secs(3),
+        model: None,
+        prefix: Some(7),
+        tried: Vec::new(),
+    }
+}
+
+fn measure_pools() {
+    println!("\npools: state, one decision with its end, all reports once");
+    println!("| targets | heap KB | decide+finish us | reports us |");
+    println!("| --- | --- | --- | --- |");
+    for count in [500, 600, 1500, 4500] {
+        let (mut pool, heap) = weigh(|| {
+            let mut pool = ServicePool::new(PoolSettings::default());
+            pool.apply_list((0..count).map(facts).collect());
+            pool
+        });
+        let decide = time_each(200_000, |number| {
+            let now = Duration::from_millis(u64::from(number));
+            if let PoolOffer::Run(placement) = pool.offer(now, work()) {
+                pool.finish(now, &placement, StageOutcome::Whole);
+            }
+        });
+        let names: Vec<_> = pool
+            .views()
+            .iter()
+            .map(|view| view.facts.id.clone())
+            .collect();
+        let reports = time_each(200, |number| {
+            let taken_at = Duration::from_secs(30 + u64::from(number));
+            for name in &names {
+                pool.apply_report(
+                    name,
+                    turnford_policy::LoadReport {
+                        inflight: 9,
+                        taken_at,
+                    },
+                );
+            }
+        });
+        println!(
+            "| {count} | {:.1} | {:.2} | {:.0} |",
+            heap as f64 / 1024.0,
+            micros(decide),
+            micros(reports)
+        );
+    }
+}
+
+fn digest(targets: usize) -> LoadDigest {
+    let inflight = (0..targets)
+        .map(|number| (facts(number).id.to_string(), 3))
+        .collect();
+    let load = ServiceLoad {
+        service: "sprog".to_owned(),
+        backlog_ms: 1200,
+        inflight,
+    };
+    LoadDigest {
+        number: 1,
+        incarnation: 1,
+        services: vec![load],
+    }
+}
+
+fn measure_digests() {
+    println!("\ndigests: one digest sent, and the sum over all peers");
+    println!("| peers | busy targets | frame B | sum us |");
+    println!("| --- | --- | --- | --- |");
+    for (peers, targets) in [(7, 33), (15, 33), (15, 100), (100, 100)] {
+        let digest = digest(targets);
+        let request = PeerRequest::Digest {
+            node: member(1).name,
+            digest: digest.clone(),
+        };
+        let bytes = encode_request(&request).map_or(0, |frame| frame.len());
+        let mut table = DigestTable::default();
+        for peer in 0..peers {
+            table.apply(Moment::ZERO, &member(peer).name, digest.clone());
+        }
+        let sum = time_each(5_000, |_| {
+            std::hint::black_box(table.service_load("sprog").1.len());
+        });
+        println!("| {peers} | {targets} | {bytes} | {:.1} |", micros(sum));
+    }
+}
+
+fn claim_key(number: u64) -> ClaimKey {
+    let mut key = ClaimKey::default();
+    key[..8].copy_from_slice(&number.wrapping_mul(0x9E37_79B9_7F4A_7C15).to_be_bytes());
+    key[8..].copy_from_slice(&number.to_be_bytes());
+    key
+}
+
+/// Commits claims of one range in groups of `group` until it holds `total`.
+fn measure_claims() {
+    println!("\nclaims: one range filled in groups; the last write's cost and size");
+    println!("| claims held | group | writes | us a claim | ms a write | value KB |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for (total, group) in [
+        (1_000_u64, 25_u64),
+        (5_000, 25),
+        (15_000, 25),
+        (15_000, 250),
+    ] {
+        let mut range = ClaimRange::new();
+        let mut now = Moment::ZERO;
+        let (mut version, mut writes, mut size) = (0, 0_u32, 0);
+        let mut next = 0;
+        let before = thread_time();
+        while next < total {
+            for _ in 0..group {
+                let owner = ClaimOwner {
+                    incarnation: 1,
+                    sequence: next,
+                };
+                range.ask(
+                    ClaimAsk::Take(claim_key(next), owner),
+                    now + Duration::from_secs(9),
+                );
+                next += 1;
+            }
+            while !range.is_idle() {
+                now += Duration::from_millis(100);
+                match range.step(now).action {
+                    Some(ClaimAction::Read) => {
+                        range.note_read(now, RangeRead::Found(version, Vec::new()));
+                    }
+                    Some(ClaimAction::Write { bytes, .. }) => {
+                        version += 1;
+                        writes += 1;
+                        size = bytes.len();
+                        range.note_write(now, RangeWrite::Accepted(version));
+                    }
+                    None => (),
+                }
+            }
+        }
+        let spent = thread_time() - before;
+        println!(
+            "| {total} | {group} | {writes} | {:.1} | {:.2} | {:.0} |",
+            micros(spent) / total as f64,
+            micros(spent) / 1000.0 / f64::from(writes),
+            size as f64 / 1024.0
+        );
+    }
+}
+
+fn measure_lender() {
+    println!("\nlender: one account lent to nodes, after 10 s of rounds; one ask's bytes");
+    println!("| nodes | heap KB an account | us an ask | ask B | grant B |");
+    println!("| --- | --- | --- | --- | --- |");
+    for nodes in [8, 100, 300, 880] {
+        let names: Vec<String> = (0..nodes).map(|number| member(number).name).collect();
+        let mut demand = ShareDemand {
+            account: "account-17".to_owned(),
+            rate: 3.0,
+            running: 2,
+            held: None,
+        };
+        let mut spent = Duration::ZERO;
+        let (grant, heap) = weigh(|| {
+            let limits = (1000.0, 2000);
+            let mut lender = ShareLender::new(Moment::ZERO, 1, limits, nodes as u32, true);
+            let mut last = None;
+            for round in 0..ROUNDS {
+                let now = Duration::from_millis(300 * round);
+                spent += time_each(1, |_| {
+                    for name in &names {
+                        demand.held = last.clone();
+                        last = Some(lender.lend(now, name, &demand));
+                    }
+                });
+            }
+            spent /= ROUNDS as u32 * nodes as u32;
+            (lender, last)
+        });
+        let (_, grant) = grant;
+        demand.held = grant.clone();
+        let ask = PeerRequest::Share {
+            node: names[0].clone(),
+            demands: vec![demand],
+        };
+        let ask = encode_request(&ask).map_or(0, |frame| frame.len());
+        let answer = PeerReply::Shares(grant.into_iter().collect());
+        let answer = encode_reply(&answer).map_or(0, |frame| frame.len());
+        println!(
+            "| {nodes} | {:.1} | {:.1} | {ask} | {answer} |",
+            heap as f64 / 1024.0,
+            micros(spent)
+        );
+    }
+}
+
+fn main() {
+    measure_members();
+    measure_config();
+    measure_pools();
+    measure_digests();
+    measure_claims();
+    measure_lender();
+}
--- a/packages/turnford-policy/src/estimate.rs
+++ b/packages/turnford-policy/src/estimate.rs
@@ -31,7 +31,7 @@
 /// Stage times of one service.
 #[derive(Debug)]
 pub struct StageEstimates {
-    by_bucket: HashMap<(Arc<str>, u8), AgedHistogram>,
+    by_hardware: HashMap<Arc<str>, HashMap<u8, AgedHistogram>>,
     by_length: HashMap<u8, AgedHistogram>,
     all: AgedHistogram,
 }
@@ -40,7 +40,7 @@
     /// Makes empty estimates.
     pub fn new() -> Self {
         Self {
-            by_bucket: HashMap::new(),
+            by_hardware: HashMap::new(),
             by_length: HashMap::new(),
             all: AgedHistogram::new(HALF_LIFE),
         }
@@ -50,11 +50,8 @@
     pub fn record(&mut self, now: Moment, hardware: &Arc<str>, length: u32, time: Duration) {
         let bucket = length_bucket(length);
         let fresh = || AgedHistogram::new(HALF_LIFE);
-        let key = (hardware.clone(), bucket);
-        self.by_bucket
-            .entry(key)
-            .or_insert_with(fresh)
-            .record(now, time);
+        let own = self.by_hardware.entry(hardware.clone()).or_default();
+        own.entry(bucket).or_insert_with(fresh).record(now, time);
         self.by_length
             .entry(bucket)
             .or_insert_with(fresh)
@@ -63,9 +60,9 @@
     }
 
     /// Returns the mean time on a hardware class, from the closest trusted data.
-    pub fn mean(&self, now: Moment, hardware: &Arc<str>, length: u32) -> Duration {
-        let bucket = length_bucket(length);
-        let own = self.by_bucket.get(&(hardware.clone(), bucket));
+    pub fn mean(&self, now: Moment, hardware: &str, length: u32) -> Duration {
+        let own = self.by_hardware.get(hardware);
+        let own = own.and_then(|lengths| lengths.get(&length_bucket(length)));
         let trusted = own.filter(|found| found.weight(now) >= TRUSTED_WEIGHT);
         let mean = trusted.and_then(AgedHistogram::mean);
         mean.unwrap_or_else(|| self.mean_of_length(now, length))
--- a/packages/turnford-policy/src/health.rs
+++ b/packages/turnford-policy/src/health.rs
@@ -14,6 +14,9 @@
 /// Samples before a target is judged at all.
 const JUDGED_SAMPLES: u32 = 5;
 
+/// Least median slowness that a target is compared with.
+const LEAST_MEDIAN: f64 = 0.5;
+
 /// Successes that end a probation.
 const PROBATION_SUCCESSES: u32 = 3;
 
@@ -115,6 +118,14 @@
         }
     }
 
+    /// Tells whether the target may be bad whatever its peers are like; the comparison with them is
+    /// made only then.
+    pub fn is_suspect(&self, settings: &HealthSettings) -> bool {
+        let probed = matches!(self.state, HealthState::Probation(_));
+        let slow = self.slowness > settings.bad_slowness * LEAST_MEDIAN;
+        probed || self.failure > settings.bad_failure || slow
+    }
+
     /// Tells whether the target is bad next to the medians of its peers.
     pub fn is_bad(&self, settings: &HealthSettings, median_failure: f64, median_slow: f64) -> bool {
         if self.samples < JUDGED_SAMPLES {
@@ -122,7 +133,7 @@
         }
         let fails = self.failure > settings.bad_failure;
         let fails_alone = self.failure > median_failure + settings.failure_gap;
-        let slow_alone = self.slowness > settings.bad_slowness * median_slow.max(0.2);
+        let slow_alone = self.slowness > settings.bad_slowness * median_slow.max(LEAST_MEDIAN);
         (fails && fails_alone) || slow_alone
     }
 
--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod hold;
 mod limit;
 mod pool;
+mod prefix;
 mod retry;
 mod routing;
 mod target;
--- a/packages/turnford-policy/src/pool.rs
+++ b/packages/turnford-policy/src/pool.rs
@@ -7,6 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
+use crate::prefix::PrefixIndex;
 use crate::routing::choose_baseline;
 use crate::routing::choose_estimated;
 use crate::routing::RoutingInput;
@@ -182,6 +183,9 @@
     peer_backlog: f64,
     node_share: f64,
     turn: usize,
+    /// Targets that may be out; without any, no look at all of them is needed.
+    ejections: usize,
+    prefixes: PrefixIndex,
     rng: SmallRng,
 }
 
@@ -201,6 +205,8 @@
             peer_backlog: 0.0,
             node_share: 1.0,
             turn: 0,
+            ejections: 0,
+            prefixes: PrefixIndex::default(),
             rng,
         }
     }
@@ -270,6 +276,8 @@
         };
         if present {
             view.note_prefix(prefix);
+            let target = view.facts.id.clone();
+            self.prefixes.note(prefix, &target);
         } else {
             view.drop_prefix(prefix);
         }
@@ -394,6 +402,7 @@
         if outcome == StageOutcome::Whole {
             if let Some(prefix) = placement.prefix {
                 view.note_prefix(prefix);
+                self.prefixes.note(prefix, &placement.target);
             }
             self.estimates
                 .record(now, &hardware, placement.length, time);
@@ -482,7 +491,9 @@
         };
         let policy = self.settings.policy;
         let chosen = if policy == RoutingPolicy::Estimated {
-            choose_estimated(&input, &self.views, &mut self.rng)
+            let holder = work.prefix.and_then(|prefix| self.prefixes.get(prefix));
+            let holder = holder.and_then(|target| self.index.get(target).copied());
+            choose_estimated(&input, &self.views, holder, &mut self.rng)
         } else {
             let turn = &mut self.turn;
             choose_baseline(policy, &input, &self.views, turn, &mut self.rng)
@@ -519,25 +530,34 @@
     }
 
     fn refresh_health(&mut self, now: Moment) {
+        if self.ejections == 0 {
+            return;
+        }
         for view in &mut self.views {
             view.health.refresh(now);
         }
+        self.ejections = self
+            .views
+            .iter()
+            .filter(|view| view.health.is_ejected())
+            .count();
     }
 
     /// Takes a target out if it is bad next to its peers and the pool can spare it.
     fn judge(&mut self, now: Moment, at: usize) {
-        let Some(settings) = self.settings.health.clone() else {
+        let Some(settings) = &self.settings.health else {
             return;
         };
         let health = &self.views[at].health;
-        if health.is_ejected() {
+        if health.is_ejected() || !health.is_suspect(settings) {
             return;
         }
         let (failure, slowness) = self.peer_medians(at);
-        let bad = self.views[at].health.is_bad(&settings, failure, slowness);
-        let bad = bad || self.views[at].health.fails_probation(&settings);
-        if bad && self.can_spare(&settings) {
-            self.views[at].health.eject(now, &settings);
+        let bad = self.views[at].health.is_bad(settings, failure, slowness);
+        let bad = bad || self.views[at].health.fails_probation(settings);
+        if bad && self.can_spare(settings) {
+            self.views[at].health.eject(now, settings);
+            self.ejections += 1;
         }
     }
 
--- a/packages/turnford-policy/src/routing.rs
+++ b/packages/turnford-policy/src/routing.rs
@@ -105,9 +105,8 @@
         mean.mul_f64(saving * view.health.slowness().max(0.2) / success)
     }
 
-    /// Returns the expected time until the answer is back.
-    pub(crate) fn finish_time(&self, view: &TargetView) -> Duration {
-        let run = self.run_time(view);
+    /// Returns the expected time until the answer is back, for a time of the work itself.
+    fn finish_time(&self, view: &TargetView, run: Duration) -> Duration {
         let slots = f64::from(view.facts.slots.max(1));
         let inflight = view.inflight(self.now);
         let over = (inflight + 1.0 - slots).max(0.0);
@@ -120,8 +119,8 @@
     ///
     /// An answer in good time is worth no more for coming earlier, so among targets that leave a
     /// margin the cheaper one wins; without the margin, time does.
-    fn score(&self, view: &TargetView, top_cost: f64) -> f64 {
-        let finish = self.finish_time(view).as_secs_f64();
+    fn score(&self, view: &TargetView, run: Duration, top_price: f64) -> f64 {
+        let finish = self.finish_time(view, run).as_secs_f64();
         let left = self
             .work
             .latest_end
@@ -133,26 +132,33 @@
         let share = finish / left;
         let risk = (share * margin - 1.0).max(0.0);
         let late = if share > 1.0 { LATE_PENALTY } else { 0.0 };
-        let price = view.facts.cost * self.run_time(view).as_secs_f64() / top_cost.max(1e-9);
+        let price = price_of(view, run) / top_price.max(1e-9);
         risk + late + PRICE_WEIGHT * price + TIME_WEIGHT * share
     }
 }
 
-/// Chooses among candidates by their place in `views`.
+fn price_of(view: &TargetView, run: Duration) -> f64 {
+    view.facts.cost * run.as_secs_f64()
+}
+
+/// Chooses among candidates by their place in `views`. `holder` is the place of a target that is
+/// thought to hold the work's prefix.
 pub(crate) fn choose_estimated(
     input: &RoutingInput<'_>,
     views: &[TargetView],
+    holder: Option<usize>,
     rng: &mut SmallRng,
 ) -> Option<usize> {
-    let candidates = sample_candidates(input, views, rng);
-    let prices = candidates.iter().map(|at| {
-        let view = &views[*at];
-        view.facts.cost * input.run_time(view).as_secs_f64()
-    });
-    let top_cost = prices.fold(0.0, f64::max);
-    let scored = candidates
+    let candidates = sample_candidates(input, views, holder, rng);
+    let timed: Vec<(usize, Duration)> = candidates
+        .into_iter()
+        .map(|at| (at, input.run_time(&views[at])))
+        .collect();
+    let prices = timed.iter().map(|(at, run)| price_of(&views[*at], *run));
+    let top_price = prices.fold(0.0, f64::max);
+    let scored = timed
         .into_iter()
-        .map(|at| (input.score(&views[at], top_cost), at));
+        .map(|(at, run)| (input.score(&views[at], run, top_price), at));
     let best = scored.min_by(|left, right| left.0.total_cmp(&right.0));
     best.map(|(_, at)| at)
 }
@@ -164,6 +170,7 @@
 fn sample_candidates(
     input: &RoutingInput<'_>,
     views: &[TargetView],
+    holder: Option<usize>,
     rng: &mut SmallRng,
 ) -> Vec<usize> {
     let mut candidates = Vec::with_capacity(SAMPLE_COUNT);
@@ -185,18 +192,11 @@
         }
         at = (at + step) % views.len();
     }
-    let prefix = input.work.prefix;
-    let holder = prefix.and_then(|prefix| find_holder(input, views, prefix));
-    candidates.extend(holder.filter(|at| !candidates.contains(at)));
+    let usable = holder.filter(|at| input.is_usable(&views[*at]) && input.has_slot(&views[*at]));
+    candidates.extend(usable.filter(|at| !candidates.contains(at)));
     candidates
 }
 
-fn find_holder(input: &RoutingInput<'_>, views: &[TargetView], prefix: u64) -> Option<usize> {
-    views
-        .iter()
-        .position(|view| view.has_prefix(prefix) && input.is_usable(view) && input.has_slot(view))
-}
-
 fn coprime_step(length: usize, rng: &mut SmallRng) -> usize {
     const PRIMES: [usize; 6] = [1, 7, 11, 13, 17, 19];
     let step = PRIMES[rng.random_range(0..PRIMES.len())];
