Prove the promises end to end on loopback

Cause: The node had no tests of its own, and an inline list of stages was taken for an account. Change: A file is a template if it has stages at its top.

--- a/packages/turnford-config/src/object.rs
+++ b/packages/turnford-config/src/object.rs
@@ -65,9 +65,7 @@
     ///
     /// Returns every problem of the file.
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<ConfigProblem>> {
-        let is_template = text
-            .lines()
-            .any(|line| line.trim_start().starts_with("[[stages]]"));
+        let is_template = has_field(text, "stages");
         let kind = if is_template {
             ObjectKind::Template
         } else {
@@ -95,6 +93,11 @@
         }
     }
 
+    /// Tells whether a text looks like a node's settings rather than a configuration object.
+    pub fn looks_like_settings(text: &str) -> bool {
+        has_field(text, "listen") || has_field(text, "inner")
+    }
+
     /// Returns the key under which the object is stored.
     pub fn key(&self) -> String {
         match self {
@@ -103,3 +106,9 @@
         }
     }
 }
+
+/// Tells whether a text has a field at its top, as far as it can be read at all.
+fn has_field(text: &str, field: &str) -> bool {
+    let (table, _) = toml::de::DeTable::parse_recoverable(text);
+    table.get_ref().contains_key(field)
+}
--- a/packages/turnford/src/command/object.rs
+++ b/packages/turnford/src/command/object.rs
@@ -142,11 +142,7 @@
 /// Checks a file as what it looks like, and returns its kind.
 fn check_any(path: &Path, text: &str) -> Result<&'static str, Vec<ConfigProblem>> {
     let file = path.display().to_string();
-    let looks_like_settings = text.lines().any(|line| {
-        let field = line.split('=').next().unwrap_or("").trim();
-        field == "listen" || field == "inner"
-    });
-    if looks_like_settings {
+    if ConfigObject::looks_like_settings(text) {
         return NodeSettings::parse(&file, text).map(|_| "settings");
     }
     match ConfigObject::parse(&file, text)? {
--- a/packages/turnford/src/exit.rs
+++ b/packages/turnford/src/exit.rs
@@ -5,7 +5,7 @@
 /// How a command ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
-pub(crate) enum ExitStatus {
+pub enum ExitStatus {
     /// All done.
     Done = 0,
     /// The command ran and found a failure, for example an invalid file or a broken promise.
--- a/packages/turnford/src/operator.rs
+++ b/packages/turnford/src/operator.rs
@@ -21,14 +21,16 @@
 
 /// What became of a change.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum ChangeOutcome {
+pub enum ChangeOutcome {
     /// Accepted with this version.
     Accepted(ObjectVersion),
     /// The object holds this text already; nothing was written.
     Unchanged(ObjectVersion),
     /// Another change came first; nothing was written.
     Conflict {
+        /// Version that the change was bound to.
         expected: ObjectVersion,
+        /// Version that the object has.
         current: ObjectVersion,
     },
     /// Nothing was written.
@@ -57,17 +59,23 @@
 }
 
 /// One change that an operator wants.
-pub(crate) struct ChangeRequest<'a> {
-    pub(crate) key: &'a str,
+pub struct ChangeRequest<'a> {
+    /// Key of the object.
+    pub key: &'a str,
     /// New text; `None` deletes.
-    pub(crate) text: Option<String>,
-    pub(crate) author: &'a str,
+    pub text: Option<String>,
+    /// Who asks for the change.
+    pub author: &'a str,
     /// Version that the object must have; `None` takes the one that is read first.
-    pub(crate) expected: Option<ObjectVersion>,
+    pub expected: Option<ObjectVersion>,
 }
 
 /// Reads an object with its version; an absent one has version 0.
-pub(crate) async fn read_envelope(
+///
+/// # Errors
+///
+/// Returns the fault of the call, or that the value is no envelope.
+pub async fn read_envelope(
     objects: &ObjectClient,
     key: &str,
 ) -> Result<(ObjectVersion, ConfigEnvelope), PlatformFault> {
@@ -83,10 +91,7 @@
 }
 
 /// Makes a change if nobody else changed the object meanwhile.
-pub(crate) async fn change_object(
-    objects: &ObjectClient,
-    request: ChangeRequest<'_>,
-) -> ChangeOutcome {
+pub async fn change_object(objects: &ObjectClient, request: ChangeRequest<'_>) -> ChangeOutcome {
     let (current, envelope) = match read_envelope(objects, request.key).await {
         Ok(found) => found,
         Err(fault) => return ChangeOutcome::Refused(fault),
--- a/packages/turnford/src/site.rs
+++ b/packages/turnford/src/site.rs
@@ -31,19 +31,23 @@
 const TOOL_CALLS: f64 = 200.0;
 
 /// A file of an association.
-pub(crate) struct SiteFile {
-    pub(crate) name: String,
-    pub(crate) text: String,
+pub struct SiteFile {
+    /// Name, for messages.
+    pub name: String,
+    /// Text in TOML.
+    pub text: String,
 }
 
 /// Running stand-ins and nodes.
-pub(crate) struct LocalSite {
-    pub(crate) standins: StandinFleet,
-    pub(crate) nodes: Vec<Node>,
+pub struct LocalSite {
+    /// Stand-ins of the outside systems.
+    pub standins: StandinFleet,
+    /// Nodes, all ready.
+    pub nodes: Vec<Node>,
 }
 
 /// Makes a client for an operator's tool.
-pub(crate) fn tool_client(objects: SocketAddr) -> ObjectClient {
+pub fn tool_client(objects: SocketAddr) -> ObjectClient {
     ObjectClient::new(objects, Arc::new(CallBudget::new(TOOL_CALLS)))
 }
 
@@ -69,7 +73,11 @@
 
 impl LocalSite {
     /// Starts everything on loopback and waits until all nodes are ready.
-    pub(crate) async fn start(
+    ///
+    /// # Errors
+    ///
+    /// Returns a message if something can't start or the nodes do not become ready.
+    pub async fn start(
         scenario: &Scenario,
         files: &[SiteFile],
         node_count: usize,
@@ -91,7 +99,7 @@
     }
 
     /// Returns the entry addresses of the nodes.
-    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+    pub fn addresses(&self) -> Vec<SocketAddr> {
         self.nodes.iter().map(Node::address).collect()
     }
 
--- /dev/null
+++ b/packages/turnford/tests/common/mod.rs
@@ -0,0 +1,242 @@
+//! A small site for the tests: four services of two targets each, and two accounts.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use http_types::Method;
+use serde_json::Value;
+use turnford::LocalSite;
+use turnford::SiteFile;
+use turnford_http::HttpClient;
+use turnford_node::NodeOptions;
+use turnford_standin::start_threads;
+use turnford_standin::FaultKind;
+use turnford_standin::JournalEntry;
+use turnford_standin::Scenario;
+
+/// Longest wait for anything; far more than it takes.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+const SCENARIO: &str = r#"
+name = "test"
+seed = 1
+region = "dk-vest"
+halls = ["hal-a", "hal-b"]
+hall_delay_ms = 0.5
+report_lag_ms = 100
+list_lag_ms = 100
+full_rate = 10.0
+traffic = []
+
+[[services]]
+name = "post"
+count = 2
+slots = 8
+base_ms = 5.0
+hardware = [{ name = "plain", slowness = 1.0, cost = 1.0 }]
+
+[[services]]
+name = "sprog"
+count = 2
+slots = 8
+base_ms = 5.0
+per_token_ms = 5.0
+hardware = [{ name = "plain", slowness = 1.0, cost = 1.0 }]
+
+[[services]]
+name = "booking"
+count = 2
+slots = 8
+base_ms = 5.0
+once = true
+hardware = [{ name = "plain", slowness = 1.0, cost = 1.0 }]
+"#;
+
+const CHAT: &str = r#"
+name = "chat"
+deadline_ms = 10000
+stages = [
+    { name = "encode", service = "post", kind = "encode" },
+    { name = "answer", service = "sprog", kind = "generate" },
+]
+"#;
+
+const RESERVE: &str = r#"
+name = "reserve"
+deadline_ms = 10000
+stages = [
+    { name = "encode", service = "post", kind = "encode" },
+    { name = "hold", service = "booking", kind = "call", repeatable = false },
+]
+"#;
+
+/// Returns an account's file; its key is `key-` and the name.
+pub fn account_text(name: &str, rate: f64) -> String {
+    let hash = turnford_config::hash_key(&format!("key-{name}"));
+    format!(
+        "name = \"{name}\"\nkey_sha256 = \"{hash}\"\nclass = 1\nrate = {rate}\n\
+         concurrency = 500\nmax_input_bytes = 2000\n[templates.chat]\nmax_tokens = 4\n\
+         [templates.reserve]\n"
+    )
+}
+
+/// A running site with a client.
+pub struct TestSite {
+    pub site: LocalSite,
+    pub client: HttpClient,
+}
+
+/// One answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Value,
+}
+
+impl Answer {
+    pub fn code(&self) -> u64 {
+        self.body["code"].as_u64().unwrap_or(u64::MAX)
+    }
+
+    pub fn ran(&self) -> &str {
+        self.body["ran"].as_str().unwrap_or("")
+    }
+}
+
+/// What a request carries beside its text.
+#[derive(Clone, Copy, Default)]
+pub struct Extras<'a> {
+    pub id: Option<&'a str>,
+    pub deadline_ms: Option<u64>,
+    pub stream: bool,
+}
+
+impl TestSite {
+    pub fn start(nodes: usize) -> Self {
+        let executor = start_threads("standin", 1);
+        let scenario = Scenario::parse(SCENARIO).expect("the scenario is valid");
+        let accounts = [account_text("one", 1000.0), account_text("two", 1000.0)];
+        let texts = [CHAT.to_owned(), RESERVE.to_owned()]
+            .into_iter()
+            .chain(accounts);
+        let files: Vec<SiteFile> = texts
+            .enumerate()
+            .map(|(number, text)| SiteFile {
+                name: format!("file-{number}"),
+                text,
+            })
+            .collect();
+        let options = NodeOptions::default();
+        let start = LocalSite::start(&scenario, &files, nodes, &options, &executor);
+        let site = async_io::block_on(start).expect("the site starts");
+        Self {
+            site,
+            client: HttpClient::new(),
+        }
+    }
+
+    pub fn address(&self, node: usize) -> SocketAddr {
+        self.site.nodes[node].address()
+    }
+
+    pub async fn post(
+        &self,
+        node: usize,
+        template: &str,
+        text: &str,
+        extras: Extras<'_>,
+    ) -> Answer {
+        let path = format!("/v1/pipelines/{template}");
+        self.post_as(node, &path, "key-one", text, extras)
+            .await
+            .expect("the node answers")
+    }
+
+    /// Posts; `None` if the node closed without an answer.
+    pub async fn post_as(
+        &self,
+        node: usize,
+        path: &str,
+        key: &str,
+        text: &str,
+        extras: Extras<'_>,
+    ) -> Option<Answer> {
+        let to = self.address(node);
+        let mut request = HttpClient::request(Method::Post, to, path).ok()?;
+        request.insert_header("authorization", format!("Bearer {key}"));
+        if let Some(id) = extras.id {
+            request.insert_header("turnford-request-id", id);
+        }
+        if let Some(deadline) = extras.deadline_ms {
+            request.insert_header("turnford-deadline-ms", deadline.to_string());
+        }
+        request.set_body(text);
+        let answer = self.client.send(to, request, PATIENCE).await.ok()?;
+        let body = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+        Some(Answer {
+            status: answer.status,
+            body,
+        })
+    }
+
+    /// Posts for a stream and returns its events, the last one included.
+    pub async fn stream(&self, node: usize, template: &str, text: &str) -> Vec<Value> {
+        let to = self.address(node);
+        let path = format!("/v1/pipelines/{template}");
+        let request = HttpClient::request(Method::Post, to, &path);
+        let mut request = request.expect("the address makes a URL");
+        request.insert_header("authorization", "Bearer key-one");
+        request.insert_header("accept", "text/event-stream");
+        request.set_body(text);
+        let open = self.client.open(to, request, PATIENCE).await;
+        let mut stream = open.expect("the node answers");
+        let mut events = Vec::new();
+        while let Ok(Some(line)) = stream.next_line().await {
+            if let Some(data) = line.strip_prefix("data: ") {
+                events.push(serde_json::from_str(data).expect("an event is JSON"));
+            }
+        }
+        events
+    }
+
+    /// Reads a node's status.
+    pub async fn status(&self, node: usize) -> Value {
+        let to = self.address(node);
+        let request = HttpClient::request(Method::Get, to, "/status");
+        let answer = self
+            .client
+            .send(to, request.expect("a URL"), PATIENCE)
+            .await;
+        serde_json::from_slice(&answer.expect("the node answers").body).expect("JSON")
+    }
+
+    pub fn fault(&self, kind: FaultKind, at: &str, span: Duration, factor: f64) {
+        self.site.standins.faults.add_now(kind, at, span, factor);
+    }
+
+    /// Returns the journal's entries of one service for one mark.
+    pub fn runs(&self, service: &str, mark: &str) -> Vec<JournalEntry> {
+        let mut entries = self.site.standins.journal.entries();
+        entries.retain(|entry| entry.service == service && entry.mark == mark);
+        entries
+    }
+
+    pub fn stop(self) {
+        for node in self.site.nodes {
+            node.stop();
+        }
+    }
+}
+
+/// Waits until a condition holds; how long it takes does not matter.
+pub async fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "never happened: {what}");
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
