Let admission recover from times learned in a bad moment

Change: Admission adds means and the spread of independent times in place of quantiles. Where learned times alone refuse, a request every 250 ms passes and measures anew. Half-life 10 s (was 20 s).

--- a/packages/turnford-node/src/admit.rs
+++ b/packages/turnford-node/src/admit.rs
@@ -249,7 +249,8 @@
         open.push(Some((pool, expected)));
     }
     let now = state.clock.now();
-    let budget = match plan_admission(now, deadline, &demands) {
+    let plan = plan_admission(now, deadline, &demands, &mut state.probes());
+    let budget = match plan {
         AdmissionPlan::Admit(budget) => budget,
         AdmissionPlan::Refuse { .. } if !state.admits => {
             let reserves = demands.iter().map(|demand| demand.reserve).collect();
--- a/packages/turnford-node/src/state.rs
+++ b/packages/turnford-node/src/state.rs
@@ -20,6 +20,7 @@
 use turnford_policy::Clock;
 use turnford_policy::LimitRefusal;
 use turnford_policy::PoolSettings;
+use turnford_policy::ProbeGate;
 use turnford_policy::ServiceId;
 use turnford_policy::TargetId;
 use turnford_target::TargetClient;
@@ -58,6 +59,7 @@
     pub(crate) control: ControlOutbox,
     pub(crate) results: ResultCache,
     limits: Mutex<HashMap<AccountId, AccountLimit>>,
+    probes: Mutex<ProbeGate>,
 }
 
 /// A request's place within its account's limits; given back when dropped.
@@ -112,6 +114,7 @@
             control,
             results: ResultCache::default(),
             limits: Mutex::new(HashMap::new()),
+            probes: Mutex::new(ProbeGate::default()),
         }
     }
 
@@ -142,6 +145,11 @@
         RunningGuard(self.clone())
     }
 
+    /// Returns the gate for requests that measure anew.
+    pub(crate) fn probes(&self) -> MutexGuard<'_, ProbeGate> {
+        self.probes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the limits of all accounts on this node.
     pub(crate) fn limits(&self) -> MutexGuard<'_, HashMap<AccountId, AccountLimit>> {
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
--- a/packages/turnford-policy/examples/sweep.rs
+++ b/packages/turnford-policy/examples/sweep.rs
@@ -22,6 +22,7 @@
 use turnford_policy::Moment;
 use turnford_policy::PoolOffer;
 use turnford_policy::PoolSettings;
+use turnford_policy::ProbeGate;
 use turnford_policy::RoutingPolicy;
 use turnford_policy::ServicePool;
 use turnford_policy::StageOutcome;
@@ -58,6 +59,7 @@
     HallGone,
     ThirdFails,
     Burst,
+    PoolSlow,
 }
 
 #[derive(Clone, Copy)]
@@ -131,6 +133,7 @@
     sequence: u64,
     targets: Vec<Vec<Target>>,
     pools: Vec<Vec<ServicePool>>,
+    probes: [ProbeGate; NODES],
     held: BTreeMap<(usize, usize, u64), usize>,
     requests: Vec<Request>,
     rate: f64,
@@ -153,6 +156,7 @@
             sequence: 0,
             targets,
             pools,
+            probes: [ProbeGate::default(); NODES],
             held: BTreeMap::new(),
             requests: Vec::new(),
             rate,
@@ -219,7 +223,7 @@
                 pools[service].demand(now, class, stage_length(service, length), QUANTILE)
             })
             .collect();
-        let budget = match plan_admission(now, deadline, &demands) {
+        let budget = match plan_admission(now, deadline, &demands, &mut self.probes[node]) {
             AdmissionPlan::Admit(budget) => budget,
             AdmissionPlan::Refuse { .. } if !self.variant.admits => DeadlineBudget::new(
                 deadline,
@@ -356,7 +360,7 @@
 
     fn start(&mut self, number: usize, service: usize, at: usize) {
         let noise: f64 = self.rng.random_range(0.8..1.2);
-        let slow = if self.is_slow(service, at) { 10.0 } else { 1.0 };
+        let slow = self.slowness(service, at);
         let length = self.requests[number].length;
         let (_, _, _, base, per_kilo, per_token) = SERVICES[service];
         let target = &mut self.targets[service][at];
@@ -531,8 +535,17 @@
         self.now >= FAULT_AT
     }
 
-    fn is_slow(&self, service: usize, at: usize) -> bool {
-        self.setup.trouble == Trouble::Slow && self.in_trouble() && service == 3 && at == 2
+    /// Returns the factor on the time of a call that starts now.
+    fn slowness(&self, service: usize, at: usize) -> f64 {
+        let pool_slow = self.setup.trouble == Trouble::PoolSlow
+            && self.in_trouble()
+            && self.now < FAULT_AT + Duration::from_secs(10);
+        let one_slow = self.setup.trouble == Trouble::Slow && self.in_trouble() && at == 2;
+        match (service, pool_slow, one_slow) {
+            (3, true, _) => 3.0,
+            (3, _, true) => 10.0,
+            _ => 1.0,
+        }
     }
 
     fn fails_fast(&self, service: usize, at: usize) -> bool {
@@ -664,6 +677,11 @@
             0.6,
             Trouble::ThirdFails,
         ),
+        setup(
+            "a whole pool x3 slow for 10 s, 0.6x",
+            0.6,
+            Trouble::PoolSlow,
+        ),
         stale,
     ];
     let base = |name, policy| Variant {
--- a/packages/turnford-policy/src/estimate.rs
+++ b/packages/turnford-policy/src/estimate.rs
@@ -8,7 +8,7 @@
 use crate::Moment;
 
 /// Half-life of what was learned. A burst must show within seconds, a lull must not erase all.
-const HALF_LIFE: Duration = Duration::from_secs(20);
+const HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// Stage time assumed before anything was measured.
 const UNKNOWN_TIME: Duration = Duration::from_millis(50);
--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub use admission::plan_admission;
 pub use admission::AdmissionPlan;
+pub use admission::ProbeGate;
 pub use admission::StageDemand;
 pub use attempt::AttemptId;
 pub use attempt::AttemptSource;
--- a/packages/turnford-policy/src/pool.rs
+++ b/packages/turnford-policy/src/pool.rs
@@ -294,6 +294,7 @@
     pub fn demand(&self, now: Moment, class: ClassRank, length: u32, quantile: f64) -> StageDemand {
         StageDemand {
             wait: self.expected_wait(now, class),
+            expected: self.estimates.mean_of_length(now, length),
             reserve: self.estimates.quantile(now, length, quantile),
         }
     }
--- a/packages/turnford-policy/tests/chain_budget.rs
+++ b/packages/turnford-policy/tests/chain_budget.rs
@@ -11,6 +11,7 @@
 use turnford_policy::DeadlineBudget;
 use turnford_policy::LimitRefusal;
 use turnford_policy::Moment;
+use turnford_policy::ProbeGate;
 use turnford_policy::RetryBudget;
 use turnford_policy::StageDemand;
 use turnford_policy::StageEstimates;
@@ -22,6 +23,7 @@
 fn demand(wait: u64, reserve: u64) -> StageDemand {
     StageDemand {
         wait: millis(wait),
+        expected: millis(reserve),
         reserve: millis(reserve),
     }
 }
@@ -30,12 +32,22 @@
 fn late_stage() {
     // A long queue at the third stage is seen before the first stage starts.
     let stages = [demand(0, 100), demand(0, 100), demand(3_900, 200)];
-    let plan = plan_admission(Moment::ZERO, millis(4_000), &stages);
+    let plan = plan_admission(
+        Moment::ZERO,
+        millis(4_000),
+        &stages,
+        &mut ProbeGate::default(),
+    );
     assert!(matches!(plan, AdmissionPlan::Refuse { retry_after } if retry_after == millis(100)));
     // The queue drains while the first stages run, so their time is not added to the wait.
     let stages = [demand(0, 100), demand(0, 100), demand(3_700, 200)];
     assert!(matches!(
-        plan_admission(Moment::ZERO, millis(4_000), &stages),
+        plan_admission(
+            Moment::ZERO,
+            millis(4_000),
+            &stages,
+            &mut ProbeGate::default()
+        ),
         AdmissionPlan::Admit(_)
     ));
 }
@@ -133,3 +145,43 @@
         );
     }
 }
+
+#[test]
+fn learned_too_long() {
+    // Times learned in a bad moment refuse all but a few, and those measure anew.
+    let stages = [demand(0, 5_000)];
+    let mut probes = ProbeGate::default();
+    let admitted = (0..100).filter(|number| {
+        let now = millis(number * 10);
+        let plan = plan_admission(now, now + millis(4_000), &stages, &mut probes);
+        matches!(plan, AdmissionPlan::Admit(_))
+    });
+    assert_eq!(admitted.count(), 4);
+    // A wait is no reason to measure.
+    let stages = [demand(5_000, 10)];
+    let plan = plan_admission(
+        Moment::ZERO,
+        millis(4_000),
+        &stages,
+        &mut ProbeGate::default(),
+    );
+    assert!(matches!(plan, AdmissionPlan::Refuse { .. }));
+}
+
+#[test]
+fn unlikely_sum() {
+    // Three stages of 1 s that seldom take 1.5 s: all at their worst would not fit, but together
+    // they hardly ever are.
+    let stage = StageDemand {
+        wait: Duration::ZERO,
+        expected: millis(1_000),
+        reserve: millis(1_500),
+    };
+    let plan = plan_admission(
+        Moment::ZERO,
+        millis(4_000),
+        &[stage; 3],
+        &mut ProbeGate::default(),
+    );
+    assert!(matches!(plan, AdmissionPlan::Admit(_)));
+}
