Probe only with usual deadlines; measure what a node adds

Change: A request is a probe only if its caller asked for no shorter deadline than the account's. Adds the overhead example.

--- a/packages/turnford-node/src/admit.rs
+++ b/packages/turnford-node/src/admit.rs
@@ -110,7 +110,8 @@
     })?;
     let request_id = read_request_id(call)?;
     let own = parameters.deadline.unwrap_or(template.deadline);
-    let deadline = started + read_deadline(call)?.map_or(own, |asked| asked.min(own));
+    let asked = read_deadline(call)?.map_or(own, |asked| asked.min(own));
+    let deadline = started + asked;
     let input = read_input(&account, &call.body)?;
     let place = enter_account(state, &account)?;
     let running = state.enter();
@@ -119,6 +120,7 @@
         template: &template,
         input: &input,
         max_tokens: parameters.max_tokens,
+        usual_deadline: asked == own,
     };
     let (budget, promises) = admit_chain(state, &chain, deadline)?;
     Ok(AdmittedRequest {
@@ -223,6 +225,8 @@
     template: &'a PipelineTemplate,
     input: &'a str,
     max_tokens: u32,
+    /// Whether the caller asked for no shorter deadline than the account's.
+    usual_deadline: bool,
 }
 
 /// Admits the whole chain and promises its later stages to their pools.
@@ -249,7 +253,10 @@
         open.push(Some((pool, expected)));
     }
     let now = state.clock.now();
-    let plan = plan_admission(now, deadline, &demands, &mut state.probes());
+    let mut probes = state.probes();
+    let gate = chain.usual_deadline.then_some(&mut *probes);
+    let plan = plan_admission(now, deadline, &demands, gate);
+    drop(probes);
     let budget = match plan {
         AdmissionPlan::Admit(budget) => budget,
         AdmissionPlan::Refuse { .. } if !state.admits => {
--- a/packages/turnford-policy/examples/sweep.rs
+++ b/packages/turnford-policy/examples/sweep.rs
@@ -223,7 +223,7 @@
                 pools[service].demand(now, class, stage_length(service, length), QUANTILE)
             })
             .collect();
-        let budget = match plan_admission(now, deadline, &demands, &mut self.probes[node]) {
+        let budget = match plan_admission(now, deadline, &demands, Some(&mut self.probes[node])) {
             AdmissionPlan::Admit(budget) => budget,
             AdmissionPlan::Refuse { .. } if !self.variant.admits => DeadlineBudget::new(
                 deadline,
--- a/packages/turnford-policy/src/admission.rs
+++ b/packages/turnford-policy/src/admission.rs
@@ -59,11 +59,14 @@
 /// Waits of later stages drain while earlier stages run, so a later wait counts only as far as it
 /// is longer than what goes before it. The stages' own times seldom all reach their quantiles at
 /// once; their distances from the means add up as those of independent times do.
+///
+/// `probes` is given for a request whose deadline is the usual one: a caller's own short deadline
+/// is no sign that the learned times are wrong.
 pub fn plan_admission(
     now: Moment,
     deadline: Moment,
     stages: &[StageDemand],
-    probes: &mut ProbeGate,
+    probes: Option<&mut ProbeGate>,
 ) -> AdmissionPlan {
     let mut finish = Duration::ZERO;
     let mut squares = 0.0;
@@ -79,7 +82,7 @@
     let fits = finish + spread <= left;
     // Only times that were learned can be wrong for good; a wait is counted, and passes.
     let learned = own + spread > left;
-    if fits || (learned && probes.pass(now)) {
+    if fits || (learned && probes.is_some_and(|gate| gate.pass(now))) {
         let reserves = stages.iter().map(|stage| stage.reserve).collect();
         return AdmissionPlan::Admit(DeadlineBudget::new(deadline, reserves));
     }
--- a/packages/turnford-policy/tests/chain_budget.rs
+++ b/packages/turnford-policy/tests/chain_budget.rs
@@ -32,22 +32,12 @@
 fn late_stage() {
     // A long queue at the third stage is seen before the first stage starts.
     let stages = [demand(0, 100), demand(0, 100), demand(3_900, 200)];
-    let plan = plan_admission(
-        Moment::ZERO,
-        millis(4_000),
-        &stages,
-        &mut ProbeGate::default(),
-    );
+    let plan = plan_admission(Moment::ZERO, millis(4_000), &stages, None);
     assert!(matches!(plan, AdmissionPlan::Refuse { retry_after } if retry_after == millis(100)));
     // The queue drains while the first stages run, so their time is not added to the wait.
     let stages = [demand(0, 100), demand(0, 100), demand(3_700, 200)];
     assert!(matches!(
-        plan_admission(
-            Moment::ZERO,
-            millis(4_000),
-            &stages,
-            &mut ProbeGate::default()
-        ),
+        plan_admission(Moment::ZERO, millis(4_000), &stages, None),
         AdmissionPlan::Admit(_)
     ));
 }
@@ -153,18 +143,13 @@
     let mut probes = ProbeGate::default();
     let admitted = (0..100).filter(|number| {
         let now = millis(number * 10);
-        let plan = plan_admission(now, now + millis(4_000), &stages, &mut probes);
+        let plan = plan_admission(now, now + millis(4_000), &stages, Some(&mut probes));
         matches!(plan, AdmissionPlan::Admit(_))
     });
     assert_eq!(admitted.count(), 4);
     // A wait is no reason to measure.
     let stages = [demand(5_000, 10)];
-    let plan = plan_admission(
-        Moment::ZERO,
-        millis(4_000),
-        &stages,
-        &mut ProbeGate::default(),
-    );
+    let plan = plan_admission(Moment::ZERO, millis(4_000), &stages, None);
     assert!(matches!(plan, AdmissionPlan::Refuse { .. }));
 }
 
@@ -177,11 +162,6 @@
         expected: millis(1_000),
         reserve: millis(1_500),
     };
-    let plan = plan_admission(
-        Moment::ZERO,
-        millis(4_000),
-        &[stage; 3],
-        &mut ProbeGate::default(),
-    );
+    let plan = plan_admission(Moment::ZERO, millis(4_000), &[stage; 3], None);
     assert!(matches!(plan, AdmissionPlan::Admit(_)));
 }
--- /dev/null
+++ b/packages/turnford/examples/overhead.rs
@@ -0,0 +1,174 @@
+//! Measures what a node adds to each stage, and what one node carries.
+//!
+//! `cargo run --release -p turnford --example overhead` calls a stand-in directly and through a node
+//! side by side in one run: the stand-in's own time is 2 ms, and the pairs alternate.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http_types::Method;
+use serde_json::json;
+use turnford::LocalSite;
+use turnford::SiteFile;
+use turnford_http::HttpClient;
+use turnford_node::NodeOptions;
+use turnford_standin::start_threads;
+use turnford_standin::Scenario;
+
+const STAGES: usize = 4;
+const PAIRS: usize = 2_000;
+const LIMIT: Duration = Duration::from_secs(10);
+const CALLERS: usize = 64;
+const SPAN: Duration = Duration::from_secs(5);
+
+fn scenario(base_ms: f64) -> Scenario {
+    let services = ["a", "b", "c", "d"].map(|name| {
+        format!(
+            "[[services]]\nname = \"{name}\"\ncount = 4\nslots = 64\nbase_ms = {base_ms}\n\
+             hardware = [{{ name = \"plain\", slowness = 1.0, cost = 1.0 }}]\n"
+        )
+    });
+    let text = format!(
+        "name = \"bench\"\nseed = 1\nregion = \"r\"\nhalls = [\"h\"]\nhall_delay_ms = 0.0\n\
+         report_lag_ms = 100\nlist_lag_ms = 100\nfull_rate = 1.0\ntraffic = []\n{}",
+        services.concat()
+    );
+    Scenario::parse(&text).expect("the scenario is valid")
+}
+
+fn files() -> Vec<SiteFile> {
+    let stages = ["a", "b", "c", "d"].map(|name| {
+        format!("[[stages]]\nname = \"{name}\"\nservice = \"{name}\"\nkind = \"encode\"\n")
+    });
+    let template = format!("name = \"four\"\ndeadline_ms = 10000\n{}", stages.concat());
+    let hash = turnford_config::hash_key("key");
+    let account = format!(
+        "name = \"one\"\nkey_sha256 = \"{hash}\"\nclass = 0\nrate = 1000000\n\
+         concurrency = 100000\n[templates.four]\n"
+    );
+    [template, account]
+        .into_iter()
+        .map(|text| SiteFile {
+            name: "bench".to_owned(),
+            text,
+        })
+        .collect()
+}
+
+async fn through_node(client: &HttpClient, node: SocketAddr) -> Duration {
+    let request = HttpClient::request(Method::Post, node, "/v1/pipelines/four");
+    let mut request = request.expect("the address makes a URL");
+    request.insert_header("authorization", "Bearer key");
+    request.set_body("mark:bench hello");
+    let begun = Instant::now();
+    let answer = client
+        .send(node, request, LIMIT)
+        .await
+        .expect("the node answers");
+    assert_eq!(
+        answer.status,
+        200,
+        "{}",
+        String::from_utf8_lossy(&answer.body)
+    );
+    begun.elapsed()
+}
+
+async fn direct(client: &HttpClient, targets: &[SocketAddr]) -> Duration {
+    let begun = Instant::now();
+    for target in targets {
+        let request = HttpClient::request(Method::Post, *target, "/run");
+        let mut request = request.expect("the address makes a URL");
+        let body = json!({ "attempt": "1-1-0-0", "input": "mark:bench hello", "max_tokens": 0,
+            "resume_from": 0, "stream": false });
+        request.set_body(body.to_string());
+        let answer = client
+            .send(*target, request, LIMIT)
+            .await
+            .expect("the target answers");
+        assert_eq!(answer.status, 200);
+    }
+    begun.elapsed()
+}
+
+fn quantile(sorted: &[f64], part: f64) -> f64 {
+    sorted[((sorted.len() - 1) as f64 * part) as usize]
+}
+
+/// Alternates direct chains and requests through the node; prints the difference a stage.
+async fn measure_added(site: &LocalSite, load: &str) {
+    let client = HttpClient::new();
+    let node = site.addresses()[0];
+    let first_of = |name: &str| {
+        let entry = site
+            .standins
+            .entries
+            .iter()
+            .find(|entry| entry.service == name);
+        entry.expect("each service has targets").address
+    };
+    let targets: Vec<SocketAddr> = ["a", "b", "c", "d"]
+        .iter()
+        .map(|name| first_of(name))
+        .collect();
+    let (mut straight, mut through) = (Vec::new(), Vec::new());
+    for _ in 0..PAIRS {
+        straight.push(direct(&client, &targets).await.as_secs_f64() * 1000.0 / STAGES as f64);
+        through.push(through_node(&client, node).await.as_secs_f64() * 1000.0 / STAGES as f64);
+    }
+    straight.sort_by(f64::total_cmp);
+    through.sort_by(f64::total_cmp);
+    for part in [0.5, 0.99] {
+        let (left, right) = (quantile(&straight, part), quantile(&through, part));
+        println!(
+            "{load}: a stage at {part}: direct {left:.3} ms, through the node {right:.3} ms, \
+             added {:.3} ms",
+            right - left
+        );
+    }
+}
+
+/// Loads the node with callers that each wait for their answer; returns requests a second.
+async fn measure_rate(site: &LocalSite, callers: usize, span: Duration) -> f64 {
+    let executor = start_threads("callers", 2);
+    let client = Arc::new(HttpClient::new());
+    let count = Arc::new(AtomicU64::new(0));
+    let node = site.addresses()[0];
+    let begun = Instant::now();
+    let tasks: Vec<_> = (0..callers)
+        .map(|_| {
+            let (client, count) = (client.clone(), count.clone());
+            executor.spawn(async move {
+                while begun.elapsed() < span {
+                    through_node(&client, node).await;
+                    count.fetch_add(1, Ordering::Relaxed);
+                }
+            })
+        })
+        .collect();
+    for task in tasks {
+        task.await;
+    }
+    count.load(Ordering::Relaxed) as f64 / begun.elapsed().as_secs_f64()
+}
+
+fn main() {
+    let executor = start_threads("standin", 3);
+    let options = NodeOptions::default();
+    async_io::block_on(async {
+        let site = LocalSite::start(&scenario(2.0), &files(), 1, &options, &executor).await;
+        let site = site.expect("the site starts");
+        through_node(&HttpClient::new(), site.addresses()[0]).await;
+        measure_added(&site, "alone").await;
+        let fast = LocalSite::start(&scenario(0.0), &files(), 1, &options, &executor).await;
+        let fast = fast.expect("the site starts");
+        let rate = measure_rate(&fast, CALLERS, SPAN).await;
+        println!(
+            "one node, two traffic threads, {CALLERS} callers: {rate:.0} requests/s of 4 stages"
+        );
+    });
+}
