Know slow work before the first answers, and keep digests small

A digest of 33 busy targets had 864 bytes, so seven peers cost more than the 4 KB/s for control. Change: While nothing was measured, the age of the oldest running call is the expected time, and peers tell their means for nodes that just started. Digests name targets by 16-bit marks, every 400 ms.

--- a/packages/turnford-fleet/src/digest.rs
+++ b/packages/turnford-fleet/src/digest.rs
@@ -1,14 +1,28 @@
 //! What the nodes that share a pool tell each other of their work there.
 
 use std::collections::BTreeMap;
+use std::hash::Hasher;
 use std::time::Duration;
 
+use siphasher::sip::SipHasher13;
+
 use crate::Moment;
 use crate::NodeName;
 
 /// Age after which a peer's digest is dropped.
 const DIGEST_LIFE: Duration = Duration::from_secs(2);
 
+/// Short stand-in for a target's name. Two targets of one service that share a mark are each taken
+/// to have the work of both, which can cost a little time and nothing else.
+pub type TargetMark = u16;
+
+/// Returns the mark of a target's name.
+pub fn mark_target(name: &str) -> TargetMark {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    hasher.finish() as TargetMark
+}
+
 /// Work of one node at one service.
 #[derive(Clone, Debug, Default, PartialEq, bincode::Encode, bincode::Decode)]
 pub struct ServiceLoad {
@@ -16,8 +30,10 @@
     pub service: String,
     /// Expected milliseconds of held and promised work.
     pub backlog_ms: u32,
+    /// Mean milliseconds of a call as the sender measured it; 0 before it has.
+    pub mean_ms: u32,
     /// Calls in flight by target; targets without any are left out.
-    pub inflight: Vec<(String, u16)>,
+    pub inflight: Vec<(TargetMark, u16)>,
 }
 
 /// Work of one node.
@@ -64,8 +80,18 @@
         self.peers.is_empty()
     }
 
+    /// Returns the mean time of a call at one service over the peers that measured it.
+    pub fn service_mean(&self, service: &str) -> Option<Duration> {
+        let loads = self.peers.values().flat_map(|(_, digest)| &digest.services);
+        let known = loads.filter(|load| load.service == service && load.mean_ms > 0);
+        let (sum, count) = known.fold((0_u64, 0_u64), |(sum, count), load| {
+            (sum + u64::from(load.mean_ms), count + 1)
+        });
+        (count > 0).then(|| Duration::from_millis(sum / count))
+    }
+
     /// Returns the peers' work at one service: seconds of backlog, and calls by target.
-    pub fn service_load(&self, service: &str) -> (f64, BTreeMap<&str, u32>) {
+    pub fn service_load(&self, service: &str) -> (f64, BTreeMap<TargetMark, u32>) {
         let mut backlog_ms = 0.0;
         let mut inflight = BTreeMap::new();
         for (_, digest) in self.peers.values() {
@@ -76,7 +102,7 @@
             for load in own {
                 backlog_ms += f64::from(load.backlog_ms);
                 for (target, count) in &load.inflight {
-                    *inflight.entry(target.as_str()).or_default() += u32::from(*count);
+                    *inflight.entry(*target).or_default() += u32::from(*count);
                 }
             }
         }
--- a/packages/turnford-node/examples/capacity.rs
+++ b/packages/turnford-node/examples/capacity.rs
@@ -15,6 +15,7 @@
 
 use turnford_config::ConfigObject;
 use turnford_config::ObjectKind;
+use turnford_fleet::mark_target;
 use turnford_fleet::ClaimAction;
 use turnford_fleet::ClaimAsk;
 use turnford_fleet::ClaimKey;
@@ -297,11 +298,12 @@
 
 fn digest(targets: usize) -> LoadDigest {
     let inflight = (0..targets)
-        .map(|number| (facts(number).id.to_string(), 3))
+        .map(|number| (mark_target(&facts(number).id), 3))
         .collect();
     let load = ServiceLoad {
         service: "sprog".to_owned(),
         backlog_ms: 1200,
+        mean_ms: 700,
         inflight,
     };
     LoadDigest {
--- a/packages/turnford-node/src/control/digests.rs
+++ b/packages/turnford-node/src/control/digests.rs
@@ -4,15 +4,17 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use turnford_fleet::mark_target;
 use turnford_fleet::LoadDigest;
 use turnford_fleet::ServiceLoad;
+use turnford_policy::Moment;
 use turnford_policy::ServicePool;
 use turnford_wire::PeerRequest;
 
 use super::context::ControlContext;
 
 /// Pause between digests.
-const DIGEST_PAUSE: Duration = Duration::from_millis(300);
+const DIGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// Longest wait for a peer to take a digest.
 const DIGEST_LIMIT: Duration = Duration::from_millis(300);
@@ -48,8 +50,8 @@
     let pools = context.state.pools.load();
     let mut services = Vec::new();
     for (service, pool) in pools.iter() {
-        let load = pool.with(|_, pool| service_load(service, pool));
-        if load.backlog_ms > 0 || !load.inflight.is_empty() {
+        let load = pool.with(|now, pool| service_load(now, service, pool));
+        if load.backlog_ms > 0 || load.mean_ms > 0 || !load.inflight.is_empty() {
             services.push(load);
         }
     }
@@ -60,15 +62,17 @@
     }
 }
 
-fn service_load(service: &str, pool: &ServicePool) -> ServiceLoad {
+fn service_load(now: Moment, service: &str, pool: &ServicePool) -> ServiceLoad {
     let busy = pool.views().iter().filter(|view| view.own() > 0);
     let inflight = busy.map(|view| {
         let count = u16::try_from(view.own()).unwrap_or(u16::MAX);
-        (view.facts.id.to_string(), count)
+        (mark_target(&view.facts.id), count)
     });
+    let summary = pool.summary(now);
     ServiceLoad {
         service: service.to_owned(),
-        backlog_ms: (pool.summary().backlog * 1000.0) as u32,
+        backlog_ms: (summary.backlog * 1000.0) as u32,
+        mean_ms: summary.mean.map_or(0, |mean| mean.as_millis() as u32),
         inflight: inflight.collect(),
     }
 }
@@ -82,9 +86,13 @@
     let complete = others > 0 && digests.len() >= others;
     let node_share = 1.0 / (others as f64 + 1.0);
     for (service, pool) in context.state.pools.load().iter() {
+        let mean = digests.service_mean(service);
         let (backlog, inflight) = digests.service_load(service);
         pool.with(|now, pool| {
             pool.apply_peers(backlog, node_share);
+            if let Some(mean) = mean {
+                pool.apply_peer_mean(mean);
+            }
             if !complete {
                 return;
             }
@@ -94,7 +102,7 @@
                 .map(|view| view.facts.id.clone())
                 .collect();
             for target in targets {
-                let count = inflight.get(&*target).copied().unwrap_or(0);
+                let count = inflight.get(&mark_target(&target)).copied().unwrap_or(0);
                 pool.apply_peer_load(now, &target, count);
             }
         });
--- a/packages/turnford-node/src/status.rs
+++ b/packages/turnford-node/src/status.rs
@@ -46,7 +46,7 @@
 }
 
 fn pool_status(now: Moment, pool: &mut ServicePool) -> Value {
-    let summary = pool.summary();
+    let summary = pool.summary(now);
     let targets: Vec<Value> = pool
         .views()
         .iter()
--- a/packages/turnford-policy/examples/sweep.rs
+++ b/packages/turnford-policy/examples/sweep.rs
@@ -500,7 +500,7 @@
             let backlog: Vec<f64> = self
                 .pools
                 .iter()
-                .map(|pools| pools[service].summary().backlog)
+                .map(|pools| pools[service].summary(self.now).backlog)
                 .collect();
             let total: f64 = backlog.iter().sum();
             let own: Vec<Vec<u32>> = self
--- a/packages/turnford-policy/src/estimate.rs
+++ b/packages/turnford-policy/src/estimate.rs
@@ -34,6 +34,8 @@
     by_hardware: HashMap<Arc<str>, HashMap<u8, AgedHistogram>>,
     by_length: HashMap<u8, AgedHistogram>,
     all: AgedHistogram,
+    /// Mean that peers have learned, for a node that has learned nothing yet.
+    prior: Option<Duration>,
 }
 
 impl StageEstimates {
@@ -43,9 +45,20 @@
             by_hardware: HashMap::new(),
             by_length: HashMap::new(),
             all: AgedHistogram::new(HALF_LIFE),
+            prior: None,
         }
     }
 
+    /// Sets the mean that peers have learned.
+    pub fn set_prior(&mut self, mean: Duration) {
+        self.prior = Some(mean);
+    }
+
+    /// Tells whether nothing was measured here lately.
+    pub fn is_cold(&self, now: Moment) -> bool {
+        self.all.weight(now) < TRUSTED_WEIGHT
+    }
+
     /// Learns one whole stage time on a hardware class.
     pub fn record(&mut self, now: Moment, hardware: &Arc<str>, length: u32, time: Duration) {
         let bucket = length_bucket(length);
@@ -71,14 +84,14 @@
     /// Returns the mean time over all hardware for an input length.
     pub fn mean_of_length(&self, now: Moment, length: u32) -> Duration {
         let found = self.any_hardware(now, length).and_then(AgedHistogram::mean);
-        found.unwrap_or(UNKNOWN_TIME)
+        found.or(self.prior).unwrap_or(UNKNOWN_TIME)
     }
 
     /// Returns a quantile of the time over all hardware for an input length.
     pub fn quantile(&self, now: Moment, length: u32, quantile: f64) -> Duration {
         let found = self.any_hardware(now, length);
         let time = found.and_then(|histogram| histogram.quantile(quantile));
-        time.unwrap_or(UNKNOWN_TIME)
+        time.or(self.prior).unwrap_or(UNKNOWN_TIME)
     }
 
     /// Returns how long a call may take before it looks lost; `None` before enough was learned.
--- a/packages/turnford-policy/src/pool.rs
+++ b/packages/turnford-policy/src/pool.rs
@@ -1,5 +1,6 @@
 //! One service's pool on one node: views, held work, estimates, health and retries together.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -107,6 +108,8 @@
     pub prefix: Option<PrefixHash>,
     /// Time that was expected.
     pub expected: Duration,
+    /// Number of the placement in its pool.
+    pub number: u64,
 }
 
 /// Answer to an offer of work.
@@ -168,6 +171,8 @@
     pub held: usize,
     /// Expected seconds of held and promised work of this node.
     pub backlog: f64,
+    /// Mean time of a call as measured here; `None` before enough was measured.
+    pub mean: Option<Duration>,
 }
 
 /// The pool of one service.
@@ -186,6 +191,9 @@
     /// Targets that may be out; without any, no look at all of them is needed.
     ejections: usize,
     prefixes: PrefixIndex,
+    /// Begin of each call that runs, in order.
+    running: BTreeMap<u64, Moment>,
+    next_number: u64,
     rng: SmallRng,
 }
 
@@ -207,6 +215,8 @@
             turn: 0,
             ejections: 0,
             prefixes: PrefixIndex::default(),
+            running: BTreeMap::new(),
+            next_number: 0,
             rng,
         }
     }
@@ -252,6 +262,11 @@
         }
     }
 
+    /// Takes the mean time that peers have measured, used until this node has measured itself.
+    pub fn apply_peer_mean(&mut self, mean: Duration) {
+        self.estimates.set_prior(mean);
+    }
+
     /// Takes the expected seconds of work that peers hold for this service, and this node's part.
     pub fn apply_peers(&mut self, backlog: f64, node_share: f64) {
         self.peer_backlog = backlog.max(0.0);
@@ -294,14 +309,23 @@
     pub fn demand(&self, now: Moment, class: ClassRank, length: u32, quantile: f64) -> StageDemand {
         StageDemand {
             wait: self.expected_wait(now, class),
-            expected: self.estimates.mean_of_length(now, length),
+            expected: self.expected(now, length),
             reserve: self.estimates.quantile(now, length, quantile),
         }
     }
 
     /// Returns the expected time of work on the mean target.
+    ///
+    /// Before anything was measured, the age of the oldest call that still runs is a lower bound, so
+    /// that a cold pool does not take slow work for fast until the first answers come.
     pub fn expected(&self, now: Moment, length: u32) -> Duration {
-        self.estimates.mean_of_length(now, length)
+        let mean = self.estimates.mean_of_length(now, length);
+        if !self.estimates.is_cold(now) {
+            return mean;
+        }
+        let oldest = self.running.first_key_value();
+        let age = oldest.map_or(Duration::ZERO, |(_, begun)| now.saturating_sub(*begun));
+        mean.max(age)
     }
 
     /// Returns how long a call may take before it looks lost; `None` before enough was learned.
@@ -384,6 +408,7 @@
 
     /// Gives a placement back with its outcome.
     pub fn finish(&mut self, now: Moment, placement: &StagePlacement, outcome: StageOutcome) {
+        self.running.remove(&placement.number);
         let Some(at) = self.index.get(&placement.target).copied() else {
             return;
         };
@@ -412,7 +437,7 @@
     }
 
     /// Returns the numbers of the pool.
-    pub fn summary(&self) -> PoolSummary {
+    pub fn summary(&self, now: Moment) -> PoolSummary {
         let mut summary = PoolSummary {
             targets: self.views.len(),
             held: self.queue.len(),
@@ -427,6 +452,8 @@
             }
         }
         summary.backlog = self.own_backlog(ClassRank::MAX);
+        let cold = self.estimates.is_cold(now);
+        summary.mean = (!cold).then(|| self.estimates.mean_of_length(now, 0));
         summary
     }
 
@@ -501,12 +528,15 @@
         };
         let view = &mut self.views[chosen?];
         view.note_start(now);
+        self.next_number += 1;
+        self.running.insert(self.next_number, now);
         Some(StagePlacement {
             target: view.facts.id.clone(),
             placed_at: now,
             length: work.length,
             prefix: work.prefix,
             expected: work.expected,
+            number: self.next_number,
         })
     }
 
--- a/packages/turnford-policy/tests/pool_rules.rs
+++ b/packages/turnford-policy/tests/pool_rules.rs
@@ -166,7 +166,7 @@
                 prop_assert!(!left[number], "new work at a target that leaves");
                 running.push(placement);
             }
-            let summary = pool.summary();
+            let summary = pool.summary(now);
             prop_assert_eq!(summary.own as usize, running.len());
             prop_assert_eq!(summary.held, held.len());
             prop_assert!(held.len() <= 6, "the queue grew to {}", held.len());
@@ -321,7 +321,11 @@
     // When every target fails alike, none is better than another and all keep serving.
     let mut pool = pool(10);
     rounds(&mut pool, &[0, 1, 2, 3, 4], 4);
-    assert!(pool.summary().ejected <= 1, "{:?}", pool.summary());
+    assert!(
+        pool.summary(Moment::ZERO).ejected <= 1,
+        "{:?}",
+        pool.summary(Moment::ZERO)
+    );
 }
 
 #[test]
@@ -384,3 +388,21 @@
     let inflight = view.map(|view| view.inflight(Duration::from_millis(300)));
     assert_eq!(inflight, Some(1.0));
 }
+
+#[test]
+fn cold_pool() {
+    // Nothing was measured yet, but a call that has run for 2 s says that calls are not short.
+    let mut pool = pool(10);
+    placed(pool.offer(Moment::ZERO, work(Moment::ZERO, "a", 1)));
+    assert_eq!(
+        pool.expected(Duration::from_secs(2), 100),
+        Duration::from_secs(2)
+    );
+    // What peers measured is taken until this node has measured itself.
+    let mut other = ServicePool::new(PoolSettings::default());
+    other.apply_peer_mean(Duration::from_millis(700));
+    assert_eq!(
+        other.expected(Moment::ZERO, 100),
+        Duration::from_millis(700)
+    );
+}
--- a/packages/turnford-wire/tests/frame_bounds.rs
+++ b/packages/turnford-wire/tests/frame_bounds.rs
@@ -46,21 +46,26 @@
                 event,
             }])
         }),
-        (name, prop::collection::vec((name, any::<u16>()), 0..20)).prop_map(|(node, inflight)| {
-            let services = vec![ServiceLoad {
-                service: "kort".to_owned(),
-                backlog_ms: 7,
-                inflight,
-            }];
-            PeerRequest::Digest {
-                node,
-                digest: LoadDigest {
-                    number: 1,
-                    incarnation: 2,
-                    services,
-                },
-            }
-        }),
+        (
+            name,
+            prop::collection::vec((any::<u16>(), any::<u16>()), 0..20)
+        )
+            .prop_map(|(node, inflight)| {
+                let services = vec![ServiceLoad {
+                    service: "kort".to_owned(),
+                    backlog_ms: 7,
+                    mean_ms: 700,
+                    inflight,
+                }];
+                PeerRequest::Digest {
+                    node,
+                    digest: LoadDigest {
+                        number: 1,
+                        incarnation: 2,
+                        services,
+                    },
+                }
+            }),
     ]
 }
 
