Give fenced orders to targets, and follow caches

Cause: A template whose model was on no target was refused for good, and prefix hints came only from the node's own requests. Change: One giver a service, under a lease: intents are durable before an order is given, the token goes out with it, the lease is asked right before the call, at most a quarter of a pool is changed at a time, and five failures in a row stop the giver. Models are planned from demand; the weight store's waits are kept. Cache events are followed as hints. A missing model is loaded end to end.

--- a/packages/turnford-config/src/settings.rs
+++ b/packages/turnford-config/src/settings.rs
@@ -99,7 +99,7 @@
     let fleet_size = reader.integer_or("fleet_size", 1..=10_000, 8);
     let threads = reader.integer_or("threads", 1..=64, DEFAULT_THREADS);
     let hold_limit = reader.integer_or("hold_limit", 1..=100_000, 512);
-    let platform_calls = reader.number_or("platform_calls_per_second", 0.1..=1000.0, 20.0);
+    let platform_calls = reader.number_or("platform_calls_per_second", 0.1..=1000.0, 50.0);
     let drain = reader.integer_or("drain_ms", 0..=600_000, 10_000);
     let log = reader.table("log", read_log);
     Some(NodeSettings {
--- a/packages/turnford-fleet/src/duty.rs
+++ b/packages/turnford-fleet/src/duty.rs
@@ -17,6 +17,8 @@
     Claims(u16),
     /// Lends the limits of a group of accounts.
     Lend(u16),
+    /// Gives orders to the targets of a service.
+    Orders(String),
     /// Removes the platform's records of nodes that are gone.
     Sweep,
 }
@@ -27,6 +29,7 @@
             Duty::Watch(hall) => write!(f, "watch/{hall}"),
             Duty::Claims(range) => write!(f, "claims/{range}"),
             Duty::Lend(group) => write!(f, "lend/{group}"),
+            Duty::Orders(service) => write!(f, "orders/{service}"),
             Duty::Sweep => f.write_str("sweep"),
         }
     }
--- a/packages/turnford-node/src/control.rs
+++ b/packages/turnford-node/src/control.rs
@@ -1,10 +1,13 @@
 //! The control thread: members, configuration, targets, digests, claims and shares.
 
+mod caches;
 mod claims;
 mod config;
 mod context;
 mod digests;
+mod leases;
 mod members;
+mod orders;
 mod peers;
 mod rumors;
 mod shares;
@@ -56,6 +59,12 @@
     executor
         .spawn(targets::follow_signals(context.clone(), inbox.signals))
         .detach();
+    executor
+        .spawn(caches::follow_caches(context.clone()))
+        .detach();
+    executor
+        .spawn(orders::give_orders(context.clone()))
+        .detach();
     executor
         .spawn(digests::exchange_digests(context.clone()))
         .detach();
--- /dev/null
+++ b/packages/turnford-node/src/control/caches.rs
@@ -0,0 +1,67 @@
+//! Follows the engines' cache events, which come late and with gaps. They are hints.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use turnford_policy::ServiceId;
+use turnford_policy::TargetId;
+
+use super::context::ControlContext;
+
+/// Pause between rounds.
+const ROUND_PAUSE: Duration = Duration::from_secs(1);
+
+/// Asks every engine for its events for as long as the node runs.
+pub(super) async fn follow_caches(context: Rc<ControlContext>) {
+    let mut last: HashMap<TargetId, u64> = HashMap::new();
+    loop {
+        Timer::after(ROUND_PAUSE).await;
+        for (service, pool) in context.state.pools.load_full().iter() {
+            let engines: Vec<TargetId> = pool.with(|_, pool| {
+                let views = pool
+                    .views()
+                    .iter()
+                    .filter(|view| !view.facts.models.is_empty());
+                views.map(|view| view.facts.id.clone()).collect()
+            });
+            for engine in engines {
+                let after = last.get(&engine).copied().unwrap_or(0);
+                let newest = take_events(&context, service, &engine, after).await;
+                last.insert(engine, newest);
+            }
+        }
+    }
+}
+
+/// Takes the events after a number and returns the newest number.
+async fn take_events(
+    context: &ControlContext,
+    service: &ServiceId,
+    engine: &TargetId,
+    after: u64,
+) -> u64 {
+    let Some(address) = context.state.addresses.load().get(engine).copied() else {
+        return after;
+    };
+    let Ok(found) = context.state.targets.cache_events(address, after).await else {
+        return after;
+    };
+    let (Some(first), Some(last)) = (found.events.first(), found.events.last()) else {
+        return after;
+    };
+    let newest = last.number;
+    let gap = first.number > after + 1;
+    if let Some(pool) = context.state.pool(service) {
+        pool.with(|_, pool| {
+            if gap {
+                pool.note_prefix_gap(engine);
+            }
+            for event in &found.events {
+                pool.note_prefix(engine, event.prefix, event.present);
+            }
+        });
+    }
+    newest
+}
--- a/packages/turnford-node/src/control/context.rs
+++ b/packages/turnford-node/src/control/context.rs
@@ -16,6 +16,7 @@
 use turnford_fleet::RumorTable;
 use turnford_platform::ObjectClient;
 use turnford_platform::VmClient;
+use turnford_platform::WeightClient;
 use turnford_wire::PeerClient;
 
 use super::claims::ClaimDesk;
@@ -28,6 +29,7 @@
     pub(super) executor: Rc<LocalExecutor<'static>>,
     pub(super) objects: ObjectClient,
     pub(super) vms: VmClient,
+    pub(super) weights: WeightClient,
     pub(super) peers: PeerClient,
     pub(super) members: RefCell<MemberTable>,
     pub(super) view: RefCell<ConfigView>,
@@ -56,6 +58,7 @@
         Self {
             objects: ObjectClient::new(settings.objects, state.budget.clone()),
             vms: VmClient::new(settings.vms, state.budget.clone()),
+            weights: WeightClient::new(settings.vms, state.budget.clone()),
             peers: PeerClient::new(executor.clone()),
             members: RefCell::new(MemberTable::new(own, seed)),
             view: RefCell::new(ConfigView::default()),
--- a/packages/turnford-node/src/control/shares.rs
+++ b/packages/turnford-node/src/control/shares.rs
@@ -12,9 +12,7 @@
 use turnford_config::ClientAccount;
 use turnford_fleet::Duty;
 use turnford_fleet::LeaseAction;
-use turnford_fleet::LeaseAnswer;
 use turnford_fleet::LeaseHolder;
-use turnford_fleet::LeaseRecord;
 use turnford_fleet::LeaseSettings;
 use turnford_fleet::Moment;
 use turnford_fleet::ShareDemand;
@@ -22,12 +20,11 @@
 use turnford_fleet::ShareHolder;
 use turnford_fleet::ShareLender;
 use turnford_fleet::Version;
-use turnford_platform::PlatformFault;
-use turnford_platform::VersionGuard;
 use turnford_wire::PeerReply;
 use turnford_wire::PeerRequest;
 
 use super::context::ControlContext;
+use super::leases::perform_lease;
 use crate::inbox::ShareCall;
 
 /// Groups of accounts; each has one lender.
@@ -294,26 +291,7 @@
 }
 
 async fn call_lease(context: Rc<ControlContext>, group: u16, action: LeaseAction) {
-    let key = format!("lease/lend-{group}");
-    let answer = match action {
-        LeaseAction::Read => match context.objects.get(&key).await {
-            Ok(value) => match serde_json::from_slice::<LeaseRecord>(&value.bytes) {
-                Ok(record) => LeaseAnswer::Found(Some((value.version, record))),
-                Err(_) => LeaseAnswer::Failed,
-            },
-            Err(PlatformFault::Absent) => LeaseAnswer::Found(None),
-            Err(_) => LeaseAnswer::Failed,
-        },
-        LeaseAction::Write { expected, record } => {
-            let guard = VersionGuard::from_version(expected);
-            let bytes = serde_json::to_vec(&record).unwrap_or_default();
-            match context.objects.put(&key, guard, bytes).await {
-                Ok(version) => LeaseAnswer::Accepted(version),
-                Err(PlatformFault::Conflict { .. }) => LeaseAnswer::Conflict,
-                Err(_) => LeaseAnswer::Failed,
-            }
-        }
-    };
+    let answer = perform_lease(&context, &format!("lease/lend-{group}"), action).await;
     let now = context.now();
     context.shares.borrow_mut().groups[usize::from(group)]
         .lease
--- a/packages/turnford-node/src/control/targets.rs
+++ b/packages/turnford-node/src/control/targets.rs
@@ -93,6 +93,12 @@
         let taken_at = now.saturating_sub(Duration::from_millis(report.age_ms));
         let inflight = report.running.saturating_add(report.queued);
         pool.apply_report(&target, LoadReport { inflight, taken_at });
+        if pool.apply_models(&target, &report.models) {
+            log::info!(
+                "target {target} has the models {}",
+                report.models.join(", ")
+            );
+        }
         report.leaving && pool.mark_leaving(&target)
     });
     if left {
--- a/packages/turnford-node/src/status.rs
+++ b/packages/turnford-node/src/status.rs
@@ -70,6 +70,7 @@
     json!({
         "name": &*view.facts.id,
         "hardware": &*view.facts.hardware,
+        "models": view.facts.models.iter().map(|model| &**model).collect::<Vec<&str>>(),
         "own": view.own(),
         "inflight": view.inflight(now),
         "report_age_ms": view.report_age(now).map(|age| age.as_millis() as u64),
--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod clock;
 mod code;
+mod demand;
 mod estimate;
 mod evidence;
 mod health;
--- a/packages/turnford-policy/src/pool.rs
+++ b/packages/turnford-policy/src/pool.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
+use crate::demand::ModelDemand;
 use crate::prefix::PrefixIndex;
 use crate::routing::choose_baseline;
 use crate::routing::choose_estimated;
@@ -191,6 +192,7 @@
     /// Targets that may be out; without any, no look at all of them is needed.
     ejections: usize,
     prefixes: PrefixIndex,
+    demand: ModelDemand,
     /// Begin of each call that runs, in order.
     running: BTreeMap<u64, Moment>,
     next_number: u64,
@@ -215,6 +217,7 @@
             turn: 0,
             ejections: 0,
             prefixes: PrefixIndex::default(),
+            demand: ModelDemand::default(),
             running: BTreeMap::new(),
             next_number: 0,
             rng,
@@ -230,7 +233,9 @@
         for facts in list {
             let view = match old.remove(&facts.id) {
                 Some(mut view) => {
-                    view.facts = facts;
+                    // The target's own report of its models is newer than the list's.
+                    let models = std::mem::take(&mut view.facts.models);
+                    view.facts = TargetFacts { models, ..facts };
                     view
                 }
                 None => TargetView::new(facts),
@@ -298,6 +303,27 @@
         }
     }
 
+    /// Takes the models that a target says to have; false if that is known.
+    pub fn apply_models(&mut self, target: &str, models: &[String]) -> bool {
+        let Some(view) = self.view_mut(target) else {
+            return false;
+        };
+        let known = view.facts.models.iter().map(|model| &**model);
+        if known.eq(models.iter().map(String::as_str)) {
+            return false;
+        }
+        view.facts.models = models
+            .iter()
+            .map(|model| Arc::from(model.as_str()))
+            .collect();
+        true
+    }
+
+    /// Returns the slots that each model's work keeps busy, from what was offered lately.
+    pub fn model_demand(&self, now: Moment) -> BTreeMap<String, f64> {
+        self.demand.busy(now)
+    }
+
     /// Forgets what an engine was thought to hold, after a gap in its events.
     pub fn note_prefix_gap(&mut self, target: &str) {
         if let Some(view) = self.view_mut(target) {
@@ -347,6 +373,9 @@
     /// Offers a piece of work.
     pub fn offer(&mut self, now: Moment, work: StageWork) -> PoolOffer {
         self.refresh_health(now);
+        if let Some(model) = &work.model {
+            self.demand.note(now, model, work.expected);
+        }
         if !self.has_usable(now, &work) {
             let code = ResultCode::NoTarget;
             let retry_after = Duration::from_secs(1);
--- a/packages/turnford-standin/src/lib.rs
+++ b/packages/turnford-standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod plot;
 mod report;
 mod scenario;
+mod shelf;
 mod store;
 mod target;
 mod vms;
--- a/packages/turnford-standin/src/scenario.rs
+++ b/packages/turnford-standin/src/scenario.rs
@@ -59,9 +59,22 @@
     /// Whether a call must run at most once for each request, which the audit checks.
     #[serde(default)]
     pub once: bool,
-    /// Models present on every target.
+    /// Models present on every target at the start.
     #[serde(default)]
     pub models: Vec<String>,
+    /// Models that a target can hold.
+    #[serde(default = "default_room")]
+    pub model_room: usize,
+    /// Time that loading a model takes, in milliseconds.
+    #[serde(default)]
+    pub load_ms: u64,
+    /// Whether targets refuse orders with a token below the highest they saw.
+    #[serde(default)]
+    pub checks_orders: bool,
+}
+
+fn default_room() -> usize {
+    2
 }
 
 /// One hardware class.
--- a/packages/turnford-standin/src/target.rs
+++ b/packages/turnford-standin/src/target.rs
@@ -30,6 +30,9 @@
 use turnford_platform::VmEntry;
 
 use crate::journal::mark_of;
+use crate::shelf::ModelShelf;
+use crate::shelf::OrderBody;
+use crate::shelf::OrderResult;
 use crate::vms::json_response;
 use crate::FaultKind;
 use crate::FaultTable;
@@ -86,6 +89,7 @@
     report: Mutex<(Instant, u32, u32)>,
     report_lag: Duration,
     cache: Mutex<PrefixCache>,
+    shelf: Mutex<ModelShelf>,
     rng: Mutex<SmallRng>,
 }
 
@@ -133,6 +137,8 @@
         seed: u64,
     ) -> Self {
         let slots = async_channel::bounded(spec.slots.max(1) as usize);
+        let load_time = Duration::from_millis(spec.load_ms);
+        let shelf = ModelShelf::new(&spec.models, spec.model_room, load_time, spec.checks_orders);
         Self {
             entry,
             spec,
@@ -145,6 +151,7 @@
             report: Mutex::new((Instant::now(), 0, 0)),
             report_lag,
             cache: Mutex::new(PrefixCache::default()),
+            shelf: Mutex::new(shelf),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
         }
     }
@@ -156,6 +163,7 @@
         }
         match (call.method.as_str(), call.path.as_str()) {
             ("POST", "/run") => self.run(&call).await,
+            ("POST", "/order") => Some(self.order(&call)),
             ("GET", "/report") => Some(self.report_now()),
             ("GET", "/events") => Some(self.events_after(call.query_number("after", 0))),
             _ => Some(Response::new(StatusCode::NotFound)),
@@ -332,6 +340,7 @@
             "queued": report.2,
             "age_ms": age.as_millis() as u64,
             "leaving": self.fault(FaultKind::Leave).is_some(),
+            "models": lock(&self.shelf).present(),
         });
         if age >= self.report_lag {
             let running = self.running.load(Ordering::SeqCst);
@@ -341,6 +350,18 @@
         json_response(&answer)
     }
 
+    fn order(&self, call: &HttpCall) -> Response {
+        let Ok(order) = serde_json::from_slice::<OrderBody>(&call.body) else {
+            return Response::new(StatusCode::BadRequest);
+        };
+        let status = match lock(&self.shelf).apply(&order) {
+            OrderResult::Taken => StatusCode::Accepted,
+            OrderResult::Stale => StatusCode::Conflict,
+            OrderResult::Refused => StatusCode::UnprocessableEntity,
+        };
+        Response::new(status)
+    }
+
     fn events_after(&self, after: u64) -> Response {
         let cache = lock(&self.cache);
         let newer = cache.events.iter().filter(|(number, _, _)| *number > after);
--- a/packages/turnford-target/src/lib.rs
+++ b/packages/turnford-target/src/lib.rs
@@ -7,6 +7,7 @@
 mod call;
 mod engine;
 mod fault;
+mod order;
 mod report;
 mod unary;
 
--- a/packages/turnford-target/src/report.rs
+++ b/packages/turnford-target/src/report.rs
@@ -25,6 +25,9 @@
     pub age_ms: u64,
     /// Whether the target leaves.
     pub leaving: bool,
+    /// Models and adapters that can serve now.
+    #[serde(default)]
+    pub models: Vec<String>,
 }
 
 /// One change of an engine's prefix cache.
--- a/packages/turnford/src/site.rs
+++ b/packages/turnford/src/site.rs
@@ -155,7 +155,7 @@
         fleet_size: node_count as u32,
         threads: 2,
         hold_limit: 512,
-        platform_calls: 20.0,
+        platform_calls: 50.0,
         drain: Duration::from_secs(10),
         log: LogSettings {
             level: LogLevel::Warn,
--- a/packages/turnford/tests/common/mod.rs
+++ b/packages/turnford/tests/common/mod.rs
@@ -47,6 +47,17 @@
 per_token_ms = 5.0
 hardware = [{ name = "plain", slowness = 1.0, cost = 1.0 }]
 
+[[services]]
+name = "skriver"
+count = 4
+slots = 8
+base_ms = 5.0
+per_token_ms = 5.0
+models = ["dansk"]
+load_ms = 200
+checks_orders = true
+hardware = [{ name = "plain", slowness = 1.0, cost = 1.0 }]
+
 [[services]]
 name = "booking"
 count = 2
@@ -74,13 +85,20 @@
 ]
 "#;
 
+/// Its model is on no target at the start.
+const LETTER: &str = r#"
+name = "letter"
+deadline_ms = 10000
+stages = [{ name = "write", service = "skriver", kind = "generate", model = "norsk" }]
+"#;
+
 /// Returns an account's file; its key is `key-` and the name.
 pub fn account_text(name: &str, rate: f64) -> String {
     let hash = turnford_config::hash_key(&format!("key-{name}"));
     format!(
         "name = \"{name}\"\nkey_sha256 = \"{hash}\"\nclass = 1\nrate = {rate}\n\
          concurrency = 500\nmax_input_bytes = 2000\n[templates.chat]\nmax_tokens = 4\n\
-         [templates.reserve]\n"
+         [templates.reserve]\n[templates.letter]\nmax_tokens = 4\n"
     )
 }
 
@@ -120,7 +138,8 @@
         let executor = start_threads("standin", 1);
         let scenario = Scenario::parse(SCENARIO).expect("the scenario is valid");
         let accounts = [account_text("one", 1000.0), account_text("two", 1000.0)];
-        let texts = [CHAT.to_owned(), RESERVE.to_owned()]
+        let texts = [CHAT, RESERVE, LETTER]
+            .map(str::to_owned)
             .into_iter()
             .chain(accounts);
         let files: Vec<SiteFile> = texts
