--- a/packages/turnford-fleet/src/lender.rs
+++ b/packages/turnford-fleet/src/lender.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::share::floor_of;
 use crate::share::GrantNumber;
+use crate::share::ShareSize;
 use crate::share::GRANT_LIFE;
 use crate::share::RUN_SPAN;
 use crate::Moment;
@@ -16,19 +16,46 @@
 /// Demand beyond what was seen that a node is lent, so that its traffic can grow.
 const HEADROOM: f64 = 1.5;
 
+/// Silence after which a node's even part is reserved for it.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// Time in which a new lender only listens, so that it knows what the nodes use.
+const LISTEN_SPAN: Duration = Duration::from_secs(1);
+
+/// A lender's time in a reply, which the node sends back with its next ask.
+///
+/// It proves to the lender that the node received a reply made at that time, and so when the node
+/// can take its even part at the earliest. An ask alone proves nothing: it can have been on its way
+/// for long, and its reply can be lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct LenderStamp {
+    /// Token at which the lender's term began.
+    pub token: Version,
+    /// The lender's time, in milliseconds of its own clock.
+    pub millis: u64,
+}
+
+/// The nodes that a lender heard of, for all accounts of its group.
+#[derive(Debug)]
+pub struct HeardNodes {
+    token: Version,
+    began: Moment,
+    fleet_size: u32,
+    at: BTreeMap<NodeName, Moment>,
+}
+
 /// One grant that may still be in use.
 #[derive(Clone, Copy, Debug)]
 struct LentGrant {
     number: GrantNumber,
-    rate: f64,
-    concurrency: u32,
+    size: ShareSize,
     until: Moment,
 }
 
 /// What one node was lent, and what it last asked for.
 ///
 /// A grant whose answer is lost leaves the node with an earlier one, so the node counts with the
-/// largest grant that it may still use: those from the one it last said to hold.
+/// largest grant that it may still use: those from the newest that it said to have.
 #[derive(Clone, Debug, Default)]
 struct NodeShare {
     demand: f64,
@@ -41,71 +68,96 @@
 pub struct ShareLender {
     token: Version,
     sequence: u64,
-    fleet_size: u32,
-    rate: f64,
-    concurrency: u32,
-    /// Until then nodes keep exactly what they hold from an earlier lender.
+    limit: ShareSize,
+    /// End of all grants of an earlier lender; until then nodes keep what they use.
     recovers_until: Option<Moment>,
     nodes: BTreeMap<NodeName, NodeShare>,
 }
 
+impl HeardNodes {
+    /// Starts at the begin of a lease's term.
+    pub fn new(now: Moment, token: Version, fleet_size: u32) -> Self {
+        Self {
+            token,
+            began: now,
+            fleet_size,
+            at: BTreeMap::new(),
+        }
+    }
+
+    /// Notes the stamp that a node sent back, and returns the stamp for the reply.
+    pub fn note(&mut self, now: Moment, node: &str, stamp: LenderStamp) -> LenderStamp {
+        self.at.retain(|_, at| now.saturating_sub(*at) < SILENCE);
+        if stamp.token == self.token {
+            self.at
+                .insert(node.to_owned(), Duration::from_millis(stamp.millis));
+        }
+        LenderStamp {
+            token: self.token,
+            millis: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn is_heard(&self, now: Moment, node: &str) -> bool {
+        let at = self.at.get(node);
+        at.is_some_and(|at| now.saturating_sub(*at) < SILENCE)
+    }
+
+    /// Returns how many nodes there may be that were not heard of.
+    fn silent(&self, now: Moment) -> u32 {
+        let heard = self
+            .at
+            .values()
+            .filter(|at| now.saturating_sub(**at) < SILENCE);
+        self.fleet_size.saturating_sub(heard.count() as u32)
+    }
+}
+
 impl ShareLender {
-    /// Starts a lender under a lease's token. If another lender came before, nothing new is lent
-    /// until all its grants are over; nodes keep what they hold from it.
-    pub fn new(
-        now: Moment,
-        token: Version,
-        limits: (f64, u32),
-        fleet_size: u32,
-        is_first: bool,
-    ) -> Self {
-        let mut lender = Self {
+    /// Starts a lender under a lease's token, at the begin of its term. Unless nothing of an earlier
+    /// lender may still hold (`is_first`), nodes first keep what they use.
+    pub fn new(began: Moment, token: Version, limit: ShareSize, is_first: bool) -> Self {
+        Self {
             token,
             sequence: 0,
-            fleet_size,
-            rate: 0.0,
-            concurrency: 0,
-            recovers_until: (!is_first).then_some(now + GRANT_LIFE),
+            limit,
+            recovers_until: (!is_first).then_some(began + GRANT_LIFE),
             nodes: BTreeMap::new(),
-        };
-        lender.set_limits(limits.0, limits.1);
-        lender
+        }
     }
 
     /// Sets new limits. Nodes drop their grants when the new configuration reaches them.
-    pub fn set_limits(&mut self, rate: f64, concurrency: u32) {
-        let (floor_rate, floor_concurrency) = floor_of(rate, concurrency, self.fleet_size);
-        self.rate = rate - floor_rate * f64::from(self.fleet_size);
-        self.concurrency = concurrency.saturating_sub(floor_concurrency * self.fleet_size);
+    pub fn set_limit(&mut self, limit: ShareSize) {
+        self.limit = limit;
     }
 
-    /// Returns the sums that may be in use at a time: rate and concurrency.
-    pub fn outstanding(&self, now: Moment) -> (f64, u32) {
-        let nodes = self.nodes.values();
-        let rate = nodes.clone().map(|node| node.rate(now)).sum();
-        let concurrency = nodes.map(|node| node.concurrency(now)).sum();
-        (rate, concurrency)
+    /// Tells whether nothing that was lent may still be in use, here or from an earlier lender.
+    pub fn is_clear(&self, now: Moment) -> bool {
+        let used = self.nodes.values().any(|node| {
+            let size = node.size(now);
+            size.rate > 0.0 || size.concurrency > 0
+        });
+        !self.recovers(now, RUN_SPAN) && !used
     }
 
-    /// Lends a node its share. The grant holds from when the node asked, so it ends at the node
-    /// before it ends here.
-    pub fn lend(&mut self, now: Moment, node: &str, demand: &ShareDemand) -> ShareGrant {
+    /// Lends a node its share; `None` while the lender only listens. The grant holds from when the
+    /// node asked, so it ends at the node before it ends here.
+    pub fn lend(
+        &mut self,
+        now: Moment,
+        node: &str,
+        demand: &ShareDemand,
+        heard: &HeardNodes,
+    ) -> Option<ShareGrant> {
         self.nodes.retain(|_, other| other.expire(now));
         let mut own = self.nodes.remove(node).unwrap_or_default();
-        own.confirm(demand);
-        let kept = self.recover(&own, demand);
-        let fair = self.share(now, &own);
-        let rate = if self.recovers(now, Duration::ZERO) {
-            kept.0
-        } else {
-            fair.0
-        };
-        // Requests that began under grants of an earlier lender may run on after them.
-        let concurrency = if self.recovers(now, RUN_SPAN) {
-            kept.1
-        } else {
-            fair.1
-        };
+        self.confirm(now, &mut own, demand);
+        if self.recovers(now, Duration::ZERO) && now < heard.began + LISTEN_SPAN {
+            self.nodes.insert(node.to_owned(), own);
+            return None;
+        }
+        let room = self.room(now, heard);
+        let size = self.size_for(now, &own, demand, room, heard.fleet_size);
         self.sequence += 1;
         let number = GrantNumber {
             token: self.token,
@@ -114,95 +166,118 @@
         let until = now + GRANT_LIFE;
         own.grants.push(LentGrant {
             number,
-            rate,
-            concurrency,
+            size,
             until,
         });
         self.nodes.insert(node.to_owned(), own);
-        ShareGrant {
+        Some(ShareGrant {
             account: demand.account.clone(),
             number,
-            rate,
-            concurrency,
-        }
-    }
-
-    /// Tells whether nothing that was lent may still be in use, here or from an earlier lender.
-    pub fn is_clear(&self, now: Moment) -> bool {
-        let (rate, concurrency) = self.outstanding(now);
-        !self.recovers(now, RUN_SPAN) && rate <= 0.0 && concurrency == 0
+            size,
+        })
     }
 
-    /// Takes a node's share back when it stops as planned and runs nothing any more.
-    pub fn give_back(&mut self, node: &str) {
-        self.nodes.remove(node);
+    /// Takes what the node says: grants before its newest are never used again. What it uses by an
+    /// earlier lender's grant counts until that is over.
+    fn confirm(&self, now: Moment, own: &mut NodeShare, demand: &ShareDemand) {
+        own.demand = demand.rate * HEADROOM;
+        own.running = demand.running;
+        own.grants.retain(|grant| grant.number >= demand.newest);
+        if demand.newest.token < self.token && self.recovers(now, RUN_SPAN) {
+            own.grants.push(LentGrant {
+                number: demand.newest,
+                size: demand.using,
+                until: now + GRANT_LIFE,
+            });
+        }
     }
 
-    /// Tells whether an earlier lender's grants, or what runs on for a span after them, count.
-    fn recovers(&self, now: Moment, span: Duration) -> bool {
-        self.recovers_until.is_some_and(|until| now < until + span)
+    /// Returns what the others leave of the limit: what they may use, and the even part of each
+    /// node that was not heard of.
+    fn room(&self, now: Moment, heard: &HeardNodes) -> ShareSize {
+        let part = self.limit.part(heard.fleet_size);
+        let silent = heard.silent(now);
+        let mut rate = part.rate * f64::from(silent);
+        let mut concurrency = part.concurrency * silent;
+        for (name, node) in &self.nodes {
+            let size = node.size(now);
+            if heard.is_heard(now, name) {
+                rate += size.rate;
+                concurrency += size.concurrency;
+            } else {
+                // Its even part is counted among the silent.
+                rate += (size.rate - part.rate).max(0.0);
+                concurrency += size.concurrency.saturating_sub(part.concurrency);
+            }
+        }
+        ShareSize {
+            rate: (self.limit.rate - rate).max(0.0),
+            concurrency: self.limit.concurrency.saturating_sub(concurrency),
+        }
     }
 
-    /// Returns a node's part of what nobody else may be using.
+    /// Returns a node's share within the room.
     ///
     /// While the demands fit into the limit, the rest is split evenly, so that a lull at one node
     /// does not leave it without room for the next burst. Otherwise the demands share the limit.
-    fn share(&self, now: Moment, own: &NodeShare) -> (f64, u32) {
+    fn size_for(
+        &self,
+        now: Moment,
+        own: &NodeShare,
+        demand: &ShareDemand,
+        room: ShareSize,
+        fleet_size: u32,
+    ) -> ShareSize {
         let others: f64 = self.nodes.values().map(|other| other.demand).sum();
         let total = own.demand + others;
-        let count = (self.nodes.len() as f64 + 1.0).max(f64::from(self.fleet_size));
-        let spare = (self.rate - total).max(0.0) / count;
-        let scale = (self.rate / total.max(1e-9)).min(1.0);
-        let fair = own.demand * scale + spare;
-        let (lent_rate, lent_concurrency) = self.outstanding(now);
-        let rate = fair.min((self.rate - lent_rate).max(0.0));
-        let part = fair / self.rate.max(1e-9);
-        let fair = (f64::from(self.concurrency) * part).floor() as u32;
-        let left = self.concurrency.saturating_sub(lent_concurrency);
-        (rate, fair.min(left))
+        let spare = (self.limit.rate - total).max(0.0) / f64::from(fleet_size.max(1));
+        let scale = (self.limit.rate / total.max(1e-9)).min(1.0);
+        let part = (own.demand * scale + spare) / self.limit.rate.max(1e-9);
+        let mut fair = ShareSize {
+            rate: self.limit.rate * part,
+            concurrency: (f64::from(self.limit.concurrency) * part).floor() as u32,
+        };
+        // Nobody gets more than it uses while an earlier lender's grants may hold; for requests
+        // that run on after them, a little longer.
+        if self.recovers(now, Duration::ZERO) {
+            fair.rate = demand.using.rate;
+        }
+        if self.recovers(now, RUN_SPAN) {
+            fair.concurrency = demand.using.concurrency;
+        }
+        fair.min(room)
     }
 
-    /// Returns what a node holds from an earlier lender, which counted it within the limit.
-    fn recover(&self, own: &NodeShare, demand: &ShareDemand) -> (f64, u32) {
-        if let Some(last) = own.grants.last() {
-            return (last.rate, last.concurrency);
-        }
-        let held = demand
-            .held
-            .as_ref()
-            .filter(|held| held.number.token < self.token);
-        held.map_or((0.0, 0), |held| (held.rate, held.concurrency))
+    /// Tells whether an earlier lender's grants, or what runs on for a span after them, count.
+    fn recovers(&self, now: Moment, span: Duration) -> bool {
+        self.recovers_until.is_some_and(|until| now < until + span)
     }
 }
 
 impl NodeShare {
-    /// Takes what the node says: grants before the one it holds are never used again.
-    fn confirm(&mut self, demand: &ShareDemand) {
-        self.demand = demand.rate * HEADROOM;
-        self.running = demand.running;
-        if let Some(held) = &demand.held {
-            self.grants.retain(|grant| grant.number >= held.number);
-        }
-    }
-
     /// Drops what is over; false if nothing is left.
     fn expire(&mut self, now: Moment) -> bool {
         self.grants.retain(|grant| now < grant.until + RUN_SPAN);
+        if self.grants.iter().all(|grant| now >= grant.until) {
+            self.demand = 0.0;
+        }
         !self.grants.is_empty()
     }
 
-    fn rate(&self, now: Moment) -> f64 {
+    /// Returns what the node may use. Requests that started under a larger grant still run; they
+    /// count until they ended.
+    fn size(&self, now: Moment) -> ShareSize {
         let held = self.grants.iter().filter(|grant| now < grant.until);
-        held.map(|grant| grant.rate).fold(0.0, f64::max)
-    }
-
-    /// Requests that started under a larger grant still run; they count until they ended.
-    fn concurrency(&self, now: Moment) -> u32 {
-        let held = self
+        let rate = held.map(|grant| grant.size.rate).fold(0.0, f64::max);
+        let running = self
             .grants
             .iter()
             .filter(|grant| now < grant.until + RUN_SPAN);
-        let most = held.map(|grant| grant.concurrency).max().unwrap_or(0);
-        most.max(self.running)
+        let most = running
+            .map(|grant| grant.size.concurrency)
+            .max()
+            .unwrap_or(0);
+        let concurrency = most.max(self.running);
+        ShareSize { rate, concurrency }
     }
 }
--- a/packages/turnford-fleet/src/lib.rs
+++ b/packages/turnford-fleet/src/lib.rs
@@ -49,6 +49,8 @@
 pub use lease::LeaseHolder;
 pub use lease::LeaseRecord;
 pub use lease::LeaseSettings;
+pub use lender::HeardNodes;
+pub use lender::LenderStamp;
 pub use lender::ShareLender;
 pub use member::MemberRecord;
 pub use member::MemberState;
@@ -70,6 +72,7 @@
 pub use share::ShareDemand;
 pub use share::ShareGrant;
 pub use share::ShareHolder;
+pub use share::ShareSize;
 
 /// Name of a node, unique in the fleet.
 pub type NodeName = String;
--- a/packages/turnford-fleet/src/share.rs
+++ b/packages/turnford-fleet/src/share.rs
@@ -5,13 +5,14 @@
 use crate::Moment;
 use crate::Version;
 
-/// Part of a limit that is never lent and split evenly, so that a node without a lender can serve.
-const FLOOR_PART: f64 = 0.04;
-
 /// How long a grant holds, counted by its holder from before it asked. It is longer than the time
 /// in which a lost lender is replaced, so that its nodes keep their shares meanwhile.
 pub(crate) const GRANT_LIFE: Duration = Duration::from_secs(10);
 
+/// How long a node without a lender waits before it takes its even part. By then every grant that
+/// was lent without reserving that part is over.
+pub(crate) const FALLBACK_WAIT: Duration = Duration::from_secs(20);
+
 /// How long a request may run on after its node's grant ended. Templates with longer deadlines can
 /// exceed an account's concurrency by the requests of a node that was cut off.
 pub(crate) const RUN_SPAN: Duration = Duration::from_secs(5);
@@ -27,20 +28,27 @@
     pub sequence: u64,
 }
 
-/// What a lender lets a node use, beside its floor.
+/// A rate and a concurrency.
+#[derive(Clone, Copy, Debug, Default, PartialEq, bincode::Encode, bincode::Decode)]
+pub struct ShareSize {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests at a time.
+    pub concurrency: u32,
+}
+
+/// What a lender lets a node use.
 #[derive(Clone, Debug, PartialEq, bincode::Encode, bincode::Decode)]
 pub struct ShareGrant {
     /// Name of the account.
     pub account: String,
     /// Order of the grant.
     pub number: GrantNumber,
-    /// Requests a second.
-    pub rate: f64,
-    /// Requests at a time.
-    pub concurrency: u32,
+    /// What may be used.
+    pub size: ShareSize,
 }
 
-/// What a node needs of one account, and what it holds.
+/// What a node needs of one account, and what it uses.
 #[derive(Clone, Debug, PartialEq, bincode::Encode, bincode::Decode)]
 pub struct ShareDemand {
     /// Name of the account.
@@ -49,74 +57,96 @@
     pub rate: f64,
     /// Requests that run.
     pub running: u32,
-    /// Grant that the node uses now; it never goes back to an older one.
-    pub held: Option<ShareGrant>,
+    /// Newest grant that the node ever held; it never goes back to an older one.
+    pub newest: GrantNumber,
+    /// What the node may use now, by a grant or without a lender.
+    pub using: ShareSize,
 }
 
 /// A node's share of one account.
 #[derive(Clone, Debug)]
 pub struct ShareHolder {
-    limit_rate: f64,
-    limit_concurrency: u32,
+    limit: ShareSize,
     fleet_size: u32,
-    grant: Option<(Moment, ShareGrant)>,
+    newest: GrantNumber,
+    grant: Option<(Moment, ShareSize)>,
+}
+
+impl ShareSize {
+    /// Returns one node's even part. The concurrency is rounded down, so the parts never add up to
+    /// more than the whole.
+    pub fn part(self, fleet_size: u32) -> Self {
+        let nodes = fleet_size.max(1);
+        Self {
+            rate: self.rate / f64::from(nodes),
+            concurrency: self.concurrency / nodes,
+        }
+    }
+
+    /// Returns the smaller of each.
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            rate: self.rate.min(other.rate),
+            concurrency: self.concurrency.min(other.concurrency),
+        }
+    }
 }
 
 impl ShareHolder {
-    /// Starts with the floor. `fleet_size` is the most nodes that the fleet ever has.
-    pub fn new(rate: f64, concurrency: u32, fleet_size: u32) -> Self {
+    /// Starts without a share. `fleet_size` is the most nodes that the fleet ever has.
+    pub fn new(limit: ShareSize, fleet_size: u32) -> Self {
         Self {
-            limit_rate: rate,
-            limit_concurrency: concurrency,
+            limit,
             fleet_size: fleet_size.max(1),
+            newest: GrantNumber::default(),
             grant: None,
         }
     }
 
     /// Sets new limits; a grant made from the old ones is dropped.
-    pub fn set_limits(&mut self, rate: f64, concurrency: u32) {
-        if rate != self.limit_rate || concurrency != self.limit_concurrency {
-            self.limit_rate = rate;
-            self.limit_concurrency = concurrency;
+    pub fn set_limit(&mut self, limit: ShareSize) {
+        if limit != self.limit {
+            self.limit = limit;
             self.grant = None;
         }
     }
 
-    /// Takes a grant that was asked for at `asked`, unless a later one is held.
-    pub fn apply(&mut self, asked: Moment, grant: ShareGrant) {
-        let newer = self
-            .grant
-            .as_ref()
-            .is_none_or(|(_, held)| grant.number > held.number);
-        if newer {
-            self.grant = Some((asked + GRANT_LIFE, grant));
+    /// Takes a grant that was asked for at `asked`, unless a later one was held.
+    pub fn apply(&mut self, asked: Moment, grant: &ShareGrant) {
+        if grant.number > self.newest {
+            self.newest = grant.number;
+            self.grant = Some((asked + GRANT_LIFE, grant.size));
         }
     }
 
-    /// Returns the grant that holds now.
-    pub fn held(&self, now: Moment) -> Option<&ShareGrant> {
-        let held = self.grant.as_ref().filter(|(ends, _)| now < *ends);
-        held.map(|(_, grant)| grant)
+    /// Notes that the lender answered without being asked for this account: it counts nothing here
+    /// once the last grant is over.
+    pub fn forget_ended(&mut self, now: Moment) {
+        if self.grant.is_some_and(|(ends, _)| now >= ends) {
+            self.grant = None;
+        }
     }
 
-    /// Returns the rate and concurrency that this node may use now.
-    pub fn usable(&self, now: Moment) -> (f64, u32) {
-        let (rate, concurrency) =
-            floor_of(self.limit_rate, self.limit_concurrency, self.fleet_size);
-        match self.held(now) {
-            Some(grant) => (rate + grant.rate, concurrency + grant.concurrency),
-            None => (rate, concurrency),
-        }
+    /// Returns the number of the newest grant.
+    pub fn newest(&self) -> GrantNumber {
+        self.newest
     }
-}
 
-/// Returns one node's floor; a node that is alone has the whole limit. The concurrency is rounded down, so floors never add up to more.
-pub(crate) fn floor_of(rate: f64, concurrency: u32, fleet_size: u32) -> (f64, u32) {
-    if fleet_size <= 1 {
-        return (rate, concurrency);
+    /// Returns what this node may use now. `contact` is when it last received a lender's reply, or
+    /// when the node started.
+    ///
+    /// A lender that does not hear of a node for some seconds reserves its even part. So a node
+    /// whose grant ended keeps what lies within that part, and takes the whole part after a wait.
+    pub fn usable(&self, now: Moment, contact: Moment) -> ShareSize {
+        if self.fleet_size == 1 {
+            return self.limit;
+        }
+        let part = self.limit.part(self.fleet_size);
+        match self.grant {
+            Some((ends, size)) if now < ends => size,
+            _ if now >= contact + FALLBACK_WAIT => part,
+            Some((_, size)) => size.min(part),
+            None => ShareSize::default(),
+        }
     }
-    let nodes = f64::from(fleet_size);
-    let floor_rate = rate * FLOOR_PART / nodes;
-    let floor_concurrency = (f64::from(concurrency) * FLOOR_PART / nodes).floor() as u32;
-    (floor_rate, floor_concurrency)
 }
--- a/packages/turnford-fleet/tests/share_sum.rs
+++ b/packages/turnford-fleet/tests/share_sum.rs
@@ -5,42 +5,77 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use turnford_fleet::HeardNodes;
+use turnford_fleet::LenderStamp;
 use turnford_fleet::Moment;
 use turnford_fleet::ShareDemand;
 use turnford_fleet::ShareGrant;
 use turnford_fleet::ShareHolder;
 use turnford_fleet::ShareLender;
+use turnford_fleet::ShareSize;
 
 const NODES: usize = 4;
-const RATE: f64 = 100.0;
-const CONCURRENCY: u32 = 200;
+const LIMIT: ShareSize = ShareSize {
+    rate: 100.0,
+    concurrency: 200,
+};
 
 /// Longest run of a request in the model; the lender assumes no longer one.
 const LONGEST_RUN: Duration = Duration::from_secs(5);
 
+/// Shortest time in which a lost lender is replaced: a lease's span and its longest use.
+const TAKEOVER: Duration = Duration::from_secs(5);
+
 #[derive(Clone, Copy, Debug)]
 enum Event {
-    Ask { node: usize, rate: f64 },
-    Lend { node: usize },
-    Deliver { node: usize, lost: bool },
-    Start { node: usize, count: u32 },
-    End { node: usize },
+    /// Asks for the account, or only shows that the node is there.
+    Ask {
+        node: usize,
+        rate: Option<f64>,
+    },
+    Lend {
+        node: usize,
+    },
+    Deliver {
+        node: usize,
+        lost: bool,
+    },
+    Start {
+        node: usize,
+        count: u32,
+    },
+    End {
+        node: usize,
+    },
     NewLender,
-    Wait { millis: u64 },
+    Wait {
+        millis: u64,
+    },
 }
 
 /// What a node has asked and what is on its way back.
 #[derive(Default)]
 struct Exchange {
-    asked: Option<(Moment, ShareDemand)>,
-    reply: Option<(Moment, ShareGrant)>,
+    asked: Option<(Moment, LenderStamp, Option<ShareDemand>)>,
+    reply: Option<Reply>,
+}
+
+struct Reply {
+    asked: Moment,
+    stamp: LenderStamp,
+    grant: Option<ShareGrant>,
+    listed: bool,
 }
 
 struct World {
     now: Moment,
     token: u64,
     lender: ShareLender,
+    heard: HeardNodes,
+    lends_from: Moment,
     holders: Vec<ShareHolder>,
+    contacts: Vec<Moment>,
+    stamps: Vec<LenderStamp>,
     exchanges: Vec<Exchange>,
     running: Vec<Vec<Moment>>,
 }
@@ -51,49 +86,30 @@
         Self {
             now: Moment::ZERO,
             token: 1,
-            lender: ShareLender::new(Moment::ZERO, 1, (RATE, CONCURRENCY), size, true),
-            holders: vec![ShareHolder::new(RATE, CONCURRENCY, size); NODES],
+            lender: ShareLender::new(Moment::ZERO, 1, LIMIT, true),
+            heard: HeardNodes::new(Moment::ZERO, 1, size),
+            lends_from: Moment::ZERO,
+            holders: vec![ShareHolder::new(LIMIT, size); NODES],
+            contacts: vec![Moment::ZERO; NODES],
+            stamps: vec![LenderStamp::default(); NODES],
             exchanges: (0..NODES).map(|_| Exchange::default()).collect(),
             running: vec![Vec::new(); NODES],
         }
     }
 
+    fn usable(&self, node: usize) -> ShareSize {
+        self.holders[node].usable(self.now, self.contacts[node])
+    }
+
     fn apply(&mut self, event: Event) {
         match event {
-            Event::Ask { node, rate } => {
-                // A new ask gives the one before up, with its answer.
-                let held = self.holders[node].held(self.now).cloned();
-                let running = self.running[node].len() as u32;
-                let account = "a".to_owned();
-                let demand = ShareDemand {
-                    account,
-                    rate,
-                    running,
-                    held,
-                };
-                self.exchanges[node] = Exchange {
-                    asked: Some((self.now, demand)),
-                    reply: None,
-                };
-            }
-            Event::Lend { node } => {
-                if let Some((asked, demand)) = self.exchanges[node].asked.take() {
-                    let name = format!("node-{node}");
-                    let grant = self.lender.lend(self.now, &name, &demand);
-                    self.exchanges[node].reply = Some((asked, grant));
-                }
-            }
-            Event::Deliver { node, lost } => {
-                if let Some((asked, grant)) = self.exchanges[node].reply.take() {
-                    if !lost {
-                        self.holders[node].apply(asked, grant);
-                    }
-                }
-            }
+            Event::Ask { node, rate } => self.ask(node, rate),
+            Event::Lend { node } => self.lend(node),
+            Event::Deliver { node, lost } => self.deliver(node, lost),
             Event::Start { node, count } => {
-                let (_, usable) = self.holders[node].usable(self.now);
+                let room = self.usable(node).concurrency as usize;
                 let running = &mut self.running[node];
-                let room = (usable as usize).saturating_sub(running.len());
+                let room = room.saturating_sub(running.len());
                 running.extend(std::iter::repeat_n(self.now, room.min(count as usize)));
             }
             Event::End { node } => {
@@ -101,9 +117,10 @@
             }
             Event::NewLender => {
                 self.token += 1;
-                let limits = (RATE, CONCURRENCY);
-                let size = NODES as u32;
-                self.lender = ShareLender::new(self.now, self.token, limits, size, false);
+                let began = self.now + TAKEOVER;
+                self.lender = ShareLender::new(began, self.token, LIMIT, false);
+                self.heard = HeardNodes::new(began, self.token, NODES as u32);
+                self.lends_from = began;
                 // Asks that the old lender has not seen reach nobody.
                 for exchange in &mut self.exchanges {
                     exchange.asked = None;
@@ -117,29 +134,74 @@
         }
     }
 
+    fn ask(&mut self, node: usize, rate: Option<f64>) {
+        let demand = rate.map(|rate| ShareDemand {
+            account: "a".to_owned(),
+            rate,
+            running: self.running[node].len() as u32,
+            newest: self.holders[node].newest(),
+            using: self.usable(node),
+        });
+        // A new ask gives the one before up, with its answer.
+        self.exchanges[node] = Exchange {
+            asked: Some((self.now, self.stamps[node], demand)),
+            reply: None,
+        };
+    }
+
+    fn lend(&mut self, node: usize) {
+        if self.now < self.lends_from {
+            return;
+        }
+        let Some((asked, stamp, demand)) = self.exchanges[node].asked.take() else {
+            return;
+        };
+        let name = format!("node-{node}");
+        let stamp = self.heard.note(self.now, &name, stamp);
+        let listed = demand.is_some();
+        let grant =
+            demand.and_then(|demand| self.lender.lend(self.now, &name, &demand, &self.heard));
+        self.exchanges[node].reply = Some(Reply {
+            asked,
+            stamp,
+            grant,
+            listed,
+        });
+    }
+
+    fn deliver(&mut self, node: usize, lost: bool) {
+        let Some(reply) = self.exchanges[node].reply.take() else {
+            return;
+        };
+        if lost {
+            return;
+        }
+        self.contacts[node] = self.now;
+        self.stamps[node] = reply.stamp;
+        match reply.grant {
+            Some(grant) => self.holders[node].apply(reply.asked, &grant),
+            None if !reply.listed => self.holders[node].forget_ended(reply.asked),
+            None => (),
+        }
+    }
+
     fn check(&self) -> Result<(), TestCaseError> {
-        let rate: f64 = self
-            .holders
-            .iter()
-            .map(|holder| holder.usable(self.now).0)
-            .sum();
+        let rate: f64 = (0..NODES).map(|node| self.usable(node).rate).sum();
         prop_assert!(
-            rate <= RATE * 1.000_001,
-            "{rate} requests a second of {RATE} in use"
+            rate <= LIMIT.rate * 1.000_001,
+            "{rate} requests a second in use"
         );
         let running: usize = self.running.iter().map(Vec::len).sum();
-        prop_assert!(
-            running <= CONCURRENCY as usize,
-            "{running} run of {CONCURRENCY}"
-        );
+        prop_assert!(running <= LIMIT.concurrency as usize, "{running} run");
         Ok(())
     }
 }
 
 fn event() -> impl Strategy<Value = Event> {
     let node = 0..NODES;
+    let rate = prop::option::weighted(0.8, 0.0..200.0);
     prop_oneof![
-        6 => (node.clone(), 0.0..200.0).prop_map(|(node, rate)| Event::Ask { node, rate }),
+        6 => (node.clone(), rate).prop_map(|(node, rate)| Event::Ask { node, rate }),
         6 => node.clone().prop_map(|node| Event::Lend { node }),
         6 => (node.clone(), prop::bool::weighted(0.2))
             .prop_map(|(node, lost)| Event::Deliver { node, lost }),
@@ -155,7 +217,7 @@
     #![proptest_config(common::histories(4000))]
 
     #[test]
-    fn within_limit(events in prop::collection::vec(event(), 1..200)) {
+    fn within_limit(events in prop::collection::vec(event(), 1..250)) {
         let mut world = World::new();
         for event in events {
             world.apply(event);
@@ -164,54 +226,84 @@
     }
 }
 
-/// One round of all nodes, 300 ms long.
-fn round(world: &mut World, rates: &[f64; NODES]) {
-    for (node, rate) in rates.iter().enumerate() {
-        world.apply(Event::Ask { node, rate: *rate });
-        world.apply(Event::Lend { node });
-        world.apply(Event::Deliver { node, lost: false });
+/// One round of some nodes, 300 ms long.
+fn round(world: &mut World, rates: &[(usize, f64)]) {
+    for (node, rate) in rates {
+        let rate = (*rate > 0.0).then_some(*rate);
+        world.apply(Event::Ask { node: *node, rate });
+        world.apply(Event::Lend { node: *node });
+        world.apply(Event::Deliver {
+            node: *node,
+            lost: false,
+        });
     }
     world.apply(Event::Wait { millis: 300 });
+    assert!(world.check().is_ok(), "more is used than the limit");
+}
+
+const EVEN: [(usize, f64); NODES] = [(0, 25.0), (1, 25.0), (2, 25.0), (3, 25.0)];
+
+fn rounds(world: &mut World, count: usize, rates: &[(usize, f64)]) {
+    for _ in 0..count {
+        round(world, rates);
+    }
 }
 
 #[test]
 fn skewed_arrivals() {
     let mut world = World::new();
-    for _ in 0..10 {
-        round(&mut world, &[25.0; NODES]);
-    }
-    // All traffic moves to one node; six rounds are 1.8 s.
-    for _ in 0..6 {
-        round(&mut world, &[RATE, 0.0, 0.0, 0.0]);
-    }
-    let (rate, _) = world.holders[0].usable(world.now);
-    assert!(rate >= 0.95 * RATE, "{rate}");
+    rounds(&mut world, 10, &EVEN);
+    // All traffic moves to one node; six rounds are 1.8 s. The others show that they are there.
+    rounds(
+        &mut world,
+        6,
+        &[(0, 100.0), (1, 0.01), (2, 0.01), (3, 0.01)],
+    );
+    let rate = world.usable(0).rate;
+    assert!(rate >= 0.95 * LIMIT.rate, "{rate}");
 }
 
 #[test]
 fn lost_lender() {
     let mut world = World::new();
-    for _ in 0..10 {
-        round(&mut world, &[25.0; NODES]);
-    }
-    let (before, _) = world.holders[0].usable(world.now);
-    // The lender is replaced within 6 s: shares go on as they were.
-    world.apply(Event::Wait { millis: 6000 });
+    rounds(
+        &mut world,
+        10,
+        &[(0, 40.0), (1, 20.0), (2, 20.0), (3, 20.0)],
+    );
+    let before = world.usable(0).rate;
+    // The lender is replaced within the life of its grants: shares go on as they were.
     world.apply(Event::NewLender);
-    round(&mut world, &[25.0; NODES]);
-    let (after, _) = world.holders[0].usable(world.now);
+    world.apply(Event::Wait { millis: 5000 });
+    rounds(&mut world, 8, &[(0, 40.0), (1, 20.0), (2, 20.0), (3, 20.0)]);
+    let after = world.usable(0).rate;
     assert!(after >= 0.99 * before, "{after} after {before}");
-    // Without any lender the floor remains.
-    world.apply(Event::Wait { millis: 11_000 });
-    let (floor, _) = world.holders[0].usable(world.now);
-    assert!(floor > 0.0 && floor < before, "{floor}");
+}
+
+#[test]
+fn long_outage() {
+    // No lender for minutes: every node has its even part of the limit, and keeps it when a lender
+    // comes back.
+    let mut world = World::new();
+    rounds(&mut world, 10, &EVEN);
+    for _ in 0..60 {
+        world.apply(Event::Wait { millis: 1000 });
+        let rate = world.usable(2).rate;
+        assert!(rate >= 0.99 * LIMIT.rate / NODES as f64, "{rate}");
+        assert!(world.check().is_ok(), "more is used than the limit");
+    }
+    world.apply(Event::NewLender);
+    world.apply(Event::Wait { millis: 5000 });
+    rounds(&mut world, 60, &EVEN);
+    let rate = world.usable(2).rate;
+    assert!(rate >= 0.99 * LIMIT.rate / NODES as f64, "{rate}");
 }
 
 #[test]
 fn cut_node() {
     // Requests of a node that was cut off run on after its grant; their places are not lent yet.
     let mut world = World::new();
-    round(&mut world, &[50.0, 0.0, 0.0, 0.0]);
+    rounds(&mut world, 3, &[(0, 50.0), (1, 0.01), (2, 0.01), (3, 0.01)]);
     world.apply(Event::Wait { millis: 9_000 });
     world.apply(Event::Start {
         node: 0,
@@ -219,15 +311,7 @@
     });
     world.apply(Event::Wait { millis: 2_000 });
     for _ in 0..5 {
-        world.apply(Event::Ask {
-            node: 1,
-            rate: 500.0,
-        });
-        world.apply(Event::Lend { node: 1 });
-        world.apply(Event::Deliver {
-            node: 1,
-            lost: false,
-        });
+        rounds(&mut world, 1, &[(1, 500.0), (2, 0.0), (3, 0.0)]);
         world.apply(Event::Start {
             node: 1,
             count: 250,
@@ -235,3 +319,17 @@
         assert!(world.check().is_ok(), "more run than the limit");
     }
 }
+
+#[test]
+fn silent_node() {
+    // An idle node that is cut off takes its even part after a wait; by then it was reserved.
+    let mut world = World::new();
+    rounds(
+        &mut world,
+        10,
+        &[(0, 100.0), (1, 0.01), (2, 0.01), (3, 0.01)],
+    );
+    assert!(world.usable(3).rate < 1.0);
+    rounds(&mut world, 90, &[(0, 100.0), (1, 0.01), (2, 0.01)]);
+    assert_eq!(world.usable(3).rate, LIMIT.rate / NODES as f64);
+}
--- a/packages/turnford-node/examples/capacity.rs
+++ b/packages/turnford-node/examples/capacity.rs
@@ -24,6 +24,8 @@
 use turnford_fleet::ConfigChange;
 use turnford_fleet::ConfigView;
 use turnford_fleet::DigestTable;
+use turnford_fleet::HeardNodes;
+use turnford_fleet::LenderStamp;
 use turnford_fleet::LoadDigest;
 use turnford_fleet::MemberState;
 use turnford_fleet::MemberTable;
@@ -35,6 +37,7 @@
 use turnford_fleet::ServiceLoad;
 use turnford_fleet::ShareDemand;
 use turnford_fleet::ShareLender;
+use turnford_fleet::ShareSize;
 use turnford_policy::PoolOffer;
 use turnford_policy::PoolSettings;
 use turnford_policy::ServicePool;
@@ -397,51 +400,75 @@
 }
 
 fn measure_lender() {
-    println!("\nlender: one account lent to nodes, after 10 s of rounds; one ask's bytes");
-    println!("| nodes | heap KB an account | us an ask | ask B | grant B |");
-    println!("| --- | --- | --- | --- | --- |");
+    println!(
+        "\nlender: one account lent to nodes, after 10 s of rounds; bytes of an ask and its reply"
+    );
+    println!("| nodes | heap KB an account | us an ask | ask B | reply B | empty ask B |");
+    println!("| --- | --- | --- | --- | --- | --- |");
     for nodes in [8, 100, 300, 880] {
         let names: Vec<String> = (0..nodes).map(|number| member(number).name).collect();
-        let mut demand = ShareDemand {
-            account: "account-17".to_owned(),
-            rate: 3.0,
-            running: 2,
-            held: None,
-        };
+        let mut demands: Vec<ShareDemand> = (0..nodes).map(|_| share_demand()).collect();
         let mut spent = Duration::ZERO;
-        let (grant, heap) = weigh(|| {
-            let limits = (1000.0, 2000);
-            let mut lender = ShareLender::new(Moment::ZERO, 1, limits, nodes as u32, true);
+        let mut stamp = LenderStamp::default();
+        let (state, heap) = weigh(|| {
+            let limit = ShareSize {
+                rate: 1000.0,
+                concurrency: 2000,
+            };
+            let mut lender = ShareLender::new(Moment::ZERO, 1, limit, true);
+            let mut heard = HeardNodes::new(Moment::ZERO, 1, nodes as u32);
             let mut last = None;
             for round in 0..ROUNDS {
                 let now = Duration::from_millis(300 * round);
                 spent += time_each(1, |_| {
-                    for name in &names {
-                        demand.held = last.clone();
-                        last = Some(lender.lend(now, name, &demand));
+                    for (name, demand) in names.iter().zip(&mut demands) {
+                        stamp = heard.note(now, name, stamp);
+                        last = lender.lend(now, name, demand, &heard);
+                        if let Some(grant) = &last {
+                            demand.newest = grant.number;
+                            demand.using = grant.size;
+                        }
                     }
                 });
             }
             spent /= ROUNDS as u32 * nodes as u32;
-            (lender, last)
+            (lender, heard, last)
         });
-        let (_, grant) = grant;
-        demand.held = grant.clone();
-        let ask = PeerRequest::Share {
-            node: names[0].clone(),
-            demands: vec![demand],
+        let ask = |demands| {
+            let node = names[0].clone();
+            let request = PeerRequest::Share {
+                node,
+                group: 1,
+                stamp,
+                demands,
+            };
+            encode_request(&request).map_or(0, |frame| frame.len())
         };
-        let ask = encode_request(&ask).map_or(0, |frame| frame.len());
-        let answer = PeerReply::Shares(grant.into_iter().collect());
-        let answer = encode_reply(&answer).map_or(0, |frame| frame.len());
+        let reply = PeerReply::Shares {
+            stamp,
+            grants: state.2.into_iter().collect(),
+        };
+        let reply = encode_reply(&reply).map_or(0, |frame| frame.len());
         println!(
-            "| {nodes} | {:.1} | {:.1} | {ask} | {answer} |",
+            "| {nodes} | {:.1} | {:.1} | {} | {reply} | {} |",
             heap as f64 / 1024.0,
-            micros(spent)
+            micros(spent),
+            ask(vec![demands[0].clone()]),
+            ask(Vec::new())
         );
     }
 }
 
+fn share_demand() -> ShareDemand {
+    ShareDemand {
+        account: "account-17".to_owned(),
+        rate: 3.0,
+        running: 2,
+        newest: Default::default(),
+        using: Default::default(),
+    }
+}
+
 fn main() {
     measure_members();
     measure_config();
--- a/packages/turnford-node/src/control/peers.rs
+++ b/packages/turnford-node/src/control/peers.rs
@@ -44,8 +44,11 @@
             PeerReply::Noted
         }
         PeerRequest::Claim(ask) => super::claims::answer_claim(&context, ask).await,
-        PeerRequest::Share { node, demands } => {
-            super::shares::answer_share(&context, &node, &demands)
-        }
+        PeerRequest::Share {
+            node,
+            group,
+            stamp,
+            demands,
+        } => super::shares::answer_share(&context, &node, group, stamp, &demands),
     }
 }
--- a/packages/turnford-node/src/control/shares.rs
+++ b/packages/turnford-node/src/control/shares.rs
@@ -11,14 +11,16 @@
 use async_io::Timer;
 use turnford_config::ClientAccount;
 use turnford_fleet::Duty;
+use turnford_fleet::HeardNodes;
 use turnford_fleet::LeaseAction;
 use turnford_fleet::LeaseHolder;
 use turnford_fleet::LeaseSettings;
+use turnford_fleet::LenderStamp;
 use turnford_fleet::Moment;
 use turnford_fleet::ShareDemand;
-use turnford_fleet::ShareGrant;
 use turnford_fleet::ShareHolder;
 use turnford_fleet::ShareLender;
+use turnford_fleet::ShareSize;
 use turnford_fleet::Version;
 use turnford_wire::PeerReply;
 use turnford_wire::PeerRequest;
@@ -48,16 +50,24 @@
 /// Shortest time between two fetches for one account.
 const FETCH_PAUSE: Duration = Duration::from_millis(100);
 
-/// Longest time that a starting node waits for the lenders.
-const LENDER_WAIT: Duration = Duration::from_secs(3);
+/// Longest time that a starting node waits for the lenders; after it, the node has its even part.
+const LENDER_WAIT: Duration = Duration::from_secs(20);
 
-/// Accounts asked for in one call.
-const DEMAND_LIMIT: usize = 200;
-
-/// Lenders of one group, under one term of its lease.
+/// One group of accounts: this node's contact with the lender, and the lender if it is this node.
 struct LenderGroup {
     lease: LeaseHolder,
-    term: Version,
+    lending: Option<LendingTerm>,
+    /// When a lender's reply was last received, or when the node started.
+    contact: Moment,
+    stamp: LenderStamp,
+}
+
+/// Lenders of one group, under one term of its lease.
+struct LendingTerm {
+    token: Version,
+    is_first: bool,
+    began: Moment,
+    heard: HeardNodes,
     lenders: HashMap<String, ShareLender>,
 }
 
@@ -75,8 +85,9 @@
     pub(super) fn new(name: &str, seed: u64) -> Self {
         let groups = (0..GROUP_COUNT).map(|_| LenderGroup {
             lease: LeaseHolder::new(name.to_owned(), LeaseSettings::default(), seed),
-            term: 0,
-            lenders: HashMap::new(),
+            lending: None,
+            contact: Moment::ZERO,
+            stamp: LenderStamp::default(),
         });
         Self {
             groups: groups.collect(),
@@ -88,6 +99,21 @@
         }
     }
 
+    /// Returns what is asked for an account.
+    fn demand_of(&self, now: Moment, account: &str, rate: f64, running: u32) -> ShareDemand {
+        let contact = self.groups[usize::from(group_of(account))].contact;
+        let holder = self.holders.get(account);
+        ShareDemand {
+            account: account.to_owned(),
+            rate,
+            running,
+            newest: holder.map(ShareHolder::newest).unwrap_or_default(),
+            using: holder
+                .map(|holder| holder.usable(now, contact))
+                .unwrap_or_default(),
+        }
+    }
+
     /// Returns the groups whose lease this node holds.
     pub(super) fn held_groups(&self, now: Moment) -> Vec<usize> {
         let held = self.groups.iter().enumerate();
@@ -103,12 +129,12 @@
         for group in 0..GROUP_COUNT {
             step_lease(&context, group);
         }
-        let demands = measure_demands(&context);
-        for (group, demands) in demands {
-            for part in demands.chunks(DEMAND_LIMIT) {
-                let ask = ask_shares(context.clone(), group, part.to_vec());
-                context.executor.spawn(ask).detach();
-            }
+        let mut demands = measure_demands(&context);
+        for group in 0..GROUP_COUNT {
+            // Without demands the ask shows that this node is there.
+            let own = demands.remove(&group).unwrap_or_default();
+            let ask = ask_shares(context.clone(), group, own, true);
+            context.executor.spawn(ask).detach();
         }
         apply_limits(&context);
         greet_lenders(&context);
@@ -141,7 +167,8 @@
     };
     if due {
         let demand = fetch_demand(&context, &call.account);
-        ask_shares(context.clone(), group_of(&call.account), vec![demand]).await;
+        let group = group_of(&call.account);
+        ask_shares(context.clone(), group, vec![demand], false).await;
         apply_limits(&context);
     }
     // A request that is gone needs no word.
@@ -156,20 +183,13 @@
         .limits()
         .get(account)
         .map_or(0, |limit| limit.running());
-    ShareDemand {
-        account: account.to_owned(),
-        rate: desk
-            .demands
-            .get(account)
-            .copied()
-            .unwrap_or(0.0)
-            .max(FETCH_DEMAND),
-        running,
-        held: desk
-            .holders
-            .get(account)
-            .and_then(|holder| holder.held(now).cloned()),
-    }
+    let rate = desk
+        .demands
+        .get(account)
+        .copied()
+        .unwrap_or(0.0)
+        .max(FETCH_DEMAND);
+    desk.demand_of(now, account, rate, running)
 }
 
 /// Asks each lender once, so that a starting node is not ready before its accounts have shares.
@@ -189,7 +209,7 @@
         };
         waiting = true;
         let demand = fetch_demand(context, &account.name);
-        let ask = ask_shares(context.clone(), group, vec![demand]);
+        let ask = ask_shares(context.clone(), group, vec![demand], false);
         context.executor.spawn(ask).detach();
     }
     let alone = state.settings.fleet_size <= 1;
@@ -208,13 +228,14 @@
     let mut desk = context.shares.borrow_mut();
     let mut limits = context.state.limits();
     for account in config.accounts.values() {
-        let fresh = || ShareHolder::new(account.rate, account.concurrency, fleet_size);
+        let contact = desk.groups[usize::from(group_of(&account.name))].contact;
+        let fresh = || ShareHolder::new(limit_of(account), fleet_size);
         let holder = desk
             .holders
             .entry(account.name.to_string())
             .or_insert_with(fresh);
-        holder.set_limits(account.rate, account.concurrency);
-        let (rate, concurrency) = holder.usable(now);
+        holder.set_limit(limit_of(account));
+        let ShareSize { rate, concurrency } = holder.usable(now, contact);
         let limit = limits.entry(account.name.clone());
         let fresh = || turnford_policy::AccountLimit::new(now, rate, concurrency);
         limit.or_insert_with(fresh).set(now, rate, concurrency);
@@ -225,13 +246,24 @@
 pub(super) fn answer_share(
     context: &ControlContext,
     node: &str,
+    group: u16,
+    stamp: LenderStamp,
     demands: &[ShareDemand],
 ) -> PeerReply {
     let now = context.now();
     let config = context.state.config.load();
+    let fleet_size = context.state.settings.fleet_size;
     let mut desk = context.shares.borrow_mut();
+    let found = desk.groups.get_mut(usize::from(group));
+    let Some(term) = found.and_then(|group| current_term(now, group, fleet_size)) else {
+        return PeerReply::Refused;
+    };
+    let stamp = term.heard.note(now, node, stamp);
     let mut grants = Vec::new();
-    for demand in demands {
+    for demand in demands
+        .iter()
+        .filter(|demand| group_of(&demand.account) == group)
+    {
         let account = config
             .accounts
             .values()
@@ -239,36 +271,44 @@
         let Some(account) = account else {
             continue;
         };
-        let group = &mut desk.groups[usize::from(group_of(&demand.account))];
-        let fleet_size = context.state.settings.fleet_size;
-        let grant = lend(now, group, account, fleet_size, node, demand);
-        grants.extend(grant);
+        let limit = limit_of(account);
+        let (began, token, is_first) = (term.began, term.token, term.is_first);
+        let fresh = || ShareLender::new(began, token, limit, is_first);
+        let lender = term
+            .lenders
+            .entry(demand.account.clone())
+            .or_insert_with(fresh);
+        lender.set_limit(limit);
+        grants.extend(lender.lend(now, node, demand, &term.heard));
     }
-    PeerReply::Shares(grants)
+    PeerReply::Shares { stamp, grants }
 }
 
-fn lend(
-    now: Moment,
-    group: &mut LenderGroup,
-    account: &ClientAccount,
-    fleet_size: u32,
-    node: &str,
-    demand: &ShareDemand,
-) -> Option<ShareGrant> {
+/// Returns the lenders of a group, if this node's lease for it holds now.
+fn current_term(now: Moment, group: &mut LenderGroup, fleet_size: u32) -> Option<&mut LendingTerm> {
     group.lease.token(now)?;
-    let (term, is_first) = group.lease.term()?;
-    if group.term != term {
-        group.term = term;
-        group.lenders.clear();
+    let (token, is_first) = group.lease.term()?;
+    let known = group
+        .lending
+        .as_ref()
+        .is_some_and(|term| term.token == token);
+    if !known {
+        group.lending = Some(LendingTerm {
+            token,
+            is_first,
+            began: now,
+            heard: HeardNodes::new(now, token, fleet_size),
+            lenders: HashMap::new(),
+        });
+    }
+    group.lending.as_mut()
+}
+
+fn limit_of(account: &ClientAccount) -> ShareSize {
+    ShareSize {
+        rate: account.rate,
+        concurrency: account.concurrency,
     }
-    let limits = (account.rate, account.concurrency);
-    let fresh = || ShareLender::new(now, term, limits, fleet_size, is_first);
-    let lender = group
-        .lenders
-        .entry(demand.account.clone())
-        .or_insert_with(fresh);
-    lender.set_limits(account.rate, account.concurrency);
-    Some(lender.lend(now, node, demand))
 }
 
 /// Makes the call that a group's lease asks for.
@@ -279,7 +319,8 @@
     let action = {
         let mut desk = context.shares.borrow_mut();
         let group = &mut desk.groups[usize::from(group)];
-        let clean = group.lenders.values().all(|lender| lender.is_clear(now));
+        let mut lenders = group.lending.iter().flat_map(|term| term.lenders.values());
+        let clean = lenders.all(|lender| lender.is_clear(now));
         group.lease.step(now, wanted, clean)
     };
     if let Some(action) = action {
@@ -314,54 +355,72 @@
         if demand < LEAST_DEMAND {
             continue;
         }
-        let holder = desk.holders.get(&**account);
-        let held = holder.and_then(|holder| holder.held(now).cloned());
-        by_group
-            .entry(group_of(account))
-            .or_default()
-            .push(ShareDemand {
-                account: account.to_string(),
-                rate: demand,
-                running: limit.running(),
-                held,
-            });
+        let asked = desk.demand_of(now, account, demand, limit.running());
+        by_group.entry(group_of(account)).or_default().push(asked);
     }
     by_group
 }
 
-async fn ask_shares(context: Rc<ControlContext>, group: u16, demands: Vec<ShareDemand>) {
+/// Asks the lender of a group and takes its grants. `whole` tells that the demands are all that this
+/// node has in the group.
+async fn ask_shares(
+    context: Rc<ControlContext>,
+    group: u16,
+    demands: Vec<ShareDemand>,
+    whole: bool,
+) {
     let asked = context.now();
-    let holder = context.duty_holder(&Duty::Lend(group));
+    let lender = context.duty_holder(&Duty::Lend(group));
     let node = context.state.settings.name.to_string();
-    let reply = if holder == node {
-        answer_share(&context, &node, &demands)
+    let stamp = context.shares.borrow().groups[usize::from(group)].stamp;
+    let listed: Vec<String> = demands
+        .iter()
+        .map(|demand| demand.account.clone())
+        .collect();
+    let reply = if lender == node {
+        answer_share(&context, &node, group, stamp, &demands)
     } else {
         let address = context
             .members
             .borrow()
-            .get(&holder)
+            .get(&lender)
             .map(|record| record.update.address);
         let Some(address) = address else {
             return;
         };
-        let request = PeerRequest::Share { node, demands };
+        let request = PeerRequest::Share {
+            node,
+            group,
+            stamp,
+            demands,
+        };
         match context.peers.call(address, &request, ASK_LIMIT).await {
             Ok(reply) => reply,
             Err(_) => return,
         }
     };
-    let PeerReply::Shares(grants) = reply else {
+    let PeerReply::Shares { stamp, grants } = reply else {
         return;
     };
+    let now = context.now();
     let mut desk = context.shares.borrow_mut();
-    if !grants.is_empty() {
-        desk.answered[usize::from(group)] = true;
-    }
+    // A lender that only listens, or can't lend yet, leaves a starting node unready.
+    desk.answered[usize::from(group)] |= grants.iter().any(|grant| grant.size.concurrency > 0);
+    let state = &mut desk.groups[usize::from(group)];
+    state.contact = now;
+    state.stamp = stamp;
     for grant in grants {
         if let Some(holder) = desk.holders.get_mut(&grant.account) {
-            holder.apply(asked, grant);
+            holder.apply(asked, &grant);
         }
     }
+    if whole {
+        let others = desk
+            .holders
+            .iter_mut()
+            .filter(|(account, _)| group_of(account) == group && !listed.contains(account));
+        others.for_each(|(_, holder)| holder.forget_ended(asked));
+    }
 }
 
 fn group_of(account: &str) -> u16 {
--- a/packages/turnford-standin/src/audit.rs
+++ b/packages/turnford-standin/src/audit.rs
@@ -11,8 +11,10 @@
 /// Broken promises, all of which must be zero.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct AuditCounts {
-    /// Requests that got no end at all.
+    /// Requests that got no end at all, neither an answer nor a closed connection.
     pub lost: u64,
+    /// Requests whose connection closed without an answer, as those of a killed node do.
+    pub unanswered: u64,
     /// Requests for which a once-only service ran more than once.
     pub doubled: u64,
     /// Whole answers that belong to another request.
@@ -31,6 +33,7 @@
 /// Counts broken promises over all requests of a run.
 pub(crate) fn audit_run(
     records: &[RequestRecord],
+    sent: u64,
     journal: &[JournalEntry],
     once: &BTreeSet<String>,
 ) -> AuditCounts {
@@ -44,12 +47,13 @@
         }
     }
     let mut counts = AuditCounts {
+        lost: sent.saturating_sub(records.len() as u64),
         doubled: once_starts.values().filter(|runs| **runs > 1).count() as u64,
         ..AuditCounts::default()
     };
     for record in records {
         let started = starts.contains_key(record.mark.as_str());
-        counts.lost += u64::from(record.code.is_none());
+        counts.unanswered += u64::from(record.code.is_none());
         counts.crossed += u64::from(record.whole && !record.own);
         counts.false_not_run += u64::from(record.ran == "no" && started);
     }
--- a/packages/turnford-standin/src/lib.rs
+++ b/packages/turnford-standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! the load tool counts lost, doubled and crossed results.
 
 mod audit;
+mod balancer;
 mod fault;
 mod fleet;
 mod journal;
--- a/packages/turnford-standin/src/load.rs
+++ b/packages/turnford-standin/src/load.rs
@@ -20,6 +20,7 @@
 use turnford_http::HttpFault;
 
 use crate::audit::audit_run;
+use crate::balancer::LoadBalancer;
 use crate::journal::mark_of;
 use crate::report::build_report;
 use crate::scenario::TrafficSpec;
@@ -37,7 +38,7 @@
 /// What to load, and how much.
 #[derive(Clone, Debug)]
 pub struct LoadSettings {
-    /// Entry addresses of the nodes, used in turn.
+    /// Entry addresses of the nodes, used in turn as a balancer does.
     pub nodes: Vec<SocketAddr>,
     /// Control port of the stand-ins, for the journal.
     pub control: SocketAddr,
@@ -85,7 +86,6 @@
 
 /// One request before it is sent.
 struct RequestPlan {
-    node: SocketAddr,
     traffic: TrafficSpec,
     mark: String,
     input: String,
@@ -123,7 +123,7 @@
         .filter(|service| service.once)
         .map(|service| service.name.clone())
         .collect();
-    let audit = audit_run(&records, &journal, &once);
+    let audit = audit_run(&records, sent, &journal, &once);
     Ok(build_report(scenario, settings, &records, &journal, audit))
 }
 
@@ -135,6 +135,7 @@
     records: &Arc<Mutex<Vec<RequestRecord>>>,
     ended: &Arc<AtomicU64>,
 ) -> u64 {
+    let balancer = LoadBalancer::start(&settings.nodes, executor);
     let mut rng = SmallRng::seed_from_u64(settings.seed);
     let begin = Instant::now();
     let mut due = Duration::ZERO;
@@ -144,11 +145,11 @@
         due += Duration::from_secs_f64(-gap.ln() / settings.rate);
         Timer::at(begin + due).await;
         let plan = plan_request(scenario, settings, &mut rng, sent, begin + due, due);
-        let client = client.clone();
+        let (client, balancer) = (client.clone(), balancer.clone());
         let records = records.clone();
         let ended = ended.clone();
         let task = async move {
-            let record = send_request(&client, plan).await;
+            let record = send_request(&client, &balancer, plan).await;
             records
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
@@ -204,10 +205,8 @@
     let opening = format!("{} topic {topic} ", traffic.account);
     let opening = format!("{opening:-<64}");
     let input = format!("{opening} {mark} {}", TOKEN_FILLER.repeat(tokens));
-    let node = settings.nodes[number as usize % settings.nodes.len()];
     let deadline = settings.deadline;
     RequestPlan {
-        node,
         traffic,
         mark,
         input,
@@ -229,7 +228,11 @@
     &traffic[traffic.len() - 1]
 }
 
-async fn send_request(client: &HttpClient, plan: RequestPlan) -> RequestRecord {
+async fn send_request(
+    client: &HttpClient,
+    balancer: &LoadBalancer,
+    plan: RequestPlan,
+) -> RequestRecord {
     let mut record = RequestRecord {
         account: plan.traffic.account.clone(),
         mark: plan.mark.clone(),
@@ -241,7 +244,14 @@
         first_token: None,
         started: plan.started,
     };
-    let answer = exchange(client, &plan, &mut record).await;
+    let mut answer = Err(HttpFault::NotConnected);
+    for node in balancer.order() {
+        answer = exchange(client, node, &plan, &mut record).await;
+        // Only a call that was surely not sent goes to another node.
+        if !matches!(answer, Err(HttpFault::NotConnected)) {
+            break;
+        }
+    }
     record.latency = plan.due.elapsed();
     if let Ok(body) = answer {
         record.code = Some(body.code);
@@ -254,11 +264,12 @@
 
 async fn exchange(
     client: &HttpClient,
+    node: SocketAddr,
     plan: &RequestPlan,
     record: &mut RequestRecord,
 ) -> Result<AnswerBody, HttpFault> {
     let path = format!("/v1/pipelines/{}", plan.traffic.template);
-    let mut request = HttpClient::request(Method::Post, plan.node, &path)?;
+    let mut request = HttpClient::request(Method::Post, node, &path)?;
     request.insert_header(
         "authorization",
         format!("Bearer key-{}", plan.traffic.account),
@@ -273,21 +284,22 @@
     let limit = plan.deadline.unwrap_or(ANSWER_GRACE) + ANSWER_GRACE;
     if plan.traffic.stream {
         request.insert_header("accept", "text/event-stream");
-        return read_events(client, plan, request, limit, record).await;
+        return read_events(client, node, plan, request, limit, record).await;
     }
-    let answer = client.send(plan.node, request, limit).await?;
+    let answer = client.send(node, request, limit).await?;
     serde_json::from_slice(&answer.body).map_err(|_| HttpFault::Broken)
 }
 
 /// Reads server-sent events until the last one, which carries the code.
 async fn read_events(
     client: &HttpClient,
+    node: SocketAddr,
     plan: &RequestPlan,
     request: http_types::Request,
     limit: Duration,
     record: &mut RequestRecord,
 ) -> Result<AnswerBody, HttpFault> {
-    let mut stream = client.open(plan.node, request, limit).await?;
+    let mut stream = client.open(node, request, limit).await?;
     if stream.status != 200 {
         let body = stream.read_body().await?;
         return serde_json::from_slice(&body).map_err(|_| HttpFault::Broken);
--- a/packages/turnford-standin/src/report.rs
+++ b/packages/turnford-standin/src/report.rs
@@ -185,8 +185,8 @@
         let audit = &self.audit;
         write!(
             f,
-            "audit: lost {}, doubled {}, crossed {}, false \"not run\" {}",
-            audit.lost, audit.doubled, audit.crossed, audit.false_not_run
+            "audit: lost {}, unanswered {}, doubled {}, crossed {}, false \"not run\" {}",
+            audit.lost, audit.unanswered, audit.doubled, audit.crossed, audit.false_not_run
         )
     }
 }
--- a/packages/turnford-wire/src/message.rs
+++ b/packages/turnford-wire/src/message.rs
@@ -4,6 +4,7 @@
 use turnford_fleet::ClaimVerdict;
 use turnford_fleet::ConfigChange;
 use turnford_fleet::ConfigMark;
+use turnford_fleet::LenderStamp;
 use turnford_fleet::LoadDigest;
 use turnford_fleet::MemberUpdate;
 use turnford_fleet::Rumor;
@@ -48,10 +49,15 @@
     },
     /// Ask about claims, to the node that commits their range.
     Claim(ClaimAsk),
-    /// Ask for shares of accounts' limits, to the node that lends them.
+    /// Ask for shares of accounts' limits, to the node that lends them. Without demands it only
+    /// shows that the sender is there.
     Share {
         /// Name of the sender.
         node: String,
+        /// Group of the accounts.
+        group: u16,
+        /// Stamp of the last reply that the sender received.
+        stamp: LenderStamp,
         /// Its demands.
         demands: Vec<ShareDemand>,
     },
@@ -84,8 +90,13 @@
     Noted,
     /// To a claim.
     Claim(ClaimVerdict),
-    /// To a share ask; empty if the node does not lend.
-    Shares(Vec<ShareGrant>),
+    /// To a share ask, by the lender.
+    Shares {
+        /// The lender's stamp.
+        stamp: LenderStamp,
+        /// What is lent.
+        grants: Vec<ShareGrant>,
+    },
     /// The node can't answer this call.
     Refused,
 }
