Let targets come back, stop by signal, and end the plot

A target started again in place stayed marked as leaving. Change: The plot has a frame. A target's own word that is 5 s newer than the last signal brings it back unless the list says that it leaves. SIGTERM and SIGINT begin a planned stop. Reports are asked once a second while all digests are fresh. The lender keeps a place for each node that was heard of.

--- a/packages/turnford-fleet/src/config.rs
+++ b/packages/turnford-fleet/src/config.rs
@@ -5,7 +5,6 @@
 
 use siphasher::sip::SipHasher13;
 
-use crate::ConfigEnvelope;
 use crate::Version;
 
 /// One object's change as nodes pass it on.
@@ -56,16 +55,6 @@
         true
     }
 
-    /// Takes an object as the platform stores it; `None` if its value is no envelope.
-    pub fn apply_stored(&mut self, key: &str, version: Version, value: &str) -> Option<bool> {
-        let envelope = ConfigEnvelope::decode(value)?;
-        Some(self.apply(ConfigChange {
-            key: key.to_owned(),
-            version,
-            text: envelope.text,
-        }))
-    }
-
     /// Notes that everything up to a revision was seen, from a list or an unbroken watch.
     pub fn note_complete(&mut self, revision: Version) {
         self.complete_to = self.complete_to.max(revision);
--- a/packages/turnford-fleet/src/lender.rs
+++ b/packages/turnford-fleet/src/lender.rs
@@ -192,18 +192,20 @@
         }
     }
 
-    /// Returns what the others leave of the limit: what they may use, and the even part of each
-    /// node that was not heard of.
+    /// Returns what the others leave of the limit: what they may use, the even part of each node that
+    /// was not heard of, and one place for each that was heard of and has none.
     fn room(&self, now: Moment, heard: &HeardNodes) -> ShareSize {
         let part = self.limit.part(heard.fleet_size);
         let silent = heard.silent(now);
         let mut rate = part.rate * f64::from(silent);
         let mut concurrency = part.concurrency * silent;
+        let mut without = heard.fleet_size.saturating_sub(silent + 1);
         for (name, node) in &self.nodes {
             let size = node.size(now);
             if heard.is_heard(now, name) {
                 rate += size.rate;
                 concurrency += size.concurrency;
+                without = without.saturating_sub(u32::from(size.concurrency > 0));
             } else {
                 // Its even part is counted among the silent.
                 rate += (size.rate - part.rate).max(0.0);
@@ -212,7 +214,7 @@
         }
         ShareSize {
             rate: (self.limit.rate - rate).max(0.0),
-            concurrency: self.limit.concurrency.saturating_sub(concurrency),
+            concurrency: self.limit.concurrency.saturating_sub(concurrency + without),
         }
     }
 
@@ -235,7 +237,8 @@
         let part = (own.demand * scale + spare) / self.limit.rate.max(1e-9);
         let mut fair = ShareSize {
             rate: self.limit.rate * part,
-            concurrency: (f64::from(self.limit.concurrency) * part).floor() as u32,
+            // A node that asks can run at least one, whatever its part of a scarce rate.
+            concurrency: (f64::from(self.limit.concurrency) * part).floor().max(1.0) as u32,
         };
         // Nobody gets more than it uses while an earlier lender's grants may hold; for requests
         // that run on after them, a little longer.
--- a/packages/turnford-fleet/tests/share_sum.rs
+++ b/packages/turnford-fleet/tests/share_sum.rs
@@ -353,3 +353,17 @@
     rounds(&mut world, 3, &[(1, 100.0), (2, 0.01), (3, 0.01)]);
     assert!(world.usable(0).rate > 90.0);
 }
+
+#[test]
+fn one_place_each() {
+    // The first node to ask under a scarce rate must not take every place.
+    let mut world = World::new();
+    rounds(&mut world, 3, &[(0, 0.0), (1, 0.0), (2, 0.0), (3, 0.0)]);
+    for node in 0..NODES {
+        round(&mut world, &[(node, 900.0)]);
+        assert!(
+            world.usable(node).concurrency >= 1,
+            "node {node} has no place"
+        );
+    }
+}
--- a/packages/turnford-node/examples/capacity.rs
+++ b/packages/turnford-node/examples/capacity.rs
@@ -364,7 +364,7 @@
         while next < total {
             for _ in 0..group {
                 let owner = ClaimOwner {
-                    incarnation: 1,
+                    incarnation: u64::MAX / 3,
                     sequence: next,
                 };
                 range.ask(
--- a/packages/turnford-node/src/control/context.rs
+++ b/packages/turnford-node/src/control/context.rs
@@ -39,6 +39,8 @@
     pub(super) shares: RefCell<ShareDesk>,
     /// Set once the other nodes are known from the platform, or were waited for long enough.
     pub(super) settled: Cell<bool>,
+    /// Whether the digests of all live peers are fresh.
+    pub(super) digests_complete: Cell<bool>,
     /// Earliest next pull of a whole member list.
     pub(super) next_pull: Cell<Moment>,
 }
@@ -67,6 +69,7 @@
             claims: RefCell::new(ClaimDesk::default()),
             shares: RefCell::new(ShareDesk::new(&settings.name, seed)),
             settled: Cell::new(false),
+            digests_complete: Cell::new(false),
             next_pull: Cell::new(Moment::ZERO),
             executor,
             state,
--- a/packages/turnford-node/src/control/digests.rs
+++ b/packages/turnford-node/src/control/digests.rs
@@ -84,6 +84,7 @@
     let others = context.members.borrow().live().count();
     // Only the word of all peers may stand in for what a target itself reports.
     let complete = others > 0 && digests.len() >= others;
+    context.digests_complete.set(complete);
     let node_share = 1.0 / (others as f64 + 1.0);
     for (service, pool) in context.state.pools.load().iter() {
         let mean = digests.service_mean(service);
--- a/packages/turnford-node/src/control/rumors.rs
+++ b/packages/turnford-node/src/control/rumors.rs
@@ -30,7 +30,8 @@
                 service, target, ..
             } => {
                 let pool = context.state.pool(&service);
-                let left = pool.is_some_and(|pool| pool.with(|_, pool| pool.mark_leaving(&target)));
+                let left =
+                    pool.is_some_and(|pool| pool.with(|now, pool| pool.mark_leaving(now, &target)));
                 if left {
                     log::info!("target {target} leaves, by a peer's word");
                 }
--- a/packages/turnford-node/src/control/targets.rs
+++ b/packages/turnford-node/src/control/targets.rs
@@ -27,9 +27,12 @@
 /// Pause between reads of the VM list.
 const LIST_PAUSE: Duration = Duration::from_millis(1000);
 
-/// Pause between rounds of load reports.
+/// Pause between rounds of load reports where they are all that is known of others' work.
 const REPORT_PAUSE: Duration = Duration::from_millis(250);
 
+/// Pause between rounds while the digests of all peers say the same, and sooner.
+const SPARE_PAUSE: Duration = Duration::from_millis(1000);
+
 /// One-way delay assumed inside a hall, between halls and between regions.
 const DISTANCES: [Duration; 3] = [
     Duration::from_micros(100),
@@ -57,7 +60,8 @@
 /// Asks each target for its load, all at once in each round.
 pub(super) async fn follow_reports(context: Rc<ControlContext>) {
     loop {
-        Timer::after(REPORT_PAUSE).await;
+        let spare = context.digests_complete.get();
+        Timer::after(if spare { SPARE_PAUSE } else { REPORT_PAUSE }).await;
         let mut tasks = Vec::new();
         for (service, pool) in context.state.pools.load().iter() {
             for target in live_targets(pool) {
@@ -99,7 +103,10 @@
                 report.models.join(", ")
             );
         }
-        report.leaving && pool.mark_leaving(&target)
+        if !report.leaving && pool.mark_staying(&target, taken_at) {
+            log::info!("target {target} takes work again, by its own report");
+        }
+        report.leaving && pool.mark_leaving(now, &target)
     });
     if left {
         tell_leaving(&context, &service, &target, "its own report");
@@ -109,7 +116,7 @@
 /// Marks a target as leaving here and tells the others.
 fn tell_leaving(context: &Rc<ControlContext>, service: &str, target: &str, by: &str) {
     if let Some(pool) = context.state.pool(service) {
-        pool.with(|_, pool| pool.mark_leaving(target));
+        pool.with(|now, pool| pool.mark_leaving(now, target));
     }
     log::info!("target {target} leaves, by {by}");
     let rumor = Rumor::Leaving {
@@ -122,8 +129,8 @@
 
 fn live_targets(pool: &StagePool) -> Vec<TargetId> {
     pool.with(|_, pool| {
-        let live = pool.views().iter().filter(|view| !view.leaving);
-        live.map(|view| view.facts.id.clone()).collect()
+        let listed = pool.views().iter().filter(|view| !view.listed_leaving);
+        listed.map(|view| view.facts.id.clone()).collect()
     })
 }
 
@@ -164,11 +171,12 @@
 }
 
 fn mark_leaving(context: &Rc<ControlContext>, list: &[VmEntry]) {
-    for entry in list.iter().filter(|entry| entry.state == VmState::Leaving) {
+    for entry in list {
         let Some(pool) = context.state.pool(&entry.service) else {
             continue;
         };
-        if pool.with(|_, pool| pool.mark_leaving(&entry.name)) {
+        let leaving = entry.state == VmState::Leaving;
+        if pool.with(|now, pool| pool.mark_listed(now, &entry.name, leaving)) {
             tell_leaving(context, &entry.service, &entry.name, "the VM list");
         }
     }
--- a/packages/turnford-node/src/state.rs
+++ b/packages/turnford-node/src/state.rs
@@ -130,7 +130,11 @@
     ) -> Result<AccountPlace, LimitRefusal> {
         let now = self.clock.now();
         let mut limits = self.limits();
-        let fresh = || AccountLimit::new(now, account.rate, account.concurrency);
+        // In a fleet nothing may be used before a share is there; the caller asks for one.
+        let alone = self.settings.fleet_size <= 1;
+        let rate = if alone { account.rate } else { 0.0 };
+        let concurrency = if alone { account.concurrency } else { 0 };
+        let fresh = || AccountLimit::new(now, rate, concurrency);
         let limit = limits.entry(account.name.clone()).or_insert_with(fresh);
         limit.start(now)?;
         Ok(AccountPlace {
--- a/packages/turnford-policy/src/pool.rs
+++ b/packages/turnford-policy/src/pool.rs
@@ -116,6 +116,7 @@
         let running = old.into_values().filter(|view| view.own() > 0);
         self.views.extend(running.map(|mut view| {
             view.leaving = true;
+            view.listed_leaving = true;
             view
         }));
         self.views
@@ -148,15 +149,25 @@
         self.node_share = node_share.clamp(0.0, 1.0);
     }
 
-    /// Marks a target as leaving, by any signal. A target that leaves never comes back by itself:
-    /// only a VM list that names it live after it was gone does that.
-    pub fn mark_leaving(&mut self, target: &str) -> bool {
+    /// Marks a target as leaving, by any signal; true if it is the first.
+    pub fn mark_leaving(&mut self, now: Moment, target: &str) -> bool {
+        self.view_mut(target)
+            .is_some_and(|view| view.note_leaving(now))
+    }
+
+    /// Takes the VM list's word on whether a target leaves; true if that is new.
+    pub fn mark_listed(&mut self, now: Moment, target: &str, leaving: bool) -> bool {
         let Some(view) = self.view_mut(target) else {
             return false;
         };
-        let first = !view.leaving;
-        view.leaving = true;
-        first
+        view.listed_leaving = leaving;
+        leaving && view.note_leaving(now)
+    }
+
+    /// Takes a target's own word that it does not leave; true if it takes work again.
+    pub fn mark_staying(&mut self, target: &str, taken_at: Moment) -> bool {
+        self.view_mut(target)
+            .is_some_and(|view| view.note_staying(taken_at))
     }
 
     /// Takes a cache event of an engine.
@@ -321,7 +332,9 @@
             StageOutcome::Whole => view.health.note_success(ratio),
             StageOutcome::Failed => view.health.note_failure(),
             StageOutcome::GivenUp => view.health.note_given_up(ratio),
-            StageOutcome::Leaving => view.leaving = true,
+            StageOutcome::Leaving => {
+                view.note_leaving(now);
+            }
             StageOutcome::RefusedFull | StageOutcome::Cancelled => (),
         }
         if outcome == StageOutcome::Whole {
--- a/packages/turnford-policy/src/target.rs
+++ b/packages/turnford-policy/src/target.rs
@@ -18,6 +18,9 @@
 /// Changes of the own count that are kept to match a lagging report.
 const HISTORY_LIMIT: usize = 128;
 
+/// How much newer than the last signal of leaving a target's own word to stay must be.
+const STAY_SPAN: Duration = Duration::from_secs(5);
+
 /// Prefix hints kept for one target.
 const PREFIX_LIMIT: usize = 256;
 
@@ -56,6 +59,9 @@
     pub health: TargetHealth,
     /// True once any signal said that the target leaves.
     pub leaving: bool,
+    /// True while the VM list says that the target leaves.
+    pub listed_leaving: bool,
+    left_at: Moment,
     own: u32,
     history: VecDeque<(Moment, u32)>,
     others: Option<(Moment, u32)>,
@@ -70,6 +76,8 @@
             facts,
             health: TargetHealth::default(),
             leaving: false,
+            listed_leaving: false,
+            left_at: Moment::ZERO,
             own: 0,
             history: VecDeque::new(),
             others: None,
@@ -83,6 +91,25 @@
         self.own
     }
 
+    /// Notes a signal that the target leaves; true if it is the first.
+    pub fn note_leaving(&mut self, now: Moment) -> bool {
+        let first = !self.leaving;
+        self.leaving = true;
+        self.left_at = now;
+        first
+    }
+
+    /// Notes the target's own word that it does not leave. It takes work again if the word is much
+    /// newer than the last signal, as after a restart in place, and the list does not say otherwise.
+    pub fn note_staying(&mut self, taken_at: Moment) -> bool {
+        let newer = taken_at > self.left_at + STAY_SPAN;
+        let back = self.leaving && !self.listed_leaving && newer;
+        if back {
+            self.leaving = false;
+        }
+        back
+    }
+
     /// Notes a call sent there.
     pub fn note_start(&mut self, now: Moment) {
         self.own += 1;
--- a/packages/turnford-policy/tests/pool_rules.rs
+++ b/packages/turnford-policy/tests/pool_rules.rs
@@ -136,7 +136,7 @@
                 }
                 Event::Leave { target } => {
                     left[target] = true;
-                    pool.mark_leaving(&format!("t-{target}"));
+                    pool.mark_leaving(now, &format!("t-{target}"));
                 }
                 Event::Withdraw { index } if !held.is_empty() => {
                     let ticket = held.remove(index % held.len());
@@ -406,3 +406,19 @@
         Duration::from_millis(700)
     );
 }
+
+#[test]
+fn back_again() {
+    // A target that left and was started again in place takes work once its own word is new enough.
+    let mut pool = pool(10);
+    let second = Duration::from_secs(1);
+    assert!(pool.mark_leaving(second, "t-1"));
+    assert!(
+        !pool.mark_staying("t-1", second * 3),
+        "an old report brought the target back"
+    );
+    assert!(pool.mark_staying("t-1", second * 9));
+    // While the list says that it leaves, its own word does not count.
+    assert!(pool.mark_listed(second * 10, "t-1", true));
+    assert!(!pool.mark_staying("t-1", second * 30));
+}
--- a/packages/turnford-standin/src/plot.rs
+++ b/packages/turnford-standin/src/plot.rs
@@ -9,7 +9,8 @@
 /// Size of the plot in pixels.
 const SIZE: (u32, u32) = (900, 400);
 
-/// Draws started and attained requests by second.
+/// Draws started (red) and attained (blue) requests by second of their start. The frame reaches from
+/// 0 to one more than the most requests started in a second.
 ///
 /// # Errors
 ///
@@ -30,12 +31,11 @@
         .y_label_area_size(40)
         .build_cartesian_2d(0..seconds, 0..top + 1)
         .map_err(|error| error.to_string())?;
-    // Text needs a font on the machine; axes without labels need none.
+    // Labels need a font on the machine, and a mesh without labels never ends its search for their
+    // places; a frame needs neither.
     chart
-        .configure_mesh()
-        .x_labels(0)
-        .y_labels(0)
-        .draw()
+        .plotting_area()
+        .draw(&Rectangle::new([(0, 0), (seconds, top + 1)], BLACK))
         .map_err(|error| error.to_string())?;
     let points = report.by_second.iter().enumerate();
     let sent = points.clone().map(|(second, (_, sent))| (second, *sent));
--- a/packages/turnford/src/command/node.rs
+++ b/packages/turnford/src/command/node.rs
@@ -1,8 +1,13 @@
 //! `turnford node`.
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
 use turnford_config::NodeSettings;
 use turnford_node::Node;
 use turnford_node::NodeOptions;
@@ -39,8 +44,15 @@
         return ExitStatus::Failed;
     }
     let options = node_options(arguments.policy, arguments.admits);
+    let asked = match catch_signals() {
+        Ok(asked) => asked,
+        Err(error) => {
+            eprintln!("signals can't be caught: {error}");
+            return ExitStatus::Failed;
+        }
+    };
     match Node::start(settings, options) {
-        Ok(node) => async_io::block_on(run_until_drained(node)),
+        Ok(node) => async_io::block_on(run_until_drained(node, &asked)),
         Err(error) => {
             log::error!("the node can't start: {error}");
             eprintln!("{file}: the node can't start: {error}");
@@ -63,8 +75,17 @@
     NodeOptions { pool, admits }
 }
 
-async fn run_until_drained(node: Node) -> ExitStatus {
-    while !node.is_draining() {
+/// Returns a flag that the signals of a planned stop set.
+fn catch_signals() -> std::io::Result<Arc<AtomicBool>> {
+    let asked = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        signal_hook::flag::register(signal, asked.clone())?;
+    }
+    Ok(asked)
+}
+
+async fn run_until_drained(node: Node, asked: &AtomicBool) -> ExitStatus {
+    while !node.is_draining() && !asked.load(Ordering::SeqCst) {
         Timer::after(STOP_PAUSE).await;
     }
     let cut = node.drain().await;
