--- a/packages/turnford/examples/overhead.rs
+++ b/packages/turnford/examples/overhead.rs
@@ -23,6 +23,7 @@
 const PAIRS: usize = 2_000;
 const LIMIT: Duration = Duration::from_secs(10);
 const CALLERS: usize = 64;
+const CLAIMERS: usize = 400;
 const SPAN: Duration = Duration::from_secs(5);
 
 fn scenario(base_ms: f64) -> Scenario {
@@ -48,9 +49,12 @@
     let hash = turnford_config::hash_key("key");
     let account = format!(
         "name = \"one\"\nkey_sha256 = \"{hash}\"\nclass = 0\nrate = 1000000\n\
-         concurrency = 100000\n[templates.four]\n"
+         concurrency = 100000\n[templates.four]\n[templates.once]\n"
     );
-    [template, account]
+    let once = "name = \"once\"\ndeadline_ms = 10000\n[[stages]]\nname = \"d\"\nservice = \"d\"\n\
+                kind = \"call\"\nrepeatable = false\n"
+        .to_owned();
+    [template, once, account]
         .into_iter()
         .map(|text| SiteFile {
             name: "bench".to_owned(),
@@ -156,6 +160,92 @@
     count.load(Ordering::Relaxed) as f64 / begun.elapsed().as_secs_f64()
 }
 
+/// Returns the node's writes to the platform so far.
+async fn writes(client: &HttpClient, node: SocketAddr) -> f64 {
+    let request = HttpClient::request(Method::Get, node, "/metrics").expect("a URL");
+    let answer = client
+        .send(node, request, LIMIT)
+        .await
+        .expect("the node answers");
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("turnford_platform_writes "));
+    let value = line
+        .and_then(|line| line.rsplit(' ').next())
+        .and_then(|value| value.parse().ok());
+    value.expect("the metric is there")
+}
+
+/// Makes one once-only call, with an id or without.
+async fn call_once(client: &HttpClient, node: SocketAddr, id: Option<String>) -> Duration {
+    let request = HttpClient::request(Method::Post, node, "/v1/pipelines/once");
+    let mut request = request.expect("the address makes a URL");
+    request.insert_header("authorization", "Bearer key");
+    if let Some(id) = id {
+        request.insert_header("turnford-request-id", id);
+    }
+    request.set_body("mark:bench hello");
+    let begun = Instant::now();
+    let answer = client
+        .send(node, request, LIMIT)
+        .await
+        .expect("the node answers");
+    assert_eq!(
+        answer.status,
+        200,
+        "{}",
+        String::from_utf8_lossy(&answer.body)
+    );
+    begun.elapsed()
+}
+
+/// Measures claims a second against writes a second, and the time that a claim adds.
+async fn measure_claims(site: &LocalSite) {
+    let client = Arc::new(HttpClient::new());
+    let node = site.addresses()[0];
+    let (mut with, mut without) = (Vec::new(), Vec::new());
+    for number in 0..200 {
+        let id = Some(format!("one-{number}"));
+        with.push(call_once(&client, node, id).await.as_secs_f64() * 1000.0);
+        without.push(call_once(&client, node, None).await.as_secs_f64() * 1000.0);
+    }
+    with.sort_by(f64::total_cmp);
+    without.sort_by(f64::total_cmp);
+    println!(
+        "a claim adds {:.1} ms at 0.5 and {:.1} ms at 0.99, alone",
+        quantile(&with, 0.5) - quantile(&without, 0.5),
+        quantile(&with, 0.99) - quantile(&without, 0.99)
+    );
+    let executor = start_threads("claimers", 2);
+    let count = Arc::new(AtomicU64::new(0));
+    let before = writes(&client, node).await;
+    let begun = Instant::now();
+    let tasks: Vec<_> = (0..CLAIMERS)
+        .map(|caller| {
+            let (client, count) = (client.clone(), count.clone());
+            executor.spawn(async move {
+                let mut number = 0;
+                while begun.elapsed() < SPAN {
+                    number += 1;
+                    call_once(&client, node, Some(format!("{caller}-{number}"))).await;
+                    count.fetch_add(1, Ordering::Relaxed);
+                }
+            })
+        })
+        .collect();
+    for task in tasks {
+        task.await;
+    }
+    let seconds = begun.elapsed().as_secs_f64();
+    let written = writes(&client, node).await - before;
+    println!(
+        "{CLAIMERS} callers: {:.0} claimed requests/s with {:.1} writes/s",
+        count.load(Ordering::Relaxed) as f64 / seconds,
+        written / seconds
+    );
+}
+
 fn main() {
     let executor = start_threads("standin", 3);
     let options = NodeOptions::default();
@@ -166,6 +256,7 @@
         measure_added(&site, "alone").await;
         let fast = LocalSite::start(&scenario(0.0), &files(), 1, &options, &executor).await;
         let fast = fast.expect("the site starts");
+        measure_claims(&fast).await;
         let rate = measure_rate(&fast, CALLERS, SPAN).await;
         println!(
             "one node, two traffic threads, {CALLERS} callers: {rate:.0} requests/s of 4 stages"
