--- a/packages/turnford/examples/overhead.rs
+++ b/packages/turnford/examples/overhead.rs
@@ -63,10 +63,20 @@
         .collect()
 }
 
-async fn through_node(client: &HttpClient, node: SocketAddr) -> Duration {
-    let request = HttpClient::request(Method::Post, node, "/v1/pipelines/four");
+/// Posts to a pipeline and returns the time until its whole answer.
+async fn post(
+    client: &HttpClient,
+    node: SocketAddr,
+    template: &str,
+    id: Option<String>,
+) -> Duration {
+    let path = format!("/v1/pipelines/{template}");
+    let request = HttpClient::request(Method::Post, node, &path);
     let mut request = request.expect("the address makes a URL");
     request.insert_header("authorization", "Bearer key");
+    if let Some(id) = id {
+        request.insert_header("turnford-request-id", id);
+    }
     request.set_body("mark:bench hello");
     let begun = Instant::now();
     let answer = client
@@ -82,6 +92,10 @@
     begun.elapsed()
 }
 
+async fn through_node(client: &HttpClient, node: SocketAddr) -> Duration {
+    post(client, node, "four", None).await
+}
+
 async fn direct(client: &HttpClient, targets: &[SocketAddr]) -> Duration {
     let begun = Instant::now();
     for target in targets {
@@ -179,25 +193,7 @@
 
 /// Makes one once-only call, with an id or without.
 async fn call_once(client: &HttpClient, node: SocketAddr, id: Option<String>) -> Duration {
-    let request = HttpClient::request(Method::Post, node, "/v1/pipelines/once");
-    let mut request = request.expect("the address makes a URL");
-    request.insert_header("authorization", "Bearer key");
-    if let Some(id) = id {
-        request.insert_header("turnford-request-id", id);
-    }
-    request.set_body("mark:bench hello");
-    let begun = Instant::now();
-    let answer = client
-        .send(node, request, LIMIT)
-        .await
-        .expect("the node answers");
-    assert_eq!(
-        answer.status,
-        200,
-        "{}",
-        String::from_utf8_lossy(&answer.body)
-    );
-    begun.elapsed()
+    post(client, node, "once", id).await
 }
 
 /// Measures claims a second against writes a second, and the time that a claim adds.
