Wait longer for a site than its nodes wait for shares

Cause: A node without a lender is ready after 20 s, but a whole site was given up after 10 s. On a very busy machine nodes that register far apart could reach that and fail a test or the demo. Change: A site waits 40 s.

--- a/packages/turnford/src/site.rs
+++ b/packages/turnford/src/site.rs
@@ -24,8 +24,9 @@
 use crate::operator::ChangeOutcome;
 use crate::operator::ChangeRequest;
 
-/// Longest wait until all nodes are ready.
-const READY_LIMIT: Duration = Duration::from_secs(10);
+/// Longest wait until all nodes are ready. It is longer than a node waits for its shares, which a
+/// start on a busy machine can need.
+const READY_LIMIT: Duration = Duration::from_secs(40);
 
 /// Calls a second to the platform that an operator's tool may make.
 const TOOL_CALLS: f64 = 200.0;
