--- a/packages/turnford-config/src/lib.rs
+++ b/packages/turnford-config/src/lib.rs
@@ -7,6 +7,7 @@
 mod object;
 mod problem;
 mod reader;
+mod serve;
 mod settings;
 mod template;
 
@@ -16,6 +17,8 @@
 pub use object::ConfigObject;
 pub use object::ObjectKind;
 pub use problem::ConfigProblem;
+pub use serve::RepeatSettings;
+pub use serve::ServeSettings;
 pub use settings::LogLevel;
 pub use settings::LogSettings;
 pub use settings::NodeSettings;
--- /dev/null
+++ b/packages/turnford-config/src/serve.rs
@@ -0,0 +1,125 @@
+//! Settings of a node that serves routes from the platform's configuration.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::reader::read_file;
+use crate::reader::TableReader;
+use crate::settings::read_log;
+use crate::ConfigProblem;
+use crate::LogLevel;
+use crate::LogSettings;
+
+/// What an address looks like.
+const ADDRESS: &str = "an IP number and port, as 127.0.0.1:7000";
+
+/// Repeats of a service in a window, over the whole fleet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatSettings {
+    /// Length of the sliding window.
+    pub window: Duration,
+    /// Repeats per request of the service.
+    pub ratio: f64,
+    /// Repeats beside that.
+    pub slack: f64,
+}
+
+impl Default for RepeatSettings {
+    /// A tenth of the traffic and a few more, as for the own interface.
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(10),
+            ratio: 0.1,
+            slack: 10.0,
+        }
+    }
+}
+
+/// Settings of one node that serves routes, from its file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServeSettings {
+    /// Name, unique in the fleet.
+    pub name: Arc<str>,
+    /// Hall that the VM stands in.
+    pub hall: Arc<str>,
+    /// Region that the hall is in.
+    pub region: Arc<str>,
+    /// Address for clients.
+    pub listen: SocketAddr,
+    /// Address where the platform asks whether the node takes requests.
+    pub ready: SocketAddr,
+    /// Address for the other nodes.
+    pub inner: SocketAddr,
+    /// Address of metrics and status.
+    pub metrics: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Addresses of other nodes to ask while the store is away; may be empty or out of date.
+    pub peers: Vec<SocketAddr>,
+    /// Time from the order to stop until the process is ended.
+    pub stop_grace: Duration,
+    /// Time after which a target that is leaving must get no new work.
+    pub leave_bound: Duration,
+    /// Repeats that a service may get.
+    pub repeats: RepeatSettings,
+    /// Log lines.
+    pub log: LogSettings,
+}
+
+impl ServeSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem of the file.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<ConfigProblem>> {
+        read_file(file, text, read_settings)
+    }
+}
+
+fn read_settings(reader: &TableReader<'_>) -> Option<ServeSettings> {
+    let name = reader.name("name");
+    let hall = reader.name("hall");
+    let region = reader.name("region");
+    let listen = reader.parsed("listen", ADDRESS);
+    let ready = reader.parsed("ready", ADDRESS);
+    let inner = reader.parsed("inner", ADDRESS);
+    let metrics = reader.parsed("metrics", ADDRESS);
+    let store = reader.parsed("store", ADDRESS);
+    let peers = reader.parsed_list("peers", ADDRESS);
+    let stop_grace = reader.number_or("stop_grace_s", 0.0..=3600.0, 8.0);
+    let leave_bound = reader.number_or("leave_bound_ms", 0.0..=600_000.0, 2000.0);
+    let repeats = reader.table("repeats", read_repeats);
+    let log = reader.table("log", read_log);
+    Some(ServeSettings {
+        name: Arc::from(name?),
+        hall: Arc::from(hall?),
+        region: Arc::from(region?),
+        listen: listen?,
+        ready: ready?,
+        inner: inner?,
+        metrics: metrics?,
+        store: store?,
+        peers,
+        stop_grace: Duration::from_secs_f64(stop_grace),
+        leave_bound: Duration::from_secs_f64(leave_bound / 1000.0),
+        repeats: repeats.unwrap_or_default(),
+        log: log.unwrap_or(LogSettings {
+            level: LogLevel::Info,
+            file: None,
+        }),
+    })
+}
+
+fn read_repeats(reader: &TableReader<'_>) -> Option<RepeatSettings> {
+    let default = RepeatSettings::default();
+    let window = reader.number_or("window_s", 0.1..=3600.0, default.window.as_secs_f64());
+    let ratio = reader.number_or("ratio", 0.0..=10.0, default.ratio);
+    let slack = reader.number_or("slack", 0.0..=1_000_000.0, default.slack);
+    Some(RepeatSettings {
+        window: Duration::from_secs_f64(window),
+        ratio,
+        slack,
+    })
+}
--- a/packages/turnford-config/src/settings.rs
+++ b/packages/turnford-config/src/settings.rs
@@ -123,7 +123,7 @@
     })
 }
 
-fn read_log(reader: &TableReader<'_>) -> Option<LogSettings> {
+pub(crate) fn read_log(reader: &TableReader<'_>) -> Option<LogSettings> {
     let level = reader.word("level", &LEVEL_WORDS);
     let file = reader.optional_text("file").map(PathBuf::from);
     Some(LogSettings {
--- a/packages/turnford-http/src/lib.rs
+++ b/packages/turnford-http/src/lib.rs
@@ -4,16 +4,22 @@
 mod body;
 mod client;
 mod fault;
+mod link;
+mod listen;
 mod server;
+mod shelf;
 
 pub use body::stream_body;
 pub use client::HttpAnswer;
 pub use client::HttpClient;
 pub use client::HttpStream;
 pub use fault::HttpFault;
+pub use link::HttpLink;
+pub use listen::serve_link;
 pub use server::bind_listener;
 pub use server::serve_connection;
 pub use server::HttpCall;
+pub use shelf::LinkShelf;
 
 /// Largest head plus body that a client or server of this package accepts unless told otherwise,
 /// in bytes. The platform's values are bounded by a megabyte; the rest leaves room for framing.
--- /dev/null
+++ b/packages/turnford-http/src/shelf.rs
@@ -0,0 +1,70 @@
+//! Idle connections by address, kept for reuse.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::HttpLink;
+
+/// Most idle connections kept to one address.
+const IDLE_LIMIT: usize = 32;
+
+/// A connection at rest.
+#[derive(Debug)]
+struct IdleLink {
+    link: HttpLink,
+    since: Instant,
+    /// Rest after which the other side may close it.
+    keep: Duration,
+}
+
+/// The idle connections of one thread.
+#[derive(Debug, Default)]
+pub struct LinkShelf {
+    idle: HashMap<SocketAddr, Vec<IdleLink>>,
+}
+
+impl LinkShelf {
+    /// Takes a connection that is sure to be open, if one rests here.
+    ///
+    /// `rest_limit` is the longest rest that the caller accepts, beside that of the other side.
+    pub fn take(&mut self, address: SocketAddr, rest_limit: Duration) -> Option<HttpLink> {
+        let links = self.idle.get_mut(&address)?;
+        let now = Instant::now();
+        links.retain(|idle| !idle.link.is_closed() && now - idle.since < idle.keep);
+        // The one used last is the least likely to be closed by the other side.
+        let last = links.last()?;
+        if now - last.since >= rest_limit || !last.link.is_ready() {
+            return None;
+        }
+        links.pop().map(|idle| idle.link)
+    }
+
+    /// Lays a connection down for at most `keep`.
+    pub fn put(&mut self, link: HttpLink, keep: Duration) {
+        if link.is_closed() || keep.is_zero() {
+            return;
+        }
+        let links = self.idle.entry(link.address()).or_default();
+        if links.len() >= IDLE_LIMIT {
+            links.remove(0);
+        }
+        let since = Instant::now();
+        links.push(IdleLink { link, since, keep });
+    }
+
+    /// Closes the connections to an address.
+    pub fn forget(&mut self, address: SocketAddr) {
+        self.idle.remove(&address);
+    }
+
+    /// Closes the connections whose time is over.
+    pub fn sweep(&mut self) {
+        let now = Instant::now();
+        for links in self.idle.values_mut() {
+            links.retain(|idle| !idle.link.is_closed() && now - idle.since < idle.keep);
+        }
+        self.idle.retain(|_, links| !links.is_empty());
+    }
+}
--- /dev/null
+++ b/packages/turnford-policy/src/route.rs
@@ -0,0 +1,39 @@
+//! Routes: pipelines that are chosen by host and path, their targets, and the decisions about them.
+//!
+//! A routed request passes the stages of its route, made of pieces that run in batches, and ends in
+//! one call to the route's own service.
+
+mod affinity;
+mod allowance;
+mod batch;
+mod board;
+mod call;
+mod config;
+mod graph;
+mod table;
+
+pub use affinity::PromptCache;
+pub use allowance::RetryAllowance;
+pub use batch::BatchBoard;
+pub use batch::BatchPlan;
+pub use batch::PieceTicket;
+pub use batch::PieceWork;
+pub use board::BoardChoice;
+pub use board::LoadMark;
+pub use board::TargetBoard;
+pub use call::CallFacts;
+pub use call::PromptPart;
+pub use config::AccountSpec;
+pub use config::BatchSpec;
+pub use config::CallKind;
+pub use config::ClientLimits;
+pub use config::EngineSpec;
+pub use config::RouteConfig;
+pub use config::RouteSpec;
+pub use config::ServiceShare;
+pub use config::ServiceSpec;
+pub use config::StageSpec;
+pub use config::TargetSpec;
+pub use graph::StageGraph;
+pub use table::AccountGrant;
+pub use table::RouteTable;
--- /dev/null
+++ b/packages/turnford-policy/src/route/board.rs
@@ -0,0 +1,252 @@
+//! The targets of one service as one node sees them, and the choice between them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::Moment;
+use crate::TargetId;
+
+use super::TargetSpec;
+
+/// Weight of the newest sample in averages of failures and times.
+const SAMPLE_WEIGHT: f64 = 0.25;
+
+/// Time after which half of what a target told of its load no longer counts.
+const LOAD_HALF_LIFE: Duration = Duration::from_millis(400);
+
+/// First pause of a target that failed; it doubles with each further failure in a row.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest pause of a failing target.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+
+/// Part of failed calls over which a target is used only if no other can take the call.
+const BAD_FAILURE: f64 = 0.3;
+
+/// Cost of a target that fails all its calls, in the unit of times.
+const FAILURE_COST: Duration = Duration::from_secs(2);
+
+/// Load that a target told with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadMark {
+    /// Requests at work.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+}
+
+/// A target with what this node learned of it.
+#[derive(Clone, Debug)]
+struct BoardEntry {
+    spec: TargetSpec,
+    /// Calls of this node under way.
+    in_flight: u32,
+    /// Last load told, with the calls of this node that were under way then.
+    mark: Option<(Moment, LoadMark, u32)>,
+    failure: f64,
+    /// Average time of a call, where calls are of one size.
+    span: Option<f64>,
+    failures_in_row: u32,
+    paused_until: Moment,
+}
+
+impl BoardEntry {
+    fn new(spec: TargetSpec) -> Self {
+        Self {
+            spec,
+            in_flight: 0,
+            mark: None,
+            failure: 0.0,
+            span: None,
+            failures_in_row: 0,
+            paused_until: Moment::ZERO,
+        }
+    }
+
+    /// Returns the calls of other nodes that the target still works on, as last told and aged.
+    fn foreign_load(&self, now: Moment) -> f64 {
+        let Some((at, mark, own)) = self.mark else {
+            return 0.0;
+        };
+        let told = f64::from(mark.running + mark.waiting) - f64::from(own);
+        let age = now.saturating_sub(at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
+        told.max(0.0) * 0.5_f64.powf(age)
+    }
+
+    fn load(&self, now: Moment) -> f64 {
+        f64::from(self.in_flight) + self.foreign_load(now)
+    }
+}
+
+/// A chosen target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BoardChoice {
+    /// Target.
+    pub spec: TargetSpec,
+}
+
+/// The targets of one service.
+#[derive(Clone, Debug, Default)]
+pub struct TargetBoard {
+    entries: BTreeMap<TargetId, BoardEntry>,
+}
+
+impl TargetBoard {
+    /// Takes a new list of targets. What was learned of those that stay is kept.
+    pub fn set_targets<'a>(&mut self, specs: impl Iterator<Item = &'a TargetSpec>) {
+        let mut old = std::mem::take(&mut self.entries);
+        for spec in specs {
+            let mut entry = old
+                .remove(&spec.id)
+                .unwrap_or_else(|| BoardEntry::new(spec.clone()));
+            entry.spec = spec.clone();
+            self.entries.insert(spec.id.clone(), entry);
+        }
+    }
+
+    /// Returns the number of targets that take new work.
+    pub fn open_count(&self) -> usize {
+        let entries = self.entries.values();
+        entries.filter(|entry| !entry.spec.leaving).count()
+    }
+
+    /// Returns a target by its id, leaving ones too.
+    pub fn get(&self, id: &str) -> Option<&TargetSpec> {
+        self.entries.get(id).map(|entry| &entry.spec)
+    }
+
+    /// Returns every target, leaving ones too.
+    pub fn all_targets(&self) -> impl Iterator<Item = &TargetSpec> {
+        self.entries.values().map(|entry| &entry.spec)
+    }
+
+    /// Returns the targets that take new work.
+    pub fn open_targets(&self) -> impl Iterator<Item = &TargetSpec> {
+        let specs = self.entries.values().map(|entry| &entry.spec);
+        specs.filter(|spec| !spec.leaving)
+    }
+
+    /// Tells whether a target failed so lately that it is passed over.
+    pub fn is_paused(&self, now: Moment, id: &str) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| entry.paused_until > now)
+    }
+
+    /// Returns the expected load of a target: calls under way and waiting, this node's among them.
+    pub fn load(&self, now: Moment, id: &str) -> f64 {
+        self.entries.get(id).map_or(0.0, |entry| entry.load(now))
+    }
+
+    /// Returns the part of a service's places that are taken.
+    pub fn occupancy(&self, now: Moment) -> f64 {
+        let mut taken = 0.0;
+        let mut places = 0.0;
+        for entry in self.entries.values().filter(|entry| !entry.spec.leaving) {
+            taken += entry.load(now).min(f64::from(entry.spec.slots));
+            places += f64::from(entry.spec.slots);
+        }
+        if places > 0.0 {
+            taken / places
+        } else {
+            1.0
+        }
+    }
+
+    /// Chooses the target with the least cost, among those not tried yet.
+    ///
+    /// `cost_of` gives the cost of a target in seconds from its load; the board adds what the
+    /// target's failures make likely. Paused targets are chosen only where nothing else is left.
+    pub fn choose(
+        &self,
+        now: Moment,
+        tried: &[TargetId],
+        cost_of: impl Fn(&TargetSpec, f64) -> f64,
+    ) -> Option<BoardChoice> {
+        let open = self.entries.values().filter(|entry| !entry.spec.leaving);
+        let left: Vec<&BoardEntry> = open
+            .filter(|entry| !tried.contains(&entry.spec.id))
+            .collect();
+        let awake = left.iter().filter(|entry| entry.paused_until <= now);
+        let sound = awake.clone().filter(|entry| entry.failure < BAD_FAILURE);
+        let cost = |entry: &&BoardEntry| {
+            let own = cost_of(&entry.spec, entry.load(now));
+            own + entry.failure * FAILURE_COST.as_secs_f64()
+        };
+        let least = |left: &&&BoardEntry, right: &&&BoardEntry| cost(left).total_cmp(&cost(right));
+        let chosen = sound
+            .min_by(least)
+            .or_else(|| awake.min_by(least))
+            .or_else(|| left.iter().min_by_key(|entry| entry.paused_until));
+        chosen.map(|entry| BoardChoice {
+            spec: entry.spec.clone(),
+        })
+    }
+
+    /// Returns the average time of a target's calls against the median of all, 1 where unknown.
+    pub fn slowness(&self, id: &str) -> f64 {
+        let mut spans: Vec<f64> = self.entries.values().filter_map(|e| e.span).collect();
+        spans.sort_by(f64::total_cmp);
+        let median = spans.get(spans.len() / 2).copied();
+        let own = self.entries.get(id).and_then(|entry| entry.span);
+        match (own, median) {
+            (Some(own), Some(median)) if median > 0.0 => own / median,
+            _ => 1.0,
+        }
+    }
+
+    /// Notes that a call of this node goes to a target.
+    pub fn note_sent(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.in_flight += 1;
+        }
+    }
+
+    /// Notes that a call of this node ended, however it did.
+    pub fn note_ended(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.in_flight = entry.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes the load that a target told.
+    pub fn note_load(&mut self, now: Moment, id: &str, mark: LoadMark) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.mark = Some((now, mark, entry.in_flight));
+        }
+    }
+
+    /// Notes a call that went well, and its time where calls are of one size.
+    pub fn note_success(&mut self, id: &str, span: Option<Duration>) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        entry.failure *= 1.0 - SAMPLE_WEIGHT;
+        entry.failures_in_row = 0;
+        entry.paused_until = Moment::ZERO;
+        if let Some(span) = span {
+            let sample = span.as_secs_f64();
+            let old = entry.span.unwrap_or(sample);
+            entry.span = Some(old + SAMPLE_WEIGHT * (sample - old));
+        }
+    }
+
+    /// Notes a call that failed in a way that speaks against the target itself.
+    pub fn note_failure(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.failure += SAMPLE_WEIGHT * (1.0 - entry.failure);
+        }
+    }
+
+    /// Notes that a target could not be reached or is full: it gets a pause.
+    pub fn note_refused(&mut self, now: Moment, id: &str) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        let doublings = entry.failures_in_row.min(8);
+        let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE);
+        entry.failures_in_row += 1;
+        entry.paused_until = now + pause;
+    }
+}
--- /dev/null
+++ b/packages/turnford-policy/src/route/graph.rs
@@ -0,0 +1,75 @@
+//! The order of a request's stages.
+
+use super::StageSpec;
+
+/// Stages of a route as one request runs them. Those without pieces are left out; what comes after
+/// them gets no results from them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StageGraph {
+    counts: Vec<u32>,
+    inputs: Vec<Vec<usize>>,
+    last: Vec<usize>,
+}
+
+impl StageGraph {
+    /// Builds the graph from the stages and the number of pieces of each.
+    pub fn new(stages: &[StageSpec], count_of: impl Fn(usize) -> u32) -> Self {
+        let counts: Vec<u32> = (0..stages.len()).map(count_of).collect();
+        let mut inputs: Vec<Vec<usize>> = Vec::with_capacity(stages.len());
+        for (number, stage) in stages.iter().enumerate() {
+            let runs_before = |before: &&usize| **before < number && counts[**before] > 0;
+            let mut needed: Vec<usize> = stage.after.iter().filter(runs_before).copied().collect();
+            needed.sort_unstable();
+            needed.dedup();
+            inputs.push(needed);
+        }
+        let last = last_stages(&counts, &inputs);
+        Self {
+            counts,
+            inputs,
+            last,
+        }
+    }
+
+    /// Returns the number of stages, those left out among them.
+    pub fn len(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// Tells whether nothing has to run before the request itself.
+    pub fn is_empty(&self) -> bool {
+        self.counts.iter().all(|&count| count == 0)
+    }
+
+    /// Returns the number of pieces of a stage.
+    pub fn count(&self, stage: usize) -> u32 {
+        self.counts[stage]
+    }
+
+    /// Returns the stages whose results a stage needs.
+    pub fn inputs(&self, stage: usize) -> &[usize] {
+        &self.inputs[stage]
+    }
+
+    /// Returns the stages whose results no other stage needs, which the request itself needs.
+    pub fn last(&self) -> &[usize] {
+        &self.last
+    }
+
+    /// Returns the stages that a stage's results go to.
+    pub fn users(&self, stage: usize) -> impl Iterator<Item = usize> + '_ {
+        let stages = 0..self.counts.len();
+        stages.filter(move |&other| self.counts[other] > 0 && self.inputs[other].contains(&stage))
+    }
+}
+
+fn last_stages(counts: &[u32], inputs: &[Vec<usize>]) -> Vec<usize> {
+    let runs = |stage: &usize| counts[*stage] > 0;
+    let mut last: Vec<usize> = (0..counts.len()).filter(runs).collect();
+    for (stage, needed) in inputs.iter().enumerate() {
+        if counts[stage] > 0 {
+            last.retain(|other| !needed.contains(other));
+        }
+    }
+    last
+}
--- /dev/null
+++ b/packages/turnford-serve/src/call.rs
@@ -0,0 +1,224 @@
+//! One call to one target.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::response::Parts;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+
+use turnford_adapter::decode_answer;
+use turnford_adapter::AnswerFacts;
+use turnford_http::HttpFault;
+use turnford_http::HttpLink;
+use turnford_policy::TargetSpec;
+
+use crate::desk::FlightGuard;
+use crate::desk::ServiceDesk;
+use crate::metrics::ServiceEvent;
+use crate::traffic::Traffic;
+
+/// Longest time to open a connection to a target. One lost opening packet is sent again after a
+/// second, and another target is faster than that.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// Rest that a target is trusted with where it does not say when it closes a connection.
+const DEFAULT_KEEP: Duration = Duration::from_millis(700);
+
+/// Part of the rest that a target says, so that a request does not cross its close.
+const KEEP_PART: f64 = 0.6;
+
+/// Longest refusal that is read to its end so that the connection can be used again, in bytes.
+const REFUSAL_LIMIT: usize = 16 * 1024;
+
+/// Longest time for the body of a refusal.
+const REFUSAL_SPAN: Duration = Duration::from_millis(200);
+
+/// Why a call gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallFault {
+    /// No byte was handed over.
+    NotSent(&'static str),
+    /// The target says that it did not run the request.
+    NotRun(StatusCode),
+    /// The request was handed over, and what became of it is not known.
+    Unknown(&'static str),
+}
+
+/// A target's answer whose body is still to come.
+pub(crate) struct TargetAnswer {
+    pub(crate) parts: Parts,
+    pub(crate) facts: AnswerFacts,
+    pub(crate) body: Incoming,
+    link: HttpLink,
+    _flight: FlightGuard,
+}
+
+impl TargetAnswer {
+    /// Reads the whole body and lays the connection down for reuse.
+    pub(crate) async fn collect(
+        self,
+        traffic: &Traffic,
+        limit: usize,
+    ) -> Result<(Parts, Bytes), CallFault> {
+        let body = Limited::new(self.body, limit).collect().await;
+        let body = body.map_err(|_| CallFault::Unknown("the answer broke off"))?;
+        lay_down(traffic, self.link, &self.facts);
+        Ok((self.parts, body.to_bytes()))
+    }
+
+    /// Takes the answer apart for a body that is passed on as it comes.
+    pub(crate) fn into_stream(self) -> (Parts, Incoming, StreamRest) {
+        let rest = StreamRest {
+            link: self.link,
+            facts: self.facts,
+            _flight: self._flight,
+        };
+        (self.parts, self.body, rest)
+    }
+}
+
+/// What has to be done after the body of a stream ended.
+pub(crate) struct StreamRest {
+    link: HttpLink,
+    facts: AnswerFacts,
+    _flight: FlightGuard,
+}
+
+impl StreamRest {
+    /// Lays the connection down for reuse.
+    pub(crate) fn finish(self, traffic: &Traffic) {
+        lay_down(traffic, self.link, &self.facts);
+    }
+}
+
+/// Lays a connection down until its target may close it.
+fn lay_down(traffic: &Traffic, link: HttpLink, facts: &AnswerFacts) {
+    if facts.closes {
+        return;
+    }
+    let keep = facts.keep.map_or(DEFAULT_KEEP, |keep| keep.mul_f64(KEEP_PART));
+    traffic.shelf.borrow_mut().put(link, keep);
+}
+
+/// Sends a request to a target and waits for the head of its answer.
+///
+/// `attempt` is the id that the answer must carry, where its kind of call has one.
+pub(crate) async fn call_target(
+    traffic: &Traffic,
+    desk: &Rc<ServiceDesk>,
+    target: &TargetSpec,
+    request: Request<Full<Bytes>>,
+    attempt: Option<&str>,
+    limit: Duration,
+) -> Result<TargetAnswer, CallFault> {
+    let flight = FlightGuard::new(desk, &target.id);
+    let mut link = open_link(traffic, desk, target).await?;
+    if !desk.is_open(&target.id) {
+        return Err(CallFault::NotSent("the target is leaving"));
+    }
+    traffic
+        .shared
+        .metrics
+        .note_service(&target.service, ServiceEvent::Sent);
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    let sent = async { Some(link.send(request).await) };
+    let answer = match sent.or(late).await {
+        Some(Ok(answer)) => answer,
+        Some(Err(HttpFault::NotConnected)) => {
+            return Err(CallFault::NotSent("the connection was closed"))
+        }
+        Some(Err(_)) => return Err(CallFault::Unknown("the connection broke")),
+        None => return Err(CallFault::Unknown("no answer in time")),
+    };
+    let (parts, body) = answer.into_parts();
+    let facts = decode_answer(&parts).map_err(|problem| {
+        log::warn!("target={} answer refused: {problem}", target.id);
+        CallFault::Unknown("the answer's head makes no sense")
+    })?;
+    if let Some(mark) = facts.load {
+        let now = traffic.shared.now();
+        let mut board = desk.board.borrow_mut();
+        board.note_load(now, &target.id, mark);
+    }
+    if attempt.is_some() && !facts.not_run && facts.attempt.as_deref() != attempt {
+        return Err(other_attempt(traffic, target, &facts));
+    }
+    if facts.not_run {
+        drain_refusal(traffic, link, &facts, body).await;
+        traffic
+            .shared
+            .metrics
+            .note_service(&target.service, ServiceEvent::NotRun);
+        return Err(CallFault::NotRun(parts.status));
+    }
+    Ok(TargetAnswer {
+        parts,
+        facts,
+        body,
+        link,
+        _flight: flight,
+    })
+}
+
+/// Notes an answer that belongs to another request; its connection is spoiled.
+fn other_attempt(traffic: &Traffic, target: &TargetSpec, facts: &AnswerFacts) -> CallFault {
+    log::warn!(
+        "target={} dropped an answer for request={}",
+        target.id,
+        facts.attempt.as_deref().unwrap_or("-")
+    );
+    traffic
+        .shared
+        .metrics
+        .note_service(&target.service, ServiceEvent::OtherAttempt);
+    CallFault::Unknown("the answer belongs to another request")
+}
+
+/// Returns a connection to a target, one at rest where there is one.
+async fn open_link(
+    traffic: &Traffic,
+    desk: &Rc<ServiceDesk>,
+    target: &TargetSpec,
+) -> Result<HttpLink, CallFault> {
+    let rested = traffic
+        .shelf
+        .borrow_mut()
+        .take(target.address, Duration::MAX);
+    if let Some(link) = rested {
+        return Ok(link);
+    }
+    let opened = HttpLink::open(&traffic.executor, target.address, CONNECT_LIMIT).await;
+    let metrics = &traffic.shared.metrics;
+    metrics.note_service(&target.service, ServiceEvent::Connected);
+    opened.map_err(|_| {
+        let now = traffic.shared.now();
+        desk.board.borrow_mut().note_refused(now, &target.id);
+        CallFault::NotSent("no connection to the target")
+    })
+}
+
+/// Reads the rest of a refusal, so that its connection can be used again.
+async fn drain_refusal(traffic: &Traffic, link: HttpLink, facts: &AnswerFacts, body: Incoming) {
+    let read = async {
+        let body = Limited::new(body, REFUSAL_LIMIT).collect().await;
+        body.is_ok()
+    };
+    let late = async {
+        Timer::after(REFUSAL_SPAN).await;
+        false
+    };
+    if read.or(late).await {
+        lay_down(traffic, link, facts);
+    }
+}
--- /dev/null
+++ b/packages/turnford-serve/src/control.rs
@@ -0,0 +1,73 @@
+//! The control thread: the configuration, the targets and the other nodes.
+
+mod config;
+mod context;
+mod follow;
+mod targets;
+
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_net::TcpListener;
+
+use crate::entry::accept_links;
+use crate::entry::answer_metrics;
+use crate::entry::answer_probe;
+use crate::shared::ServeShared;
+use context::ControlContext;
+
+/// Largest head of a probe or a reader of metrics, in bytes.
+const HEAD_LIMIT: usize = 8192;
+
+/// Listeners of the control thread.
+pub(crate) struct ControlListeners {
+    /// For the platform's readiness probe.
+    pub(crate) ready: TcpListener,
+    /// For readers of metrics.
+    pub(crate) metrics: TcpListener,
+    /// For other nodes.
+    pub(crate) inner: TcpListener,
+}
+
+/// Runs all control work of a node until `stop` ends.
+pub(crate) fn run_control(
+    shared: Arc<ServeShared>,
+    listeners: ControlListeners,
+    stop: impl Future<Output = ()>,
+) {
+    let context = ControlContext::new(shared.clone());
+    let executor = context.executor.clone();
+    // These connections are few and short; they end with the process.
+    let (_open, closing) = async_channel::bounded::<()>(1);
+    let probed = shared.clone();
+    let answer = move |request| {
+        let answer = answer_probe(&probed, request);
+        async move { answer }
+    };
+    let probes = accept_links(
+        executor.clone(),
+        listeners.ready,
+        HEAD_LIMIT,
+        closing.clone(),
+        answer,
+    );
+    executor.spawn(probes).detach();
+    let answer = move |request| {
+        let answer = answer_metrics(&shared, request);
+        async move { answer }
+    };
+    let readers = accept_links(
+        executor.clone(),
+        listeners.metrics,
+        HEAD_LIMIT,
+        closing,
+        answer,
+    );
+    executor.spawn(readers).detach();
+    drop(listeners.inner);
+    let follow: Rc<ControlContext> = context.clone();
+    executor.spawn(config::follow_config(follow)).detach();
+    executor.spawn(targets::follow_targets(context)).detach();
+    async_io::block_on(executor.run(stop));
+}
--- /dev/null
+++ b/packages/turnford-serve/src/control/follow.rs
@@ -0,0 +1,113 @@
+//! Following the objects of one kind in the store: a list, then watches, and a list again where the
+//! history is gone.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+
+use turnford_adapter::StoreEvent;
+use turnford_adapter::StoreFault;
+use turnford_adapter::StoreList;
+
+use super::context::ControlContext;
+
+/// Longest wait of one watch. A watch whose answer was lost is found out by its end, so it is well
+/// below the time in which a change must be in force after a cut.
+const WATCH_SPAN: Duration = Duration::from_secs(4);
+
+/// Longest time for a list.
+const LIST_LIMIT: Duration = Duration::from_millis(1500);
+
+/// First pause after the store did not answer; it doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause between calls to a store that does not answer.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// What a follower hears.
+pub(super) enum StoreNews {
+    /// All objects of the kind.
+    List(StoreList),
+    /// Changes since.
+    Events(Vec<StoreEvent>),
+    /// The store did not answer or turned the call away.
+    Lost(StoreFault),
+    /// The store answers again.
+    Regained,
+}
+
+/// State of following one kind.
+struct FollowState {
+    /// Revision to go on from; `None` before a list.
+    revision: Option<u64>,
+    pause: Duration,
+    is_lost: bool,
+}
+
+/// Follows a kind for as long as the node runs.
+pub(super) async fn follow_kind(
+    context: Rc<ControlContext>,
+    kind: &'static str,
+    mut hear: impl FnMut(StoreNews),
+) {
+    let mut state = FollowState {
+        revision: None,
+        pause: FIRST_PAUSE,
+        is_lost: false,
+    };
+    loop {
+        let heard = match state.revision {
+            None => list_kind(&context, kind).await,
+            Some(revision) => watch_kind(&context, kind, revision).await,
+        };
+        let calls = context.store.calls();
+        context.shared.metrics.store_calls.set(calls);
+        match heard {
+            Ok((news, revision)) => {
+                if std::mem::take(&mut state.is_lost) {
+                    log::info!("store regained: kind={kind} revision={revision}");
+                    hear(StoreNews::Regained);
+                }
+                state.pause = FIRST_PAUSE;
+                state.revision = Some(revision);
+                hear(news);
+            }
+            Err(StoreFault::HistoryGone) => {
+                log::info!("store history gone: kind={kind}, listing anew");
+                state.revision = None;
+            }
+            Err(fault) => note_fault(&context, kind, &mut state, fault, &mut hear).await,
+        }
+    }
+}
+
+async fn note_fault(
+    context: &ControlContext,
+    kind: &'static str,
+    state: &mut FollowState,
+    fault: StoreFault,
+    hear: &mut impl FnMut(StoreNews),
+) {
+    if !std::mem::replace(&mut state.is_lost, true) {
+        log::warn!("store lost: kind={kind} reason={fault}");
+    }
+    hear(StoreNews::Lost(fault));
+    Timer::after(context.jitter(state.pause)).await;
+    state.pause = (state.pause * 2).min(LONGEST_PAUSE);
+}
+
+async fn list_kind(context: &ControlContext, kind: &str) -> Result<(StoreNews, u64), StoreFault> {
+    let list = context.store.list(kind, LIST_LIMIT).await?;
+    let revision = list.revision;
+    Ok((StoreNews::List(list), revision))
+}
+
+async fn watch_kind(
+    context: &ControlContext,
+    kind: &str,
+    revision: u64,
+) -> Result<(StoreNews, u64), StoreFault> {
+    let (events, revision) = context.store.watch(kind, revision, WATCH_SPAN).await?;
+    Ok((StoreNews::Events(events), revision))
+}
--- /dev/null
+++ b/packages/turnford-serve/src/entry.rs
@@ -0,0 +1,99 @@
+//! Connections of clients, of the platform's readiness probe, and of those who read metrics.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpListener;
+use bytes::Bytes;
+use http::header::HeaderValue;
+use http::header::CONNECTION;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+
+use turnford_adapter::is_ready_probe;
+use turnford_http::serve_link;
+
+use crate::answer::AnswerBody;
+use crate::request::serve_request;
+use crate::shared::ServeShared;
+use crate::traffic::Traffic;
+
+/// Pause after a connection could not be taken, for example for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes connections until `closing` ends, and serves each in a task.
+pub(crate) async fn accept_links<F, Fut>(
+    executor: Rc<LocalExecutor<'static>>,
+    listener: TcpListener,
+    head_limit: usize,
+    closing: Receiver<()>,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>) -> Fut + 'static,
+    Fut: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let handler = Rc::new(handler);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("a connection can't be taken: {error}");
+                Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let serve = serve_link(stream, head_limit, closing.clone(), handler.clone());
+        executor.spawn(serve).detach();
+    }
+}
+
+/// Answers a client, or the readiness probe where it comes to the same address.
+pub(crate) async fn handle_client(
+    traffic: Rc<Traffic>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let mut answer = serve_request(traffic.clone(), request).await;
+    if traffic.shared.is_draining() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
+}
+
+/// Answers the platform's question whether new connections should come here.
+pub(crate) fn answer_probe(shared: &ServeShared, request: Request<Incoming>) -> Response<AnswerBody> {
+    let (parts, _) = request.into_parts();
+    let status = if !is_ready_probe(&parts) {
+        StatusCode::NOT_FOUND
+    } else if shared.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    plain_answer(status, Bytes::new())
+}
+
+/// Answers a reader of metrics.
+pub(crate) fn answer_metrics(
+    shared: &ServeShared,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    if request.uri().path() != "/metrics" {
+        return plain_answer(StatusCode::NOT_FOUND, Bytes::new());
+    }
+    let running = shared.running.load(std::sync::atomic::Ordering::SeqCst);
+    shared.metrics.running.set(running);
+    plain_answer(StatusCode::OK, Bytes::from(shared.metrics.text()))
+}
+
+fn plain_answer(status: StatusCode, body: Bytes) -> Response<AnswerBody> {
+    let mut answer = Response::new(AnswerBody::whole(body));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/packages/turnford-serve/src/forward.rs
@@ -0,0 +1,310 @@
+//! The request's own call: to one target, and to another where that is allowed.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::Response;
+use http::StatusCode;
+
+use turnford_adapter::encode_order;
+use turnford_adapter::TargetOrder;
+use turnford_policy::CallKind;
+use turnford_policy::ResultCode;
+use turnford_policy::TargetId;
+use turnford_policy::TargetSpec;
+
+use crate::answer::own_answer;
+use crate::answer::passed_answer;
+use crate::answer::AnswerBody;
+use crate::answer::RanState;
+use crate::call::call_target;
+use crate::call::CallFault;
+use crate::call::TargetAnswer;
+use crate::desk::ServiceDesk;
+use crate::metrics::ServiceEvent;
+use crate::record::RequestRecord;
+use crate::stream::relay_stream;
+use crate::traffic::Traffic;
+
+/// Largest answer that is held to its end before the client gets it, in bytes. The pages bound no
+/// answer; those seen are a few kilobytes.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+
+/// Most targets that a request looks at without reaching one.
+const UNREACHED_LIMIT: usize = 4;
+
+/// Time to come back after a refusal by which a failed target has been replaced or has recovered.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Rate at which an engine reads a prompt, in tokens a second, until more is known of it. From the
+/// users' sheets: 32 tokens a millisecond.
+const READ_RATE: f64 = 32_000.0;
+
+/// Time that one more running request adds to another's, in seconds.
+const RUN_COST: f64 = 0.004;
+
+/// Cost of a target in another hall, in seconds: enough to prefer the own one of two alike.
+const HALL_COST: f64 = 0.002;
+
+/// A request with what its stages gave.
+pub(crate) struct ForwardJob<'a> {
+    pub(crate) record: &'a Rc<RequestRecord>,
+    pub(crate) desk: &'a Rc<ServiceDesk>,
+    pub(crate) parts: &'a Parts,
+    pub(crate) body: &'a Bytes,
+    pub(crate) inputs: &'a [String],
+}
+
+/// How the call ended.
+pub(crate) enum ForwardEnd {
+    /// The client's answer.
+    Answer(Response<AnswerBody>),
+    /// A result of the stages was gone; nothing ran.
+    InputGone,
+}
+
+/// What is known of the tries so far.
+struct TryLog {
+    /// Targets that were tried.
+    tried: Vec<TargetId>,
+    /// Requests handed over to a target.
+    sent: u32,
+    /// Whether one of them may have run.
+    may_have_run: bool,
+    /// Targets that were not reached.
+    unreached: usize,
+    /// An answer that says that the target failed, kept in case nothing better comes.
+    failed: Option<Response<AnswerBody>>,
+}
+
+/// Calls targets until one answers or no further one may be called.
+pub(crate) async fn forward(traffic: &Rc<Traffic>, job: &ForwardJob<'_>) -> ForwardEnd {
+    let mut log = TryLog {
+        tried: Vec::new(),
+        sent: 0,
+        may_have_run: false,
+        unreached: 0,
+        failed: None,
+    };
+    let now = traffic.shared.now();
+    job.desk.allowance.borrow_mut().note_first(now);
+    while may_try(traffic, job, &log) {
+        let Some(target) = choose_target(traffic, job, &log.tried) else {
+            break;
+        };
+        if log.sent > 0 && !take_repeat(traffic, job, &target) {
+            break;
+        }
+        log.tried.push(target.id.clone());
+        match try_target(traffic, job, &target).await {
+            Ok(answer) => {
+                if let Some(end) = take_answer(traffic, job, &mut log, &target, answer).await {
+                    return end;
+                }
+            }
+            Err(fault) => {
+                if let Some(end) = note_fault(traffic, job, &mut log, &target, &fault) {
+                    return end;
+                }
+            }
+        }
+    }
+    ForwardEnd::Answer(give_up(traffic, job, log))
+}
+
+fn may_try(traffic: &Traffic, job: &ForwardJob<'_>, log: &TryLog) -> bool {
+    let may_repeat = !log.may_have_run || job.record.route.is_repeatable();
+    let has_time = traffic.shared.now() < job.record.deadline;
+    may_repeat
+        && has_time
+        && log.sent < job.record.route.target_limit
+        && log.unreached < UNREACHED_LIMIT
+}
+
+/// Takes a repeat from the service's allowance.
+fn take_repeat(traffic: &Traffic, job: &ForwardJob<'_>, target: &TargetSpec) -> bool {
+    let now = traffic.shared.now();
+    let allowed = job.desk.allowance.borrow_mut().take(now);
+    let event = if allowed {
+        ServiceEvent::Repeated
+    } else {
+        job.record
+            .note(format_args!("no room to try another target"));
+        ServiceEvent::RepeatDenied
+    };
+    traffic.shared.metrics.note_service(&target.service, event);
+    allowed
+}
+
+fn choose_target(
+    traffic: &Traffic,
+    job: &ForwardJob<'_>,
+    tried: &[TargetId],
+) -> Option<TargetSpec> {
+    let now = traffic.shared.now();
+    let facts = &job.record.facts;
+    let is_engine = job.desk.spec.borrow().engine.is_some();
+    let cache = job.desk.cache.borrow();
+    let own_hall = &traffic.shared.settings.hall;
+    let cost = |target: &TargetSpec, load: f64| {
+        let hall = if target.hall == *own_hall {
+            0.0
+        } else {
+            HALL_COST
+        };
+        if is_engine {
+            let missing = cache.missing(now, &target.id, &facts.parts);
+            let reading = missing as f64 / READ_RATE;
+            return reading + load * RUN_COST + hall;
+        }
+        load / f64::from(target.slots.max(1)) + hall
+    };
+    let chosen = job.desk.board.borrow().choose(now, tried, cost);
+    chosen.map(|choice| choice.spec)
+}
+
+async fn try_target(
+    traffic: &Rc<Traffic>,
+    job: &ForwardJob<'_>,
+    target: &TargetSpec,
+) -> Result<TargetAnswer, CallFault> {
+    let record = job.record;
+    let left = record.left();
+    let is_engine = job.desk.spec.borrow().engine.is_some();
+    let order = TargetOrder {
+        instance: &target.id,
+        left,
+        account: record.account.as_deref(),
+        rank: is_engine.then_some(record.rank),
+        inputs: job.inputs,
+        last_event: None,
+    };
+    let request = encode_order(job.parts, job.body.clone(), &order).map_err(|problem| {
+        log::warn!("request={} not passed on: {problem}", record.facts.attempt);
+        CallFault::NotSent("the request can't be passed on")
+    })?;
+    record.note(format_args!(
+        "to {} in {}, left {}ms",
+        target.id,
+        target.hall,
+        left.as_millis()
+    ));
+    if is_engine {
+        let now = traffic.shared.now();
+        let mut cache = job.desk.cache.borrow_mut();
+        cache.note(now, &target.id, &record.facts.parts);
+    }
+    let attempt = Some(record.facts.attempt.as_str());
+    call_target(traffic, job.desk, target, request, attempt, left).await
+}
+
+/// Takes a target's answer: to the client, or to try another target.
+async fn take_answer(
+    traffic: &Rc<Traffic>,
+    job: &ForwardJob<'_>,
+    log: &mut TryLog,
+    target: &TargetSpec,
+    answer: TargetAnswer,
+) -> Option<ForwardEnd> {
+    log.sent += 1;
+    log.may_have_run = true;
+    let record = job.record;
+    let status = answer.parts.status;
+    record.note(format_args!("answer {status}"));
+    let is_stream = record.route.kind == CallKind::Stream && status.is_success();
+    if is_stream {
+        job.desk.board.borrow_mut().note_success(&target.id, None);
+        let answer = relay_stream(traffic, job.record, answer);
+        return Some(ForwardEnd::Answer(answer));
+    }
+    let (parts, body) = match answer.collect(traffic, ANSWER_LIMIT).await {
+        Ok(whole) => whole,
+        Err(fault) => return note_fault(traffic, job, log, target, &fault),
+    };
+    let passed = passed_answer(&parts, AnswerBody::whole(body));
+    if status.is_server_error() {
+        job.desk.board.borrow_mut().note_failure(&target.id);
+        if record.route.is_repeatable() {
+            log.failed = Some(passed);
+            return None;
+        }
+    } else {
+        job.desk.board.borrow_mut().note_success(&target.id, None);
+    }
+    record.note_head();
+    record.end(passed_code(traffic, job, status), "");
+    Some(ForwardEnd::Answer(passed))
+}
+
+fn passed_code(traffic: &Traffic, job: &ForwardJob<'_>, status: StatusCode) -> ResultCode {
+    if !status.is_success() {
+        return ResultCode::StageFailed;
+    }
+    if traffic.shared.now() > job.record.deadline {
+        return ResultCode::DoneLate;
+    }
+    ResultCode::Done
+}
+
+fn note_fault(
+    traffic: &Traffic,
+    job: &ForwardJob<'_>,
+    log: &mut TryLog,
+    target: &TargetSpec,
+    fault: &CallFault,
+) -> Option<ForwardEnd> {
+    let now = traffic.shared.now();
+    let mut board = job.desk.board.borrow_mut();
+    match fault {
+        CallFault::NotSent(reason) => {
+            log.unreached += 1;
+            job.record
+                .note(format_args!("{} not reached: {reason}", target.id));
+        }
+        CallFault::NotRun(status) => {
+            log.sent += 1;
+            job.record
+                .note(format_args!("{} did not run it: {status}", target.id));
+            if *status == StatusCode::CONFLICT {
+                return Some(ForwardEnd::InputGone);
+            }
+            board.note_refused(now, &target.id);
+        }
+        CallFault::Unknown(reason) => {
+            log.sent += 1;
+            log.may_have_run = true;
+            job.record
+                .note(format_args!("{} gave no answer: {reason}", target.id));
+            board.note_failure(&target.id);
+            let metrics = &traffic.shared.metrics;
+            metrics.note_service(&target.service, ServiceEvent::Broken);
+        }
+    }
+    None
+}
+
+/// Returns the final answer where no target gave one.
+fn give_up(traffic: &Traffic, job: &ForwardJob<'_>, log: TryLog) -> Response<AnswerBody> {
+    let record = job.record;
+    if let Some(answer) = log.failed {
+        record.note_head();
+        record.end(ResultCode::StageFailed, "a target failed at it");
+        return answer;
+    }
+    let is_late = traffic.shared.now() >= record.deadline;
+    let (code, ran, reason) = if log.may_have_run {
+        let code = if is_late {
+            ResultCode::DeadlinePassed
+        } else {
+            ResultCode::OutcomeUnknown
+        };
+        (code, RanState::Unknown, "no target gave an answer")
+    } else {
+        (ResultCode::NoTarget, RanState::No, "no target took it")
+    };
+    record.end(code, reason);
+    let retry_after = (ran == RanState::No).then_some(RETRY_AFTER);
+    own_answer(&record.facts.attempt, code, ran, reason, retry_after)
+}
--- /dev/null
+++ b/packages/turnford-serve/src/lib.rs
@@ -0,0 +1,23 @@
+//! The node that serves routes: clients on one side, targets and the platform's store on the other.
+//!
+//! One thread follows the store and the other nodes; one serves requests from snapshots of what
+//! the first knows.
+
+mod answer;
+mod call;
+mod control;
+mod desk;
+mod entry;
+mod forward;
+mod metrics;
+mod node;
+mod pieces;
+mod record;
+mod release;
+mod request;
+mod shared;
+mod stages;
+mod stream;
+mod traffic;
+
+pub use node::ServeNode;
--- /dev/null
+++ b/packages/turnford-serve/src/metrics.rs
@@ -0,0 +1,208 @@
+//! Counters and histograms of a node that serves routes.
+
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use turnford_policy::ResultCode;
+
+/// Smallest bucket of time histograms, in seconds.
+const SMALLEST_BUCKET: f64 = 0.005;
+
+/// Buckets of time histograms, each twice the one before.
+const BUCKET_COUNT: u16 = 13;
+
+/// Labels of a request's end. Accounts and routes are those of the configuration, so the set is
+/// bounded.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    account: String,
+    rank: u32,
+    code: u32,
+}
+
+/// Labels of a request's time to its first byte.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ClassLabels {
+    account: String,
+    rank: u32,
+}
+
+/// Labels of what is counted for a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+    event: &'static str,
+}
+
+/// Things that are counted for a service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum ServiceEvent {
+    /// A request went to a target.
+    Sent,
+    /// It went to one more target.
+    Repeated,
+    /// A repeat was not made, since the window had no room.
+    RepeatDenied,
+    /// A target turned a call away.
+    NotRun,
+    /// An answer did not come, broke off or made no sense.
+    Broken,
+    /// An answer belonged to another request.
+    OtherAttempt,
+    /// A connection was opened.
+    Connected,
+    /// A call of pieces was made.
+    Batch,
+    /// A piece was part of a call.
+    Piece,
+    /// A stream went on at another target.
+    Resumed,
+}
+
+impl ServiceEvent {
+    fn label(self) -> &'static str {
+        match self {
+            ServiceEvent::Sent => "sent",
+            ServiceEvent::Repeated => "repeated",
+            ServiceEvent::RepeatDenied => "repeat-denied",
+            ServiceEvent::NotRun => "not-run",
+            ServiceEvent::Broken => "broken",
+            ServiceEvent::OtherAttempt => "other-attempt",
+            ServiceEvent::Connected => "connected",
+            ServiceEvent::Batch => "batch",
+            ServiceEvent::Piece => "piece",
+            ServiceEvent::Resumed => "resumed",
+        }
+    }
+}
+
+/// All metrics of a node.
+pub(crate) struct ServeMetrics {
+    registry: Registry,
+    ends: Family<EndLabels, Counter>,
+    head_time: Family<ClassLabels, Histogram, fn() -> Histogram>,
+    whole_time: Family<ClassLabels, Histogram, fn() -> Histogram>,
+    services: Family<ServiceLabels, Counter>,
+    pub(crate) running: Gauge<u64, AtomicU64>,
+    pub(crate) config_version: Gauge<u64, AtomicU64>,
+    pub(crate) targets: Gauge<u64, AtomicU64>,
+    pub(crate) members: Gauge<u64, AtomicU64>,
+    pub(crate) store_calls: Gauge<u64, AtomicU64>,
+    pub(crate) log_drops: Gauge<u64, AtomicU64>,
+}
+
+impl ServeMetrics {
+    pub(crate) fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("turnford"),
+            ends: Family::default(),
+            head_time: Family::new_with_constructor(time_histogram),
+            whole_time: Family::new_with_constructor(time_histogram),
+            services: Family::default(),
+            running: Gauge::default(),
+            config_version: Gauge::default(),
+            targets: Gauge::default(),
+            members: Gauge::default(),
+            store_calls: Gauge::default(),
+            log_drops: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests that ended, by code",
+            self.ends.clone(),
+        );
+        registry.register(
+            "head_seconds",
+            "Time until the first byte of an answer",
+            self.head_time.clone(),
+        );
+        registry.register(
+            "request_seconds",
+            "Time until a request ended",
+            self.whole_time.clone(),
+        );
+        registry.register(
+            "service_events",
+            "What happened with a service's targets",
+            self.services.clone(),
+        );
+        registry.register("running", "Requests under way", self.running.clone());
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+        registry.register("targets", "Targets known", self.targets.clone());
+        registry.register("members", "Other nodes alive", self.members.clone());
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register(
+            "log_lines_dropped",
+            "Log lines that the full queue dropped",
+            self.log_drops.clone(),
+        );
+    }
+
+    /// Counts the end of a request.
+    pub(crate) fn note_end(&self, account: &str, rank: u8, code: ResultCode, time: Duration) {
+        let labels = EndLabels {
+            account: account.to_owned(),
+            rank: u32::from(rank),
+            code: u32::from(code.number()),
+        };
+        self.ends.get_or_create(&labels).inc();
+        let class = class_labels(account, rank);
+        let histogram = self.whole_time.get_or_create(&class);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// Counts the time until the first byte of an answer.
+    pub(crate) fn note_head(&self, account: &str, rank: u8, time: Duration) {
+        let class = class_labels(account, rank);
+        let histogram = self.head_time.get_or_create(&class);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// Counts something that happened with a service.
+    pub(crate) fn note_service(&self, service: &str, event: ServiceEvent) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+            event: event.label(),
+        };
+        self.services.get_or_create(&labels).inc();
+    }
+
+    /// Returns all metrics as OpenMetrics text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            log::error!("metrics can't be written: {error}");
+        }
+        text
+    }
+}
+
+fn class_labels(account: &str, rank: u8) -> ClassLabels {
+    ClassLabels {
+        account: account.to_owned(),
+        rank: u32::from(rank),
+    }
+}
+
+fn time_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(SMALLEST_BUCKET, 2.0, BUCKET_COUNT))
+}
--- /dev/null
+++ b/packages/turnford-serve/src/node.rs
@@ -0,0 +1,183 @@
+//! A running node: its threads and its planned stop.
+
+use std::future::Future;
+use std::io;
+use std::rc::Rc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpListener;
+
+use turnford_config::ServeSettings;
+use turnford_http::bind_listener;
+use turnford_policy::ClientLimits;
+use turnford_policy::SystemClock;
+
+use crate::control::run_control;
+use crate::control::ControlListeners;
+use crate::entry::accept_links;
+use crate::entry::handle_client;
+use crate::metrics::ServeMetrics;
+use crate::shared::RouteView;
+use crate::shared::ServeShared;
+use crate::traffic::follow_changes;
+use crate::traffic::sweep_links;
+use crate::traffic::Traffic;
+
+/// Pause between looks whether running requests ended.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time that the platform takes to stop sending new connections: it asks every second and needs
+/// two answers.
+const SETTLE_SPAN: Duration = Duration::from_millis(2500);
+
+/// Part of the grace time that is left for the last bytes and the process's own end.
+const EXIT_MARGIN: Duration = Duration::from_millis(600);
+
+/// Time in which the last answers reach their clients after idle connections were told to close.
+const FLUSH_SPAN: Duration = Duration::from_millis(100);
+
+/// A running node that serves routes.
+pub struct ServeNode {
+    shared: Arc<ServeShared>,
+    /// Dropped to close the connections of clients after their answers.
+    closing: Sender<()>,
+    /// Dropped to end the threads.
+    stop: Sender<()>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl ServeNode {
+    /// Starts a node.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if an address can't be bound or a thread not started.
+    pub fn start(settings: ServeSettings) -> io::Result<Self> {
+        let listener = bind_listener(settings.listen)?;
+        let listeners = ControlListeners {
+            ready: bind_listener(settings.ready)?,
+            metrics: bind_listener(settings.metrics)?,
+            inner: bind_listener(settings.inner)?,
+        };
+        let (changes, changed) = async_channel::bounded(1);
+        let shared = Arc::new(ServeShared {
+            settings,
+            clock: Arc::new(SystemClock::new()),
+            view: ArcSwap::from_pointee(RouteView::default()),
+            changes,
+            draining: AtomicBool::new(false),
+            running: AtomicU64::new(0),
+            metrics: ServeMetrics::new(),
+        });
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let (closing, closed) = async_channel::bounded::<()>(1);
+        let control = {
+            let shared = shared.clone();
+            let stopped = stopped.clone();
+            spawn_thread("control", move || {
+                run_control(shared, listeners, wait_stop(stopped));
+            })?
+        };
+        let traffic = {
+            let shared = shared.clone();
+            spawn_thread("traffic", move || {
+                run_traffic(shared, listener, changed, closed, wait_stop(stopped));
+            })?
+        };
+        log::info!(
+            "start node={} hall={} listen={}",
+            shared.settings.name,
+            shared.settings.hall,
+            shared.settings.listen
+        );
+        Ok(Self {
+            shared,
+            closing,
+            stop,
+            threads: vec![control, traffic],
+        })
+    }
+
+    /// Tells whether the node takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Returns the counter of log lines that were dropped, to be kept up to date by the logger.
+    pub fn set_log_drops(&self, drops: u64) {
+        self.shared.metrics.log_drops.set(drops);
+    }
+
+    /// Stops as planned: says that it takes no new connections, serves what still comes, and
+    /// returns how many requests still ran at the end of the grace time.
+    pub async fn drain(&self) -> u64 {
+        log::info!("stop begins: no new connections");
+        self.shared.draining.store(true, Ordering::SeqCst);
+        let begun = self.shared.now();
+        let grace = self.shared.settings.stop_grace;
+        let latest = grace.saturating_sub(EXIT_MARGIN);
+        let settle = SETTLE_SPAN.min(latest);
+        loop {
+            let running = self.shared.running.load(Ordering::SeqCst);
+            let waited = self.shared.now().saturating_sub(begun);
+            if waited >= latest || (running == 0 && waited >= settle) {
+                break;
+            }
+            Timer::after(DRAIN_PAUSE).await;
+        }
+        self.closing.close();
+        Timer::after(FLUSH_SPAN).await;
+        self.shared.running.load(Ordering::SeqCst)
+    }
+
+    /// Ends the node's threads at once. Requests that still run are cut; a planned stop calls
+    /// [`ServeNode::drain`] first.
+    pub fn stop(mut self) {
+        self.stop.close();
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                log::error!("a thread of node {} panicked", self.shared.settings.name);
+            }
+        }
+    }
+}
+
+fn spawn_thread(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
+    std::thread::Builder::new().name(name.to_owned()).spawn(run)
+}
+
+async fn wait_stop(stopped: Receiver<()>) {
+    // Nothing is ever sent; the channel's end is the word.
+    let _ = stopped.recv().await;
+}
+
+/// Serves clients on this thread until `stop` ends.
+fn run_traffic(
+    shared: Arc<ServeShared>,
+    listener: TcpListener,
+    changed: Receiver<()>,
+    closing: Receiver<()>,
+    stop: impl Future<Output = ()>,
+) {
+    let executor = Rc::new(LocalExecutor::new());
+    let traffic = Traffic::new(executor.clone(), shared);
+    executor
+        .spawn(follow_changes(traffic.clone(), changed))
+        .detach();
+    executor.spawn(sweep_links(traffic.clone())).detach();
+    let head_limit = ClientLimits::default().head_bytes;
+    let handler = move |request| handle_client(traffic.clone(), request);
+    let accept = accept_links(executor.clone(), listener, head_limit, closing, handler);
+    executor.spawn(accept).detach();
+    async_io::block_on(executor.run(stop));
+}
--- /dev/null
+++ b/packages/turnford-serve/src/record.rs
@@ -0,0 +1,132 @@
+//! What happened to one request, written as one log line at its end.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::fmt::Write;
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use turnford_policy::AccountId;
+use turnford_policy::CallFacts;
+use turnford_policy::Moment;
+use turnford_policy::ResultCode;
+use turnford_policy::RouteSpec;
+
+use crate::shared::ServeShared;
+
+/// Longest story of one request in its log line, in bytes. What goes beyond is left out.
+const STORY_LIMIT: usize = 1500;
+
+/// A request from its head to its end. Dropped without an end, it says that the client left.
+pub(crate) struct RequestRecord {
+    shared: Arc<ServeShared>,
+    pub(crate) facts: CallFacts,
+    pub(crate) route: Arc<RouteSpec>,
+    pub(crate) account: Option<AccountId>,
+    /// Rank: 0 goes first.
+    pub(crate) rank: u8,
+    pub(crate) begun: Moment,
+    /// When the request must have its final answer.
+    pub(crate) deadline: Moment,
+    version: u64,
+    story: RefCell<String>,
+    is_ended: Cell<bool>,
+}
+
+impl RequestRecord {
+    pub(crate) fn new(
+        shared: Arc<ServeShared>,
+        facts: CallFacts,
+        route: Arc<RouteSpec>,
+        account: Option<AccountId>,
+        rank: u8,
+        version: u64,
+    ) -> Rc<Self> {
+        let begun = shared.now();
+        let patience = facts.patience.unwrap_or(route.timeout);
+        let deadline = begun + patience.min(route.timeout);
+        shared.running.fetch_add(1, Ordering::SeqCst);
+        Rc::new(Self {
+            shared,
+            facts,
+            route,
+            account,
+            rank,
+            begun,
+            deadline,
+            version,
+            story: RefCell::new(String::new()),
+            is_ended: Cell::new(false),
+        })
+    }
+
+    /// Returns the time until the deadline.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_sub(self.shared.now())
+    }
+
+    /// Adds a decision or event to the request's line, with the time since its begin.
+    pub(crate) fn note(&self, text: std::fmt::Arguments<'_>) {
+        let mut story = self.story.borrow_mut();
+        if story.len() < STORY_LIMIT {
+            let at = self.shared.now().saturating_sub(self.begun).as_millis();
+            // Writing to a string does not fail.
+            let _ = write!(story, " [{at}ms {text}]");
+        }
+    }
+
+    /// Notes the first byte of the answer.
+    pub(crate) fn note_head(&self) {
+        let time = self.shared.now().saturating_sub(self.begun);
+        self.shared
+            .metrics
+            .note_head(self.account_name(), self.rank, time);
+    }
+
+    /// Ends the request, once.
+    pub(crate) fn end(&self, code: ResultCode, reason: &str) {
+        if self.is_ended.replace(true) {
+            return;
+        }
+        self.shared.running.fetch_sub(1, Ordering::SeqCst);
+        let time = self.shared.now().saturating_sub(self.begun);
+        let account = self.account_name();
+        self.shared.metrics.note_end(account, self.rank, code, time);
+        let story = self.story.borrow();
+        let is_plain = code.is_whole() && time <= self.route.goal;
+        let level = if is_plain {
+            log::Level::Info
+        } else {
+            log::Level::Warn
+        };
+        // What an ordinary request passed through stays out of its line.
+        let story = if is_plain { "" } else { story.as_str() };
+        log::log!(
+            level,
+            "request={} route={} account={} rank={} config={} code={} end={} ms={}{}{}{}",
+            self.facts.attempt,
+            self.route.name,
+            account,
+            self.rank,
+            self.version,
+            code.number(),
+            code.name(),
+            time.as_millis(),
+            if reason.is_empty() { "" } else { " reason=" },
+            reason,
+            story,
+        );
+    }
+
+    fn account_name(&self) -> &str {
+        self.account.as_deref().unwrap_or("-")
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        self.end(ResultCode::CallerGone, "the client closed");
+    }
+}
--- /dev/null
+++ b/packages/turnford-serve/src/release.rs
@@ -0,0 +1,87 @@
+//! Results of pieces are given up in calls of many.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+
+use turnford_adapter::encode_release;
+use turnford_policy::TargetId;
+use turnford_policy::TargetSpec;
+
+use crate::call::call_target;
+use crate::desk::ServiceDesk;
+use crate::traffic::Traffic;
+
+/// Time for which results to give up are gathered.
+const GATHER_SPAN: Duration = Duration::from_millis(100);
+
+/// Longest wait for an answer; results that are not given up go by themselves.
+const RELEASE_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Longest body of an answer, in bytes.
+const ANSWER_LIMIT: usize = 16 * 1024;
+
+/// A result of a piece and the target that keeps it.
+#[derive(Clone, Debug)]
+pub(crate) struct PieceResult {
+    pub(crate) handle: String,
+    pub(crate) maker: TargetSpec,
+}
+
+/// Results that nobody needs any more.
+#[derive(Default)]
+pub(crate) struct ResultReleaser {
+    waiting: RefCell<HashMap<TargetId, Vec<PieceResult>>>,
+}
+
+/// Gives results up, soon.
+pub(crate) fn release_results(traffic: &Rc<Traffic>, results: Vec<PieceResult>) {
+    for result in results {
+        let mut waiting = traffic.releaser.waiting.borrow_mut();
+        let target = result.maker.id.clone();
+        let queue = waiting.entry(target.clone()).or_default();
+        queue.push(result);
+        if queue.len() == 1 {
+            let send = send_release(traffic.clone(), target);
+            traffic.executor.spawn(send).detach();
+        }
+    }
+}
+
+async fn send_release(traffic: Rc<Traffic>, target: TargetId) {
+    Timer::after(GATHER_SPAN).await;
+    let results = traffic.releaser.waiting.borrow_mut().remove(&target);
+    let Some(results) = results else {
+        return;
+    };
+    let Some(maker) = results.first().map(|result| result.maker.clone()) else {
+        return;
+    };
+    let Some(desk) = traffic.desk(&maker.service) else {
+        return;
+    };
+    let handles: Vec<String> = results.into_iter().map(|result| result.handle).collect();
+    if let Err(reason) = send_handles(&traffic, &desk, &maker, &handles).await {
+        log::debug!(
+            "target={target} results={} not given up: {reason}",
+            handles.len()
+        );
+    }
+}
+
+async fn send_handles(
+    traffic: &Traffic,
+    desk: &Rc<ServiceDesk>,
+    maker: &TargetSpec,
+    handles: &[String],
+) -> Result<(), String> {
+    let host = maker.address.to_string();
+    let request = encode_release(&host, &maker.id, handles).map_err(|p| p.to_string())?;
+    let answer = call_target(traffic, desk, maker, request, None, RELEASE_LIMIT).await;
+    let answer = answer.map_err(|fault| format!("{fault:?}"))?;
+    let read = answer.collect(traffic, ANSWER_LIMIT).await;
+    read.map(|_| ()).map_err(|fault| format!("{fault:?}"))
+}
--- /dev/null
+++ b/packages/turnford-serve/src/request.rs
@@ -0,0 +1,235 @@
+//! The way of one request.
+
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::request::Parts;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+
+use turnford_adapter::decode_call;
+use turnford_policy::CallFacts;
+use turnford_policy::ResultCode;
+use turnford_policy::RouteSpec;
+
+use crate::answer::own_answer;
+use crate::answer::AnswerBody;
+use crate::answer::RanState;
+use crate::forward::forward;
+use crate::forward::ForwardEnd;
+use crate::forward::ForwardJob;
+use crate::forward::RETRY_AFTER;
+use crate::record::RequestRecord;
+use crate::shared::RouteView;
+use crate::stages::run_stages;
+use crate::stages::StageFault;
+use crate::traffic::Traffic;
+
+/// Times that the stages of a request run when their results are gone before they are used.
+const STAGE_ROUNDS: u32 = 2;
+
+/// Time to come back to a node that has no configuration yet.
+const NOT_READY_SPAN: Duration = Duration::from_millis(500);
+
+/// A refusal before a request is admitted.
+struct EarlyRefusal {
+    code: ResultCode,
+    reason: String,
+    retry_after: Option<Duration>,
+}
+
+impl EarlyRefusal {
+    fn new(code: ResultCode, reason: impl Into<String>) -> Self {
+        Self {
+            code,
+            reason: reason.into(),
+            retry_after: None,
+        }
+    }
+}
+
+/// Serves one request of a client.
+pub(crate) async fn serve_request(
+    traffic: Rc<Traffic>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let (parts, incoming) = request.into_parts();
+    let view = traffic.shared.view.load_full();
+    let record = match admit_request(&traffic, &view, &parts) {
+        Ok(record) => record,
+        Err(refusal) => return refuse(&traffic, &parts, &refusal),
+    };
+    let limit = view.config.limits.body_bytes;
+    let body = match read_body(&record, incoming, limit).await {
+        Ok(body) => body,
+        Err((code, reason)) => {
+            record.end(code, reason);
+            return own_answer(&record.facts.attempt, code, RanState::No, reason, None);
+        }
+    };
+    run_request(&traffic, &record, &parts, &body).await
+}
+
+/// Finds the route and the account of a request.
+fn admit_request(
+    traffic: &Rc<Traffic>,
+    view: &RouteView,
+    parts: &Parts,
+) -> Result<Rc<RequestRecord>, EarlyRefusal> {
+    if !view.is_complete() {
+        let mut refusal = EarlyRefusal::new(ResultCode::NotReady, "no configuration yet");
+        refusal.retry_after = Some(NOT_READY_SPAN);
+        return Err(refusal);
+    }
+    let route = find_route(view, parts)?;
+    let facts = decode_call(parts)
+        .map_err(|problem| EarlyRefusal::new(ResultCode::BadRequest, problem.to_string()))?;
+    let key = facts.key.as_deref();
+    let grant = key.and_then(|key| view.table.grant(key)).cloned();
+    if view.table.needs_keys() && grant.is_none() && !route.anonymous {
+        let reason = "no or an unknown key";
+        return Err(EarlyRefusal::new(ResultCode::UnknownAccount, reason));
+    }
+    let rank = grant.as_ref().and_then(|grant| grant.rank);
+    let rank = rank.unwrap_or(route.rank);
+    let account = grant.map(|grant| grant.account);
+    Ok(start_record(traffic, view, facts, route, account, rank))
+}
+
+fn start_record(
+    traffic: &Traffic,
+    view: &RouteView,
+    facts: CallFacts,
+    route: std::sync::Arc<RouteSpec>,
+    account: Option<turnford_policy::AccountId>,
+    rank: u8,
+) -> Rc<RequestRecord> {
+    let version = view.config.version;
+    RequestRecord::new(traffic.shared.clone(), facts, route, account, rank, version)
+}
+
+fn find_route(view: &RouteView, parts: &Parts) -> Result<std::sync::Arc<RouteSpec>, EarlyRefusal> {
+    let named = parts.headers.get(http::header::HOST);
+    let named = named.and_then(|host| host.to_str().ok());
+    let host = parts.uri.host().or(named);
+    let Some(host) = host else {
+        return Err(EarlyRefusal::new(ResultCode::BadRequest, "no host"));
+    };
+    let route = view.table.find(host, parts.uri.path());
+    route
+        .cloned()
+        .ok_or_else(|| EarlyRefusal::new(ResultCode::UnknownTemplate, "no such route"))
+}
+
+fn refuse(traffic: &Traffic, parts: &Parts, refusal: &EarlyRefusal) -> Response<AnswerBody> {
+    let attempt = decode_call(parts).map(|facts| facts.attempt);
+    let attempt = attempt.unwrap_or_default();
+    let view = traffic.shared.view.load();
+    log::warn!(
+        "request={attempt} config={} code={} end={} reason={} host={} path={}",
+        view.config.version,
+        refusal.code.number(),
+        refusal.code.name(),
+        refusal.reason,
+        parts
+            .headers
+            .get(http::header::HOST)
+            .map_or("-", |host| host.to_str().unwrap_or("?")),
+        parts.uri.path(),
+    );
+    let metrics = &traffic.shared.metrics;
+    metrics.note_end("-", u8::MAX, refusal.code, Duration::ZERO);
+    own_answer(
+        &attempt,
+        refusal.code,
+        RanState::No,
+        &refusal.reason,
+        refusal.retry_after,
+    )
+}
+
+async fn read_body(
+    record: &RequestRecord,
+    incoming: Incoming,
+    limit: usize,
+) -> Result<Bytes, (ResultCode, &'static str)> {
+    let read = async { Some(Limited::new(incoming, limit).collect().await) };
+    let late = async {
+        Timer::after(record.left()).await;
+        None
+    };
+    match read.or(late).await {
+        Some(Ok(body)) => Ok(body.to_bytes()),
+        Some(Err(error)) if error.is::<LengthLimitError>() => {
+            Err((ResultCode::InputTooLarge, "the body is over the limit"))
+        }
+        Some(Err(_)) => Err((ResultCode::BadRequest, "the body broke off")),
+        None => Err((ResultCode::DeadlineTooShort, "the body came too late")),
+    }
+}
+
+/// Runs the stages and the request's own call.
+async fn run_request(
+    traffic: &Rc<Traffic>,
+    record: &Rc<RequestRecord>,
+    parts: &Parts,
+    body: &Bytes,
+) -> Response<AnswerBody> {
+    let service = record.route.draw_service(traffic.draw());
+    let desk = service.and_then(|service| traffic.desk(service));
+    let Some(desk) = desk else {
+        return refuse_admitted(record, ResultCode::NoTarget, "the service is not known");
+    };
+    for _ in 0..STAGE_ROUNDS {
+        let late = async {
+            Timer::after(record.left()).await;
+            Err(StageFault::Failed("the deadline passed"))
+        };
+        let results = match run_stages(traffic, record).or(late).await {
+            Ok(results) => results,
+            Err(StageFault::InputGone) => {
+                record.note(format_args!("a result was gone"));
+                continue;
+            }
+            Err(StageFault::Failed(reason)) => {
+                return refuse_admitted(record, ResultCode::Shed, reason);
+            }
+        };
+        let job = ForwardJob {
+            record,
+            desk: &desk,
+            parts,
+            body,
+            inputs: &results.handles,
+        };
+        match forward(traffic, &job).await {
+            ForwardEnd::Answer(answer) => return answer,
+            ForwardEnd::InputGone => record.note(format_args!("a result was gone")),
+        }
+    }
+    refuse_admitted(record, ResultCode::Shed, "results of stages were gone")
+}
+
+/// Refuses a request that has not run and never will.
+fn refuse_admitted(
+    record: &RequestRecord,
+    code: ResultCode,
+    reason: &str,
+) -> Response<AnswerBody> {
+    record.end(code, reason);
+    let attempt = &record.facts.attempt;
+    own_answer(attempt, code, RanState::No, reason, Some(RETRY_AFTER))
+}
+
+/// Returns the number of requests under way.
+pub(crate) fn running(traffic: &Traffic) -> u64 {
+    traffic.shared.running.load(Ordering::SeqCst)
+}
--- /dev/null
+++ b/packages/turnford-serve/src/shared.rs
@@ -0,0 +1,82 @@
+//! What the threads of a node share.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+
+use turnford_config::ServeSettings;
+use turnford_policy::Clock;
+use turnford_policy::Moment;
+use turnford_policy::RouteConfig;
+use turnford_policy::RouteTable;
+use turnford_policy::TargetId;
+use turnford_policy::TargetSpec;
+
+use crate::metrics::ServeMetrics;
+
+/// Least number of nodes that shares of fleet-wide limits are reckoned with, so that a node that
+/// knows nobody yet does not take the limit for its own.
+const LEAST_FLEET: usize = 4;
+
+/// What the control thread knows, as the traffic thread reads it.
+#[derive(Debug, Default)]
+pub(crate) struct RouteView {
+    pub(crate) config: Arc<RouteConfig>,
+    pub(crate) table: Arc<RouteTable>,
+    pub(crate) targets: Arc<BTreeMap<TargetId, TargetSpec>>,
+    /// Most nodes that may be alive, this one among them.
+    pub(crate) fleet: usize,
+}
+
+impl RouteView {
+    /// Returns the number of nodes to share fleet-wide limits with.
+    pub(crate) fn sharers(&self) -> f64 {
+        self.fleet.max(LEAST_FLEET) as f64
+    }
+
+    /// Tells whether requests can be served.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.config.version > 0 && !self.targets.is_empty()
+    }
+}
+
+/// State that all threads of a node reach.
+pub(crate) struct ServeShared {
+    pub(crate) settings: ServeSettings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) view: ArcSwap<RouteView>,
+    /// Wakes the traffic thread after a change of the view.
+    pub(crate) changes: Sender<()>,
+    pub(crate) draining: AtomicBool,
+    /// Requests under way.
+    pub(crate) running: AtomicU64,
+    pub(crate) metrics: ServeMetrics,
+}
+
+impl ServeShared {
+    pub(crate) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Tells whether new connections should come to this node.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_draining() && self.view.load().is_complete()
+    }
+
+    /// Puts a new view into force.
+    pub(crate) fn set_view(&self, change: impl Fn(&RouteView) -> RouteView) {
+        let old = self.view.load();
+        self.view.store(Arc::new(change(&old)));
+        // A full channel holds a wake-up already.
+        let _ = self.changes.try_send(());
+    }
+}
--- /dev/null
+++ b/packages/turnford-serve/src/stream.rs
@@ -0,0 +1,84 @@
+//! Streams of events, passed on as they come.
+
+use std::rc::Rc;
+
+use async_channel::Sender;
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use turnford_policy::ResultCode;
+
+use crate::answer::passed_answer;
+use crate::answer::AnswerBody;
+use crate::answer::AnswerCut;
+use crate::call::TargetAnswer;
+use crate::record::RequestRecord;
+use crate::traffic::Traffic;
+
+/// Chunks that wait for a slow client before the target is held up.
+const CHUNK_LIMIT: usize = 8;
+
+type ChunkSender = Sender<Result<Bytes, AnswerCut>>;
+
+/// Returns the client's answer, whose body is passed on by a task.
+pub(crate) fn relay_stream(
+    traffic: &Rc<Traffic>,
+    record: &Rc<RequestRecord>,
+    answer: TargetAnswer,
+) -> Response<AnswerBody> {
+    let (parts, body, rest) = answer.into_stream();
+    let (sender, chunks) = async_channel::bounded(CHUNK_LIMIT);
+    let relay = {
+        let traffic = traffic.clone();
+        let record = record.clone();
+        async move {
+            if pass_chunks(&record, body, &sender).await {
+                rest.finish(&traffic);
+                record.end(ResultCode::Done, "");
+                return;
+            }
+            record.end(ResultCode::StreamBroken, "the stream broke off");
+            // The client may have left.
+            let _ = sender.send(Err(AnswerCut)).await;
+        }
+    };
+    let task = traffic.executor.spawn(relay);
+    passed_answer(&parts, AnswerBody::relayed(chunks, task))
+}
+
+/// Passes a body on until its end or the deadline; true if it ended whole.
+async fn pass_chunks(record: &RequestRecord, mut body: Incoming, sender: &ChunkSender) -> bool {
+    let mut is_first = true;
+    loop {
+        let next = async { Some(body.frame().await) };
+        let late = async {
+            Timer::after(record.left()).await;
+            None
+        };
+        let frame = match next.or(late).await {
+            Some(Some(Ok(frame))) => frame,
+            Some(Some(Err(error))) => {
+                record.note(format_args!("the target broke off: {error}"));
+                return false;
+            }
+            Some(None) => return true,
+            None => {
+                record.note(format_args!("the deadline passed midway"));
+                return false;
+            }
+        };
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        if std::mem::take(&mut is_first) {
+            record.note_head();
+        }
+        if sender.send(Ok(chunk)).await.is_err() {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/packages/turnford-serve/src/traffic.rs
@@ -0,0 +1,127 @@
+//! The traffic thread's state.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
+
+use turnford_http::LinkShelf;
+use turnford_policy::RetryAllowance;
+use turnford_policy::ServiceId;
+use turnford_policy::ServiceSpec;
+
+use crate::desk::ServiceDesk;
+use crate::pieces::pump_pieces;
+use crate::release::ResultReleaser;
+use crate::shared::RouteView;
+use crate::shared::ServeShared;
+
+/// Pause between looks for idle connections whose time is over.
+const SWEEP_PAUSE: Duration = Duration::from_secs(1);
+
+/// Everything that serves requests; it lives on one thread.
+pub(crate) struct Traffic {
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) shared: Arc<ServeShared>,
+    pub(crate) shelf: RefCell<LinkShelf>,
+    pub(crate) releaser: ResultReleaser,
+    desks: RefCell<HashMap<ServiceId, Rc<ServiceDesk>>>,
+    rng: RefCell<SmallRng>,
+    /// Open connections of clients.
+    pub(crate) clients: Cell<usize>,
+}
+
+impl Traffic {
+    pub(crate) fn new(executor: Rc<LocalExecutor<'static>>, shared: Arc<ServeShared>) -> Rc<Self> {
+        Rc::new(Self {
+            executor,
+            shared,
+            shelf: RefCell::default(),
+            releaser: ResultReleaser::default(),
+            desks: RefCell::default(),
+            rng: RefCell::new(SmallRng::from_os_rng()),
+            clients: Cell::new(0),
+        })
+    }
+
+    /// Returns a service that the configuration names.
+    pub(crate) fn desk(&self, service: &str) -> Option<Rc<ServiceDesk>> {
+        self.desks.borrow().get(service).cloned()
+    }
+
+    /// Returns a number from 0 to below 1.
+    pub(crate) fn draw(&self) -> f64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// Takes what the control thread knows now.
+    pub(crate) fn refresh(&self) {
+        let view = self.shared.view.load_full();
+        let mut desks = self.desks.borrow_mut();
+        for spec in &view.config.services {
+            let desk = desks
+                .entry(spec.name.clone())
+                .or_insert_with(|| self.new_desk(spec));
+            *desk.spec.borrow_mut() = spec.clone();
+            let slack = self.shared.settings.repeats.slack / view.sharers();
+            desk.allowance.borrow_mut().set_slack(slack);
+            if let (Some(pieces), Some(batch)) = (&desk.pieces, &spec.batch) {
+                pieces.board.borrow_mut().set_spec(batch);
+            }
+        }
+        for (service, desk) in desks.iter() {
+            self.refresh_targets(&view, service, desk);
+        }
+    }
+
+    fn new_desk(&self, spec: &Arc<ServiceSpec>) -> Rc<ServiceDesk> {
+        let repeats = self.shared.settings.repeats;
+        let allowance = RetryAllowance::new(repeats.window, repeats.ratio, 0.0);
+        ServiceDesk::new(spec.clone(), allowance)
+    }
+
+    fn refresh_targets(&self, view: &RouteView, service: &str, desk: &ServiceDesk) {
+        let targets = view.targets.values();
+        let own = targets.filter(|target| &*target.service == service);
+        let mut board = desk.board.borrow_mut();
+        let before: Vec<_> = board.all_targets().cloned().collect();
+        board.set_targets(own);
+        for target in before {
+            if board.get(&target.id).is_none() {
+                desk.cache.borrow_mut().forget(&target.id);
+                self.shelf.borrow_mut().forget(target.address);
+            }
+        }
+        if let Some(pieces) = &desk.pieces {
+            pieces.board.borrow_mut().forget_gone(&board);
+        }
+    }
+}
+
+/// Takes each change of the view into force.
+pub(crate) async fn follow_changes(traffic: Rc<Traffic>, changes: Receiver<()>) {
+    while changes.recv().await.is_ok() {
+        traffic.refresh();
+        let desks: Vec<_> = traffic.desks.borrow().values().cloned().collect();
+        for desk in desks {
+            pump_pieces(&traffic, &desk);
+        }
+    }
+}
+
+/// Closes idle connections to targets in time.
+pub(crate) async fn sweep_links(traffic: Rc<Traffic>) {
+    loop {
+        Timer::after(SWEEP_PAUSE).await;
+        traffic.shelf.borrow_mut().sweep();
+    }
+}
--- a/packages/turnford/src/cli.rs
+++ b/packages/turnford/src/cli.rs
@@ -25,6 +25,8 @@
     Help(&'static str),
     Version,
     Node(NodeArgs),
+    /// Settings of the node; where it is absent, the platform names them.
+    Serve(Option<PathBuf>),
     Check(Vec<PathBuf>),
     Apply(ObjectArgs<Vec<PathBuf>>),
     Get(ObjectArgs<ObjectName>),
@@ -122,6 +124,7 @@
         &[value("config"), value("policy"), flag("no-admission")],
         help::NODE_HELP,
     ),
+    ("serve", &[value("config")], help::SERVE_HELP),
     ("check", &[], help::CHECK_HELP),
     (
         "apply",
@@ -263,6 +266,10 @@
     fn parse(&mut self) -> Option<Command> {
         match self.command {
             "node" => self.node().map(Command::Node),
+            "serve" => {
+                self.no_values();
+                Some(Command::Serve(self.optional("config")))
+            }
             "check" => self.files().map(Command::Check),
             "apply" => self.apply().map(Command::Apply),
             "get" => self.object().map(Command::Get),
--- a/packages/turnford/src/command.rs
+++ b/packages/turnford/src/command.rs
@@ -5,6 +5,7 @@
 mod node;
 mod object;
 mod remote;
+mod serve;
 mod standin;
 
 use std::path::Path;
@@ -24,6 +25,7 @@
             ExitStatus::Done
         }
         Command::Node(arguments) => node::run_node(&arguments),
+        Command::Serve(config) => serve::run_serve(config),
         Command::Check(files) => object::check_files(&files),
         Command::Apply(arguments) => object::apply_files(&arguments),
         Command::Get(arguments) => object::get_object(&arguments),
--- a/packages/turnford/src/help.rs
+++ b/packages/turnford/src/help.rs
@@ -8,6 +8,7 @@
 
 Commands:
   node      run a node
+  serve     run a node that serves routes of the platform's configuration
   check     check settings, templates and accounts
   apply     put templates and accounts into force
   get       print an object
@@ -31,6 +32,15 @@
   --policy NAME    estimated (default), or a baseline: random, round-robin, least-in-flight
   --no-admission   start requests that can't finish in time (baseline)";
 
+/// Help of `turnford serve`.
+pub(crate) const SERVE_HELP: &str = "\
+Usage: turnford serve [--config FILE]
+
+Runs a node that serves routes of the platform's configuration, until SIGTERM or SIGINT. SIGHUP
+reads the settings again.
+
+  --config FILE    settings; where it is absent, the file that the platform names";
+
 /// Help of `turnford check`.
 pub(crate) const CHECK_HELP: &str = "\
 Usage: turnford check FILE...
--- a/packages/turnford/src/lib.rs
+++ b/packages/turnford/src/lib.rs
@@ -9,6 +9,7 @@
 mod help;
 mod logging;
 mod operator;
+mod queue;
 mod site;
 
 pub use exit::ExitStatus;
--- a/packages/turnford/src/logging.rs
+++ b/packages/turnford/src/logging.rs
@@ -1,6 +1,8 @@
 //! Log lines by `log4rs`.
 
 use std::path::Path;
+use std::sync::atomic::AtomicU64;
+use std::sync::Arc;
 
 use log::LevelFilter;
 use log4rs::append::console::ConsoleAppender;
@@ -14,6 +16,8 @@
 use turnford_config::LogLevel;
 use turnford_config::LogSettings;
 
+use crate::queue::QueueAppender;
+
 /// One line: time, level, part of the program, text.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {t} {m}{n}";
 
@@ -23,13 +27,32 @@
 ///
 /// Returns a message if the file can't be opened or logging was started before.
 pub(crate) fn start_logging(settings: &LogSettings) -> Result<(), String> {
-    let level = match settings.level {
+    let appender = make_appender(settings.file.as_deref())?;
+    init_logging(settings.level, appender)
+}
+
+/// Starts logging to standard output through a bounded queue; `drops` counts the lines that a full
+/// queue dropped.
+///
+/// # Errors
+///
+/// Returns a message if the writer can't be started or logging was started before.
+pub(crate) fn start_queue_logging(
+    settings: &LogSettings,
+    drops: Arc<AtomicU64>,
+) -> Result<(), String> {
+    let appender = QueueAppender::start(PATTERN, std::io::stdout(), drops);
+    let appender = appender.map_err(|error| format!("log writer: {error}"))?;
+    init_logging(settings.level, Box::new(appender))
+}
+
+fn init_logging(level: LogLevel, appender: Box<dyn Append>) -> Result<(), String> {
+    let level = match level {
         LogLevel::Error => LevelFilter::Error,
         LogLevel::Warn => LevelFilter::Warn,
         LogLevel::Info => LevelFilter::Info,
         LogLevel::Debug => LevelFilter::Debug,
     };
-    let appender = make_appender(settings.file.as_deref())?;
     let appender = Appender::builder().build("out", appender);
     let root = Root::builder().appender("out").build(level);
     let config = Config::builder().appender(appender).build(root);
