--- a/packages/turnford-config/src/serve.rs
+++ b/packages/turnford-config/src/serve.rs
@@ -49,8 +49,10 @@
     pub listen: SocketAddr,
     /// Address where the platform asks whether the node takes requests.
     pub ready: SocketAddr,
-    /// Address for the other nodes.
+    /// Address for other nodes' news of the fleet.
     pub inner: SocketAddr,
+    /// Address for work that other nodes hand over.
+    pub work: SocketAddr,
     /// Address of metrics and status.
     pub metrics: SocketAddr,
     /// Address of the platform's store.
@@ -85,6 +87,7 @@
     let listen = reader.parsed("listen", ADDRESS);
     let ready = reader.parsed("ready", ADDRESS);
     let inner = reader.parsed("inner", ADDRESS);
+    let work = reader.parsed("work", ADDRESS);
     let metrics = reader.parsed("metrics", ADDRESS);
     let store = reader.parsed("store", ADDRESS);
     let peers = reader.parsed_list("peers", ADDRESS);
@@ -99,6 +102,7 @@
         listen: listen?,
         ready: ready?,
         inner: inner?,
+        work: work?,
         metrics: metrics?,
         store: store?,
         peers,
--- a/packages/turnford-fleet/src/duty.rs
+++ b/packages/turnford-fleet/src/duty.rs
@@ -19,6 +19,8 @@
     Lend(u16),
     /// Gives orders to the targets of a service.
     Orders(String),
+    /// Gathers the pieces of a cell of a service's targets.
+    Gather(String, usize),
     /// Removes the platform's records of nodes that are gone.
     Sweep,
 }
@@ -30,6 +32,7 @@
             Duty::Claims(range) => write!(f, "claims/{range}"),
             Duty::Lend(group) => write!(f, "lend/{group}"),
             Duty::Orders(service) => write!(f, "orders/{service}"),
+            Duty::Gather(service, cell) => write!(f, "gather/{service}/{cell}"),
             Duty::Sweep => f.write_str("sweep"),
         }
     }
--- a/packages/turnford-fleet/src/member.rs
+++ b/packages/turnford-fleet/src/member.rs
@@ -56,6 +56,8 @@
     pub name: NodeName,
     /// Address for the inner protocol.
     pub address: SocketAddr,
+    /// Address for work that nodes hand to each other.
+    pub work: SocketAddr,
     /// Hall of the member.
     pub hall: String,
     /// Number that only the member itself raises.
--- a/packages/turnford-node/src/control/digests.rs
+++ b/packages/turnford-node/src/control/digests.rs
@@ -9,6 +9,7 @@
 use turnford_fleet::ServiceLoad;
 use turnford_policy::Moment;
 use turnford_policy::ServicePool;
+use turnford_wire::PeerReply;
 use turnford_wire::PeerRequest;
 
 use super::context::ControlContext;
@@ -38,7 +39,8 @@
             let told = context.clone();
             let tell = async move {
                 // The next digest replaces a lost one.
-                let _ = told.peers.call(peer.address, &request, DIGEST_LIMIT).await;
+                let call = told.peers.call(peer.address, &request, DIGEST_LIMIT);
+                let _: Result<PeerReply, _> = call.await;
             };
             context.executor.spawn(tell).detach();
         }
--- a/packages/turnford-node/src/control/members.rs
+++ b/packages/turnford-node/src/control/members.rs
@@ -297,6 +297,7 @@
         let update = MemberUpdate {
             name: object.key.trim_start_matches(NODE_PREFIX).to_owned(),
             address: record.address,
+            work: record.address,
             hall: record.hall,
             incarnation: 0,
             state: MemberState::Alive,
@@ -314,7 +315,8 @@
         let told = context.clone();
         let tell = async move {
             // A peer that does not hear it finds out by its own probe.
-            let _ = told.peers.call(peer.address, &request, PROBE_LIMIT).await;
+            let call = told.peers.call(peer.address, &request, PROBE_LIMIT);
+                let _: Result<PeerReply, _> = call.await;
         };
         context.executor.spawn(tell).detach();
     }
--- a/packages/turnford-node/src/control/peers.rs
+++ b/packages/turnford-node/src/control/peers.rs
@@ -4,6 +4,7 @@
 
 use async_net::TcpListener;
 use turnford_wire::serve_peer;
+use turnford_wire::GivenUpCall;
 use turnford_wire::PeerReply;
 use turnford_wire::PeerRequest;
 
@@ -21,7 +22,13 @@
         }
         let handler_context = context.clone();
         let handler = move |request| answer(handler_context.clone(), request);
-        let serve = serve_peer(stream, context.executor.clone(), handler);
+        let serve = serve_peer(
+            stream,
+            context.executor.clone(),
+            GivenUpCall::Finished,
+            || PeerReply::Refused,
+            handler,
+        );
         context.executor.spawn(serve).detach();
     }
 }
--- a/packages/turnford-node/src/control/rumors.rs
+++ b/packages/turnford-node/src/control/rumors.rs
@@ -5,6 +5,7 @@
 
 use turnford_fleet::Rumor;
 use turnford_fleet::RUMOR_FANOUT;
+use turnford_wire::PeerReply;
 use turnford_wire::PeerRequest;
 
 use super::context::ControlContext;
@@ -53,7 +54,8 @@
             let told = context.clone();
             let tell = async move {
                 // What gets lost is found by the next probe's mark or by the VM list.
-                let _ = told.peers.call(peer.address, &request, RUMOR_LIMIT).await;
+                let call = told.peers.call(peer.address, &request, RUMOR_LIMIT);
+                let _: Result<PeerReply, _> = call.await;
             };
             context.executor.spawn(tell).detach();
         }
--- a/packages/turnford-policy/src/route/allowance.rs
+++ b/packages/turnford-policy/src/route/allowance.rs
@@ -47,12 +47,17 @@
 
     /// Takes one repeat if the window has room for it.
     pub fn take(&mut self, now: Moment) -> bool {
+        self.take_many(now, 1)
+    }
+
+    /// Takes so many repeats, all or none.
+    pub fn take_many(&mut self, now: Moment, count: usize) -> bool {
         self.forget(now);
         let room = self.ratio * RATIO_PART * self.firsts.len() as f64 + self.slack;
-        if (self.repeats.len() + 1) as f64 > room {
+        if (self.repeats.len() + count) as f64 > room {
             return false;
         }
-        self.repeats.push_back(now);
+        self.repeats.extend(std::iter::repeat_n(now, count));
         true
     }
 
--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -11,8 +11,10 @@
 use crate::Moment;
 use crate::TargetId;
 
+use super::room::RoomLedger;
 use super::BatchSpec;
 use super::TargetBoard;
+use super::TargetSpec;
 
 /// Number of a piece on the board.
 pub type PieceTicket = u64;
@@ -39,6 +41,23 @@
     pub due: Moment,
     /// Rank of the request; 0 goes first.
     pub rank: ClassRank,
+    /// Size of its result, in bytes.
+    pub result_bytes: u64,
+    /// Hall in which it should run, near what it needs or what needs it.
+    pub hall: Option<Arc<str>>,
+    /// Until when it waits for a target in that hall.
+    pub hall_until: Moment,
+}
+
+impl PieceWork {
+    /// Tells whether a target in a hall may run it now.
+    fn suits(&self, now: Moment, hall: &str) -> bool {
+        self.is_near(hall) || self.hall.is_none() || self.hall_until <= now
+    }
+
+    fn is_near(&self, hall: &str) -> bool {
+        self.hall.as_deref() == Some(hall)
+    }
 }
 
 /// A call to make.
@@ -50,6 +69,13 @@
     pub pieces: Vec<(PieceTicket, PieceWork)>,
 }
 
+impl BatchPlan {
+    /// Returns the size of all its results, in bytes.
+    pub fn result_bytes(&self) -> u64 {
+        self.pieces.iter().map(|(_, work)| work.result_bytes).sum()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct QueuedPiece {
     ticket: PieceTicket,
@@ -64,12 +90,13 @@
     paused_until: Moment,
 }
 
-/// The pieces that wait for one service, and the calls under way.
+/// The pieces that wait for one service's targets, and the calls under way.
 #[derive(Debug)]
 pub struct BatchBoard {
     spec: BatchSpec,
     waiting: Vec<QueuedPiece>,
     calls: BTreeMap<TargetId, TargetCalls>,
+    room: RoomLedger,
     next_ticket: PieceTicket,
 }
 
@@ -80,6 +107,7 @@
             spec,
             waiting: Vec::new(),
             calls: BTreeMap::new(),
+            room: RoomLedger::default(),
             next_ticket: 1,
         }
     }
@@ -136,52 +164,83 @@
         let rounds = calls.div_ceil(targets);
         let full = self.full_span();
         let last = self.call_span(ahead.min(limit));
-        let busy = self.calls.values().filter(|calls| !calls.ends.is_empty());
-        let free_targets = targets.saturating_sub(busy.clone().count());
-        let first_free = if free_targets > 0 {
-            Duration::ZERO
-        } else {
-            let ends = busy.filter_map(|calls| calls.ends.first());
-            let next = ends.min().copied().unwrap_or(now);
-            next.saturating_sub(now)
-        };
-        first_free + full * u32::try_from(rounds.saturating_sub(1)).unwrap_or(u32::MAX) + last
+        let rounds = u32::try_from(rounds.saturating_sub(1)).unwrap_or(u32::MAX);
+        self.first_free(now, targets) + full * rounds + last
+    }
+
+    /// Returns the time until a target is free.
+    fn first_free(&self, now: Moment, targets: usize) -> Duration {
+        let ends = self.calls.values().filter_map(|calls| calls.ends.first());
+        if ends.clone().count() < targets {
+            return Duration::ZERO;
+        }
+        let next = ends.min().copied().unwrap_or(now);
+        next.saturating_sub(now)
     }
 
-    /// Plans the calls that can be made now, and returns the pieces whose time is over besides.
+    /// Plans the calls that can be made now at these targets, and returns the pieces whose time is
+    /// over besides.
     pub fn plan(
         &mut self,
         now: Moment,
-        targets: &TargetBoard,
+        board: &TargetBoard,
+        targets: &[TargetSpec],
     ) -> (Vec<BatchPlan>, Vec<PieceTicket>) {
         let late = self.take_late(now);
         let mut plans = Vec::new();
-        while !self.waiting.is_empty() {
-            let Some(target) = self.free_target(now, targets) else {
-                break;
-            };
-            plans.push(self.fill_call(now, target));
+        self.waiting.sort_by_key(|piece| {
+            let is_overdue = piece.work.due <= now;
+            (is_overdue, piece.work.rank, piece.work.due, piece.ticket)
+        });
+        let mut free = self.free_targets(now, board, targets);
+        // Pieces that belong near a free target take it first.
+        for only_near in [true, false] {
+            free.retain(|target| {
+                let plan = self.fill_call(now, target, only_near);
+                let is_free = plan.is_none();
+                plans.extend(plan);
+                is_free
+            });
         }
         (plans, late)
     }
 
     /// Returns when calls should be planned next though nothing happens until then.
-    pub fn next_look(&self, now: Moment) -> Option<Moment> {
+    pub fn next_look(&mut self, now: Moment) -> Option<Moment> {
+        let room = self.room.expire(now);
         if self.waiting.is_empty() {
             return None;
         }
         let pauses = self.calls.values().map(|calls| calls.paused_until);
         let deadlines = self.waiting.iter().map(|piece| piece.work.deadline);
-        pauses.chain(deadlines).filter(|at| *at > now).min()
+        let halls = self.waiting.iter().map(|piece| piece.work.hall_until);
+        let looks = pauses.chain(deadlines).chain(halls).chain(room);
+        looks.filter(|at| *at > now).min()
     }
 
-    /// Notes that a call ended.
-    pub fn note_ended(&mut self, target: &str) {
+    /// Notes that a call ended, with the results that its target keeps.
+    pub fn note_ended<'a>(
+        &mut self,
+        now: Moment,
+        target: &TargetId,
+        reserved: u64,
+        results: impl Iterator<Item = (&'a str, u64)>,
+    ) {
         if let Some(calls) = self.calls.get_mut(target) {
             if !calls.ends.is_empty() {
                 calls.ends.remove(0);
             }
         }
+        self.room.end_call(target, reserved);
+        for (handle, bytes) in results {
+            let until = now + self.spec.result_span;
+            self.room.keep(handle, target, bytes, until);
+        }
+    }
+
+    /// Notes that a result was given up.
+    pub fn note_released(&mut self, handle: &str) {
+        self.room.release(handle);
     }
 
     /// Notes that a target refused a call; it gets a pause before the next.
@@ -192,9 +251,9 @@
     }
 
     /// Forgets targets that are gone and have no call under way.
-    pub fn forget_gone(&mut self, targets: &TargetBoard) {
+    pub fn forget_gone(&mut self, board: &TargetBoard) {
         self.calls
-            .retain(|id, calls| !calls.ends.is_empty() || targets.get(id).is_some());
+            .retain(|id, calls| !calls.ends.is_empty() || board.get(id).is_some());
     }
 
     fn take_late(&mut self, now: Moment) -> Vec<PieceTicket> {
@@ -205,35 +264,66 @@
         late
     }
 
-    /// Returns the target without a call of this board that others use least.
-    fn free_target(&self, now: Moment, targets: &TargetBoard) -> Option<TargetId> {
-        let is_free = |id: &TargetId| {
-            let calls = self.calls.get(id);
-            calls.is_none_or(|calls| {
+    /// Returns the targets without a call of this board, those that others use least first.
+    fn free_targets(
+        &self,
+        now: Moment,
+        board: &TargetBoard,
+        targets: &[TargetSpec],
+    ) -> Vec<TargetSpec> {
+        let is_free = |target: &&TargetSpec| {
+            let calls = self.calls.get(&target.id);
+            let has_place = calls.is_none_or(|calls| {
                 calls.ends.len() < self.spec.slots.max(1) && calls.paused_until <= now
-            })
+            });
+            has_place && !target.leaving && !board.is_paused(now, &target.id)
         };
-        let open = targets.open_targets().map(|spec| &spec.id);
-        let free = open.filter(|id| is_free(id) && !targets.is_paused(now, id));
-        let cost = |id: &TargetId| targets.load(now, id) + targets.slowness(id);
-        free.min_by(|left, right| cost(left).total_cmp(&cost(right)))
-            .cloned()
+        let mut free: Vec<TargetSpec> = targets.iter().filter(is_free).cloned().collect();
+        let cost = |id: &TargetId| board.load(now, id) + board.slowness(id);
+        free.sort_by(|left, right| cost(&left.id).total_cmp(&cost(&right.id)));
+        free
     }
 
-    fn fill_call(&mut self, now: Moment, target: TargetId) -> BatchPlan {
-        self.waiting.sort_by_key(|piece| {
-            let overdue = piece.work.due <= now;
-            (overdue, piece.work.rank, piece.work.due, piece.ticket)
-        });
-        let size = self.waiting.len().min(self.spec.piece_limit.max(1));
-        let taken: Vec<QueuedPiece> = self.waiting.drain(..size).collect();
-        let end = now + self.call_span(size);
-        let calls = self.calls.entry(target.clone()).or_default();
-        calls.ends.push(end);
-        let pieces = taken.into_iter().map(|piece| (piece.ticket, piece.work));
-        BatchPlan {
-            target,
-            pieces: pieces.collect(),
+    /// Takes the pieces of one call out of the queue, in its order.
+    fn fill_call(
+        &mut self,
+        now: Moment,
+        target: &TargetSpec,
+        only_near: bool,
+    ) -> Option<BatchPlan> {
+        let hall = &*target.hall;
+        let has_near = self.waiting.iter().any(|piece| piece.work.is_near(hall));
+        if only_near && !has_near {
+            return None;
+        }
+        let used = self.room.used(now, &target.id);
+        let mut room = self.spec.result_room.saturating_sub(used);
+        let mut taken = Vec::new();
+        let mut left = Vec::new();
+        for piece in std::mem::take(&mut self.waiting) {
+            let bytes = piece.work.result_bytes;
+            // A result larger than all the room is tried where there is nothing else.
+            let fits = bytes <= room || (used == 0 && taken.is_empty());
+            let has_place = taken.len() < self.spec.piece_limit.max(1);
+            if has_place && fits && piece.work.suits(now, hall) {
+                room = room.saturating_sub(bytes);
+                taken.push((piece.ticket, piece.work));
+            } else {
+                left.push(piece);
+            }
         }
+        self.waiting = left;
+        if taken.is_empty() {
+            return None;
+        }
+        let end = now + self.call_span(taken.len());
+        let calls = self.calls.entry(target.id.clone()).or_default();
+        calls.ends.push(end);
+        let plan = BatchPlan {
+            target: target.id.clone(),
+            pieces: taken,
+        };
+        self.room.reserve(&target.id, plan.result_bytes());
+        Some(plan)
     }
 }
--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -3,10 +3,12 @@
 mod config;
 mod context;
 mod follow;
+mod members;
+mod news;
+mod peers;
 mod targets;
 
 use std::future::Future;
-use std::rc::Rc;
 use std::sync::Arc;
 
 use async_net::TcpListener;
@@ -65,9 +67,11 @@
         answer,
     );
     executor.spawn(readers).detach();
-    drop(listeners.inner);
-    let follow: Rc<ControlContext> = context.clone();
-    executor.spawn(config::follow_config(follow)).detach();
-    executor.spawn(targets::follow_targets(context)).detach();
+    let peers = peers::serve_peers(context.clone(), listeners.inner);
+    executor.spawn(peers).detach();
+    executor.spawn(config::follow_config(context.clone())).detach();
+    executor.spawn(targets::follow_targets(context.clone())).detach();
+    executor.spawn(members::follow_members(context.clone())).detach();
+    executor.spawn(news::spread_news(context)).detach();
     async_io::block_on(executor.run(stop));
 }
--- a/packages/turnford-serve/src/control/config.rs
+++ b/packages/turnford-serve/src/control/config.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use serde_json::Value;
+
 use turnford_adapter::decode_config;
 use turnford_adapter::StoreObject;
 use turnford_adapter::CONFIG_KIND;
@@ -11,40 +13,46 @@
 
 use super::context::ControlContext;
 use super::follow::follow_kind;
+use super::follow::FollowedKind;
 use super::follow::StoreNews;
 use crate::shared::RouteView;
 
 /// Follows the configuration for as long as the node runs.
 pub(super) async fn follow_config(context: Rc<ControlContext>) {
-    let follow = context.clone();
+    let heard = context.clone();
     let hear = move |news| match news {
         StoreNews::List(list) => {
             for object in &list.objects {
-                take_config(&context, object);
+                take_object(&heard, object);
             }
         }
-        StoreNews::Events(events) => {
+        StoreNews::Events(events, _) => {
             for event in events.iter().filter(|event| !event.is_gone) {
-                take_config(&context, &event.object);
+                take_object(&heard, &event.object);
             }
         }
-        StoreNews::Lost(_) | StoreNews::Regained => {}
+        StoreNews::Lost => heard.is_config_lost.set(true),
+        StoreNews::Regained => heard.is_config_lost.set(false),
+    };
+    let kind = FollowedKind {
+        kind: CONFIG_KIND,
+        revision: |context| &context.config_revision,
     };
-    follow_kind(follow, CONFIG_KIND, hear).await;
+    follow_kind(context, kind, hear).await;
 }
 
-/// Puts a configuration into force if it is newer than the one that is.
-fn take_config(context: &ControlContext, object: &StoreObject) {
-    if object.name != CONFIG_NAME {
-        return;
+fn take_object(context: &ControlContext, object: &StoreObject) {
+    if object.name == CONFIG_NAME {
+        take_spec(context, &object.spec, "store");
     }
-    let config = match decode_config(&object.spec) {
+}
+
+/// Puts a configuration into force if it is newer than the one that is.
+pub(super) fn take_spec(context: &ControlContext, spec: &Value, source: &str) {
+    let config = match decode_config(spec) {
         Ok(config) => config,
         Err(problem) => {
-            log::error!(
-                "configuration revision={} refused: {problem}",
-                object.revision
-            );
+            log::error!("configuration from={source} refused: {problem}");
             return;
         }
     };
@@ -54,19 +62,19 @@
         return;
     }
     log::info!(
-        "configuration in force: version={} before={old} revision={} routes={} services={}",
+        "configuration in force: version={} before={old} from={source} routes={} services={}",
         config.version,
-        object.revision,
         config.routes.len(),
         config.services.len()
     );
     shared.metrics.config_version.set(config.version);
-    let config = Arc::new(config);
+    *context.config_spec.borrow_mut() = Some(spec.clone());
     let table = Arc::new(RouteTable::new(&config));
+    let config = Arc::new(config);
     shared.set_view(|view| RouteView {
         config: config.clone(),
         table: table.clone(),
-        targets: view.targets.clone(),
-        fleet: view.fleet,
+        ..view.clone()
     });
+    context.note_learned();
 }
--- a/packages/turnford-serve/src/control/follow.rs
+++ b/packages/turnford-serve/src/control/follow.rs
@@ -1,6 +1,7 @@
 //! Following the objects of one kind in the store: a list, then watches, and a list again where the
 //! history is gone.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,35 +30,35 @@
 pub(super) enum StoreNews {
     /// All objects of the kind.
     List(StoreList),
-    /// Changes since.
-    Events(Vec<StoreEvent>),
+    /// Changes since, and the revision up to which they reach.
+    Events(Vec<StoreEvent>, u64),
     /// The store did not answer or turned the call away.
-    Lost(StoreFault),
-    /// The store answers again.
+    Lost,
+    /// The store answers, for the first time or again.
     Regained,
 }
 
-/// State of following one kind.
-struct FollowState {
-    /// Revision to go on from; `None` before a list.
-    revision: Option<u64>,
-    pause: Duration,
-    is_lost: bool,
+/// The kind to follow.
+#[derive(Clone, Copy)]
+pub(super) struct FollowedKind {
+    pub(super) kind: &'static str,
+    /// Revision to go on from; `None` before a list. Others may set it forward.
+    pub(super) revision: fn(&ControlContext) -> &Cell<Option<u64>>,
 }
 
 /// Follows a kind for as long as the node runs.
 pub(super) async fn follow_kind(
     context: Rc<ControlContext>,
-    kind: &'static str,
+    followed: FollowedKind,
     mut hear: impl FnMut(StoreNews),
 ) {
-    let mut state = FollowState {
-        revision: None,
-        pause: FIRST_PAUSE,
-        is_lost: false,
-    };
+    let kind = followed.kind;
+    let cell = (followed.revision)(&context);
+    let mut pause = FIRST_PAUSE;
+    let mut is_lost = true;
     loop {
-        let heard = match state.revision {
+        let from = cell.get();
+        let heard = match from {
             None => list_kind(&context, kind).await,
             Some(revision) => watch_kind(&context, kind, revision).await,
         };
@@ -65,38 +66,33 @@
         context.shared.metrics.store_calls.set(calls);
         match heard {
             Ok((news, revision)) => {
-                if std::mem::take(&mut state.is_lost) {
-                    log::info!("store regained: kind={kind} revision={revision}");
+                if std::mem::take(&mut is_lost) {
+                    log::info!("store answers: kind={kind} revision={revision}");
                     hear(StoreNews::Regained);
                 }
-                state.pause = FIRST_PAUSE;
-                state.revision = Some(revision);
-                hear(news);
+                pause = FIRST_PAUSE;
+                // What a peer told meanwhile may be newer than this.
+                if cell.get() == from {
+                    cell.set(Some(revision));
+                    hear(news);
+                }
             }
             Err(StoreFault::HistoryGone) => {
                 log::info!("store history gone: kind={kind}, listing anew");
-                state.revision = None;
+                cell.set(None);
+            }
+            Err(fault) => {
+                if !std::mem::replace(&mut is_lost, true) {
+                    log::warn!("store lost: kind={kind} reason={fault}");
+                }
+                hear(StoreNews::Lost);
+                Timer::after(context.jitter(pause)).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
             }
-            Err(fault) => note_fault(&context, kind, &mut state, fault, &mut hear).await,
         }
     }
 }
 
-async fn note_fault(
-    context: &ControlContext,
-    kind: &'static str,
-    state: &mut FollowState,
-    fault: StoreFault,
-    hear: &mut impl FnMut(StoreNews),
-) {
-    if !std::mem::replace(&mut state.is_lost, true) {
-        log::warn!("store lost: kind={kind} reason={fault}");
-    }
-    hear(StoreNews::Lost(fault));
-    Timer::after(context.jitter(state.pause)).await;
-    state.pause = (state.pause * 2).min(LONGEST_PAUSE);
-}
-
 async fn list_kind(context: &ControlContext, kind: &str) -> Result<(StoreNews, u64), StoreFault> {
     let list = context.store.list(kind, LIST_LIMIT).await?;
     let revision = list.revision;
@@ -109,5 +105,5 @@
     revision: u64,
 ) -> Result<(StoreNews, u64), StoreFault> {
     let (events, revision) = context.store.watch(kind, revision, WATCH_SPAN).await?;
-    Ok((StoreNews::Events(events), revision))
+    Ok((StoreNews::Events(events, revision), revision))
 }
--- /dev/null
+++ b/packages/turnford-serve/src/control/members.rs
@@ -0,0 +1,312 @@
+//! The other nodes: found through the store and the settings, watched by probes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use serde::Deserialize;
+use serde::Serialize;
+
+use turnford_adapter::StoreFault;
+use turnford_adapter::StoreObject;
+use turnford_adapter::NODE_KIND;
+use turnford_fleet::MemberState;
+use turnford_fleet::MemberUpdate;
+use turnford_fleet::ProbePlan;
+use turnford_wire::RouteReply;
+use turnford_wire::RouteRequest;
+
+use super::context::ControlContext;
+use super::news::compare_mark;
+use crate::shared::FleetMember;
+use crate::shared::RouteView;
+
+/// Pause between looks whether a probe is due.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Longest wait for a probe's answer.
+const PROBE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Longest wait for an indirect probe's answer.
+const INDIRECT_LIMIT: Duration = Duration::from_millis(1200);
+
+/// Pause between tries to register while the store is away.
+const REGISTER_PAUSE: Duration = Duration::from_secs(1);
+
+/// Longest time for a call to the store.
+const STORE_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Shortest time between two pulls of the whole member list.
+const PULL_PAUSE: Duration = Duration::from_secs(3);
+
+/// Members that are told of a planned stop directly; they tell the others.
+const LEAVE_FANOUT: usize = 8;
+
+/// A node's object in the store.
+#[derive(Serialize, Deserialize)]
+struct NodeRecord {
+    /// Address for news of the fleet.
+    inner: SocketAddr,
+    /// Address for work.
+    work: SocketAddr,
+    hall: String,
+}
+
+/// Registers this node, finds the others, and probes them for as long as the node runs.
+pub(super) async fn follow_members(context: Rc<ControlContext>) {
+    context.executor.spawn(register(context.clone())).detach();
+    let known = ask_known_peers(context.clone());
+    context.executor.spawn(known).detach();
+    let mut has_left = false;
+    loop {
+        Timer::after(TICK).await;
+        let now = context.now();
+        let plan = {
+            let mut members = context.members.borrow_mut();
+            members.expire(now);
+            members.probe_due(now)
+        };
+        if let Some(plan) = plan {
+            let probe = probe(context.clone(), plan);
+            context.executor.spawn(probe).detach();
+        }
+        publish(&context);
+        if !has_left && context.shared.draining.load(Ordering::SeqCst) {
+            has_left = true;
+            context.executor.spawn(leave(context.clone())).detach();
+        }
+    }
+}
+
+/// Tells the traffic thread which nodes live.
+fn publish(context: &ControlContext) {
+    let members = context.members.borrow();
+    let mut live: Vec<FleetMember> = members
+        .live()
+        .map(|record| FleetMember {
+            name: Arc::from(record.update.name.as_str()),
+            work: record.update.work,
+        })
+        .collect();
+    live.sort_by(|left, right| left.name.cmp(&right.name));
+    let fleet = members.all().count() + 1;
+    let shared = &context.shared;
+    let view = shared.view.load();
+    if *view.members == live && view.fleet == fleet {
+        return;
+    }
+    shared.metrics.members.set(live.len() as u64);
+    let live = Arc::new(live);
+    shared.set_view(|view| RouteView {
+        members: live.clone(),
+        fleet,
+        ..view.clone()
+    });
+}
+
+fn ping(context: &ControlContext, to: &str) -> RouteRequest {
+    let mut members = context.members.borrow_mut();
+    RouteRequest::Ping {
+        gossip: members.take_gossip(to),
+        mark: context.mark(),
+        members: members.checksum(),
+    }
+}
+
+/// Answers a ping.
+pub(super) fn answer_ping(context: &Rc<ControlContext>, gossip: Vec<MemberUpdate>) -> RouteReply {
+    let from = gossip.first().map(|from| from.name.clone());
+    apply_gossip(context, gossip);
+    let mut members = context.members.borrow_mut();
+    RouteReply::Pong {
+        gossip: members.take_gossip(from.as_deref().unwrap_or("")),
+        mark: context.mark(),
+        members: members.checksum(),
+    }
+}
+
+/// Asks another node for a third one.
+pub(super) async fn answer_ping_via(
+    context: &Rc<ControlContext>,
+    target: MemberUpdate,
+) -> RouteReply {
+    RouteReply::Reached(ping_once(context, &target.name, target.address).await)
+}
+
+/// Returns every live member.
+pub(super) fn answer_member_pull(context: &ControlContext) -> RouteReply {
+    let members = context.members.borrow();
+    let own = members.own().clone();
+    let others = members.live().map(|record| record.update.clone());
+    RouteReply::Members(others.chain(std::iter::once(own)).collect())
+}
+
+fn apply_gossip(context: &ControlContext, gossip: Vec<MemberUpdate>) {
+    let now = context.now();
+    let mut members = context.members.borrow_mut();
+    for update in gossip {
+        let name = update.name.clone();
+        let state = update.state;
+        if members.apply(now, update) && state != MemberState::Suspect {
+            log::info!("member={name} state={state:?}");
+        }
+    }
+}
+
+async fn probe(context: Rc<ControlContext>, plan: ProbePlan) {
+    if ping_once(&context, &plan.name, plan.address).await {
+        return;
+    }
+    let helpers = context.members.borrow_mut().indirect_probes(&plan.name);
+    let target = context
+        .members
+        .borrow()
+        .get(&plan.name)
+        .map(|record| record.update.clone());
+    let Some(target) = target else {
+        return;
+    };
+    let asks = helpers.into_iter().map(|helper| {
+        let ask = ask_helper(context.clone(), helper, target.clone());
+        context.executor.spawn(ask)
+    });
+    let asks: Vec<_> = asks.collect();
+    let mut is_reached = false;
+    for ask in asks {
+        is_reached |= ask.await;
+    }
+    if !is_reached {
+        log::info!("member={} does not answer", plan.name);
+        let now = context.now();
+        context.members.borrow_mut().note_silent(now, &plan.name);
+    }
+}
+
+async fn ask_helper(context: Rc<ControlContext>, helper: ProbePlan, target: MemberUpdate) -> bool {
+    let request = RouteRequest::PingVia { target };
+    let reply = context
+        .peers
+        .call(helper.address, &request, INDIRECT_LIMIT)
+        .await;
+    matches!(reply, Ok(RouteReply::Reached(true)))
+}
+
+/// Pings an address; true if it answered.
+async fn ping_once(context: &Rc<ControlContext>, name: &str, address: SocketAddr) -> bool {
+    let request = ping(context, name);
+    let reply = context.peers.call(address, &request, PROBE_LIMIT).await;
+    let Ok(RouteReply::Pong {
+        gossip,
+        mark,
+        members,
+    }) = reply
+    else {
+        return false;
+    };
+    apply_gossip(context, gossip);
+    compare_mark(context, address, mark);
+    let own = context.members.borrow().checksum();
+    if own != members {
+        pull_members(context, address).await;
+    }
+    true
+}
+
+/// Reads the whole member list of a peer whose list differs.
+async fn pull_members(context: &Rc<ControlContext>, address: SocketAddr) {
+    let now = context.now();
+    if now < context.next_pull.get() {
+        return;
+    }
+    context.next_pull.set(now + PULL_PAUSE);
+    let request = RouteRequest::MemberPull;
+    let reply = context.peers.call(address, &request, PROBE_LIMIT).await;
+    if let Ok(RouteReply::Members(updates)) = reply {
+        apply_gossip(context, updates);
+    }
+}
+
+/// Asks the peers of the settings, for starts while the store is away.
+async fn ask_known_peers(context: Rc<ControlContext>) {
+    let own = context.shared.settings.inner;
+    for address in context.shared.settings.peers.clone() {
+        if address != own {
+            ping_once(&context, "", address).await;
+        }
+    }
+}
+
+/// Writes this node's object and reads those of the others, until both worked once.
+async fn register(context: Rc<ControlContext>) {
+    while let Err(fault) = try_register(&context).await {
+        log::warn!("this node can't be registered yet: {fault}");
+        Timer::after(context.jitter(REGISTER_PAUSE)).await;
+    }
+}
+
+async fn try_register(context: &Rc<ControlContext>) -> Result<(), StoreFault> {
+    let settings = &context.shared.settings;
+    let record = NodeRecord {
+        inner: settings.inner,
+        work: settings.work,
+        hall: settings.hall.to_string(),
+    };
+    let spec =
+        serde_json::to_value(&record).map_err(|error| StoreFault::Garbled(error.to_string()))?;
+    let store = &context.store;
+    store
+        .put(NODE_KIND, &settings.name, spec, STORE_LIMIT)
+        .await?;
+    let list = store.list(NODE_KIND, STORE_LIMIT).await?;
+    for object in &list.objects {
+        note_record(context, object);
+    }
+    Ok(())
+}
+
+/// Takes another node's object as a member to be probed.
+fn note_record(context: &ControlContext, object: &StoreObject) {
+    if *object.name == *context.shared.settings.name {
+        return;
+    }
+    let record = match NodeRecord::deserialize(&object.spec) {
+        Ok(record) => record,
+        Err(error) => {
+            log::warn!("member={} has an object that makes no sense: {error}", object.name);
+            return;
+        }
+    };
+    let update = MemberUpdate {
+        name: object.name.clone(),
+        address: record.inner,
+        work: record.work,
+        hall: record.hall,
+        incarnation: 0,
+        state: MemberState::Alive,
+    };
+    let now = context.now();
+    context.members.borrow_mut().apply(now, update);
+}
+
+/// Tells the others that this node stops, and removes its object.
+async fn leave(context: Rc<ControlContext>) {
+    context.members.borrow_mut().leave();
+    let peers = context.members.borrow_mut().sample(LEAVE_FANOUT);
+    for peer in peers {
+        let request = ping(&context, &peer.name);
+        let told = context.clone();
+        let tell = async move {
+            let call = told.peers.call(peer.address, &request, PROBE_LIMIT);
+            // A peer that does not hear it finds out by its own probe.
+            let _: Result<RouteReply, _> = call.await;
+        };
+        context.executor.spawn(tell).detach();
+    }
+    let name = &context.shared.settings.name;
+    if let Err(fault) = context.store.delete(NODE_KIND, name, STORE_LIMIT).await {
+        log::info!("this node's object stays in the store: {fault}");
+    }
+}
--- a/packages/turnford-serve/src/control/targets.rs
+++ b/packages/turnford-serve/src/control/targets.rs
@@ -1,7 +1,7 @@
 //! The targets as they list themselves in the store.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +19,7 @@
 
 use super::context::ControlContext;
 use super::follow::follow_kind;
+use super::follow::FollowedKind;
 use super::follow::StoreNews;
 use crate::shared::RouteView;
 
@@ -31,15 +32,22 @@
 
 /// What is known of the targets.
 #[derive(Default)]
-struct TargetList {
+pub(super) struct TargetList {
     targets: BTreeMap<TargetId, TargetSpec>,
     /// Targets whose entries were missing after the store's return, and when they count as gone.
     lapsed: BTreeMap<TargetId, Moment>,
     /// Until when a missing entry may only have lapsed.
     returning_until: Moment,
+    /// Revision of the store up to which changes are known.
+    revision: u64,
 }
 
 impl TargetList {
+    /// Returns the revision of the store up to which changes are known.
+    pub(super) fn revision(&self) -> u64 {
+        self.revision
+    }
+
     fn put(&mut self, object: &StoreObject) {
         match decode_target(object) {
             Ok(target) => {
@@ -70,6 +78,7 @@
     }
 
     fn take_list(&mut self, now: Moment, list: &StoreList) {
+        self.revision = self.revision.max(list.revision);
         let names: Vec<TargetId> = self.targets.keys().cloned().collect();
         for object in &list.objects {
             self.put(object);
@@ -81,7 +90,10 @@
         }
     }
 
-    fn take_events(&mut self, now: Moment, events: &[StoreEvent]) {
+    fn take_events(&mut self, now: Moment, events: &[StoreEvent], revision: u64) {
+        if !events.is_empty() {
+            self.revision = self.revision.max(revision);
+        }
         for event in events {
             if event.is_gone {
                 self.remove(now, &event.object.name);
@@ -91,6 +103,22 @@
         }
     }
 
+    /// Takes all targets as a peer knows them at a revision.
+    fn adopt(&mut self, now: Moment, revision: u64, targets: Vec<TargetSpec>) {
+        self.revision = revision;
+        let names: Vec<TargetId> = self.targets.keys().cloned().collect();
+        for name in names {
+            if !targets.iter().any(|target| target.id == name) {
+                self.remove(now, &name);
+            }
+        }
+        for target in targets {
+            self.lapsed.remove(&target.id);
+            let old = self.targets.insert(target.id.clone(), target.clone());
+            log_target(old.as_ref(), &target);
+        }
+    }
+
     /// Drops lapsed targets that did not return; true if there were any.
     fn expire(&mut self, now: Moment) -> bool {
         let due = self.lapsed.iter().filter(|(_, until)| **until <= now);
@@ -120,37 +148,65 @@
 
 /// Follows the targets for as long as the node runs.
 pub(super) async fn follow_targets(context: Rc<ControlContext>) {
-    let list = Rc::new(RefCell::new(TargetList::default()));
-    let expire = expire_lapsed(context.clone(), list.clone());
+    let expire = expire_lapsed(context.clone());
     context.executor.spawn(expire).detach();
-    let follow = context.clone();
+    let heard = context.clone();
     let hear = move |news| {
-        let now = context.now();
+        let now = heard.now();
+        let mut list = heard.targets.borrow_mut();
         match news {
-            StoreNews::List(objects) => list.borrow_mut().take_list(now, &objects),
-            StoreNews::Events(events) => list.borrow_mut().take_events(now, &events),
-            StoreNews::Lost(_) => return,
+            StoreNews::List(objects) => list.take_list(now, &objects),
+            StoreNews::Events(events, revision) => list.take_events(now, &events, revision),
+            StoreNews::Lost => heard.are_targets_lost.set(true),
             StoreNews::Regained => {
-                list.borrow_mut().returning_until = now + RETURN_SPAN;
-                return;
+                heard.are_targets_lost.set(false);
+                list.returning_until = now + RETURN_SPAN;
             }
         }
-        publish(&context, &list.borrow());
+        drop(list);
+        publish(&heard);
+    };
+    let kind = FollowedKind {
+        kind: TARGET_KIND,
+        revision: |context| &context.target_revision,
     };
-    follow_kind(follow, TARGET_KIND, hear).await;
+    follow_kind(context, kind, hear).await;
+}
+
+/// Takes the targets that a peer knows, if they are newer.
+pub(super) fn adopt_targets(
+    context: &ControlContext,
+    peer: SocketAddr,
+    revision: u64,
+    targets: Vec<TargetSpec>,
+) {
+    let now = context.now();
+    let mut list = context.targets.borrow_mut();
+    if revision <= list.revision {
+        return;
+    }
+    log::info!(
+        "targets of peer {peer} taken: revision={revision} before={}",
+        list.revision
+    );
+    list.adopt(now, revision, targets);
+    drop(list);
+    context.target_revision.set(Some(revision));
+    publish(context);
 }
 
-async fn expire_lapsed(context: Rc<ControlContext>, list: Rc<RefCell<TargetList>>) {
+async fn expire_lapsed(context: Rc<ControlContext>) {
     loop {
         Timer::after(LAPSE_PAUSE).await;
         let now = context.now();
-        if list.borrow_mut().expire(now) {
-            publish(&context, &list.borrow());
+        if context.targets.borrow_mut().expire(now) {
+            publish(&context);
         }
     }
 }
 
-fn publish(context: &ControlContext, list: &TargetList) {
+fn publish(context: &ControlContext) {
+    let list = context.targets.borrow();
     let shared = &context.shared;
     if *shared.view.load().targets == list.targets {
         return;
@@ -158,9 +214,8 @@
     shared.metrics.targets.set(list.targets.len() as u64);
     let targets = Arc::new(list.targets.clone());
     shared.set_view(|view| RouteView {
-        config: view.config.clone(),
-        table: view.table.clone(),
         targets: targets.clone(),
-        fleet: view.fleet,
+        ..view.clone()
     });
+    context.note_learned();
 }
--- a/packages/turnford-serve/src/desk.rs
+++ b/packages/turnford-serve/src/desk.rs
@@ -4,10 +4,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use turnford_policy::split_cells;
 use turnford_policy::PromptCache;
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceSpec;
 use turnford_policy::TargetBoard;
+use turnford_policy::TargetId;
+use turnford_policy::TargetSpec;
 
 use crate::pieces::PieceDesk;
 
@@ -17,19 +20,18 @@
     pub(crate) board: RefCell<TargetBoard>,
     pub(crate) cache: RefCell<PromptCache>,
     pub(crate) allowance: RefCell<RetryAllowance>,
-    /// Present where the service runs pieces of stages.
-    pub(crate) pieces: Option<PieceDesk>,
+    /// Cells of the targets, where the service runs pieces of stages.
+    pub(crate) cells: RefCell<Vec<Rc<PieceDesk>>>,
 }
 
 impl ServiceDesk {
     pub(crate) fn new(spec: Arc<ServiceSpec>, allowance: RetryAllowance) -> Rc<Self> {
-        let pieces = spec.batch.clone().map(PieceDesk::new);
         Rc::new(Self {
             spec: RefCell::new(spec),
             board: RefCell::default(),
             cache: RefCell::default(),
             allowance: RefCell::new(allowance),
-            pieces,
+            cells: RefCell::default(),
         })
     }
 
@@ -38,17 +40,53 @@
         let board = self.board.borrow();
         board.get(target).is_some_and(|spec| !spec.leaving)
     }
+
+    /// Splits the targets into cells anew. A cell that is no longer needed helps another one until
+    /// its last piece has ended.
+    pub(crate) fn refresh_cells(&self) {
+        let spec = self.spec.borrow().clone();
+        let Some(batch) = &spec.batch else {
+            return;
+        };
+        let board = self.board.borrow();
+        let open: Vec<TargetSpec> = board.open_targets().cloned().collect();
+        let split = split_cells(&open);
+        let mut cells = self.cells.borrow_mut();
+        while cells.len() < split.len() {
+            cells.push(PieceDesk::new(batch.clone()));
+        }
+        for (number, cell) in cells.iter().enumerate() {
+            cell.targets.borrow_mut().clone_from(&split[number % split.len()]);
+            let mut pieces = cell.board.borrow_mut();
+            pieces.set_spec(batch);
+            pieces.forget_gone(&board);
+        }
+    }
+
+    /// Returns the targets of each cell that is in use.
+    pub(crate) fn split(&self) -> Vec<Vec<TargetSpec>> {
+        let board = self.board.borrow();
+        let open: Vec<TargetSpec> = board.open_targets().cloned().collect();
+        split_cells(&open)
+    }
+
+    /// Returns a cell by its number.
+    pub(crate) fn cell(&self, number: usize) -> Option<Rc<PieceDesk>> {
+        let cells = self.cells.borrow();
+        let count = cells.len().max(1);
+        cells.get(number % count).cloned()
+    }
 }
 
 /// A call under way at a target; its end is noted when this is dropped.
 pub(crate) struct FlightGuard {
     desk: Rc<ServiceDesk>,
-    target: turnford_policy::TargetId,
+    target: TargetId,
 }
 
 impl FlightGuard {
     /// Notes a call.
-    pub(crate) fn new(desk: &Rc<ServiceDesk>, target: &turnford_policy::TargetId) -> Self {
+    pub(crate) fn new(desk: &Rc<ServiceDesk>, target: &TargetId) -> Self {
         desk.board.borrow_mut().note_sent(target);
         Self {
             desk: desk.clone(),
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -1,6 +1,7 @@
 //! The request's own call: to one target, and to another where that is allowed.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use turnford_adapter::encode_order;
 use turnford_adapter::TargetOrder;
 use turnford_policy::CallKind;
+use turnford_policy::PromptHome;
 use turnford_policy::ResultCode;
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
@@ -45,6 +47,10 @@
 /// Time that one more running request adds to another's, in seconds.
 const RUN_COST: f64 = 0.004;
 
+/// Cost of a megabyte of inputs that crosses halls, in seconds: its price is that of reading some
+/// thousand tokens anew.
+const MOVE_COST: f64 = 0.05;
+
 /// Cost of a target in another hall, in seconds: enough to prefer the own one of two alike.
 const HALL_COST: f64 = 0.002;
 
@@ -55,6 +61,8 @@
     pub(crate) parts: &'a Parts,
     pub(crate) body: &'a Bytes,
     pub(crate) inputs: &'a [String],
+    /// Bytes of the inputs in each hall.
+    pub(crate) halls: &'a [(Arc<str>, u64)],
 }
 
 /// How the call ended.
@@ -91,7 +99,8 @@
     let now = traffic.shared.now();
     job.desk.allowance.borrow_mut().note_first(now);
     while may_try(traffic, job, &log) {
-        let Some(target) = choose_target(traffic, job, &log.tried) else {
+        let chosen = choose_target(traffic, job.record, job.desk, job.halls, &log.tried);
+        let Some(target) = chosen else {
             break;
         };
         if log.sent > 0 && !take_repeat(traffic, job, &target) {
@@ -138,31 +147,36 @@
     allowed
 }
 
-fn choose_target(
+/// Chooses the target for a request, `inputs` being the bytes of its inputs in each hall.
+pub(crate) fn choose_target(
     traffic: &Traffic,
-    job: &ForwardJob<'_>,
+    record: &RequestRecord,
+    desk: &ServiceDesk,
+    inputs: &[(Arc<str>, u64)],
     tried: &[TargetId],
 ) -> Option<TargetSpec> {
     let now = traffic.shared.now();
-    let facts = &job.record.facts;
-    let is_engine = job.desk.spec.borrow().engine.is_some();
-    let cache = job.desk.cache.borrow();
+    let parts = &record.facts.parts;
+    let is_engine = desk.spec.borrow().engine.is_some();
+    let cache = desk.cache.borrow();
+    let board = desk.board.borrow();
+    let home = PromptHome::new(parts, board.open_targets().map(|target| &target.id));
     let own_hall = &traffic.shared.settings.hall;
+    let all: u64 = inputs.iter().map(|(_, bytes)| bytes).sum();
     let cost = |target: &TargetSpec, load: f64| {
-        let hall = if target.hall == *own_hall {
-            0.0
-        } else {
-            HALL_COST
-        };
-        if is_engine {
-            let missing = cache.missing(now, &target.id, &facts.parts);
-            let reading = missing as f64 / READ_RATE;
-            return reading + load * RUN_COST + hall;
+        let is_near = target.hall == *own_hall;
+        let hall = if is_near { 0.0 } else { HALL_COST };
+        if !is_engine {
+            return load / f64::from(target.slots.max(1)) + hall;
         }
-        load / f64::from(target.slots.max(1)) + hall
+        let home = home.missing(&target.id, parts);
+        let missing = home.min(cache.missing(now, &target.id, parts));
+        let near = inputs.iter().find(|(hall, _)| *hall == target.hall);
+        let foreign = all - near.map_or(0, |(_, bytes)| *bytes);
+        let moving = foreign as f64 / 1e6 * MOVE_COST;
+        missing as f64 / READ_RATE + load * RUN_COST + moving + hall
     };
-    let chosen = job.desk.board.borrow().choose(now, tried, cost);
-    chosen.map(|choice| choice.spec)
+    board.choose(now, tried, cost).map(|choice| choice.spec)
 }
 
 async fn try_target(
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -19,5 +19,6 @@
 mod stages;
 mod stream;
 mod traffic;
+mod work;
 
 pub use node::ServeNode;
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -32,6 +32,7 @@
 use crate::traffic::follow_changes;
 use crate::traffic::sweep_links;
 use crate::traffic::Traffic;
+use crate::work::serve_work;
 
 /// Pause between looks whether running requests ended.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
@@ -69,6 +70,7 @@
             metrics: bind_listener(settings.metrics)?,
             inner: bind_listener(settings.inner)?,
         };
+        let work = bind_listener(settings.work)?;
         let (changes, changed) = async_channel::bounded(1);
         let shared = Arc::new(ServeShared {
             settings,
@@ -91,7 +93,8 @@
         let traffic = {
             let shared = shared.clone();
             spawn_thread("traffic", move || {
-                run_traffic(shared, listener, changed, closed, wait_stop(stopped));
+                let listeners = TrafficListeners { listener, work };
+                run_traffic(shared, listeners, changed, closed, wait_stop(stopped));
             })?
         };
         log::info!(
@@ -161,10 +164,18 @@
     let _ = stopped.recv().await;
 }
 
-/// Serves clients on this thread until `stop` ends.
+/// Listeners of the traffic thread.
+struct TrafficListeners {
+    /// For clients.
+    listener: TcpListener,
+    /// For other nodes' work.
+    work: TcpListener,
+}
+
+/// Serves clients and other nodes' work on this thread until `stop` ends.
 fn run_traffic(
     shared: Arc<ServeShared>,
-    listener: TcpListener,
+    listeners: TrafficListeners,
     changed: Receiver<()>,
     closing: Receiver<()>,
     stop: impl Future<Output = ()>,
@@ -175,6 +186,10 @@
         .spawn(follow_changes(traffic.clone(), changed))
         .detach();
     executor.spawn(sweep_links(traffic.clone())).detach();
+    executor
+        .spawn(serve_work(traffic.clone(), listeners.work))
+        .detach();
+    let listener = listeners.listener;
     let head_limit = ClientLimits::default().head_bytes;
     let handler = move |request| handle_client(traffic.clone(), request);
     let accept = accept_links(executor.clone(), listener, head_limit, closing, handler);
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -1,4 +1,4 @@
-//! Pieces of stages, run in batches.
+//! Pieces of stages, run in batches at the targets of one cell.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -34,9 +34,9 @@
 /// Longest body of an answer, in bytes.
 const ANSWER_LIMIT: usize = 256 * 1024;
 
-/// Calls of a target that may be before a call: a call that takes longer than its own time and
+/// Full calls that may be before a call at a target: one that takes longer than its own time and
 /// that of so many others is given up.
-const PATIENCE_CALLS: u32 = 4;
+const PATIENCE_CALLS: u32 = 3;
 
 /// How a piece ended for the request that needs it.
 #[derive(Clone, Debug)]
@@ -49,35 +49,47 @@
     Failed(&'static str),
 }
 
-/// The pieces of one service.
+/// The pieces that wait for the targets of one cell.
 pub(crate) struct PieceDesk {
     pub(crate) board: RefCell<BatchBoard>,
+    /// Targets of the cell.
+    pub(crate) targets: RefCell<Vec<TargetSpec>>,
     takers: RefCell<HashMap<PieceTicket, Sender<PieceOutcome>>>,
     /// When the next look is due though nothing happens until then.
     next_look: Cell<Option<Moment>>,
 }
 
 impl PieceDesk {
-    pub(crate) fn new(spec: BatchSpec) -> Self {
-        Self {
+    pub(crate) fn new(spec: BatchSpec) -> Rc<Self> {
+        Rc::new(Self {
             board: RefCell::new(BatchBoard::new(spec)),
+            targets: RefCell::default(),
             takers: RefCell::default(),
             next_look: Cell::new(None),
-        }
+        })
     }
 
     fn tell(&self, ticket: PieceTicket, outcome: PieceOutcome) -> Result<(), PieceOutcome> {
         let Some(taker) = self.takers.borrow_mut().remove(&ticket) else {
             return Err(outcome);
         };
-        taker.try_send(outcome).map_err(|error| error.into_inner())
+        taker
+            .try_send(outcome)
+            .map_err(async_channel::TrySendError::into_inner)
     }
 }
 
+/// A cell of a service, as its work needs it.
+#[derive(Clone)]
+pub(crate) struct PieceCell {
+    pub(crate) traffic: Rc<Traffic>,
+    pub(crate) desk: Rc<ServiceDesk>,
+    pub(crate) pieces: Rc<PieceDesk>,
+}
+
 /// A piece that a request waits for; dropping it withdraws the piece.
 pub(crate) struct PieceWait {
-    traffic: Rc<Traffic>,
-    desk: Rc<ServiceDesk>,
+    cell: PieceCell,
     ticket: PieceTicket,
     outcome: Receiver<PieceOutcome>,
 }
@@ -92,143 +104,196 @@
 
 impl Drop for PieceWait {
     fn drop(&mut self) {
-        if let Some(pieces) = &self.desk.pieces {
-            pieces.takers.borrow_mut().remove(&self.ticket);
-            pieces.board.borrow_mut().withdraw(self.ticket);
-        }
+        let pieces = &self.cell.pieces;
+        pieces.takers.borrow_mut().remove(&self.ticket);
+        pieces.board.borrow_mut().withdraw(self.ticket);
         // A result may have come that was never looked at.
         if let Ok(PieceOutcome::Made(result)) = self.outcome.try_recv() {
-            release_results(&self.traffic, vec![result]);
+            release_results(&self.cell.traffic, vec![result]);
         }
     }
 }
 
-/// Puts pieces into the queue of their service.
-pub(crate) fn submit_pieces(
-    traffic: &Rc<Traffic>,
-    desk: &Rc<ServiceDesk>,
-    works: Vec<PieceWork>,
-) -> Vec<PieceWait> {
-    let Some(pieces) = &desk.pieces else {
-        return Vec::new();
-    };
-    let mut waits = Vec::with_capacity(works.len());
-    for work in works {
-        let (taker, outcome) = async_channel::bounded(1);
-        let ticket = pieces.board.borrow_mut().push(work);
-        pieces.takers.borrow_mut().insert(ticket, taker);
-        waits.push(PieceWait {
-            traffic: traffic.clone(),
-            desk: desk.clone(),
-            ticket,
-            outcome,
-        });
+impl PieceCell {
+    /// Puts pieces into the queue.
+    pub(crate) fn submit(&self, works: Vec<PieceWork>) -> Vec<PieceWait> {
+        let mut waits = Vec::with_capacity(works.len());
+        for work in works {
+            let (taker, outcome) = async_channel::bounded(1);
+            let ticket = self.pieces.board.borrow_mut().push(work);
+            self.pieces.takers.borrow_mut().insert(ticket, taker);
+            waits.push(PieceWait {
+                cell: self.clone(),
+                ticket,
+                outcome,
+            });
+        }
+        self.pump();
+        waits
     }
-    pump_pieces(traffic, desk);
-    waits
-}
 
-/// Makes the calls that can be made now.
-pub(crate) fn pump_pieces(traffic: &Rc<Traffic>, desk: &Rc<ServiceDesk>) {
-    let Some(pieces) = &desk.pieces else {
-        return;
-    };
-    let now = traffic.shared.now();
-    let (plans, late) = {
-        let board = desk.board.borrow();
-        pieces.board.borrow_mut().plan(now, &board)
-    };
-    for ticket in late {
-        // A request that left needs no word.
-        let _ = pieces.tell(ticket, PieceOutcome::Failed("its time was over"));
-    }
-    for plan in plans {
-        let run = run_batch(traffic.clone(), desk.clone(), plan);
-        traffic.executor.spawn(run).detach();
+    /// Makes the calls that can be made now.
+    pub(crate) fn pump(&self) {
+        let now = self.traffic.shared.now();
+        let (plans, late) = {
+            let board = self.desk.board.borrow();
+            let targets = self.pieces.targets.borrow();
+            let mut pieces = self.pieces.board.borrow_mut();
+            pieces.plan(now, &board, &targets)
+        };
+        for ticket in late {
+            // A request that left needs no word.
+            let _ = self
+                .pieces
+                .tell(ticket, PieceOutcome::Failed("its time was over"));
+        }
+        for plan in plans {
+            let run = run_batch(self.clone(), plan);
+            self.traffic.executor.spawn(run).detach();
+        }
+        self.schedule_look(now);
     }
-    schedule_look(traffic, desk, pieces, now);
-}
 
-/// Looks again when a pause or a deadline ends.
-fn schedule_look(traffic: &Rc<Traffic>, desk: &Rc<ServiceDesk>, pieces: &PieceDesk, now: Moment) {
-    let look = pieces.board.borrow().next_look(now);
-    let Some(look) = look else {
-        return;
-    };
-    let planned = pieces.next_look.get().filter(|at| *at > now);
-    if planned.is_some_and(|at| at <= look) {
-        return;
+    /// Looks again when a pause or a deadline ends.
+    fn schedule_look(&self, now: Moment) {
+        let look = self.pieces.board.borrow_mut().next_look(now);
+        let Some(look) = look else {
+            return;
+        };
+        let planned = self.pieces.next_look.get().filter(|at| *at > now);
+        if planned.is_some_and(|at| at <= look) {
+            return;
+        }
+        self.pieces.next_look.set(Some(look));
+        let cell = self.clone();
+        let wait = async move {
+            Timer::after(look.saturating_sub(now)).await;
+            cell.pump();
+        };
+        self.traffic.executor.spawn(wait).detach();
     }
-    pieces.next_look.set(Some(look));
-    let traffic = traffic.clone();
-    let desk = desk.clone();
-    let executor = traffic.executor.clone();
-    let wait = async move {
-        Timer::after(look.saturating_sub(now)).await;
-        pump_pieces(&traffic, &desk);
-    };
-    executor.spawn(wait).detach();
-}
 
-async fn run_batch(traffic: Rc<Traffic>, desk: Rc<ServiceDesk>, plan: BatchPlan) {
-    let target = plan.target.clone();
-    let spec = desk.board.borrow().get(&target).cloned();
-    if let Some(spec) = spec {
-        run_call(&traffic, &desk, &spec, plan).await;
-    } else {
-        give_back(&traffic, &desk, plan, "the target is gone", false);
+    /// Tells the requests how their pieces ended.
+    fn end_pieces(&self, target: &TargetSpec, plan: BatchPlan, ends: Vec<PieceEnd>) {
+        for ((ticket, _), end) in plan.pieces.into_iter().zip(ends) {
+            let outcome = match end {
+                PieceEnd::Made(handle) => PieceOutcome::Made(PieceResult {
+                    handle,
+                    maker: target.clone(),
+                    gatherer: None,
+                }),
+                PieceEnd::InputGone => PieceOutcome::InputGone,
+                PieceEnd::Late => PieceOutcome::Failed("its time was over at its turn"),
+                PieceEnd::NoRoom => PieceOutcome::Failed("no room for the result"),
+                PieceEnd::Failed => PieceOutcome::Failed("the target failed at it"),
+            };
+            if let Err(PieceOutcome::Made(result)) = self.pieces.tell(ticket, outcome) {
+                release_results(&self.traffic, vec![result]);
+            }
+        }
     }
-    if let Some(pieces) = &desk.pieces {
-        pieces.board.borrow_mut().note_ended(&target);
+
+    /// Puts the pieces of a call that gave nothing back into the queue. Where the call reached its
+    /// target, each needs room in the allowance of repeats.
+    fn give_back(&self, plan: BatchPlan, reason: &'static str, has_arrived: bool) {
+        let now = self.traffic.shared.now();
+        for (ticket, work) in plan.pieces {
+            if !self.pieces.takers.borrow().contains_key(&ticket) {
+                continue;
+            }
+            if !has_arrived || self.desk.allowance.borrow_mut().take(now) {
+                self.pieces.board.borrow_mut().put_back(ticket, work);
+            } else {
+                // A request that left needs no word.
+                let _ = self.pieces.tell(ticket, PieceOutcome::Failed(reason));
+            }
+        }
     }
-    pump_pieces(&traffic, &desk);
 }
 
-async fn run_call(
-    traffic: &Rc<Traffic>,
-    desk: &Rc<ServiceDesk>,
-    target: &TargetSpec,
-    plan: BatchPlan,
-) {
-    let Some(pieces) = &desk.pieces else {
-        return;
+async fn run_batch(cell: PieceCell, plan: BatchPlan) {
+    let id = plan.target.clone();
+    let reserved = plan.result_bytes();
+    let target = cell.desk.board.borrow().get(&id).cloned();
+    let results = match target {
+        Some(target) => run_call(&cell, &target, plan).await,
+        None => {
+            cell.give_back(plan, "the target is gone", false);
+            Vec::new()
+        }
     };
+    let now = cell.traffic.shared.now();
+    let kept = results.iter().map(|(handle, bytes)| (handle.as_str(), *bytes));
+    let mut board = cell.pieces.board.borrow_mut();
+    board.note_ended(now, &id, reserved, kept);
+    drop(board);
+    cell.pump();
+}
+
+/// Makes a call; returns the results that its target keeps, with their sizes.
+async fn run_call(cell: &PieceCell, target: &TargetSpec, plan: BatchPlan) -> Vec<(String, u64)> {
+    let traffic = &cell.traffic;
     let begun = traffic.shared.now();
     let count = plan.pieces.len();
     let metrics = &traffic.shared.metrics;
     metrics.note_service(&target.service, ServiceEvent::Batch);
-    let span = pieces.board.borrow().call_span(count);
-    let full = pieces.board.borrow().full_span();
+    let (span, full) = {
+        let board = cell.pieces.board.borrow();
+        (board.call_span(count), board.full_span())
+    };
     let limit = (span + full * PATIENCE_CALLS).min(longest_wait(&plan, begun));
-    match call_pieces(traffic, desk, target, &plan, limit).await {
+    match call_pieces(cell, target, &plan, limit).await {
         Ok(ends) => {
             let took = traffic.shared.now().saturating_sub(begun);
-            let part = took.as_secs_f64() / span.as_secs_f64().max(0.001);
-            let relative = Duration::from_secs_f64(part.min(100.0));
-            desk.board
-                .borrow_mut()
-                .note_success(&target.id, Some(relative));
-            end_pieces(traffic, desk, target, plan, ends);
+            note_speed(cell, target, took, span);
+            let made = made_results(&plan, &ends);
+            cell.end_pieces(target, plan, ends);
+            made
+        }
+        Err(fault) => {
+            note_fault(cell, target, plan, &fault);
+            Vec::new()
         }
-        Err(CallFault::NotSent(reason)) => give_back(traffic, desk, plan, reason, false),
-        Err(CallFault::NotRun(status)) => {
-            let now = traffic.shared.now();
+    }
+}
+
+/// Notes how a call's time was against what the configuration says.
+fn note_speed(cell: &PieceCell, target: &TargetSpec, took: Duration, span: Duration) {
+    let part = took.as_secs_f64() / span.as_secs_f64().max(0.001);
+    let relative = Duration::from_secs_f64(part.min(100.0));
+    let mut board = cell.desk.board.borrow_mut();
+    board.note_success(&target.id, Some(relative));
+}
+
+fn made_results(plan: &BatchPlan, ends: &[PieceEnd]) -> Vec<(String, u64)> {
+    let pieces = plan.pieces.iter().zip(ends);
+    let made = pieces.filter_map(|((_, work), end)| match end {
+        PieceEnd::Made(handle) => Some((handle.clone(), work.result_bytes)),
+        _ => None,
+    });
+    made.collect()
+}
+
+fn note_fault(cell: &PieceCell, target: &TargetSpec, plan: BatchPlan, fault: &CallFault) {
+    let traffic = &cell.traffic;
+    let now = traffic.shared.now();
+    let count = plan.pieces.len();
+    match fault {
+        CallFault::NotSent(reason) => cell.give_back(plan, reason, false),
+        CallFault::NotRun(status) => {
             log::debug!("target={} turned {count} pieces away: {status}", target.id);
-            pieces.board.borrow_mut().note_full(now, &target.id);
-            give_back(traffic, desk, plan, "the target turned it away", true);
+            cell.pieces.board.borrow_mut().note_full(now, &target.id);
+            cell.give_back(plan, "the target turned it away", true);
         }
-        Err(CallFault::Unknown(reason)) => {
-            log::info!(
-                "target={} pieces={count} no result: {reason}",
-                target.id
-            );
+        CallFault::Unknown(reason) => {
+            log::info!("target={} pieces={count} no result: {reason}", target.id);
+            let metrics = &traffic.shared.metrics;
             metrics.note_service(&target.service, ServiceEvent::Broken);
-            let now = traffic.shared.now();
-            let mut board = desk.board.borrow_mut();
+            let mut board = cell.desk.board.borrow_mut();
             board.note_failure(&target.id);
             board.note_refused(now, &target.id);
             drop(board);
-            give_back(traffic, desk, plan, reason, true);
+            cell.give_back(plan, reason, true);
         }
     }
 }
@@ -241,13 +306,12 @@
 }
 
 async fn call_pieces(
-    traffic: &Rc<Traffic>,
-    desk: &Rc<ServiceDesk>,
+    cell: &PieceCell,
     target: &TargetSpec,
     plan: &BatchPlan,
     limit: Duration,
 ) -> Result<Vec<PieceEnd>, CallFault> {
-    let now = traffic.shared.now();
+    let now = cell.traffic.shared.now();
     let orders = plan.pieces.iter().map(|(_, work)| PieceOrder {
         attempt: &work.attempt,
         stage: work.stage,
@@ -263,8 +327,8 @@
         CallFault::NotSent("the call can't be written down")
     })?;
     let exchange = async {
-        let answer = call_target(traffic, desk, target, request, None, limit).await?;
-        answer.collect(traffic, ANSWER_LIMIT).await
+        let answer = call_target(&cell.traffic, &cell.desk, target, request, None, limit).await?;
+        answer.collect(&cell.traffic, ANSWER_LIMIT).await
     };
     let late = async {
         Timer::after(limit).await;
@@ -279,57 +343,3 @@
         CallFault::Unknown("the answer makes no sense")
     })
 }
-
-/// Tells the requests how their pieces ended.
-fn end_pieces(
-    traffic: &Rc<Traffic>,
-    desk: &Rc<ServiceDesk>,
-    target: &TargetSpec,
-    plan: BatchPlan,
-    ends: Vec<PieceEnd>,
-) {
-    let Some(pieces) = &desk.pieces else {
-        return;
-    };
-    for ((ticket, _), end) in plan.pieces.into_iter().zip(ends) {
-        let outcome = match end {
-            PieceEnd::Made(handle) => PieceOutcome::Made(PieceResult {
-                handle,
-                maker: target.clone(),
-            }),
-            PieceEnd::InputGone => PieceOutcome::InputGone,
-            PieceEnd::Late => PieceOutcome::Failed("its time was over at its turn"),
-            PieceEnd::NoRoom => PieceOutcome::Failed("no room for the result"),
-            PieceEnd::Failed => PieceOutcome::Failed("the target failed at it"),
-        };
-        if let Err(PieceOutcome::Made(result)) = pieces.tell(ticket, outcome) {
-            release_results(traffic, vec![result]);
-        }
-    }
-}
-
-/// Puts the pieces of a call that gave nothing back into the queue. Where the call reached its
-/// target, each needs room in the allowance of repeats.
-fn give_back(
-    traffic: &Rc<Traffic>,
-    desk: &Rc<ServiceDesk>,
-    plan: BatchPlan,
-    reason: &'static str,
-    has_arrived: bool,
-) {
-    let Some(pieces) = &desk.pieces else {
-        return;
-    };
-    let now = traffic.shared.now();
-    for (ticket, work) in plan.pieces {
-        if !pieces.takers.borrow().contains_key(&ticket) {
-            continue;
-        }
-        if !has_arrived || desk.allowance.borrow_mut().take(now) {
-            pieces.board.borrow_mut().put_back(ticket, work);
-        } else {
-            // A request that left needs no word.
-            let _ = pieces.tell(ticket, PieceOutcome::Failed(reason));
-        }
-    }
-}
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -30,6 +30,8 @@
     pub(crate) begun: Moment,
     /// When the request must have its final answer.
     pub(crate) deadline: Moment,
+    /// Hall of the target that the request will probably run at.
+    pub(crate) planned_hall: RefCell<Option<Arc<str>>>,
     version: u64,
     story: RefCell<String>,
     is_ended: Cell<bool>,
@@ -56,6 +58,7 @@
             rank,
             begun,
             deadline,
+            planned_hall: RefCell::default(),
             version,
             story: RefCell::new(String::new()),
             is_ended: Cell::new(false),
--- a/packages/turnford-serve/src/release.rs
+++ b/packages/turnford-serve/src/release.rs
@@ -1,7 +1,8 @@
-//! Results of pieces are given up in calls of many.
+//! Results of pieces are given up in calls of many, by the node that gathered them.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,9 +15,10 @@
 use crate::call::call_target;
 use crate::desk::ServiceDesk;
 use crate::traffic::Traffic;
+use crate::work::release_at_peer;
 
-/// Time for which results to give up are gathered.
-const GATHER_SPAN: Duration = Duration::from_millis(100);
+/// Time for which results to give up are gathered. Their room is missed meanwhile.
+const GATHER_SPAN: Duration = Duration::from_millis(15);
 
 /// Longest wait for an answer; results that are not given up go by themselves.
 const RELEASE_LIMIT: Duration = Duration::from_millis(1000);
@@ -24,39 +26,44 @@
 /// Longest body of an answer, in bytes.
 const ANSWER_LIMIT: usize = 16 * 1024;
 
-/// A result of a piece and the target that keeps it.
+/// A result of a piece, and the target that keeps it.
 #[derive(Clone, Debug)]
 pub(crate) struct PieceResult {
     pub(crate) handle: String,
     pub(crate) maker: TargetSpec,
+    /// Node that gathered the piece, `None` for this one.
+    pub(crate) gatherer: Option<SocketAddr>,
 }
 
 /// Results that nobody needs any more.
 #[derive(Default)]
 pub(crate) struct ResultReleaser {
-    waiting: RefCell<HashMap<TargetId, Vec<PieceResult>>>,
+    waiting: RefCell<HashMap<(TargetId, Option<SocketAddr>), Vec<PieceResult>>>,
 }
 
 /// Gives results up, soon.
 pub(crate) fn release_results(traffic: &Rc<Traffic>, results: Vec<PieceResult>) {
     for result in results {
         let mut waiting = traffic.releaser.waiting.borrow_mut();
-        let target = result.maker.id.clone();
-        let queue = waiting.entry(target.clone()).or_default();
+        let place = (result.maker.id.clone(), result.gatherer);
+        let queue = waiting.entry(place.clone()).or_default();
         queue.push(result);
         if queue.len() == 1 {
-            let send = send_release(traffic.clone(), target);
+            let send = send_release(traffic.clone(), place);
             traffic.executor.spawn(send).detach();
         }
     }
 }
 
-async fn send_release(traffic: Rc<Traffic>, target: TargetId) {
+async fn send_release(traffic: Rc<Traffic>, place: (TargetId, Option<SocketAddr>)) {
     Timer::after(GATHER_SPAN).await;
-    let results = traffic.releaser.waiting.borrow_mut().remove(&target);
-    let Some(results) = results else {
-        return;
-    };
+    let results = traffic.releaser.waiting.borrow_mut().remove(&place);
+    let results = results.unwrap_or_default();
+    if let Some(peer) = place.1 {
+        if release_at_peer(&traffic, peer, &results).await {
+            return;
+        }
+    }
     let Some(maker) = results.first().map(|result| result.maker.clone()) else {
         return;
     };
@@ -66,10 +73,13 @@
     let handles: Vec<String> = results.into_iter().map(|result| result.handle).collect();
     if let Err(reason) = send_handles(&traffic, &desk, &maker, &handles).await {
         log::debug!(
-            "target={target} results={} not given up: {reason}",
+            "target={} results={} not given up: {reason}",
+            maker.id,
             handles.len()
         );
+        return;
     }
+    traffic.note_released(&desk, &handles);
 }
 
 async fn send_handles(
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -1,7 +1,6 @@
 //! The way of one request.
 
 use std::rc::Rc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -23,6 +22,7 @@
 use crate::answer::own_answer;
 use crate::answer::AnswerBody;
 use crate::answer::RanState;
+use crate::forward::choose_target;
 use crate::forward::forward;
 use crate::forward::ForwardEnd;
 use crate::forward::ForwardJob;
@@ -188,6 +188,8 @@
     let Some(desk) = desk else {
         return refuse_admitted(record, ResultCode::NoTarget, "the service is not known");
     };
+    let planned = choose_target(traffic, record, &desk, &[], &[]);
+    *record.planned_hall.borrow_mut() = planned.map(|target| target.hall);
     for _ in 0..STAGE_ROUNDS {
         let late = async {
             Timer::after(record.left()).await;
@@ -209,6 +211,7 @@
             parts,
             body,
             inputs: &results.handles,
+            halls: &results.halls,
         };
         match forward(traffic, &job).await {
             ForwardEnd::Answer(answer) => return answer,
@@ -228,8 +231,3 @@
     let attempt = &record.facts.attempt;
     own_answer(attempt, code, RanState::No, reason, Some(RETRY_AFTER))
 }
-
-/// Returns the number of requests under way.
-pub(crate) fn running(traffic: &Traffic) -> u64 {
-    traffic.shared.running.load(Ordering::SeqCst)
-}
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the threads of a node share.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -23,12 +24,22 @@
 /// knows nobody yet does not take the limit for its own.
 const LEAST_FLEET: usize = 4;
 
+/// Another node that lives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct FleetMember {
+    pub(crate) name: Arc<str>,
+    /// Address for work.
+    pub(crate) work: SocketAddr,
+}
+
 /// What the control thread knows, as the traffic thread reads it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct RouteView {
     pub(crate) config: Arc<RouteConfig>,
     pub(crate) table: Arc<RouteTable>,
     pub(crate) targets: Arc<BTreeMap<TargetId, TargetSpec>>,
+    /// The other nodes that live, by name.
+    pub(crate) members: Arc<Vec<FleetMember>>,
     /// Most nodes that may be alive, this one among them.
     pub(crate) fleet: usize,
 }
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -2,24 +2,34 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::Sender;
 use async_executor::Task;
 
+use turnford_policy::cell_of_hall;
 use turnford_policy::PieceWork;
 use turnford_policy::StageGraph;
 
 use crate::desk::ServiceDesk;
-use crate::pieces::submit_pieces;
 use crate::pieces::PieceOutcome;
 use crate::record::RequestRecord;
 use crate::release::release_results;
 use crate::release::PieceResult;
 use crate::traffic::Traffic;
+use crate::work::run_pieces;
+use crate::work::CellPlace;
 
 /// Most times that one piece is made anew after a failure.
 const PIECE_TRIES: u32 = 2;
 
+/// Time that a piece waits for a target near its bytes, for each megabyte that would cross halls.
+/// A megabyte across is priced like a small part of a request's worth.
+const HALL_PATIENCE: Duration = Duration::from_millis(80);
+
+/// Longest time that a piece waits for a target near its bytes.
+const LONGEST_PATIENCE: Duration = Duration::from_millis(300);
+
 /// Why the stages gave no results.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StageFault {
@@ -48,6 +58,32 @@
         results.map(|result| result.handle.clone()).collect()
     }
 
+    /// Returns the bytes that the results of some stages have in each hall.
+    fn hall_bytes(&self, record: &RequestRecord, stages: &[usize]) -> Vec<(Arc<str>, u64)> {
+        let mut halls: Vec<(Arc<str>, u64)> = Vec::new();
+        for &stage in stages {
+            let bytes = record.route.stages[stage].result_bytes;
+            for result in &self.stages[stage] {
+                let hall = &result.maker.hall;
+                match halls.iter_mut().find(|(other, _)| other == hall) {
+                    Some((_, sum)) => *sum += bytes,
+                    None => halls.push((hall.clone(), bytes)),
+                }
+            }
+        }
+        halls
+    }
+
+    /// Returns the hall in which most results of some stages lie.
+    fn main_hall(&self, stages: &[usize]) -> Option<Arc<str>> {
+        let results = stages.iter().flat_map(|&stage| &self.stages[stage]);
+        let mut halls: Vec<Arc<str>> = results.map(|result| result.maker.hall.clone()).collect();
+        halls.sort_unstable();
+        let runs = halls.chunk_by(|left, right| left == right);
+        let longest = runs.max_by_key(|run| run.len())?;
+        longest.first().cloned()
+    }
+
     fn give_up(&mut self, stage: usize) {
         let results = std::mem::take(&mut self.stages[stage]);
         release_results(&self.traffic, results);
@@ -66,6 +102,8 @@
 pub(crate) struct StageResults {
     /// Handles in the order of stages and pieces.
     pub(crate) handles: Vec<String>,
+    /// Bytes of these results in each hall.
+    pub(crate) halls: Vec<(Arc<str>, u64)>,
     _held: HeldResults,
 }
 
@@ -87,9 +125,8 @@
             let is_due = graph.inputs(stage).iter().all(|&before| done[before]);
             if graph.count(stage) > 0 && is_due && !begun[stage] {
                 begun[stage] = true;
-                let inputs = held.handles(graph.inputs(stage));
-                let count = graph.count(stage);
-                tasks.push(start_stage(traffic, record, stage, count, inputs, &ends));
+                let needs = stage_needs(record, &graph, &held, stage);
+                tasks.push(start_stage(traffic, record, needs, &ends));
             }
         }
         if (0..graph.len()).all(|stage| graph.count(stage) == 0 || done[stage]) {
@@ -105,6 +142,7 @@
     }
     Ok(StageResults {
         handles: held.handles(graph.last()),
+        halls: held.hall_bytes(record, graph.last()),
         _held: held,
     })
 }
@@ -119,21 +157,44 @@
     }
 }
 
+/// Finds what a stage's pieces need, and the hall that most of their bytes come from or go to.
+fn stage_needs(
+    record: &RequestRecord,
+    graph: &StageGraph,
+    held: &HeldResults,
+    stage: usize,
+) -> StageNeeds {
+    let count = graph.count(stage);
+    let size = |stage: usize| {
+        let bytes = record.route.stages[stage].result_bytes;
+        bytes * u64::from(graph.count(stage))
+    };
+    let inputs = graph.inputs(stage);
+    let (hall, bytes) = if inputs.is_empty() {
+        let goes_last = graph.last().contains(&stage);
+        let planned = record.planned_hall.borrow().clone();
+        (planned.filter(|_| goes_last), size(stage))
+    } else {
+        let bytes = inputs.iter().map(|&before| size(before)).sum();
+        (held.main_hall(inputs), bytes)
+    };
+    StageNeeds {
+        stage,
+        count,
+        inputs: Arc::from(held.handles(inputs)),
+        hall,
+        bytes,
+    }
+}
+
 fn start_stage(
     traffic: &Rc<Traffic>,
     record: &Rc<RequestRecord>,
-    stage: usize,
-    count: u32,
-    inputs: Vec<String>,
+    needs: StageNeeds,
     ends: &Sender<StageEnd>,
 ) -> Task<()> {
-    let run = run_stage(
-        traffic.clone(),
-        record.clone(),
-        stage,
-        count,
-        Arc::from(inputs),
-    );
+    let stage = needs.stage;
+    let run = run_stage(traffic.clone(), record.clone(), needs);
     let ends = ends.clone();
     traffic.executor.spawn(async move {
         let end = run.await;
@@ -142,79 +203,98 @@
     })
 }
 
-async fn run_stage(
-    traffic: Rc<Traffic>,
-    record: Rc<RequestRecord>,
+/// What a stage's pieces need beside the request itself.
+struct StageNeeds {
     stage: usize,
     count: u32,
     inputs: Arc<[String]>,
+    /// Hall in which the pieces should run.
+    hall: Option<Arc<str>>,
+    /// Bytes that cross halls where they run elsewhere.
+    bytes: u64,
+}
+
+async fn run_stage(
+    traffic: Rc<Traffic>,
+    record: Rc<RequestRecord>,
+    needs: StageNeeds,
 ) -> Result<Vec<PieceResult>, StageFault> {
-    let service = &record.route.stages[stage].service;
-    let desk = traffic
-        .desk(service)
-        .filter(|desk| desk.pieces.is_some())
-        .ok_or(StageFault::Failed("the stage's service runs no pieces"))?;
-    let works = (0..count).map(|piece| piece_work(&record, stage, piece, &inputs));
-    let waits = submit_pieces(&traffic, &desk, works.collect());
+    let service = &record.route.stages[needs.stage].service;
+    let desk = traffic.desk(service);
+    let desk = desk.ok_or(StageFault::Failed("the stage's service is not known"))?;
+    let place = choose_cell(&traffic, desk, needs.hall.as_deref());
+    let mut missing: Vec<u32> = (0..needs.count).collect();
     let mut results = HeldResults::new(&traffic, 1);
-    for (piece, wait) in (0..count).zip(waits) {
-        let outcome = wait.outcome().await;
-        let work = || piece_work(&record, stage, piece, &inputs);
-        let result = settle_piece(&traffic, &record, &desk, outcome, work).await?;
-        results.stages[0].push(result);
+    let mut made: Vec<Option<PieceResult>> = vec![None; missing.len()];
+    for round in 0..=PIECE_TRIES {
+        if round > 0 && !may_repeat(&traffic, &record, &place, missing.len()) {
+            break;
+        }
+        let works = missing.iter();
+        let works = works.map(|&piece| piece_work(&traffic, &record, &needs, piece));
+        let works: Vec<PieceWork> = works.collect();
+        let outcomes = run_pieces(&traffic, &place, &works).await;
+        let pieces = std::mem::take(&mut missing);
+        for (piece, outcome) in pieces.into_iter().zip(outcomes) {
+            match outcome {
+                PieceOutcome::Made(result) => {
+                    results.stages[0].push(result.clone());
+                    made[piece as usize] = Some(result);
+                }
+                PieceOutcome::InputGone => return Err(StageFault::InputGone),
+                PieceOutcome::Failed(reason) => {
+                    record.note(format_args!("stage {} piece {piece}: {reason}", needs.stage));
+                    missing.push(piece);
+                }
+            }
+        }
+        if missing.is_empty() {
+            results.stages[0].clear();
+            return Ok(made.into_iter().flatten().collect());
+        }
     }
-    Ok(std::mem::take(&mut results.stages[0]))
+    Err(StageFault::Failed("a piece was not made"))
 }
 
-/// Makes a failed piece anew where the allowance has room.
-async fn settle_piece(
-    traffic: &Rc<Traffic>,
-    record: &RequestRecord,
-    desk: &Rc<ServiceDesk>,
-    first: PieceOutcome,
-    work: impl Fn() -> PieceWork,
-) -> Result<PieceResult, StageFault> {
-    let mut outcome = first;
-    for _ in 0..PIECE_TRIES {
-        let reason = match outcome {
-            PieceOutcome::Made(result) => return Ok(result),
-            PieceOutcome::InputGone => return Err(StageFault::InputGone),
-            PieceOutcome::Failed(reason) => reason,
-        };
-        let now = traffic.shared.now();
-        record.note(format_args!("piece failed: {reason}"));
-        if now >= record.deadline || !desk.allowance.borrow_mut().take(now) {
-            return Err(StageFault::Failed(reason));
-        }
-        let waits = submit_pieces(traffic, desk, vec![work()]);
-        let Some(wait) = waits.first() else {
-            return Err(StageFault::Failed(reason));
-        };
-        outcome = wait.outcome().await;
-    }
-    match outcome {
-        PieceOutcome::Made(result) => Ok(result),
-        PieceOutcome::InputGone => Err(StageFault::InputGone),
-        PieceOutcome::Failed(reason) => Err(StageFault::Failed(reason)),
+/// Chooses the cell near a hall, or any.
+fn choose_cell(traffic: &Traffic, desk: Rc<ServiceDesk>, hall: Option<&str>) -> CellPlace {
+    let split = desk.split();
+    let near = hall.and_then(|hall| cell_of_hall(&split, hall));
+    let drawn = (traffic.draw() * split.len() as f64) as usize;
+    CellPlace {
+        desk,
+        number: near.unwrap_or(drawn),
     }
 }
 
+/// Takes repeats of so many pieces from the service's allowance, all or none.
+fn may_repeat(traffic: &Traffic, record: &RequestRecord, place: &CellPlace, count: usize) -> bool {
+    let now = traffic.shared.now();
+    let mut allowance = place.desk.allowance.borrow_mut();
+    now < record.deadline && allowance.take_many(now, count)
+}
+
 fn piece_work(
+    traffic: &Traffic,
     record: &RequestRecord,
-    stage: usize,
+    needs: &StageNeeds,
     piece: u32,
-    inputs: &Arc<[String]>,
 ) -> PieceWork {
-    let is_first = inputs.is_empty();
+    let is_first = needs.inputs.is_empty();
     let key = record.facts.piece_key.as_deref().filter(|_| is_first);
+    let patience = HALL_PATIENCE.mul_f64(needs.bytes as f64 / 1e6);
+    let now = traffic.shared.now();
     PieceWork {
         attempt: Arc::from(record.facts.attempt.as_str()),
-        stage,
+        stage: needs.stage,
         piece,
         key: key.map(Arc::from),
-        inputs: inputs.clone(),
+        inputs: needs.inputs.clone(),
         deadline: record.deadline,
         due: record.begun + record.route.goal,
         rank: record.rank,
+        result_bytes: record.route.stages[needs.stage].result_bytes,
+        hall: needs.hall.clone(),
+        hall_until: now + patience.min(LONGEST_PATIENCE),
     }
 }
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -1,6 +1,5 @@
 //! The traffic thread's state.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -20,10 +19,11 @@
 use turnford_policy::ServiceSpec;
 
 use crate::desk::ServiceDesk;
-use crate::pieces::pump_pieces;
+use crate::pieces::PieceCell;
 use crate::release::ResultReleaser;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
+use crate::work::WorkClient;
 
 /// Pause between looks for idle connections whose time is over.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
@@ -34,22 +34,22 @@
     pub(crate) shared: Arc<ServeShared>,
     pub(crate) shelf: RefCell<LinkShelf>,
     pub(crate) releaser: ResultReleaser,
+    pub(crate) work: WorkClient,
     desks: RefCell<HashMap<ServiceId, Rc<ServiceDesk>>>,
     rng: RefCell<SmallRng>,
-    /// Open connections of clients.
-    pub(crate) clients: Cell<usize>,
 }
 
 impl Traffic {
     pub(crate) fn new(executor: Rc<LocalExecutor<'static>>, shared: Arc<ServeShared>) -> Rc<Self> {
+        let work = WorkClient::new(executor.clone());
         Rc::new(Self {
             executor,
             shared,
             shelf: RefCell::default(),
             releaser: ResultReleaser::default(),
+            work,
             desks: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
-            clients: Cell::new(0),
         })
     }
 
@@ -74,9 +74,6 @@
             *desk.spec.borrow_mut() = spec.clone();
             let slack = self.shared.settings.repeats.slack / view.sharers();
             desk.allowance.borrow_mut().set_slack(slack);
-            if let (Some(pieces), Some(batch)) = (&desk.pieces, &spec.batch) {
-                pieces.board.borrow_mut().set_spec(batch);
-            }
         }
         for (service, desk) in desks.iter() {
             self.refresh_targets(&view, service, desk);
@@ -101,10 +98,31 @@
                 self.shelf.borrow_mut().forget(target.address);
             }
         }
-        if let Some(pieces) = &desk.pieces {
-            pieces.board.borrow_mut().forget_gone(&board);
+        drop(board);
+        desk.refresh_cells();
+    }
+
+    /// Notes that a target gave results up, whose room is free now.
+    pub(crate) fn note_released(self: &Rc<Self>, desk: &Rc<ServiceDesk>, handles: &[String]) {
+        for cell in self.cells(desk) {
+            let mut board = cell.pieces.board.borrow_mut();
+            for handle in handles {
+                board.note_released(handle);
+            }
+            drop(board);
+            cell.pump();
         }
     }
+
+    fn cells(self: &Rc<Self>, desk: &Rc<ServiceDesk>) -> Vec<PieceCell> {
+        let cells = desk.cells.borrow();
+        let cells = cells.iter().map(|pieces| PieceCell {
+            traffic: self.clone(),
+            desk: desk.clone(),
+            pieces: pieces.clone(),
+        });
+        cells.collect()
+    }
 }
 
 /// Takes each change of the view into force.
@@ -113,7 +131,9 @@
         traffic.refresh();
         let desks: Vec<_> = traffic.desks.borrow().values().cloned().collect();
         for desk in desks {
-            pump_pieces(&traffic, &desk);
+            for cell in traffic.cells(&desk) {
+                cell.pump();
+            }
         }
     }
 }
--- /dev/null
+++ b/packages/turnford-serve/src/work.rs
@@ -0,0 +1,397 @@
+//! Work between nodes: the pieces of a cell go to the node that gathers them.
+//!
+//! The node is found by rendezvous hashing over those that live. Nothing depends on all nodes
+//! agreeing: two that gather for one cell only fill their calls less well, and a node that gets no
+//! answer goes to the next one, in the end to itself.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpListener;
+use futures_lite::FutureExt;
+
+use turnford_fleet::rank_members;
+use turnford_fleet::Duty;
+use turnford_policy::Moment;
+use turnford_policy::PieceWork;
+use turnford_wire::serve_peer;
+use turnford_wire::GivenUpCall;
+use turnford_wire::PeerClient;
+use turnford_wire::PieceAsk;
+use turnford_wire::PieceReplyEnd;
+use turnford_wire::WorkReply;
+use turnford_wire::WorkRequest;
+
+use crate::desk::ServiceDesk;
+use crate::pieces::PieceCell;
+use crate::pieces::PieceOutcome;
+use crate::release::release_results;
+use crate::release::PieceResult;
+use crate::traffic::Traffic;
+
+/// Pause after a connection could not be taken.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Silence of a node with work of ours after which it is asked whether it is there.
+const SILENCE_SPAN: Duration = Duration::from_millis(150);
+
+/// Longest wait for that answer. Nodes answer in a few milliseconds; a slow one in some tens.
+const ALIVE_LIMIT: Duration = Duration::from_millis(250);
+
+/// Time for which a node that did not answer gets no work. Its own probes find out meanwhile.
+const DOWN_SPAN: Duration = Duration::from_secs(3);
+
+/// Nodes that the pieces of one stage are offered to before this node gathers them itself.
+const GATHERER_TRIES: usize = 2;
+
+/// Longest wait for a node to note a release.
+const RELEASE_LIMIT: Duration = Duration::from_millis(500);
+
+/// What is known of another node that got work.
+#[derive(Default)]
+struct PeerState {
+    heard: Cell<Moment>,
+    /// Calls that wait for it.
+    waiting: Cell<usize>,
+    is_watched: Cell<bool>,
+    down_until: Cell<Moment>,
+}
+
+/// The calling side of work between nodes.
+pub(crate) struct WorkClient {
+    peers: PeerClient,
+    states: RefCell<HashMap<SocketAddr, Rc<PeerState>>>,
+}
+
+impl WorkClient {
+    pub(crate) fn new(executor: Rc<LocalExecutor<'static>>) -> Self {
+        Self {
+            peers: PeerClient::new(executor),
+            states: RefCell::default(),
+        }
+    }
+
+    fn state(&self, peer: SocketAddr) -> Rc<PeerState> {
+        self.states.borrow_mut().entry(peer).or_default().clone()
+    }
+}
+
+/// A cell of a service by its number.
+#[derive(Clone)]
+pub(crate) struct CellPlace {
+    pub(crate) desk: Rc<ServiceDesk>,
+    pub(crate) number: usize,
+}
+
+/// Returns the address of the node that gathers for a cell, `None` if it is this one.
+fn gatherer_of(traffic: &Traffic, place: &CellPlace) -> Option<SocketAddr> {
+    let now = traffic.shared.now();
+    let view = traffic.shared.view.load();
+    let own = &traffic.shared.settings.name;
+    let states = traffic.work.states.borrow();
+    let is_up = |address: &SocketAddr| {
+        let state = states.get(address);
+        state.is_none_or(|state| state.down_until.get() <= now)
+    };
+    let up = view.members.iter().filter(|member| is_up(&member.work));
+    let names = up.map(|member| &*member.name).chain([&**own]);
+    let service = place.desk.spec.borrow().name.to_string();
+    let duty = Duty::Gather(service, place.number);
+    let chosen = rank_members(&duty, names, 1).first().copied()?;
+    let member = view.members.iter().find(|member| &*member.name == chosen);
+    member.map(|member| member.work)
+}
+
+/// Runs pieces of one stage of one request, at the node that gathers for their cell.
+pub(crate) async fn run_pieces(
+    traffic: &Rc<Traffic>,
+    place: &CellPlace,
+    works: &[PieceWork],
+) -> Vec<PieceOutcome> {
+    for _ in 0..GATHERER_TRIES {
+        let Some(peer) = gatherer_of(traffic, place) else {
+            break;
+        };
+        if let Some(outcomes) = ask_peer(traffic, place, works, peer).await {
+            return outcomes;
+        }
+    }
+    run_here(traffic, place, works.to_vec()).await
+}
+
+async fn run_here(
+    traffic: &Rc<Traffic>,
+    place: &CellPlace,
+    works: Vec<PieceWork>,
+) -> Vec<PieceOutcome> {
+    let count = works.len();
+    let Some(pieces) = place.desk.cell(place.number) else {
+        return vec![PieceOutcome::Failed("the service has no targets"); count];
+    };
+    let cell = PieceCell {
+        traffic: traffic.clone(),
+        desk: place.desk.clone(),
+        pieces,
+    };
+    let waits = cell.submit(works);
+    let mut outcomes = Vec::with_capacity(count);
+    for wait in &waits {
+        outcomes.push(wait.outcome().await);
+    }
+    outcomes
+}
+
+/// Hands pieces to another node; `None` if it gave no answer.
+async fn ask_peer(
+    traffic: &Rc<Traffic>,
+    place: &CellPlace,
+    works: &[PieceWork],
+    peer: SocketAddr,
+) -> Option<Vec<PieceOutcome>> {
+    let now = traffic.shared.now();
+    let first = works.first()?;
+    let limit = first.deadline.saturating_sub(now);
+    let request = WorkRequest::Pieces(piece_ask(place, works, now)?);
+    let state = traffic.work.state(peer);
+    let _waiting = WaitingGuard::new(traffic, peer, &state);
+    let call = async {
+        let reply = traffic.work.peers.call(peer, &request, limit).await;
+        Some(reply)
+    };
+    let watch = async {
+        while state.down_until.get() <= traffic.shared.now() {
+            Timer::after(SILENCE_SPAN).await;
+        }
+        None
+    };
+    match call.or(watch).await {
+        Some(Ok(WorkReply::Pieces(ends))) if ends.len() == works.len() => {
+            state.heard.set(traffic.shared.now());
+            let ends = ends.into_iter();
+            Some(ends.map(|end| outcome_of(place, peer, end)).collect())
+        }
+        Some(Ok(_)) => {
+            log::warn!("node at {peer} refused pieces");
+            None
+        }
+        Some(Err(fault)) => {
+            log::info!("node at {peer} lost pieces: {fault}");
+            mark_down(traffic, &state);
+            None
+        }
+        None => None,
+    }
+}
+
+fn piece_ask(place: &CellPlace, works: &[PieceWork], now: Moment) -> Option<PieceAsk> {
+    let first = works.first()?;
+    let millis = |until: Moment| {
+        let left = until.saturating_sub(now).as_millis();
+        u64::try_from(left).unwrap_or(u64::MAX)
+    };
+    Some(PieceAsk {
+        service: place.desk.spec.borrow().name.to_string(),
+        cell: u32::try_from(place.number).unwrap_or(u32::MAX),
+        attempt: first.attempt.to_string(),
+        stage: u32::try_from(first.stage).unwrap_or(u32::MAX),
+        pieces: works.iter().map(|work| work.piece).collect(),
+        key: first.key.as_deref().map(str::to_owned),
+        inputs: first.inputs.to_vec(),
+        left_ms: millis(first.deadline),
+        due_ms: millis(first.due),
+        rank: first.rank,
+        result_bytes: first.result_bytes,
+        hall: first.hall.as_deref().map(str::to_owned),
+        patience_ms: u32::try_from(millis(first.hall_until)).unwrap_or(u32::MAX),
+    })
+}
+
+fn outcome_of(place: &CellPlace, peer: SocketAddr, end: PieceReplyEnd) -> PieceOutcome {
+    match end {
+        PieceReplyEnd::Made { handle, target } => {
+            // A target that left the list meanwhile keeps its result; the input's fetch will tell.
+            let maker = place.desk.board.borrow().get(&target).cloned();
+            match maker {
+                Some(maker) => PieceOutcome::Made(PieceResult {
+                    handle,
+                    maker,
+                    gatherer: Some(peer),
+                }),
+                None => PieceOutcome::Failed("its target is gone"),
+            }
+        }
+        PieceReplyEnd::InputGone => PieceOutcome::InputGone,
+        PieceReplyEnd::Failed => PieceOutcome::Failed("the gathering node got no result"),
+    }
+}
+
+/// Counts a call that waits for a node, and has the node watched meanwhile.
+struct WaitingGuard {
+    state: Rc<PeerState>,
+}
+
+impl WaitingGuard {
+    fn new(traffic: &Rc<Traffic>, peer: SocketAddr, state: &Rc<PeerState>) -> Self {
+        state.waiting.set(state.waiting.get() + 1);
+        if !state.is_watched.replace(true) {
+            state.heard.set(traffic.shared.now());
+            let watch = watch_peer(traffic.clone(), peer, state.clone());
+            traffic.executor.spawn(watch).detach();
+        }
+        Self {
+            state: state.clone(),
+        }
+    }
+}
+
+impl Drop for WaitingGuard {
+    fn drop(&mut self) {
+        self.state.waiting.set(self.state.waiting.get() - 1);
+    }
+}
+
+/// Asks a node that has work of ours and says nothing whether it is there.
+async fn watch_peer(traffic: Rc<Traffic>, peer: SocketAddr, state: Rc<PeerState>) {
+    while state.waiting.get() > 0 {
+        Timer::after(SILENCE_SPAN).await;
+        let silence = traffic.shared.now().saturating_sub(state.heard.get());
+        if state.waiting.get() == 0 || silence < SILENCE_SPAN {
+            continue;
+        }
+        let request = WorkRequest::Alive;
+        let reply = traffic.work.peers.call(peer, &request, ALIVE_LIMIT).await;
+        if let Ok(WorkReply::Noted) = reply {
+            state.heard.set(traffic.shared.now());
+            continue;
+        }
+        log::info!("node at {peer} has work of ours and does not answer");
+        mark_down(&traffic, &state);
+        break;
+    }
+    state.is_watched.set(false);
+}
+
+fn mark_down(traffic: &Traffic, state: &PeerState) {
+    state.down_until.set(traffic.shared.now() + DOWN_SPAN);
+}
+
+/// Gives results up at the node that gathered them; true if it noted it.
+pub(crate) async fn release_at_peer(
+    traffic: &Traffic,
+    peer: SocketAddr,
+    results: &[PieceResult],
+) -> bool {
+    let Some(first) = results.first() else {
+        return true;
+    };
+    let ids = results.iter().map(|result| {
+        let target = result.maker.id.to_string();
+        (target, result.handle.clone())
+    });
+    let request = WorkRequest::Release {
+        service: first.maker.service.to_string(),
+        results: ids.collect(),
+    };
+    let reply = traffic.work.peers.call(peer, &request, RELEASE_LIMIT).await;
+    matches!(reply, Ok(WorkReply::Noted))
+}
+
+/// Serves other nodes' work for as long as the node runs.
+pub(crate) async fn serve_work(traffic: Rc<Traffic>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("a connection of a node can't be taken: {error}");
+                Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let asked = traffic.clone();
+        let handler = move |request| answer_work(asked.clone(), request);
+        let executor = traffic.executor.clone();
+        let refusal = || WorkReply::Refused;
+        let serve = serve_peer(stream, executor, GivenUpCall::Dropped, refusal, handler);
+        traffic.executor.spawn(serve).detach();
+    }
+}
+
+async fn answer_work(traffic: Rc<Traffic>, request: WorkRequest) -> WorkReply {
+    match request {
+        WorkRequest::Alive => WorkReply::Noted,
+        WorkRequest::Pieces(ask) => answer_pieces(&traffic, ask).await,
+        WorkRequest::Release { service, results } => {
+            answer_release(&traffic, &service, results);
+            WorkReply::Noted
+        }
+    }
+}
+
+async fn answer_pieces(traffic: &Rc<Traffic>, ask: PieceAsk) -> WorkReply {
+    let Some(desk) = traffic.desk(&ask.service) else {
+        return WorkReply::Refused;
+    };
+    let place = CellPlace {
+        desk,
+        number: ask.cell as usize,
+    };
+    let works = asked_works(&ask, traffic.shared.now());
+    let outcomes = run_here(traffic, &place, works).await;
+    let ends = outcomes.into_iter().map(|outcome| match outcome {
+        PieceOutcome::Made(result) => PieceReplyEnd::Made {
+            handle: result.handle,
+            target: result.maker.id.to_string(),
+        },
+        PieceOutcome::InputGone => PieceReplyEnd::InputGone,
+        PieceOutcome::Failed(_) => PieceReplyEnd::Failed,
+    });
+    WorkReply::Pieces(ends.collect())
+}
+
+fn asked_works(ask: &PieceAsk, now: Moment) -> Vec<PieceWork> {
+    let first = PieceWork {
+        attempt: ask.attempt.as_str().into(),
+        stage: ask.stage as usize,
+        piece: 0,
+        key: ask.key.as_deref().map(Into::into),
+        inputs: ask.inputs.clone().into(),
+        deadline: now + Duration::from_millis(ask.left_ms),
+        due: now + Duration::from_millis(ask.due_ms),
+        rank: ask.rank,
+        result_bytes: ask.result_bytes,
+        hall: ask.hall.as_deref().map(Into::into),
+        hall_until: now + Duration::from_millis(u64::from(ask.patience_ms)),
+    };
+    let works = ask.pieces.iter().map(|&piece| PieceWork {
+        piece,
+        ..first.clone()
+    });
+    works.collect()
+}
+
+fn answer_release(traffic: &Rc<Traffic>, service: &str, results: Vec<(String, String)>) {
+    let Some(desk) = traffic.desk(service) else {
+        return;
+    };
+    let board = desk.board.borrow();
+    let known = results.into_iter().filter_map(|(target, handle)| {
+        let maker = board.get(&target)?.clone();
+        Some(PieceResult {
+            handle,
+            maker,
+            gatherer: None,
+        })
+    });
+    let known = known.collect();
+    drop(board);
+    release_results(traffic, known);
+}
--- a/packages/turnford-wire/src/client.rs
+++ b/packages/turnford-wire/src/client.rs
@@ -10,6 +10,8 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_net::TcpStream;
+use bincode::Decode;
+use bincode::Encode;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use h2::client::SendRequest;
@@ -17,12 +19,10 @@
 use http::Request;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
-use crate::decode_reply;
-use crate::encode_request;
+use crate::decode_frame;
+use crate::encode_frame;
 use crate::server::read_body;
 use crate::FrameFault;
-use crate::PeerReply;
-use crate::PeerRequest;
 
 /// Why a call to a peer failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,13 +74,13 @@
     /// # Errors
     ///
     /// Returns the fault; the peer may have seen the call unless it is a fault of encoding.
-    pub async fn call(
+    pub async fn call<Q: Encode, R: Decode<()>>(
         &self,
         to: SocketAddr,
-        request: &PeerRequest,
+        request: &Q,
         limit: Duration,
-    ) -> Result<PeerReply, PeerFault> {
-        let frame = encode_request(request).map_err(PeerFault::Frame)?;
+    ) -> Result<R, PeerFault> {
+        let frame = encode_frame(request).map_err(PeerFault::Frame)?;
         *self.sent_bytes.borrow_mut() += frame.len() as u64;
         let exchange = self.exchange(to, frame);
         let late = async {
@@ -94,7 +94,7 @@
         }
         let answer = answer?;
         *self.sent_bytes.borrow_mut() += answer.len() as u64;
-        decode_reply(&answer).map_err(PeerFault::Frame)
+        decode_frame(&answer).map_err(PeerFault::Frame)
     }
 
     async fn exchange(&self, to: SocketAddr, frame: Vec<u8>) -> Result<Vec<u8>, PeerFault> {
--- a/packages/turnford-wire/src/codec.rs
+++ b/packages/turnford-wire/src/codec.rs
@@ -12,7 +12,9 @@
 pub const PROTOCOL_VERSION: u8 = 1;
 
 /// Largest frame, in bytes.
-pub const FRAME_LIMIT: usize = 256 * 1024;
+///
+/// A value of the platform's store, which is a megabyte at most, fits in.
+pub const FRAME_LIMIT: usize = 1280 * 1024;
 
 /// Why a frame was not understood.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,7 +50,7 @@
 ///
 /// Returns [`FrameFault::TooLarge`] for a message over the bound.
 pub fn encode_request(request: &PeerRequest) -> Result<Vec<u8>, FrameFault> {
-    encode(request)
+    encode_frame(request)
 }
 
 /// Returns the frame of an answer.
@@ -57,7 +59,7 @@
 ///
 /// Returns [`FrameFault::TooLarge`] for a message over the bound.
 pub fn encode_reply(reply: &PeerReply) -> Result<Vec<u8>, FrameFault> {
-    encode(reply)
+    encode_frame(reply)
 }
 
 /// Reads the frame of a call.
@@ -66,7 +68,7 @@
 ///
 /// Returns why the frame was not understood.
 pub fn decode_request(frame: &[u8]) -> Result<PeerRequest, FrameFault> {
-    decode(frame)
+    decode_frame(frame)
 }
 
 /// Reads the frame of an answer.
@@ -75,10 +77,15 @@
 ///
 /// Returns why the frame was not understood.
 pub fn decode_reply(frame: &[u8]) -> Result<PeerReply, FrameFault> {
-    decode(frame)
+    decode_frame(frame)
 }
 
-fn encode<T: Encode>(message: &T) -> Result<Vec<u8>, FrameFault> {
+/// Returns the frame of any message.
+///
+/// # Errors
+///
+/// Returns [`FrameFault::TooLarge`] for a message over the bound.
+pub fn encode_frame<T: Encode>(message: &T) -> Result<Vec<u8>, FrameFault> {
     let config = bincode::config::standard();
     let mut frame = vec![PROTOCOL_VERSION];
     let body = bincode::encode_to_vec(message, config).map_err(|_| FrameFault::Damaged)?;
@@ -89,7 +96,12 @@
     Ok(frame)
 }
 
-fn decode<T: Decode<()>>(frame: &[u8]) -> Result<T, FrameFault> {
+/// Reads the frame of any message.
+///
+/// # Errors
+///
+/// Returns why the frame was not understood.
+pub fn decode_frame<T: Decode<()>>(frame: &[u8]) -> Result<T, FrameFault> {
     if frame.len() > FRAME_LIMIT {
         return Err(FrameFault::TooLarge);
     }
--- /dev/null
+++ b/packages/turnford-wire/src/route.rs
@@ -0,0 +1,172 @@
+//! What nodes that serve routes say to each other: news of the fleet, and work handed over.
+
+use std::net::SocketAddr;
+
+use turnford_fleet::MemberUpdate;
+
+/// How new a node's knowledge is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct ViewMark {
+    /// Version of its configuration.
+    pub config: u64,
+    /// Revision of the store up to which it knows the targets.
+    pub targets: u64,
+}
+
+/// A call from one control thread to another.
+#[derive(Clone, Debug, PartialEq, bincode::Encode, bincode::Decode)]
+pub enum RouteRequest {
+    /// Are you there? With news of members and how new the sender's knowledge is.
+    Ping {
+        /// News, the sender first.
+        gossip: Vec<MemberUpdate>,
+        /// Knowledge of the sender.
+        mark: ViewMark,
+        /// Sum over the members that the sender thinks alive.
+        members: u64,
+    },
+    /// Ask another for me.
+    PingVia {
+        /// Member to ask.
+        target: MemberUpdate,
+    },
+    /// Which members do you know?
+    MemberPull,
+    /// The sender learned something new.
+    News {
+        /// Where to ask for it.
+        from: SocketAddr,
+        /// Knowledge of the sender.
+        mark: ViewMark,
+    },
+    /// What is your configuration, if it is newer than this version?
+    ConfigPull {
+        /// Version of the sender's.
+        after: u64,
+    },
+    /// Which targets do you know, if you know more than up to this revision?
+    TargetPull {
+        /// Revision of the sender's.
+        after: u64,
+    },
+}
+
+/// A target as one node tells another.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct TargetEntry {
+    /// Incarnation.
+    pub id: String,
+    /// Service that it runs.
+    pub service: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Hall that it stands in.
+    pub hall: String,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// Answer of a control thread.
+#[derive(Clone, Debug, PartialEq, bincode::Encode, bincode::Decode)]
+pub enum RouteReply {
+    /// To a ping: news, and how new the answering node's knowledge is.
+    Pong {
+        /// News, the answering node first.
+        gossip: Vec<MemberUpdate>,
+        /// Its knowledge.
+        mark: ViewMark,
+        /// Sum over the members that it thinks alive.
+        members: u64,
+    },
+    /// To an indirect ping: whether the target answered.
+    Reached(bool),
+    /// To a member pull.
+    Members(Vec<MemberUpdate>),
+    /// To news.
+    Noted,
+    /// To a configuration pull: the whole text as the store holds it; `None` if it is not newer.
+    Config(Option<String>),
+    /// To a target pull: all targets as of a revision; `None` if it is not newer.
+    Targets(Option<(u64, Vec<TargetEntry>)>),
+    /// The call was not understood.
+    Refused,
+}
+
+/// Pieces of one stage of one request, handed to the node that gathers them.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct PieceAsk {
+    /// Service that runs them.
+    pub service: String,
+    /// Cell of the service's targets.
+    pub cell: u32,
+    /// Id of the request's try.
+    pub attempt: String,
+    /// Stage of the request.
+    pub stage: u32,
+    /// Pieces of the stage.
+    pub pieces: Vec<u32>,
+    /// What a first stage needs to begin.
+    pub key: Option<String>,
+    /// Results that they need.
+    pub inputs: Vec<String>,
+    /// Milliseconds until they are no longer wanted.
+    pub left_ms: u64,
+    /// Milliseconds until they should be done.
+    pub due_ms: u64,
+    /// Rank of the request; 0 goes first.
+    pub rank: u8,
+    /// Size of a result, in bytes.
+    pub result_bytes: u64,
+    /// Hall in which they should run.
+    pub hall: Option<String>,
+    /// Milliseconds for which they wait for a target in that hall.
+    pub patience_ms: u32,
+}
+
+/// How one piece ended.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub enum PieceReplyEnd {
+    /// The result and the target that keeps it.
+    Made {
+        /// Handle of the result.
+        handle: String,
+        /// Incarnation of the target.
+        target: String,
+    },
+    /// A result that it needs is gone.
+    InputGone,
+    /// It was not made.
+    Failed,
+}
+
+/// How the pieces of a call ended, in their order.
+pub type PieceReply = Vec<PieceReplyEnd>;
+
+/// A call from one traffic thread to another.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub enum WorkRequest {
+    /// Are you there?
+    Alive,
+    /// Run these pieces.
+    Pieces(PieceAsk),
+    /// These results are no longer needed.
+    Release {
+        /// Service whose targets keep them.
+        service: String,
+        /// Target and handle of each.
+        results: Vec<(String, String)>,
+    },
+}
+
+/// Answer of a traffic thread.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub enum WorkReply {
+    /// To the question whether it is there, and to a release.
+    Noted,
+    /// To pieces.
+    Pieces(PieceReply),
+    /// The call was not understood, or the node can't do it.
+    Refused,
+}
--- a/packages/turnford-wire/src/server.rs
+++ b/packages/turnford-wire/src/server.rs
@@ -5,26 +5,45 @@
 
 use async_executor::LocalExecutor;
 use async_net::TcpStream;
+use bincode::Decode;
+use bincode::Encode;
 use bytes::Bytes;
+use futures_lite::future::poll_fn;
+use futures_lite::FutureExt;
 use h2::server::SendResponse;
 use h2::RecvStream;
 use http::Response;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
-use crate::decode_request;
-use crate::encode_reply;
-use crate::PeerReply;
-use crate::PeerRequest;
+use crate::decode_frame;
+use crate::encode_frame;
 use crate::FRAME_LIMIT;
 
 /// Most calls at a time on one connection.
 const STREAM_LIMIT: u32 = 256;
 
-/// Serves one peer's connection until it ends.
-pub async fn serve_peer<F, Fut>(stream: TcpStream, executor: Rc<LocalExecutor<'static>>, handler: F)
-where
-    F: Fn(PeerRequest) -> Fut + Clone + 'static,
-    Fut: Future<Output = PeerReply> + 'static,
+/// What becomes of a call's handler once its caller gives the call up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GivenUpCall {
+    /// It goes on to its end.
+    Finished,
+    /// It is dropped.
+    Dropped,
+}
+
+/// Serves one peer's connection until it ends. A frame that is not understood is answered by
+/// `refusal`.
+pub async fn serve_peer<Q, R, F, Fut>(
+    stream: TcpStream,
+    executor: Rc<LocalExecutor<'static>>,
+    given_up: GivenUpCall,
+    refusal: fn() -> R,
+    handler: F,
+) where
+    Q: Decode<()> + 'static,
+    R: Encode + 'static,
+    F: Fn(Q) -> Fut + Clone + 'static,
+    Fut: Future<Output = R> + 'static,
 {
     let mut builder = h2::server::Builder::new();
     builder.max_concurrent_streams(STREAM_LIMIT);
@@ -32,28 +51,51 @@
         return;
     };
     while let Some(Ok((request, respond))) = connection.accept().await {
-        let answer = answer_call(request.into_body(), respond, handler.clone());
+        let answer = answer_call(request.into_body(), respond, given_up, refusal, handler.clone());
         executor.spawn(answer).detach();
     }
 }
 
-async fn answer_call<F, Fut>(body: RecvStream, mut respond: SendResponse<Bytes>, handler: F)
-where
-    F: Fn(PeerRequest) -> Fut,
-    Fut: Future<Output = PeerReply>,
+async fn answer_call<Q, R, F, Fut>(
+    body: RecvStream,
+    mut respond: SendResponse<Bytes>,
+    given_up: GivenUpCall,
+    refusal: fn() -> R,
+    handler: F,
+) where
+    Q: Decode<()>,
+    R: Encode,
+    F: Fn(Q) -> Fut,
+    Fut: Future<Output = R>,
 {
     let Some(frame) = read_body(body).await else {
         return;
     };
     // A frame that is not understood is refused; the connection goes on.
-    let reply = match decode_request(&frame) {
-        Ok(request) => handler(request).await,
+    let reply = match decode_frame(&frame) {
+        Ok(request) => {
+            let reset = poll_fn(|context| respond.poll_reset(context));
+            let given_up = async {
+                // Whether reset or broken off, nobody waits for the reply any more.
+                let _ = reset.await;
+                if given_up == GivenUpCall::Finished {
+                    std::future::pending::<()>().await;
+                }
+                None
+            };
+            let reply = async { Some(handler(request).await) };
+            match reply.or(given_up).await {
+                Some(reply) => reply,
+                None => return,
+            }
+        }
         Err(fault) => {
             log::warn!("inner call refused: {fault}");
-            PeerReply::Refused
+            refusal()
         }
     };
-    let Ok(frame) = encode_reply(&reply) else {
+    let Ok(frame) = encode_frame(&reply) else {
+        log::error!("an inner reply is over the bound of a frame");
         return;
     };
     let Ok(mut stream) = respond.send_response(Response::new(()), false) else {
