Place the requests of a service's engines at one node

Change: EngineBoard models reading, memory and kept parts; one node by rendezvous hashing places for all, the others tell it begin and end; without its answer a node places by what it knows.

--- a/packages/turnford-fleet/src/duty.rs
+++ b/packages/turnford-fleet/src/duty.rs
@@ -21,6 +21,8 @@
     Orders(String),
     /// Gathers the pieces of a cell of a service's targets.
     Gather(String, usize),
+    /// Places the requests of a service with model engines.
+    Place(String),
     /// Removes the platform's records of nodes that are gone.
     Sweep,
 }
@@ -33,6 +35,7 @@
             Duty::Lend(group) => write!(f, "lend/{group}"),
             Duty::Orders(service) => write!(f, "orders/{service}"),
             Duty::Gather(service, cell) => write!(f, "gather/{service}/{cell}"),
+            Duty::Place(service) => write!(f, "place/{service}"),
             Duty::Sweep => f.write_str("sweep"),
         }
     }
--- a/packages/turnford-node/src/control/members.rs
+++ b/packages/turnford-node/src/control/members.rs
@@ -316,7 +316,7 @@
         let tell = async move {
             // A peer that does not hear it finds out by its own probe.
             let call = told.peers.call(peer.address, &request, PROBE_LIMIT);
-                let _: Result<PeerReply, _> = call.await;
+            let _: Result<PeerReply, _> = call.await;
         };
         context.executor.spawn(tell).detach();
     }
--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -22,6 +22,9 @@
 /// Pause after a target refused a call because it was full, before it is offered another.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
+/// Part of the room for results that is planned with, since their sizes are known roughly.
+const ROOM_PART: f64 = 0.85;
+
 /// A piece to run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PieceWork {
@@ -297,7 +300,8 @@
             return None;
         }
         let used = self.room.used(now, &target.id);
-        let mut room = self.spec.result_room.saturating_sub(used);
+        let all = (self.spec.result_room as f64 * ROOM_PART) as u64;
+        let mut room = all.saturating_sub(used);
         let mut taken = Vec::new();
         let mut left = Vec::new();
         for piece in std::mem::take(&mut self.waiting) {
--- /dev/null
+++ b/packages/turnford-policy/src/route/engine.rs
@@ -0,0 +1,269 @@
+//! Model engines as the node sees them that places requests for all: what each still has to read,
+//! what it runs, and which parts of prompts it keeps.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::Moment;
+use crate::TargetId;
+
+use super::PromptHome;
+use super::PromptPart;
+use super::TargetBoard;
+use super::TargetSpec;
+
+/// Number of a placed request.
+pub type RunTicket = u64;
+
+/// Rate at which an engine reads a prompt, in tokens a second. From the users' sheets: 32 tokens a
+/// millisecond.
+const READ_RATE: f64 = 32_000.0;
+
+/// Reading in one go by which the pauses of the streams that run beside it stay in time. Events hold
+/// a few tokens, and each token waits for a chunk of the prompt; measured, three full chunks are
+/// too much for pauses of half a second.
+const QUIET_READ: f64 = 0.22;
+
+/// Cost of reading beyond that, for each second and each stream that runs beside it.
+const PAUSE_COST: f64 = 1.0;
+
+/// Weight of reading a shared part anew against the time that it takes: it is priced besides.
+const SHARED_WEIGHT: f64 = 2.0;
+
+/// Time that one more running request adds to another's, in seconds.
+const RUN_COST: f64 = 0.004;
+
+/// Cost of a megabyte of inputs that crosses halls, in seconds: its price is that of reading some
+/// thousand tokens anew.
+const MOVE_COST: f64 = 0.05;
+
+/// Cost of a target that is not the prompt's home, in seconds, so that equal ones are not equal.
+const AWAY_COST: f64 = 0.004;
+
+/// Part of an engine's memory that running requests may take before others are preempted.
+const MEMORY_PART: f64 = 0.9;
+
+/// Cost of an engine whose memory would run over, in seconds.
+const MEMORY_COST: f64 = 4.0;
+
+/// Time after which a placed request that nothing was heard of is forgotten, beyond its deadline.
+const FORGET_SPAN: Duration = Duration::from_secs(2);
+
+/// What the placement of a request depends on.
+#[derive(Clone, Debug)]
+pub struct PlaceNeed {
+    /// Parts of the prompt, the most shared one first, the request's own last.
+    pub parts: Vec<PromptPart>,
+    /// Length of the prompt, in tokens.
+    pub prompt_tokens: u64,
+    /// Longest answer, in tokens.
+    pub answer_tokens: u64,
+    /// Bytes of its inputs in each hall.
+    pub inputs: Vec<(Arc<str>, u64)>,
+    /// Targets that it was sent to before.
+    pub tried: Vec<TargetId>,
+    /// When the request ends at the latest.
+    pub deadline: Moment,
+}
+
+impl PlaceNeed {
+    /// Returns the memory that the request takes, in tokens.
+    fn memory(&self) -> u64 {
+        self.prompt_tokens + self.answer_tokens
+    }
+}
+
+/// A request that runs at an engine.
+#[derive(Clone, Debug)]
+struct EngineRun {
+    target: TargetId,
+    memory: u64,
+    has_begun: bool,
+    forget_at: Moment,
+}
+
+/// A part that an engine keeps.
+#[derive(Clone, Copy, Debug)]
+struct KeptPart {
+    tokens: u64,
+    used: Moment,
+}
+
+/// One engine.
+#[derive(Clone, Debug, Default)]
+struct EngineState {
+    /// When it will have read the prompts that it has.
+    read_until: Moment,
+    /// Requests that it reads or runs.
+    runs: u32,
+    /// Of these, those that it still reads.
+    reads: u32,
+    memory: u64,
+    kept: HashMap<u64, KeptPart>,
+    kept_tokens: u64,
+}
+
+impl EngineState {
+    /// Returns the tokens to read anew: of shared parts, and of the request's own.
+    fn missing(&self, need: &PlaceNeed) -> (u64, u64) {
+        let Some((own, shared)) = need.parts.split_last() else {
+            return (0, need.prompt_tokens);
+        };
+        let mut is_kept = true;
+        let mut missing = 0;
+        for part in shared {
+            is_kept = is_kept && self.kept.contains_key(&part.id);
+            if !is_kept {
+                missing += part.tokens;
+            }
+        }
+        (missing, own.tokens)
+    }
+
+    fn keep(&mut self, now: Moment, part: &PromptPart) {
+        let kept = KeptPart {
+            tokens: part.tokens,
+            used: now,
+        };
+        if let Some(old) = self.kept.insert(part.id, kept) {
+            self.kept_tokens -= old.tokens;
+        }
+        self.kept_tokens += part.tokens;
+    }
+
+    /// Drops the parts unused the longest until the others fit beside what runs.
+    fn evict(&mut self, capacity: u64) {
+        while self.kept_tokens + self.memory > capacity {
+            let oldest = self.kept.iter().min_by_key(|(_, part)| part.used);
+            let Some((&id, &part)) = oldest else {
+                return;
+            };
+            self.kept.remove(&id);
+            self.kept_tokens -= part.tokens;
+        }
+    }
+}
+
+/// The engines of one service.
+#[derive(Clone, Debug, Default)]
+pub struct EngineBoard {
+    /// Memory of one engine, in tokens.
+    capacity: u64,
+    engines: BTreeMap<TargetId, EngineState>,
+    runs: HashMap<RunTicket, EngineRun>,
+    next_ticket: RunTicket,
+}
+
+impl EngineBoard {
+    /// Sets the memory of one engine, in tokens.
+    pub fn set_capacity(&mut self, tokens: u64) {
+        self.capacity = tokens;
+    }
+
+    /// Forgets engines that are gone.
+    pub fn keep_only(&mut self, board: &TargetBoard) {
+        self.engines.retain(|id, _| board.get(id).is_some());
+    }
+
+    /// Places a request, and notes that it runs there.
+    pub fn place(
+        &mut self,
+        now: Moment,
+        board: &TargetBoard,
+        need: &PlaceNeed,
+    ) -> Option<(TargetSpec, RunTicket)> {
+        self.forget_late(now);
+        let home = PromptHome::new(&need.parts, board.open_targets().map(|target| &target.id));
+        let cost = |target: &TargetSpec, _: f64| self.cost(now, target, need, &home);
+        let chosen = board.choose(now, &need.tried, cost)?.spec;
+        let ticket = self.start(now, &chosen.id, need);
+        Some((chosen, ticket))
+    }
+
+    /// Returns the cost of an engine for a request, in seconds.
+    fn cost(&self, now: Moment, target: &TargetSpec, need: &PlaceNeed, home: &PromptHome) -> f64 {
+        let unknown = EngineState::default();
+        let engine = self.engines.get(&target.id).unwrap_or(&unknown);
+        let (shared, own) = engine.missing(need);
+        let wait = engine.read_until.saturating_sub(now).as_secs_f64();
+        let read = (shared + own) as f64 / READ_RATE;
+        let streams = f64::from(engine.runs - engine.reads);
+        let pauses = (wait + read - QUIET_READ).max(0.0) * streams * PAUSE_COST;
+        let price = shared as f64 / READ_RATE * SHARED_WEIGHT;
+        let all: u64 = need.inputs.iter().map(|(_, bytes)| bytes).sum();
+        let near = need.inputs.iter().find(|(hall, _)| *hall == target.hall);
+        let foreign = all - near.map_or(0, |(_, bytes)| *bytes);
+        let moving = foreign as f64 / 1e6 * MOVE_COST;
+        let limit = self.capacity as f64 * MEMORY_PART;
+        let is_over = (engine.memory + need.memory()) as f64 > limit;
+        let memory = if is_over { MEMORY_COST } else { 0.0 };
+        let away = if home.is_first(&target.id) {
+            0.0
+        } else {
+            AWAY_COST
+        };
+        wait + read + price + pauses + moving + memory + away + f64::from(engine.runs) * RUN_COST
+    }
+
+    fn start(&mut self, now: Moment, target: &TargetId, need: &PlaceNeed) -> RunTicket {
+        let engine = self.engines.entry(target.clone()).or_default();
+        let (shared, own) = engine.missing(need);
+        let read = Duration::from_secs_f64((shared + own) as f64 / READ_RATE);
+        engine.read_until = engine.read_until.max(now) + read;
+        engine.runs += 1;
+        engine.reads += 1;
+        engine.memory += need.memory();
+        for part in need.parts.iter().rev().skip(1) {
+            engine.keep(now, part);
+        }
+        engine.evict(self.capacity);
+        self.next_ticket += 1;
+        let run = EngineRun {
+            target: target.clone(),
+            memory: need.memory(),
+            has_begun: false,
+            forget_at: need.deadline + FORGET_SPAN,
+        };
+        self.runs.insert(self.next_ticket, run);
+        self.next_ticket
+    }
+
+    /// Notes that a placed request has its first event: its prompt is read.
+    pub fn note_begun(&mut self, now: Moment, ticket: RunTicket) {
+        let Some(run) = self.runs.get_mut(&ticket) else {
+            return;
+        };
+        if std::mem::replace(&mut run.has_begun, true) {
+            return;
+        }
+        if let Some(engine) = self.engines.get_mut(&run.target) {
+            engine.reads = engine.reads.saturating_sub(1);
+            if engine.reads == 0 {
+                engine.read_until = engine.read_until.min(now);
+            }
+        }
+    }
+
+    /// Notes that a placed request ended, however it did.
+    pub fn note_ended(&mut self, now: Moment, ticket: RunTicket) {
+        self.note_begun(now, ticket);
+        let Some(run) = self.runs.remove(&ticket) else {
+            return;
+        };
+        if let Some(engine) = self.engines.get_mut(&run.target) {
+            engine.runs = engine.runs.saturating_sub(1);
+            engine.memory = engine.memory.saturating_sub(run.memory);
+        }
+    }
+
+    /// Forgets requests whose node did not tell their end.
+    fn forget_late(&mut self, now: Moment) {
+        let late = self.runs.iter().filter(|(_, run)| run.forget_at <= now);
+        let late: Vec<RunTicket> = late.map(|(ticket, _)| *ticket).collect();
+        for ticket in late {
+            self.note_ended(now, ticket);
+        }
+    }
+}
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -104,7 +104,9 @@
     if facts.closes {
         return;
     }
-    let keep = facts.keep.map_or(DEFAULT_KEEP, |keep| keep.mul_f64(KEEP_PART));
+    let keep = facts
+        .keep
+        .map_or(DEFAULT_KEEP, |keep| keep.mul_f64(KEEP_PART));
     traffic.shelf.borrow_mut().put(link, keep);
 }
 
--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -69,9 +69,15 @@
     executor.spawn(readers).detach();
     let peers = peers::serve_peers(context.clone(), listeners.inner);
     executor.spawn(peers).detach();
-    executor.spawn(config::follow_config(context.clone())).detach();
-    executor.spawn(targets::follow_targets(context.clone())).detach();
-    executor.spawn(members::follow_members(context.clone())).detach();
+    executor
+        .spawn(config::follow_config(context.clone()))
+        .detach();
+    executor
+        .spawn(targets::follow_targets(context.clone()))
+        .detach();
+    executor
+        .spawn(members::follow_members(context.clone()))
+        .detach();
     executor.spawn(news::spread_news(context)).detach();
     async_io::block_on(executor.run(stop));
 }
--- a/packages/turnford-serve/src/control/members.rs
+++ b/packages/turnford-serve/src/control/members.rs
@@ -275,7 +275,10 @@
     let record = match NodeRecord::deserialize(&object.spec) {
         Ok(record) => record,
         Err(error) => {
-            log::warn!("member={} has an object that makes no sense: {error}", object.name);
+            log::warn!(
+                "member={} has an object that makes no sense: {error}",
+                object.name
+            );
             return;
         }
     };
--- a/packages/turnford-serve/src/desk.rs
+++ b/packages/turnford-serve/src/desk.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use turnford_policy::split_cells;
-use turnford_policy::PromptCache;
+use turnford_policy::EngineBoard;
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceSpec;
 use turnford_policy::TargetBoard;
@@ -18,7 +18,8 @@
 pub(crate) struct ServiceDesk {
     pub(crate) spec: RefCell<Arc<ServiceSpec>>,
     pub(crate) board: RefCell<TargetBoard>,
-    pub(crate) cache: RefCell<PromptCache>,
+    /// What is known of the targets where they are model engines.
+    pub(crate) engines: RefCell<EngineBoard>,
     pub(crate) allowance: RefCell<RetryAllowance>,
     /// Cells of the targets, where the service runs pieces of stages.
     pub(crate) cells: RefCell<Vec<Rc<PieceDesk>>>,
@@ -29,7 +30,7 @@
         Rc::new(Self {
             spec: RefCell::new(spec),
             board: RefCell::default(),
-            cache: RefCell::default(),
+            engines: RefCell::default(),
             allowance: RefCell::new(allowance),
             cells: RefCell::default(),
         })
@@ -56,7 +57,9 @@
             cells.push(PieceDesk::new(batch.clone()));
         }
         for (number, cell) in cells.iter().enumerate() {
-            cell.targets.borrow_mut().clone_from(&split[number % split.len()]);
+            cell.targets
+                .borrow_mut()
+                .clone_from(&split[number % split.len()]);
             let mut pieces = cell.board.borrow_mut();
             pieces.set_spec(batch);
             pieces.forget_gone(&board);
--- a/packages/turnford-serve/src/entry.rs
+++ b/packages/turnford-serve/src/entry.rs
@@ -67,7 +67,10 @@
 }
 
 /// Answers the platform's question whether new connections should come here.
-pub(crate) fn answer_probe(shared: &ServeShared, request: Request<Incoming>) -> Response<AnswerBody> {
+pub(crate) fn answer_probe(
+    shared: &ServeShared,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let (parts, _) = request.into_parts();
     let status = if !is_ready_probe(&parts) {
         StatusCode::NOT_FOUND
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -12,7 +12,6 @@
 use turnford_adapter::encode_order;
 use turnford_adapter::TargetOrder;
 use turnford_policy::CallKind;
-use turnford_policy::PromptHome;
 use turnford_policy::ResultCode;
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
@@ -26,6 +25,8 @@
 use crate::call::TargetAnswer;
 use crate::desk::ServiceDesk;
 use crate::metrics::ServiceEvent;
+use crate::placement::place_request;
+use crate::placement::PlacedRun;
 use crate::record::RequestRecord;
 use crate::stream::relay_stream;
 use crate::traffic::Traffic;
@@ -40,20 +41,6 @@
 /// Time to come back after a refusal by which a failed target has been replaced or has recovered.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Rate at which an engine reads a prompt, in tokens a second, until more is known of it. From the
-/// users' sheets: 32 tokens a millisecond.
-const READ_RATE: f64 = 32_000.0;
-
-/// Time that one more running request adds to another's, in seconds.
-const RUN_COST: f64 = 0.004;
-
-/// Cost of a megabyte of inputs that crosses halls, in seconds: its price is that of reading some
-/// thousand tokens anew.
-const MOVE_COST: f64 = 0.05;
-
-/// Cost of a target in another hall, in seconds: enough to prefer the own one of two alike.
-const HALL_COST: f64 = 0.002;
-
 /// A request with what its stages gave.
 pub(crate) struct ForwardJob<'a> {
     pub(crate) record: &'a Rc<RequestRecord>,
@@ -99,17 +86,18 @@
     let now = traffic.shared.now();
     job.desk.allowance.borrow_mut().note_first(now);
     while may_try(traffic, job, &log) {
-        let chosen = choose_target(traffic, job.record, job.desk, job.halls, &log.tried);
-        let Some(target) = chosen else {
+        let placed = place_request(traffic, job.record, job.desk, job.halls, &log.tried).await;
+        let Some(placed) = placed else {
             break;
         };
+        let target = placed.target.clone();
         if log.sent > 0 && !take_repeat(traffic, job, &target) {
             break;
         }
         log.tried.push(target.id.clone());
         match try_target(traffic, job, &target).await {
             Ok(answer) => {
-                if let Some(end) = take_answer(traffic, job, &mut log, &target, answer).await {
+                if let Some(end) = take_answer(traffic, job, &mut log, placed, answer).await {
                     return end;
                 }
             }
@@ -147,38 +135,6 @@
     allowed
 }
 
-/// Chooses the target for a request, `inputs` being the bytes of its inputs in each hall.
-pub(crate) fn choose_target(
-    traffic: &Traffic,
-    record: &RequestRecord,
-    desk: &ServiceDesk,
-    inputs: &[(Arc<str>, u64)],
-    tried: &[TargetId],
-) -> Option<TargetSpec> {
-    let now = traffic.shared.now();
-    let parts = &record.facts.parts;
-    let is_engine = desk.spec.borrow().engine.is_some();
-    let cache = desk.cache.borrow();
-    let board = desk.board.borrow();
-    let home = PromptHome::new(parts, board.open_targets().map(|target| &target.id));
-    let own_hall = &traffic.shared.settings.hall;
-    let all: u64 = inputs.iter().map(|(_, bytes)| bytes).sum();
-    let cost = |target: &TargetSpec, load: f64| {
-        let is_near = target.hall == *own_hall;
-        let hall = if is_near { 0.0 } else { HALL_COST };
-        if !is_engine {
-            return load / f64::from(target.slots.max(1)) + hall;
-        }
-        let home = home.missing(&target.id, parts);
-        let missing = home.min(cache.missing(now, &target.id, parts));
-        let near = inputs.iter().find(|(hall, _)| *hall == target.hall);
-        let foreign = all - near.map_or(0, |(_, bytes)| *bytes);
-        let moving = foreign as f64 / 1e6 * MOVE_COST;
-        missing as f64 / READ_RATE + load * RUN_COST + moving + hall
-    };
-    board.choose(now, tried, cost).map(|choice| choice.spec)
-}
-
 async fn try_target(
     traffic: &Rc<Traffic>,
     job: &ForwardJob<'_>,
@@ -205,11 +161,6 @@
         target.hall,
         left.as_millis()
     ));
-    if is_engine {
-        let now = traffic.shared.now();
-        let mut cache = job.desk.cache.borrow_mut();
-        cache.note(now, &target.id, &record.facts.parts);
-    }
     let attempt = Some(record.facts.attempt.as_str());
     call_target(traffic, job.desk, target, request, attempt, left).await
 }
@@ -219,9 +170,10 @@
     traffic: &Rc<Traffic>,
     job: &ForwardJob<'_>,
     log: &mut TryLog,
-    target: &TargetSpec,
+    placed: PlacedRun,
     answer: TargetAnswer,
 ) -> Option<ForwardEnd> {
+    let target = placed.target.clone();
     log.sent += 1;
     log.may_have_run = true;
     let record = job.record;
@@ -230,12 +182,12 @@
     let is_stream = record.route.kind == CallKind::Stream && status.is_success();
     if is_stream {
         job.desk.board.borrow_mut().note_success(&target.id, None);
-        let answer = relay_stream(traffic, job.record, answer);
+        let answer = relay_stream(traffic, job.record, placed, answer);
         return Some(ForwardEnd::Answer(answer));
     }
     let (parts, body) = match answer.collect(traffic, ANSWER_LIMIT).await {
         Ok(whole) => whole,
-        Err(fault) => return note_fault(traffic, job, log, target, &fault),
+        Err(fault) => return note_fault(traffic, job, log, &target, &fault),
     };
     let passed = passed_answer(&parts, AnswerBody::whole(body));
     if status.is_server_error() {
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod node;
 mod pieces;
+mod placement;
 mod record;
 mod release;
 mod request;
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -149,7 +149,11 @@
         );
         registry.register("targets", "Targets known", self.targets.clone());
         registry.register("members", "Other nodes alive", self.members.clone());
-        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines that the full queue dropped",
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -38,6 +38,10 @@
 /// that of so many others is given up.
 const PATIENCE_CALLS: u32 = 3;
 
+/// Factor by which a result is taken to be larger once it found no room: sizes in the
+/// configuration are rough, and twice the size was seen.
+const LARGER_RESULT: u64 = 2;
+
 /// How a piece ended for the request that needs it.
 #[derive(Clone, Debug)]
 pub(crate) enum PieceOutcome {
@@ -175,7 +179,10 @@
 
     /// Tells the requests how their pieces ended.
     fn end_pieces(&self, target: &TargetSpec, plan: BatchPlan, ends: Vec<PieceEnd>) {
-        for ((ticket, _), end) in plan.pieces.into_iter().zip(ends) {
+        for ((ticket, work), end) in plan.pieces.into_iter().zip(ends) {
+            if end == PieceEnd::NoRoom && self.wait_for_room(ticket, &work) {
+                continue;
+            }
             let outcome = match end {
                 PieceEnd::Made(handle) => PieceOutcome::Made(PieceResult {
                     handle,
@@ -193,6 +200,21 @@
         }
     }
 
+    /// Puts a piece back that found no room for its result, which is larger than expected.
+    fn wait_for_room(&self, ticket: PieceTicket, work: &PieceWork) -> bool {
+        let now = self.traffic.shared.now();
+        let is_wanted = self.pieces.takers.borrow().contains_key(&ticket);
+        if !is_wanted || !self.desk.allowance.borrow_mut().take(now) {
+            return false;
+        }
+        let larger = PieceWork {
+            result_bytes: work.result_bytes * LARGER_RESULT,
+            ..work.clone()
+        };
+        self.pieces.board.borrow_mut().put_back(ticket, larger);
+        true
+    }
+
     /// Puts the pieces of a call that gave nothing back into the queue. Where the call reached its
     /// target, each needs room in the allowance of repeats.
     fn give_back(&self, plan: BatchPlan, reason: &'static str, has_arrived: bool) {
@@ -223,7 +245,9 @@
         }
     };
     let now = cell.traffic.shared.now();
-    let kept = results.iter().map(|(handle, bytes)| (handle.as_str(), *bytes));
+    let kept = results
+        .iter()
+        .map(|(handle, bytes)| (handle.as_str(), *bytes));
     let mut board = cell.pieces.board.borrow_mut();
     board.note_ended(now, &id, reserved, kept);
     drop(board);
--- /dev/null
+++ b/packages/turnford-serve/src/placement.rs
@@ -0,0 +1,282 @@
+//! Which target takes a request.
+//!
+//! For model engines one node, found by rendezvous hashing, places the requests of all, since only
+//! then is it known what each engine still has to read and which prompts it keeps. A node that gets
+//! no answer from it places the request by what it knows itself.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+
+use turnford_fleet::Duty;
+use turnford_policy::Moment;
+use turnford_policy::PlaceNeed;
+use turnford_policy::PromptHome;
+use turnford_policy::PromptPart;
+use turnford_policy::RunTicket;
+use turnford_policy::ServiceId;
+use turnford_policy::TargetId;
+use turnford_policy::TargetSpec;
+use turnford_wire::PlaceAsk;
+use turnford_wire::RunNews;
+use turnford_wire::WorkReply;
+use turnford_wire::WorkRequest;
+
+use crate::desk::ServiceDesk;
+use crate::record::RequestRecord;
+use crate::traffic::Traffic;
+use crate::work::call_peer;
+use crate::work::doer_of;
+
+/// Longest wait for the node that places: above its usual answer of a few milliseconds, well below
+/// what a request can spare.
+const PLACE_LIMIT: Duration = Duration::from_millis(120);
+
+/// Time in which news of placed requests is gathered.
+const NEWS_PAUSE: Duration = Duration::from_millis(40);
+
+/// Longest wait for news to be noted.
+const NEWS_LIMIT: Duration = Duration::from_millis(500);
+
+/// Cost of a target in another hall against one request more in its queue.
+const HALL_COST: f64 = 0.002;
+
+/// A place for a request; its end is told when this is dropped.
+pub(crate) struct PlacedRun {
+    pub(crate) target: TargetSpec,
+    run: Option<EngineRun>,
+}
+
+/// The placement at an engine, where it was noted.
+struct EngineRun {
+    traffic: Rc<Traffic>,
+    desk: Rc<ServiceDesk>,
+    ticket: RunTicket,
+    /// Node that placed it, `None` for this one.
+    placer: Option<SocketAddr>,
+}
+
+impl PlacedRun {
+    /// Notes that the first event came.
+    pub(crate) fn note_begun(&self) {
+        if let Some(run) = &self.run {
+            run.tell(RunNews::Begun(run.ticket));
+        }
+    }
+}
+
+impl EngineRun {
+    fn tell(&self, news: RunNews) {
+        match self.placer {
+            Some(placer) => {
+                let service = self.desk.spec.borrow().name.clone();
+                tell_progress(&self.traffic, placer, service, news);
+            }
+            None => note_news(&self.traffic, &self.desk, news),
+        }
+    }
+}
+
+impl Drop for EngineRun {
+    fn drop(&mut self) {
+        self.tell(RunNews::Ended(self.ticket));
+    }
+}
+
+/// News of placed requests that is not told yet.
+#[derive(Default)]
+pub(crate) struct ProgressQueue {
+    waiting: RefCell<HashMap<(SocketAddr, ServiceId), Vec<RunNews>>>,
+}
+
+/// Returns the hall that a request's last target will probably be in.
+pub(crate) fn plan_hall(desk: &ServiceDesk, parts: &[PromptPart]) -> Option<Arc<str>> {
+    let board = desk.board.borrow();
+    let home = PromptHome::new(parts, board.open_targets().map(|target| &target.id));
+    let target = board.get(home.first()?)?;
+    Some(target.hall.clone())
+}
+
+/// Finds a place for a request, `inputs` being the bytes of its inputs in each hall.
+pub(crate) async fn place_request(
+    traffic: &Rc<Traffic>,
+    record: &RequestRecord,
+    desk: &Rc<ServiceDesk>,
+    inputs: &[(Arc<str>, u64)],
+    tried: &[TargetId],
+) -> Option<PlacedRun> {
+    if desk.spec.borrow().engine.is_none() {
+        let target = choose_plain(traffic, desk, tried)?;
+        return Some(PlacedRun { target, run: None });
+    }
+    let need = PlaceNeed {
+        parts: record.facts.parts.clone(),
+        prompt_tokens: record.facts.prompt_tokens,
+        answer_tokens: record.facts.answer_tokens,
+        inputs: inputs.to_vec(),
+        tried: tried.to_vec(),
+        deadline: record.deadline,
+    };
+    let service = desk.spec.borrow().name.to_string();
+    let placer = doer_of(traffic, &Duty::Place(service));
+    let mut placed = None;
+    if let Some(placer) = placer {
+        placed = ask_placer(traffic, desk, &need, placer).await;
+        if placed.is_none() {
+            record.note(format_args!("placed here: {placer} gave no place"));
+        }
+    }
+    placed.or_else(|| place_here(traffic, desk, &need))
+}
+
+fn choose_plain(traffic: &Traffic, desk: &ServiceDesk, tried: &[TargetId]) -> Option<TargetSpec> {
+    let own_hall = &traffic.shared.settings.hall;
+    let cost = |target: &TargetSpec, load: f64| {
+        let is_near = target.hall == *own_hall;
+        let hall = if is_near { 0.0 } else { HALL_COST };
+        load / f64::from(target.slots.max(1)) + hall
+    };
+    let now = traffic.shared.now();
+    let board = desk.board.borrow();
+    board.choose(now, tried, cost).map(|choice| choice.spec)
+}
+
+/// Places a request by what this node knows.
+fn place_here(
+    traffic: &Rc<Traffic>,
+    desk: &Rc<ServiceDesk>,
+    need: &PlaceNeed,
+) -> Option<PlacedRun> {
+    let now = traffic.shared.now();
+    let board = desk.board.borrow();
+    let placed = desk.engines.borrow_mut().place(now, &board, need);
+    let (target, ticket) = placed?;
+    let run = EngineRun {
+        traffic: traffic.clone(),
+        desk: desk.clone(),
+        ticket,
+        placer: None,
+    };
+    Some(PlacedRun {
+        target,
+        run: Some(run),
+    })
+}
+
+async fn ask_placer(
+    traffic: &Rc<Traffic>,
+    desk: &Rc<ServiceDesk>,
+    need: &PlaceNeed,
+    placer: SocketAddr,
+) -> Option<PlacedRun> {
+    let now = traffic.shared.now();
+    let left = need.deadline.saturating_sub(now).as_millis();
+    let ask = PlaceAsk {
+        service: desk.spec.borrow().name.to_string(),
+        parts: need
+            .parts
+            .iter()
+            .map(|part| (part.id, part.tokens))
+            .collect(),
+        prompt_tokens: need.prompt_tokens,
+        answer_tokens: need.answer_tokens,
+        inputs: need
+            .inputs
+            .iter()
+            .map(|(hall, bytes)| (hall.to_string(), *bytes))
+            .collect(),
+        tried: need.tried.iter().map(ToString::to_string).collect(),
+        left_ms: u64::try_from(left).unwrap_or(u64::MAX),
+    };
+    let request = WorkRequest::Place(ask);
+    let reply = call_peer(traffic, placer, &request, PLACE_LIMIT).await;
+    let Some(WorkReply::Placed(Some((id, ticket)))) = reply else {
+        return None;
+    };
+    let run = EngineRun {
+        traffic: traffic.clone(),
+        desk: desk.clone(),
+        ticket,
+        placer: Some(placer),
+    };
+    // The other node may not know yet that the target leaves.
+    let target = desk.board.borrow().get(&id).cloned();
+    let target = target.filter(|target| !target.leaving)?;
+    Some(PlacedRun {
+        target,
+        run: Some(run),
+    })
+}
+
+/// Answers a request to place.
+pub(crate) fn answer_place(traffic: &Rc<Traffic>, ask: PlaceAsk) -> WorkReply {
+    let Some(desk) = traffic.desk(&ask.service) else {
+        return WorkReply::Refused;
+    };
+    let now = traffic.shared.now();
+    let need = asked_need(ask, now);
+    let board = desk.board.borrow();
+    let placed = desk.engines.borrow_mut().place(now, &board, &need);
+    WorkReply::Placed(placed.map(|(target, ticket)| (target.id.to_string(), ticket)))
+}
+
+fn asked_need(ask: PlaceAsk, now: Moment) -> PlaceNeed {
+    let parts = ask.parts.into_iter();
+    let inputs = ask.inputs.into_iter();
+    PlaceNeed {
+        parts: parts
+            .map(|(id, tokens)| PromptPart { id, tokens })
+            .collect(),
+        prompt_tokens: ask.prompt_tokens,
+        answer_tokens: ask.answer_tokens,
+        inputs: inputs.map(|(hall, bytes)| (hall.into(), bytes)).collect(),
+        tried: ask.tried.into_iter().map(Into::into).collect(),
+        deadline: now + Duration::from_millis(ask.left_ms),
+    }
+}
+
+/// Answers news of placed requests.
+pub(crate) fn answer_progress(traffic: &Traffic, service: &str, news: &[RunNews]) {
+    if let Some(desk) = traffic.desk(service) {
+        for news in news {
+            note_news(traffic, &desk, *news);
+        }
+    }
+}
+
+fn note_news(traffic: &Traffic, desk: &ServiceDesk, news: RunNews) {
+    let now = traffic.shared.now();
+    let mut engines = desk.engines.borrow_mut();
+    match news {
+        RunNews::Begun(ticket) => engines.note_begun(now, ticket),
+        RunNews::Ended(ticket) => engines.note_ended(now, ticket),
+    }
+}
+
+/// Tells the node that placed a request what became of it, soon.
+fn tell_progress(traffic: &Rc<Traffic>, placer: SocketAddr, service: ServiceId, news: RunNews) {
+    let place = (placer, service);
+    let mut waiting = traffic.progress.waiting.borrow_mut();
+    let queue = waiting.entry(place.clone()).or_default();
+    queue.push(news);
+    if queue.len() == 1 {
+        let send = send_progress(traffic.clone(), place);
+        traffic.executor.spawn(send).detach();
+    }
+}
+
+async fn send_progress(traffic: Rc<Traffic>, place: (SocketAddr, ServiceId)) {
+    Timer::after(NEWS_PAUSE).await;
+    let news = traffic.progress.waiting.borrow_mut().remove(&place);
+    let request = WorkRequest::Progress {
+        service: place.1.to_string(),
+        news: news.unwrap_or_default(),
+    };
+    // A node that does not hear it forgets the requests after their deadline.
+    call_peer(&traffic, place.0, &request, NEWS_LIMIT).await;
+}
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -22,11 +22,11 @@
 use crate::answer::own_answer;
 use crate::answer::AnswerBody;
 use crate::answer::RanState;
-use crate::forward::choose_target;
 use crate::forward::forward;
 use crate::forward::ForwardEnd;
 use crate::forward::ForwardJob;
 use crate::forward::RETRY_AFTER;
+use crate::placement::plan_hall;
 use crate::record::RequestRecord;
 use crate::shared::RouteView;
 use crate::stages::run_stages;
@@ -188,8 +188,7 @@
     let Some(desk) = desk else {
         return refuse_admitted(record, ResultCode::NoTarget, "the service is not known");
     };
-    let planned = choose_target(traffic, record, &desk, &[], &[]);
-    *record.planned_hall.borrow_mut() = planned.map(|target| target.hall);
+    *record.planned_hall.borrow_mut() = plan_hall(&desk, &record.facts.parts);
     for _ in 0..STAGE_ROUNDS {
         let late = async {
             Timer::after(record.left()).await;
@@ -222,11 +221,7 @@
 }
 
 /// Refuses a request that has not run and never will.
-fn refuse_admitted(
-    record: &RequestRecord,
-    code: ResultCode,
-    reason: &str,
-) -> Response<AnswerBody> {
+fn refuse_admitted(record: &RequestRecord, code: ResultCode, reason: &str) -> Response<AnswerBody> {
     record.end(code, reason);
     let attempt = &record.facts.attempt;
     own_answer(attempt, code, RanState::No, reason, Some(RETRY_AFTER))
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -114,7 +114,9 @@
     traffic: &Rc<Traffic>,
     record: &Rc<RequestRecord>,
 ) -> Result<StageResults, StageFault> {
-    let graph = StageGraph::new(&record.route.stages, |stage| record.facts.piece_count(stage));
+    let graph = StageGraph::new(&record.route.stages, |stage| {
+        record.facts.piece_count(stage)
+    });
     let mut held = HeldResults::new(traffic, graph.len());
     let (ends, ended) = async_channel::unbounded();
     let mut begun = vec![false; graph.len()];
@@ -243,7 +245,10 @@
                 }
                 PieceOutcome::InputGone => return Err(StageFault::InputGone),
                 PieceOutcome::Failed(reason) => {
-                    record.note(format_args!("stage {} piece {piece}: {reason}", needs.stage));
+                    record.note(format_args!(
+                        "stage {} piece {piece}: {reason}",
+                        needs.stage
+                    ));
                     missing.push(piece);
                 }
             }
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -16,6 +16,7 @@
 use crate::answer::AnswerBody;
 use crate::answer::AnswerCut;
 use crate::call::TargetAnswer;
+use crate::placement::PlacedRun;
 use crate::record::RequestRecord;
 use crate::traffic::Traffic;
 
@@ -28,6 +29,7 @@
 pub(crate) fn relay_stream(
     traffic: &Rc<Traffic>,
     record: &Rc<RequestRecord>,
+    placed: PlacedRun,
     answer: TargetAnswer,
 ) -> Response<AnswerBody> {
     let (parts, body, rest) = answer.into_stream();
@@ -36,7 +38,7 @@
         let traffic = traffic.clone();
         let record = record.clone();
         async move {
-            if pass_chunks(&record, body, &sender).await {
+            if pass_chunks(&record, &placed, body, &sender).await {
                 rest.finish(&traffic);
                 record.end(ResultCode::Done, "");
                 return;
@@ -51,7 +53,12 @@
 }
 
 /// Passes a body on until its end or the deadline; true if it ended whole.
-async fn pass_chunks(record: &RequestRecord, mut body: Incoming, sender: &ChunkSender) -> bool {
+async fn pass_chunks(
+    record: &RequestRecord,
+    placed: &PlacedRun,
+    mut body: Incoming,
+    sender: &ChunkSender,
+) -> bool {
     let mut is_first = true;
     loop {
         let next = async { Some(body.frame().await) };
@@ -75,7 +82,9 @@
             continue;
         };
         if std::mem::take(&mut is_first) {
+            record.note(format_args!("first event"));
             record.note_head();
+            placed.note_begun();
         }
         if sender.send(Ok(chunk)).await.is_err() {
             return false;
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -20,6 +20,7 @@
 
 use crate::desk::ServiceDesk;
 use crate::pieces::PieceCell;
+use crate::placement::ProgressQueue;
 use crate::release::ResultReleaser;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
@@ -35,6 +36,7 @@
     pub(crate) shelf: RefCell<LinkShelf>,
     pub(crate) releaser: ResultReleaser,
     pub(crate) work: WorkClient,
+    pub(crate) progress: ProgressQueue,
     desks: RefCell<HashMap<ServiceId, Rc<ServiceDesk>>>,
     rng: RefCell<SmallRng>,
 }
@@ -48,6 +50,7 @@
             shelf: RefCell::default(),
             releaser: ResultReleaser::default(),
             work,
+            progress: ProgressQueue::default(),
             desks: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
         })
@@ -94,10 +97,14 @@
         board.set_targets(own);
         for target in before {
             if board.get(&target.id).is_none() {
-                desk.cache.borrow_mut().forget(&target.id);
                 self.shelf.borrow_mut().forget(target.address);
             }
         }
+        let mut engines = desk.engines.borrow_mut();
+        engines.keep_only(&board);
+        if let Some(engine) = &desk.spec.borrow().engine {
+            engines.set_capacity(engine.memory_tokens);
+        }
         drop(board);
         desk.refresh_cells();
     }
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -1,4 +1,5 @@
-//! Work between nodes: the pieces of a cell go to the node that gathers them.
+//! Work between nodes: the pieces of a cell go to the node that gathers them, and one node places
+//! the requests for a service's engines.
 //!
 //! The node is found by rendezvous hashing over those that live. Nothing depends on all nodes
 //! agreeing: two that gather for one cell only fill their calls less well, and a node that gets no
@@ -31,6 +32,8 @@
 use crate::desk::ServiceDesk;
 use crate::pieces::PieceCell;
 use crate::pieces::PieceOutcome;
+use crate::placement::answer_place;
+use crate::placement::answer_progress;
 use crate::release::release_results;
 use crate::release::PieceResult;
 use crate::traffic::Traffic;
@@ -89,8 +92,8 @@
     pub(crate) number: usize,
 }
 
-/// Returns the address of the node that gathers for a cell, `None` if it is this one.
-fn gatherer_of(traffic: &Traffic, place: &CellPlace) -> Option<SocketAddr> {
+/// Returns the address of the node that does a duty, `None` if it is this one.
+pub(crate) fn doer_of(traffic: &Traffic, duty: &Duty) -> Option<SocketAddr> {
     let now = traffic.shared.now();
     let view = traffic.shared.view.load();
     let own = &traffic.shared.settings.name;
@@ -101,13 +104,32 @@
     };
     let up = view.members.iter().filter(|member| is_up(&member.work));
     let names = up.map(|member| &*member.name).chain([&**own]);
-    let service = place.desk.spec.borrow().name.to_string();
-    let duty = Duty::Gather(service, place.number);
-    let chosen = rank_members(&duty, names, 1).first().copied()?;
+    let chosen = rank_members(duty, names, 1).first().copied()?;
     let member = view.members.iter().find(|member| &*member.name == chosen);
     member.map(|member| member.work)
 }
 
+/// Calls another node; `None`, and no work for it for a while, if it gives no answer.
+pub(crate) async fn call_peer(
+    traffic: &Traffic,
+    peer: SocketAddr,
+    request: &WorkRequest,
+    limit: Duration,
+) -> Option<WorkReply> {
+    let state = traffic.work.state(peer);
+    match traffic.work.peers.call(peer, request, limit).await {
+        Ok(reply) => {
+            state.heard.set(traffic.shared.now());
+            Some(reply)
+        }
+        Err(fault) => {
+            log::info!("node at {peer} gives no answer: {fault}");
+            mark_down(traffic, &state);
+            None
+        }
+    }
+}
+
 /// Runs pieces of one stage of one request, at the node that gathers for their cell.
 pub(crate) async fn run_pieces(
     traffic: &Rc<Traffic>,
@@ -115,7 +137,9 @@
     works: &[PieceWork],
 ) -> Vec<PieceOutcome> {
     for _ in 0..GATHERER_TRIES {
-        let Some(peer) = gatherer_of(traffic, place) else {
+        let service = place.desk.spec.borrow().name.to_string();
+        let duty = Duty::Gather(service, place.number);
+        let Some(peer) = doer_of(traffic, &duty) else {
             break;
         };
         if let Some(outcomes) = ask_peer(traffic, place, works, peer).await {
@@ -265,14 +289,12 @@
             continue;
         }
         let request = WorkRequest::Alive;
-        let reply = traffic.work.peers.call(peer, &request, ALIVE_LIMIT).await;
-        if let Ok(WorkReply::Noted) = reply {
-            state.heard.set(traffic.shared.now());
-            continue;
+        if call_peer(&traffic, peer, &request, ALIVE_LIMIT)
+            .await
+            .is_none()
+        {
+            break;
         }
-        log::info!("node at {peer} has work of ours and does not answer");
-        mark_down(&traffic, &state);
-        break;
     }
     state.is_watched.set(false);
 }
@@ -298,8 +320,8 @@
         service: first.maker.service.to_string(),
         results: ids.collect(),
     };
-    let reply = traffic.work.peers.call(peer, &request, RELEASE_LIMIT).await;
-    matches!(reply, Ok(WorkReply::Noted))
+    let reply = call_peer(traffic, peer, &request, RELEASE_LIMIT).await;
+    reply == Some(WorkReply::Noted)
 }
 
 /// Serves other nodes' work for as long as the node runs.
@@ -329,6 +351,11 @@
     match request {
         WorkRequest::Alive => WorkReply::Noted,
         WorkRequest::Pieces(ask) => answer_pieces(&traffic, ask).await,
+        WorkRequest::Place(ask) => answer_place(&traffic, ask),
+        WorkRequest::Progress { service, news } => {
+            answer_progress(&traffic, &service, &news);
+            WorkReply::Noted
+        }
         WorkRequest::Release { service, results } => {
             answer_release(&traffic, &service, results);
             WorkReply::Noted
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -144,6 +144,34 @@
 /// How the pieces of a call ended, in their order.
 pub type PieceReply = Vec<PieceReplyEnd>;
 
+/// A request to place at a model engine.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct PlaceAsk {
+    /// Service with the engines.
+    pub service: String,
+    /// Parts of the prompt with their lengths in tokens, the most shared one first.
+    pub parts: Vec<(u64, u64)>,
+    /// Length of the prompt, in tokens.
+    pub prompt_tokens: u64,
+    /// Longest answer, in tokens.
+    pub answer_tokens: u64,
+    /// Bytes of its inputs in each hall.
+    pub inputs: Vec<(String, u64)>,
+    /// Targets that it was sent to before.
+    pub tried: Vec<String>,
+    /// Milliseconds until the request ends at the latest.
+    pub left_ms: u64,
+}
+
+/// What became of a placed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub enum RunNews {
+    /// Its prompt is read.
+    Begun(u64),
+    /// It ended.
+    Ended(u64),
+}
+
 /// A call from one traffic thread to another.
 #[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
 pub enum WorkRequest {
@@ -151,6 +179,15 @@
     Alive,
     /// Run these pieces.
     Pieces(PieceAsk),
+    /// Which engine should take this request?
+    Place(PlaceAsk),
+    /// What became of placed requests.
+    Progress {
+        /// Service with the engines.
+        service: String,
+        /// News in their order.
+        news: Vec<RunNews>,
+    },
     /// These results are no longer needed.
     Release {
         /// Service whose targets keep them.
@@ -163,10 +200,12 @@
 /// Answer of a traffic thread.
 #[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
 pub enum WorkReply {
-    /// To the question whether it is there, and to a release.
+    /// To the question whether it is there, to progress and to a release.
     Noted,
     /// To pieces.
     Pieces(PieceReply),
+    /// To a request to place: the engine and the number of the placement.
+    Placed(Option<(String, u64)>),
     /// The call was not understood, or the node can't do it.
     Refused,
 }
--- a/packages/turnford-wire/src/server.rs
+++ b/packages/turnford-wire/src/server.rs
@@ -51,7 +51,13 @@
         return;
     };
     while let Some(Ok((request, respond))) = connection.accept().await {
-        let answer = answer_call(request.into_body(), respond, given_up, refusal, handler.clone());
+        let answer = answer_call(
+            request.into_body(),
+            respond,
+            given_up,
+            refusal,
+            handler.clone(),
+        );
         executor.spawn(answer).detach();
     }
 }
