Put overdue pieces behind, use slow targets last, and find the store's return sooner

Change: due times leave room for later stages; slowness decays; late calls are offered to others instead of dropped; failed placements are told; short questions while the store is lost.

--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -22,6 +22,10 @@
 /// Pause after a target refused a call because it was full, before it is offered another.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
+/// Times that a target takes against the others over which it is used only where they have more
+/// than a round of calls to do.
+const SLOW_FACTOR: f64 = 1.8;
+
 /// Part of the room for results that is planned with, since their sizes are known roughly.
 const ROOM_PART: f64 = 0.85;
 
@@ -42,8 +46,8 @@
     pub deadline: Moment,
     /// When it should be done for the request to be in time.
     pub due: Moment,
-    /// Rank of the request; 0 goes first.
-    pub rank: ClassRank,
+    /// Ranks of the request, the one of its account before that of its route; 0 goes first.
+    pub ranks: (ClassRank, ClassRank),
     /// Size of its result, in bytes.
     pub result_bytes: u64,
     /// Hall in which it should run, near what it needs or what needs it.
@@ -191,9 +195,11 @@
     ) -> (Vec<BatchPlan>, Vec<PieceTicket>) {
         let late = self.take_late(now);
         let mut plans = Vec::new();
+        let span = self.spec.call_span;
         self.waiting.sort_by_key(|piece| {
-            let is_overdue = piece.work.due <= now;
-            (is_overdue, piece.work.rank, piece.work.due, piece.ticket)
+            // What can't be in time any more goes behind what can.
+            let is_overdue = piece.work.due < now + span;
+            (is_overdue, piece.work.ranks, piece.work.due, piece.ticket)
         });
         let mut free = self.free_targets(now, board, targets);
         // Pieces that belong near a free target take it first.
@@ -281,8 +287,17 @@
             });
             has_place && !target.leaving && !board.is_paused(now, &target.id)
         };
-        let mut free: Vec<TargetSpec> = targets.iter().filter(is_free).cloned().collect();
-        let cost = |id: &TargetId| board.load(now, id) + board.slowness(id);
+        let slowness = |id: &TargetId| board.slowness(now, id);
+        let quick = targets
+            .iter()
+            .filter(|target| slowness(&target.id) < SLOW_FACTOR);
+        // A slow target helps only where the others would not come to a piece any sooner.
+        let round = quick.count() * self.spec.piece_limit;
+        let needs_slow = self.waiting.len() > round;
+        let is_useful = |target: &&TargetSpec| needs_slow || slowness(&target.id) < SLOW_FACTOR;
+        let free = targets.iter().filter(is_free).filter(is_useful);
+        let mut free: Vec<TargetSpec> = free.cloned().collect();
+        let cost = |id: &TargetId| board.load(now, id) + slowness(id);
         free.sort_by(|left, right| cost(&left.id).total_cmp(&cost(&right.id)));
         free
     }
--- a/packages/turnford-policy/src/route/board.rs
+++ b/packages/turnford-policy/src/route/board.rs
@@ -11,6 +11,12 @@
 /// Weight of the newest sample in averages of failures and times.
 const SAMPLE_WEIGHT: f64 = 0.25;
 
+/// Weight of the newest sample of slowness; two calls tell.
+const SLOWNESS_WEIGHT: f64 = 0.6;
+
+/// Time after which half of a measured slowness no longer counts.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(3);
+
 /// Time after which half of what a target told of its load no longer counts.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(400);
 
@@ -46,8 +52,8 @@
     /// Last load told, with the calls of this node that were under way then.
     mark: Option<(Moment, LoadMark, u32)>,
     failure: f64,
-    /// Average time of a call, where calls are of one size.
-    span: Option<f64>,
+    /// Average time of a call against what was expected of it, and when it was last measured.
+    slowness: Option<(f64, Moment)>,
     failures_in_row: u32,
     paused_until: Moment,
 }
@@ -59,7 +65,7 @@
             in_flight: 0,
             mark: None,
             failure: 0.0,
-            span: None,
+            slowness: None,
             failures_in_row: 0,
             paused_until: Moment::ZERO,
         }
@@ -184,16 +190,15 @@
         })
     }
 
-    /// Returns the average time of a target's calls against the median of all, 1 where unknown.
-    pub fn slowness(&self, id: &str) -> f64 {
-        let mut spans: Vec<f64> = self.entries.values().filter_map(|e| e.span).collect();
-        spans.sort_by(f64::total_cmp);
-        let median = spans.get(spans.len() / 2).copied();
-        let own = self.entries.get(id).and_then(|entry| entry.span);
-        match (own, median) {
-            (Some(own), Some(median)) if median > 0.0 => own / median,
-            _ => 1.0,
-        }
+    /// Returns the time of a target's calls against what is expected of them. What was measured
+    /// long ago counts less, so that a slow target is tried again.
+    pub fn slowness(&self, now: Moment, id: &str) -> f64 {
+        let measured = self.entries.get(id).and_then(|entry| entry.slowness);
+        let Some((slowness, at)) = measured else {
+            return 1.0;
+        };
+        let age = now.saturating_sub(at).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
+        1.0 + (slowness - 1.0).max(0.0) * 0.5_f64.powf(age)
     }
 
     /// Notes that a call of this node goes to a target.
@@ -217,18 +222,22 @@
         }
     }
 
-    /// Notes a call that went well, and its time where calls are of one size.
-    pub fn note_success(&mut self, id: &str, span: Option<Duration>) {
+    /// Notes a call that went well.
+    pub fn note_success(&mut self, id: &str) {
         let Some(entry) = self.entries.get_mut(id) else {
             return;
         };
         entry.failure *= 1.0 - SAMPLE_WEIGHT;
         entry.failures_in_row = 0;
         entry.paused_until = Moment::ZERO;
-        if let Some(span) = span {
-            let sample = span.as_secs_f64();
-            let old = entry.span.unwrap_or(sample);
-            entry.span = Some(old + SAMPLE_WEIGHT * (sample - old));
+    }
+
+    /// Notes the time of a call against what was expected of it; 1 is as expected.
+    pub fn note_slowness(&mut self, now: Moment, id: &str, sample: f64) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            let old = entry.slowness.map_or(sample, |(old, _)| old);
+            let new = old + SLOWNESS_WEIGHT * (sample - old);
+            entry.slowness = Some((new, now));
         }
     }
 
--- a/packages/turnford-policy/src/route/engine.rs
+++ b/packages/turnford-policy/src/route/engine.rs
@@ -246,6 +246,11 @@
         }
     }
 
+    /// Returns the target of a placed request.
+    pub fn target_of(&self, ticket: RunTicket) -> Option<&TargetId> {
+        self.runs.get(&ticket).map(|run| &run.target)
+    }
+
     /// Notes that a placed request ended, however it did.
     pub fn note_ended(&mut self, now: Moment, ticket: RunTicket) {
         self.note_begun(now, ticket);
--- a/packages/turnford-serve/src/control/follow.rs
+++ b/packages/turnford-serve/src/control/follow.rs
@@ -15,7 +15,7 @@
 
 /// Longest wait of one watch. A watch whose answer was lost is found out by its end, so it is well
 /// below the time in which a change must be in force after a cut.
-const WATCH_SPAN: Duration = Duration::from_secs(4);
+const WATCH_SPAN: Duration = Duration::from_secs(3);
 
 /// Longest time for a list.
 const LIST_LIMIT: Duration = Duration::from_millis(1500);
@@ -60,7 +60,9 @@
         let from = cell.get();
         let heard = match from {
             None => list_kind(&context, kind).await,
-            Some(revision) => watch_kind(&context, kind, revision).await,
+            // While the store is away, short questions find its return.
+            Some(revision) if is_lost => watch_kind(&context, kind, revision, Duration::ZERO).await,
+            Some(revision) => watch_kind(&context, kind, revision, WATCH_SPAN).await,
         };
         let calls = context.store.calls();
         context.shared.metrics.store_calls.set(calls);
@@ -103,7 +105,8 @@
     context: &ControlContext,
     kind: &str,
     revision: u64,
+    wait: Duration,
 ) -> Result<(StoreNews, u64), StoreFault> {
-    let (events, revision) = context.store.watch(kind, revision, WATCH_SPAN).await?;
+    let (events, revision) = context.store.watch(kind, revision, wait).await?;
     Ok((StoreNews::Events(events, revision), revision))
 }
--- a/packages/turnford-serve/src/control/targets.rs
+++ b/packages/turnford-serve/src/control/targets.rs
@@ -27,6 +27,10 @@
 /// From the users' letter: about two seconds.
 const RETURN_SPAN: Duration = Duration::from_millis(2200);
 
+/// Least time that the store is away for entries to lapse: three missed heartbeats make one lapse,
+/// the last of which may have been before.
+const LAPSE_SPAN: Duration = Duration::from_millis(1500);
+
 /// Pause between looks for lapsed targets that did not return.
 const LAPSE_PAUSE: Duration = Duration::from_millis(200);
 
@@ -36,6 +40,8 @@
     targets: BTreeMap<TargetId, TargetSpec>,
     /// Targets whose entries were missing after the store's return, and when they count as gone.
     lapsed: BTreeMap<TargetId, Moment>,
+    /// When the store was lost last.
+    lost_at: Moment,
     /// Until when a missing entry may only have lapsed.
     returning_until: Moment,
     /// Revision of the store up to which changes are known.
@@ -157,10 +163,16 @@
         match news {
             StoreNews::List(objects) => list.take_list(now, &objects),
             StoreNews::Events(events, revision) => list.take_events(now, &events, revision),
-            StoreNews::Lost => heard.are_targets_lost.set(true),
+            StoreNews::Lost => {
+                if !heard.are_targets_lost.replace(true) {
+                    list.lost_at = now;
+                }
+            }
             StoreNews::Regained => {
                 heard.are_targets_lost.set(false);
-                list.returning_until = now + RETURN_SPAN;
+                if now.saturating_sub(list.lost_at) >= LAPSE_SPAN {
+                    list.returning_until = now + RETURN_SPAN;
+                }
             }
         }
         drop(list);
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -35,8 +35,9 @@
 /// answer; those seen are a few kilobytes.
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 
-/// Most targets that a request looks at without reaching one.
-const UNREACHED_LIMIT: usize = 4;
+/// Most targets that a request looks at without reaching one: more than are down together in
+/// ordinary times.
+const UNREACHED_LIMIT: usize = 8;
 
 /// Time to come back after a refusal by which a failed target has been replaced or has recovered.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -102,6 +103,9 @@
                 }
             }
             Err(fault) => {
+                if !matches!(fault, CallFault::NotRun(StatusCode::CONFLICT)) {
+                    placed.note_refused();
+                }
                 if let Some(end) = note_fault(traffic, job, &mut log, &target, &fault) {
                     return end;
                 }
@@ -181,7 +185,7 @@
     record.note(format_args!("answer {status}"));
     let is_stream = record.route.kind == CallKind::Stream && status.is_success();
     if is_stream {
-        job.desk.board.borrow_mut().note_success(&target.id, None);
+        job.desk.board.borrow_mut().note_success(&target.id);
         let answer = relay_stream(traffic, job.record, placed, answer);
         return Some(ForwardEnd::Answer(answer));
     }
@@ -197,7 +201,7 @@
             return None;
         }
     } else {
-        job.desk.board.borrow_mut().note_success(&target.id, None);
+        job.desk.board.borrow_mut().note_success(&target.id);
     }
     record.note_head();
     record.end(passed_code(traffic, job, status), "");
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -181,7 +181,7 @@
     stop: impl Future<Output = ()>,
 ) {
     let executor = Rc::new(LocalExecutor::new());
-    let traffic = Traffic::new(executor.clone(), shared);
+    let traffic = Traffic::new(executor.clone(), shared, closing.clone());
     executor
         .spawn(follow_changes(traffic.clone(), changed))
         .detach();
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -34,9 +34,8 @@
 /// Longest body of an answer, in bytes.
 const ANSWER_LIMIT: usize = 256 * 1024;
 
-/// Full calls that may be before a call at a target: one that takes longer than its own time and
-/// that of so many others is given up.
-const PATIENCE_CALLS: u32 = 3;
+/// Times its expected span after which the pieces of a call are offered to other targets, too.
+const LATE_FACTOR: f64 = 2.5;
 
 /// Factor by which a result is taken to be larger once it found no room: sizes in the
 /// configuration are rough, and twice the size was seen.
@@ -77,6 +76,8 @@
         let Some(taker) = self.takers.borrow_mut().remove(&ticket) else {
             return Err(outcome);
         };
+        // It may have been offered to another target, too.
+        self.board.borrow_mut().withdraw(ticket);
         taker
             .try_send(outcome)
             .map_err(async_channel::TrySendError::into_inner)
@@ -261,14 +262,18 @@
     let count = plan.pieces.len();
     let metrics = &traffic.shared.metrics;
     metrics.note_service(&target.service, ServiceEvent::Batch);
-    let (span, full) = {
-        let board = cell.pieces.board.borrow();
-        (board.call_span(count), board.full_span())
-    };
-    let limit = (span + full * PATIENCE_CALLS).min(longest_wait(&plan, begun));
-    match call_pieces(cell, target, &plan, limit).await {
+    let span = cell.pieces.board.borrow().call_span(count);
+    let limit = longest_wait(&plan, begun);
+    let call = call_pieces(cell, target, &plan, limit);
+    let offered = offer_again(cell, target, &plan, span);
+    let ended = call.or(async {
+        offered.await;
+        std::future::pending().await
+    });
+    match ended.await {
         Ok(ends) => {
             let took = traffic.shared.now().saturating_sub(begun);
+            cell.desk.board.borrow_mut().note_success(&target.id);
             note_speed(cell, target, took, span);
             let made = made_results(&plan, &ends);
             cell.end_pieces(target, plan, ends);
@@ -281,12 +286,25 @@
     }
 }
 
+/// Offers the pieces of a call that takes too long to other targets; the first result counts.
+async fn offer_again(cell: &PieceCell, target: &TargetSpec, plan: &BatchPlan, span: Duration) {
+    Timer::after(span.mul_f64(LATE_FACTOR)).await;
+    log::info!(
+        "target={} pieces={} late, offered to others",
+        target.id,
+        plan.pieces.len()
+    );
+    note_speed(cell, target, span.mul_f64(LATE_FACTOR), span);
+    cell.give_back(plan.clone(), "no result in time", true);
+    cell.pump();
+}
+
 /// Notes how a call's time was against what the configuration says.
 fn note_speed(cell: &PieceCell, target: &TargetSpec, took: Duration, span: Duration) {
-    let part = took.as_secs_f64() / span.as_secs_f64().max(0.001);
-    let relative = Duration::from_secs_f64(part.min(100.0));
+    let now = cell.traffic.shared.now();
+    let sample = took.as_secs_f64() / span.as_secs_f64().max(0.001);
     let mut board = cell.desk.board.borrow_mut();
-    board.note_success(&target.id, Some(relative));
+    board.note_slowness(now, &target.id, sample);
 }
 
 fn made_results(plan: &BatchPlan, ends: &[PieceEnd]) -> Vec<(String, u64)> {
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -68,6 +68,13 @@
             run.tell(RunNews::Begun(run.ticket));
         }
     }
+
+    /// Notes that the target could not be reached or did not take the request.
+    pub(crate) fn note_refused(&self) {
+        if let Some(run) = &self.run {
+            run.tell(RunNews::Refused(run.ticket));
+        }
+    }
 }
 
 impl EngineRun {
@@ -254,6 +261,11 @@
     let mut engines = desk.engines.borrow_mut();
     match news {
         RunNews::Begun(ticket) => engines.note_begun(now, ticket),
+        RunNews::Refused(ticket) => {
+            if let Some(target) = engines.target_of(ticket) {
+                desk.board.borrow_mut().note_refused(now, target);
+            }
+        }
         RunNews::Ended(ticket) => engines.note_ended(now, ticket),
     }
 }
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -16,6 +16,7 @@
 
 use turnford_adapter::decode_call;
 use turnford_policy::CallFacts;
+use turnford_policy::Moment;
 use turnford_policy::ResultCode;
 use turnford_policy::RouteSpec;
 
@@ -36,6 +37,9 @@
 /// Times that the stages of a request run when their results are gone before they are used.
 const STAGE_ROUNDS: u32 = 2;
 
+/// Part of a request's time in which its stages must be done, if its goal is not longer.
+const STAGE_PART: f64 = 0.45;
+
 /// Time to come back to a node that has no configuration yet.
 const NOT_READY_SPAN: Duration = Duration::from_millis(500);
 
@@ -190,11 +194,18 @@
     };
     *record.planned_hall.borrow_mut() = plan_hall(&desk, &record.facts.parts);
     for _ in 0..STAGE_ROUNDS {
+        let left = stage_deadline(record).saturating_sub(traffic.shared.now());
         let late = async {
-            Timer::after(record.left()).await;
-            Err(StageFault::Failed("the deadline passed"))
+            Timer::after(left).await;
+            Err(StageFault::Failed("the stages took too long"))
+        };
+        let stopped = async {
+            // Nothing is ever sent; the channel's end is the word.
+            let _ = traffic.closing.recv().await;
+            Err(StageFault::Failed("the node stops"))
         };
-        let results = match run_stages(traffic, record).or(late).await {
+        let stages = run_stages(traffic, record);
+        let results = match stages.or(late).or(stopped).await {
             Ok(results) => results,
             Err(StageFault::InputGone) => {
                 record.note(format_args!("a result was gone"));
@@ -220,6 +231,15 @@
     refuse_admitted(record, ResultCode::Shed, "results of stages were gone")
 }
 
+/// Returns when the stages of a request must be done. A request that has used up half of its time
+/// by then is better off with a second try, elsewhere or later, than with a late refusal.
+fn stage_deadline(record: &RequestRecord) -> Moment {
+    let patience = record.deadline.saturating_sub(record.begun);
+    let half = patience.mul_f64(STAGE_PART);
+    let goal = record.route.goal;
+    record.begun + half.max(goal).min(patience)
+}
+
 /// Refuses a request that has not run and never will.
 fn refuse_admitted(record: &RequestRecord, code: ResultCode, reason: &str) -> Response<AnswerBody> {
     record.end(code, reason);
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -8,6 +8,7 @@
 use async_executor::Task;
 
 use turnford_policy::cell_of_hall;
+use turnford_policy::Moment;
 use turnford_policy::PieceWork;
 use turnford_policy::StageGraph;
 
@@ -27,6 +28,12 @@
 /// A megabyte across is priced like a small part of a request's worth.
 const HALL_PATIENCE: Duration = Duration::from_millis(80);
 
+/// Time that the request's own call takes until its first answer, at least.
+const LAST_SPAN: Duration = Duration::from_millis(250);
+
+/// Factor on the least time of what comes after a stage, for its waits.
+const LATER_FACTOR: f64 = 1.4;
+
 /// Longest time that a piece waits for a target near its bytes.
 const LONGEST_PATIENCE: Duration = Duration::from_millis(300);
 
@@ -127,7 +134,7 @@
             let is_due = graph.inputs(stage).iter().all(|&before| done[before]);
             if graph.count(stage) > 0 && is_due && !begun[stage] {
                 begun[stage] = true;
-                let needs = stage_needs(record, &graph, &held, stage);
+                let needs = stage_needs(traffic, record, &graph, &held, stage);
                 tasks.push(start_stage(traffic, record, needs, &ends));
             }
         }
@@ -161,6 +168,7 @@
 
 /// Finds what a stage's pieces need, and the hall that most of their bytes come from or go to.
 fn stage_needs(
+    traffic: &Traffic,
     record: &RequestRecord,
     graph: &StageGraph,
     held: &HeldResults,
@@ -180,15 +188,38 @@
         let bytes = inputs.iter().map(|&before| size(before)).sum();
         (held.main_hall(inputs), bytes)
     };
+    let later = later_span(traffic, record, graph, stage).mul_f64(LATER_FACTOR);
+    let due = record.begun + record.route.goal.saturating_sub(later);
     StageNeeds {
         stage,
         count,
+        due,
         inputs: Arc::from(held.handles(inputs)),
         hall,
         bytes,
     }
 }
 
+/// Returns the time that what comes after a stage takes at least.
+fn later_span(
+    traffic: &Traffic,
+    record: &RequestRecord,
+    graph: &StageGraph,
+    stage: usize,
+) -> Duration {
+    let users = graph.users(stage);
+    let spans = users.map(|user| {
+        let service = &record.route.stages[user].service;
+        let spec = traffic.desk(service).map(|desk| desk.spec.borrow().clone());
+        let batch = spec.and_then(|spec| spec.batch.clone());
+        let own = batch.map_or(Duration::ZERO, |batch| {
+            batch.call_span + batch.piece_span * graph.count(user)
+        });
+        own + later_span(traffic, record, graph, user)
+    });
+    spans.max().unwrap_or(LAST_SPAN)
+}
+
 fn start_stage(
     traffic: &Rc<Traffic>,
     record: &Rc<RequestRecord>,
@@ -214,6 +245,8 @@
     hall: Option<Arc<str>>,
     /// Bytes that cross halls where they run elsewhere.
     bytes: u64,
+    /// When they should be done for the request to be in time.
+    due: Moment,
 }
 
 async fn run_stage(
@@ -296,8 +329,8 @@
         key: key.map(Arc::from),
         inputs: needs.inputs.clone(),
         deadline: record.deadline,
-        due: record.begun + record.route.goal,
-        rank: record.rank,
+        due: needs.due,
+        ranks: (record.rank, record.route.rank),
         result_bytes: record.route.stages[needs.stage].result_bytes,
         hall: needs.hall.clone(),
         hall_until: now + patience.min(LONGEST_PATIENCE),
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -37,12 +37,18 @@
     pub(crate) releaser: ResultReleaser,
     pub(crate) work: WorkClient,
     pub(crate) progress: ProgressQueue,
+    /// Ends when the node is about to end.
+    pub(crate) closing: Receiver<()>,
     desks: RefCell<HashMap<ServiceId, Rc<ServiceDesk>>>,
     rng: RefCell<SmallRng>,
 }
 
 impl Traffic {
-    pub(crate) fn new(executor: Rc<LocalExecutor<'static>>, shared: Arc<ServeShared>) -> Rc<Self> {
+    pub(crate) fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        shared: Arc<ServeShared>,
+        closing: Receiver<()>,
+    ) -> Rc<Self> {
         let work = WorkClient::new(executor.clone());
         Rc::new(Self {
             executor,
@@ -51,6 +57,7 @@
             releaser: ResultReleaser::default(),
             work,
             progress: ProgressQueue::default(),
+            closing,
             desks: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
         })
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -115,8 +115,8 @@
     pub left_ms: u64,
     /// Milliseconds until they should be done.
     pub due_ms: u64,
-    /// Rank of the request; 0 goes first.
-    pub rank: u8,
+    /// Ranks of the request, the one of its account before that of its route; 0 goes first.
+    pub ranks: (u8, u8),
     /// Size of a result, in bytes.
     pub result_bytes: u64,
     /// Hall in which they should run.
@@ -168,6 +168,8 @@
 pub enum RunNews {
     /// Its prompt is read.
     Begun(u64),
+    /// Its engine could not be reached or did not take it.
+    Refused(u64),
     /// It ended.
     Ended(u64),
 }
