Refuse at the beginning what the queues of its stages would make late

Cause: On atma the stage 'billing' has 95% of its work in ordinary traffic; requests ran their first stages and were then dropped in its queue. Change: Gathering nodes tell the wait of each rank; a request whose stages would take longer than its goal is refused at once, with the time by which the queue is shorter.

--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -81,6 +81,7 @@
 pub use route::StageSpec;
 pub use route::TargetBoard;
 pub use route::TargetSpec;
+pub use route::RANK_COUNT;
 pub use routing::RoutingPolicy;
 pub use target::LoadReport;
 pub use target::TargetFacts;
--- a/packages/turnford-policy/src/route.rs
+++ b/packages/turnford-policy/src/route.rs
@@ -21,6 +21,7 @@
 pub use batch::BatchPlan;
 pub use batch::PieceTicket;
 pub use batch::PieceWork;
+pub use batch::RANK_COUNT;
 pub use board::BoardChoice;
 pub use board::LoadMark;
 pub use board::TargetBoard;
--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -19,6 +19,9 @@
 /// Number of a piece on the board.
 pub type PieceTicket = u64;
 
+/// Account ranks that waits are told for.
+pub const RANK_COUNT: usize = 4;
+
 /// Pause after a target refused a call because it was full, before it is offered another.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
@@ -162,17 +165,32 @@
         self.call_span(self.spec.piece_limit)
     }
 
-    /// Returns the time until new pieces would be done, with all that waits before them.
-    pub fn expected_span(&self, now: Moment, targets: usize, pieces: usize) -> Duration {
-        let targets = targets.max(1);
-        let ahead = self.waiting.len() + pieces;
-        let limit = self.spec.piece_limit.max(1);
-        let calls = ahead.div_ceil(limit);
-        let rounds = calls.div_ceil(targets);
-        let full = self.full_span();
-        let last = self.call_span(ahead.min(limit));
-        let rounds = u32::try_from(rounds.saturating_sub(1)).unwrap_or(u32::MAX);
-        self.first_free(now, targets) + full * rounds + last
+    /// Returns the time that new pieces of each account rank would wait for their call at these
+    /// targets; the last rank stands for all below it.
+    pub fn expected_waits(
+        &self,
+        now: Moment,
+        board: &TargetBoard,
+        targets: &[TargetSpec],
+    ) -> [Duration; RANK_COUNT] {
+        let full = self.full_span().as_secs_f64().max(0.001);
+        let limit = self.spec.piece_limit.max(1) as f64;
+        let open = targets.iter().filter(|target| !target.leaving);
+        let awake = open.filter(|target| !board.is_paused(now, &target.id));
+        let rates = awake.map(|target| limit / full / board.slowness(now, &target.id));
+        let rate: f64 = rates.sum::<f64>().max(1.0 / full);
+        let first = self.first_free(now, targets.len()).as_secs_f64();
+        let mut waits = [Duration::ZERO; RANK_COUNT];
+        for (rank, wait) in waits.iter_mut().enumerate() {
+            let is_last = rank + 1 == RANK_COUNT;
+            let goes_before = |piece: &&QueuedPiece| {
+                let is_overdue = piece.work.due < now + self.spec.call_span;
+                !is_overdue && (is_last || usize::from(piece.work.ranks.0) <= rank)
+            };
+            let ahead = self.waiting.iter().filter(goes_before).count() as f64;
+            *wait = Duration::from_secs_f64(first + ahead / rate);
+        }
+        waits
     }
 
     /// Returns the time until a target is free.
--- a/packages/turnford-serve/src/desk.rs
+++ b/packages/turnford-serve/src/desk.rs
@@ -1,19 +1,26 @@
 //! One service as the traffic thread has it: its targets, what was learned of them, and what waits.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use turnford_policy::split_cells;
 use turnford_policy::EngineBoard;
+use turnford_policy::Moment;
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceSpec;
 use turnford_policy::TargetBoard;
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
+use turnford_policy::RANK_COUNT;
 
 use crate::pieces::PieceDesk;
 
+/// Time after which half of a told wait no longer counts: queues change within a call or two.
+const WAIT_HALF_LIFE: Duration = Duration::from_millis(500);
+
 /// A service.
 pub(crate) struct ServiceDesk {
     pub(crate) spec: RefCell<Arc<ServiceSpec>>,
@@ -23,6 +30,14 @@
     pub(crate) allowance: RefCell<RetryAllowance>,
     /// Cells of the targets, where the service runs pieces of stages.
     pub(crate) cells: RefCell<Vec<Rc<PieceDesk>>>,
+    /// Waits that the gathering nodes told, by cell.
+    waits: RefCell<HashMap<usize, ToldWaits>>,
+}
+
+/// Time that new pieces of each account rank would wait, as another node told it.
+struct ToldWaits {
+    at: Moment,
+    waits: [Duration; RANK_COUNT],
 }
 
 impl ServiceDesk {
@@ -33,6 +48,7 @@
             engines: RefCell::default(),
             allowance: RefCell::new(allowance),
             cells: RefCell::default(),
+            waits: RefCell::default(),
         })
     }
 
@@ -73,6 +89,37 @@
         split_cells(&open)
     }
 
+    /// Takes the waits that the gathering node of a cell told, in milliseconds.
+    pub(crate) fn note_waits(&self, now: Moment, cell: usize, told: &[u32]) {
+        let mut waits = [Duration::ZERO; RANK_COUNT];
+        for (wait, millis) in waits.iter_mut().zip(told) {
+            *wait = Duration::from_millis(u64::from(*millis));
+        }
+        let told = ToldWaits { at: now, waits };
+        self.waits.borrow_mut().insert(cell, told);
+    }
+
+    /// Returns the wait that was told for a rank; what was told long ago counts less.
+    pub(crate) fn told_wait(&self, now: Moment, cell: usize, rank: usize) -> Duration {
+        let waits = self.waits.borrow();
+        let Some(told) = waits.get(&cell) else {
+            return Duration::ZERO;
+        };
+        let age = now.saturating_sub(told.at).as_secs_f64() / WAIT_HALF_LIFE.as_secs_f64();
+        told.waits[rank].mul_f64(0.5_f64.powf(age))
+    }
+
+    /// Returns the waits in a cell that this node gathers for.
+    pub(crate) fn own_waits(&self, now: Moment, cell: usize) -> [Duration; RANK_COUNT] {
+        let Some(pieces) = self.cell(cell) else {
+            return [Duration::ZERO; RANK_COUNT];
+        };
+        let board = self.board.borrow();
+        let targets = pieces.targets.borrow();
+        let waiting = pieces.board.borrow();
+        waiting.expected_waits(now, &board, &targets)
+    }
+
     /// Returns a cell by its number.
     pub(crate) fn cell(&self, number: usize) -> Option<Rc<PieceDesk>> {
         let cells = self.cells.borrow();
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -30,6 +30,7 @@
 use crate::placement::plan_hall;
 use crate::record::RequestRecord;
 use crate::shared::RouteView;
+use crate::stages::expected_span;
 use crate::stages::run_stages;
 use crate::stages::StageFault;
 use crate::traffic::Traffic;
@@ -40,6 +41,10 @@
 /// Part of a request's time in which its stages must be done, if its goal is not longer.
 const STAGE_PART: f64 = 0.45;
 
+/// Part of a request's goal that what is expected of its stages may take. Beyond it the request would
+/// be late, and work on it would be missing where it is in time.
+const ADMIT_PART: f64 = 1.0;
+
 /// Time to come back to a node that has no configuration yet.
 const NOT_READY_SPAN: Duration = Duration::from_millis(500);
 
@@ -192,6 +197,20 @@
     let Some(desk) = desk else {
         return refuse_admitted(record, ResultCode::NoTarget, "the service is not known");
     };
+    let expected = expected_span(traffic, record);
+    if expected > record.route.goal.mul_f64(ADMIT_PART) {
+        let over = expected.saturating_sub(record.route.goal.mul_f64(ADMIT_PART));
+        let retry_after = over.max(RETRY_AFTER);
+        record.note(format_args!("expected {}ms", expected.as_millis()));
+        record.end(ResultCode::DeadlineTooShort, "the queues of its stages are too long");
+        return own_answer(
+            &record.facts.attempt,
+            ResultCode::DeadlineTooShort,
+            RanState::No,
+            "the queues of its stages are too long",
+            Some(retry_after),
+        );
+    }
     *record.planned_hall.borrow_mut() = plan_hall(&desk, &record.facts.parts);
     for _ in 0..STAGE_ROUNDS {
         let left = stage_deadline(record).saturating_sub(traffic.shared.now());
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -18,6 +18,7 @@
 use crate::release::release_results;
 use crate::release::PieceResult;
 use crate::traffic::Traffic;
+use crate::work::expected_wait;
 use crate::work::run_pieces;
 use crate::work::CellPlace;
 
@@ -156,6 +157,48 @@
     })
 }
 
+/// Returns the time that all stages of a request and its own call would take, as far as is known
+/// of the queues; zero for a request without stages.
+pub(crate) fn expected_span(traffic: &Traffic, record: &RequestRecord) -> Duration {
+    let graph = StageGraph::new(&record.route.stages, |stage| record.facts.piece_count(stage));
+    let mut ends = vec![Duration::ZERO; graph.len()];
+    let mut last = Duration::ZERO;
+    for stage in (0..graph.len()).filter(|&stage| graph.count(stage) > 0) {
+        let inputs = graph.inputs(stage).iter().map(|&before| ends[before]);
+        let begin = inputs.max().unwrap_or(Duration::ZERO);
+        ends[stage] = begin + stage_span(traffic, record, &graph, stage);
+        last = last.max(ends[stage] + LAST_SPAN);
+    }
+    last
+}
+
+/// Returns the time that the pieces of a stage would wait and run.
+fn stage_span(
+    traffic: &Traffic,
+    record: &RequestRecord,
+    graph: &StageGraph,
+    stage: usize,
+) -> Duration {
+    let service = &record.route.stages[stage].service;
+    let Some(desk) = traffic.desk(service) else {
+        return Duration::ZERO;
+    };
+    let spec = desk.spec.borrow().clone();
+    let Some(batch) = &spec.batch else {
+        return Duration::ZERO;
+    };
+    let cells = desk.split().len();
+    let own = batch.call_span + batch.piece_span * graph.count(stage);
+    let waits = (0..cells).map(|number| {
+        let place = CellPlace {
+            desk: desk.clone(),
+            number,
+        };
+        expected_wait(traffic, &place, record.rank)
+    });
+    own + waits.min().unwrap_or(Duration::ZERO)
+}
+
 /// Gives up the results that every stage that needs them has used.
 fn give_up_used(graph: &StageGraph, done: &[bool], held: &mut HeldResults) {
     for stage in 0..graph.len() {
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -21,6 +21,7 @@
 use turnford_fleet::Duty;
 use turnford_policy::Moment;
 use turnford_policy::PieceWork;
+use turnford_policy::RANK_COUNT;
 use turnford_wire::serve_peer;
 use turnford_wire::GivenUpCall;
 use turnford_wire::PeerClient;
@@ -195,8 +196,10 @@
         None
     };
     match call.or(watch).await {
-        Some(Ok(WorkReply::Pieces(ends))) if ends.len() == works.len() => {
-            state.heard.set(traffic.shared.now());
+        Some(Ok(WorkReply::Pieces(ends, waits))) if ends.len() == works.len() => {
+            let now = traffic.shared.now();
+            state.heard.set(now);
+            place.desk.note_waits(now, place.number, &waits);
             let ends = ends.into_iter();
             Some(ends.map(|end| outcome_of(place, peer, end)).collect())
         }
@@ -381,7 +384,29 @@
         PieceOutcome::InputGone => PieceReplyEnd::InputGone,
         PieceOutcome::Failed(_) => PieceReplyEnd::Failed,
     });
-    WorkReply::Pieces(ends.collect())
+    WorkReply::Pieces(ends.collect(), told_waits(traffic, &place))
+}
+
+/// Returns the milliseconds that new pieces would wait at this node, by account rank.
+fn told_waits(traffic: &Traffic, place: &CellPlace) -> Vec<u32> {
+    let now = traffic.shared.now();
+    let waits = place.desk.own_waits(now, place.number);
+    let millis = waits.iter().map(|wait| wait.as_millis());
+    millis
+        .map(|millis| u32::try_from(millis).unwrap_or(u32::MAX))
+        .collect()
+}
+
+/// Returns the time that a new piece of an account rank would wait for its call, as far as known.
+pub(crate) fn expected_wait(traffic: &Traffic, place: &CellPlace, rank: u8) -> Duration {
+    let now = traffic.shared.now();
+    let service = place.desk.spec.borrow().name.to_string();
+    let duty = Duty::Gather(service, place.number);
+    let rank = usize::from(rank).min(RANK_COUNT - 1);
+    match doer_of(traffic, &duty) {
+        Some(_) => place.desk.told_wait(now, place.number, rank),
+        None => place.desk.own_waits(now, place.number)[rank],
+    }
 }
 
 fn asked_works(ask: &PieceAsk, now: Moment) -> Vec<PieceWork> {
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -204,8 +204,9 @@
 pub enum WorkReply {
     /// To the question whether it is there, to progress and to a release.
     Noted,
-    /// To pieces.
-    Pieces(PieceReply),
+    /// To pieces: their ends, and the milliseconds that new pieces of each account rank would
+    /// wait now.
+    Pieces(PieceReply, Vec<u32>),
     /// To a request to place: the engine and the number of the placement.
     Placed(Option<(String, u64)>),
     /// The call was not understood, or the node can't do it.
