Keep duties with settled nodes, hand pieces back at a stop, ask for others' room

Change: duties go to members that have run long enough; pieces not offered are handed back; reports tell room; a stopping node refuses what it can't finish; closing and ending are told apart.

--- a/packages/turnford-fleet/src/duty.rs
+++ b/packages/turnford-fleet/src/duty.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 use std::hash::Hasher;
+use std::time::Duration;
 
 use siphasher::sip::SipHasher13;
 
@@ -58,6 +59,19 @@
     ranked.into_iter().map(|(_, member)| member).collect()
 }
 
+/// Part of the longest-running member's age over which a member takes duties.
+const SETTLED_PART: f64 = 0.5;
+
+/// Age over which every member takes duties.
+const SETTLED_AGE: Duration = Duration::from_secs(60);
+
+/// Tells whether a member has run long enough to take duties whose doer has state to lose. While
+/// members are restarted one after the other, duties stay with those that have not been yet; where
+/// all are new, all take them.
+pub fn is_settled(age: Duration, longest: Duration) -> bool {
+    age >= SETTLED_AGE || age >= longest.mul_f64(SETTLED_PART)
+}
+
 fn weight(duty: &str, member: &str) -> u64 {
     let mut hasher = SipHasher13::new();
     hasher.write(duty.as_bytes());
--- a/packages/turnford-fleet/src/lib.rs
+++ b/packages/turnford-fleet/src/lib.rs
@@ -41,6 +41,7 @@
 pub use digest::ServiceLoad;
 pub use digest::TargetMark;
 pub use duty::group_account;
+pub use duty::is_settled;
 pub use duty::rank_members;
 pub use duty::Duty;
 pub use duty::GROUP_COUNT;
--- a/packages/turnford-fleet/src/member.rs
+++ b/packages/turnford-fleet/src/member.rs
@@ -60,6 +60,8 @@
     pub work: SocketAddr,
     /// Hall of the member.
     pub hall: String,
+    /// Start of its process, in milliseconds of the time of day.
+    pub started: u64,
     /// Number that only the member itself raises.
     pub incarnation: u64,
     /// State.
--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -25,6 +25,14 @@
 /// Pause after a target refused a call because it was full, before it is offered another.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
+/// Time after its last use for which a target is known without asking it: others use it only after
+/// this node has stopped gathering for it.
+const KNOWN_SPAN: Duration = Duration::from_secs(5);
+
+/// Time for which others' results are reckoned with after a target told of them. They are given up
+/// one by one; asking again is cheap.
+const FOREIGN_SPAN: Duration = Duration::from_millis(1500);
+
 /// Times that a target takes against the others over which it is used only where they have more
 /// than a round of calls to do.
 const SLOW_FACTOR: f64 = 1.8;
@@ -98,6 +106,16 @@
     /// Ends that the calls are expected to have, in the order of their start.
     ends: Vec<Moment>,
     paused_until: Moment,
+    /// Until when this board knows what the target holds; `None` before its first report.
+    known_until: Option<Moment>,
+    /// Whether a report is on its way.
+    is_asked: bool,
+}
+
+impl TargetCalls {
+    fn is_known(&self, now: Moment) -> bool {
+        !self.ends.is_empty() || self.known_until.is_some_and(|until| until > now)
+    }
 }
 
 /// The pieces that wait for one service's targets, and the calls under way.
@@ -149,6 +167,44 @@
         before != self.waiting.len()
     }
 
+    /// Takes all pieces out of the queue.
+    pub fn take_all(&mut self) -> Vec<PieceTicket> {
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting.into_iter().map(|piece| piece.ticket).collect()
+    }
+
+    /// Returns the targets whose report is needed before they get a call; each is returned once.
+    pub fn take_unknown(&mut self, now: Moment, targets: &[TargetSpec]) -> Vec<TargetSpec> {
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let mut unknown = Vec::new();
+        for target in targets.iter().filter(|target| !target.leaving) {
+            let calls = self.calls.entry(target.id.clone()).or_default();
+            if !calls.is_known(now) && !std::mem::replace(&mut calls.is_asked, true) {
+                unknown.push(target.clone());
+            }
+        }
+        unknown
+    }
+
+    /// Takes a target's own word on the bytes of room that it has left.
+    pub fn note_report(&mut self, now: Moment, target: &TargetId, free: u64) {
+        let calls = self.calls.entry(target.clone()).or_default();
+        calls.is_asked = false;
+        calls.known_until = Some(now + KNOWN_SPAN);
+        let taken = self.spec.result_room.saturating_sub(free);
+        let until = now + FOREIGN_SPAN;
+        self.room.note_taken(now, target, taken, until);
+    }
+
+    /// Has a target asked anew before its next call, since it holds more than is known.
+    pub fn forget_report(&mut self, target: &str) {
+        if let Some(calls) = self.calls.get_mut(target) {
+            calls.known_until = None;
+        }
+    }
+
     /// Returns the number of pieces that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -300,8 +356,9 @@
     ) -> Vec<TargetSpec> {
         let is_free = |target: &&TargetSpec| {
             let calls = self.calls.get(&target.id);
-            let has_place = calls.is_none_or(|calls| {
-                calls.ends.len() < self.spec.slots.max(1) && calls.paused_until <= now
+            let has_place = calls.is_some_and(|calls| {
+                let has_slot = calls.ends.len() < self.spec.slots.max(1);
+                has_slot && calls.paused_until <= now && calls.is_known(now)
             });
             has_place && !target.leaving && !board.is_paused(now, &target.id)
         };
@@ -356,6 +413,7 @@
         let end = now + self.call_span(taken.len());
         let calls = self.calls.entry(target.id.clone()).or_default();
         calls.ends.push(end);
+        calls.known_until = Some(end + KNOWN_SPAN);
         let plan = BatchPlan {
             target: target.id.clone(),
             pieces: taken,
--- a/packages/turnford-policy/src/route/room.rs
+++ b/packages/turnford-policy/src/route/room.rs
@@ -20,6 +20,8 @@
     reserved: HashMap<TargetId, u64>,
     /// Results by their handles.
     kept: HashMap<String, KeptResult>,
+    /// Bytes that others took, and until when that is believed.
+    foreign: HashMap<TargetId, (u64, Moment)>,
 }
 
 impl RoomLedger {
@@ -28,7 +30,19 @@
         let kept = self.kept.values();
         let kept = kept.filter(|result| result.target == *target && result.until > now);
         let kept: u64 = kept.map(|result| result.bytes).sum();
+        let foreign = self.foreign.get(target);
+        let foreign = foreign.filter(|(_, until)| *until > now);
         kept + self.reserved.get(target).copied().unwrap_or(0)
+            + foreign.map_or(0, |(bytes, _)| *bytes)
+    }
+
+    /// Notes the bytes that are taken at a target by its own word; what this ledger does not know
+    /// of is others'.
+    pub(crate) fn note_taken(&mut self, now: Moment, target: &TargetId, taken: u64, until: Moment) {
+        self.foreign.remove(target);
+        let own = self.used(now, target);
+        self.foreign
+            .insert(target.clone(), (taken.saturating_sub(own), until));
     }
 
     /// Sets room aside for a call.
@@ -64,6 +78,9 @@
     /// Forgets results that went by themselves; returns when the next one does.
     pub(crate) fn expire(&mut self, now: Moment) -> Option<Moment> {
         self.kept.retain(|_, result| result.until > now);
-        self.kept.values().map(|result| result.until).min()
+        self.foreign.retain(|_, (_, until)| *until > now);
+        let kept = self.kept.values().map(|result| result.until);
+        let foreign = self.foreign.values().map(|(_, until)| *until);
+        kept.chain(foreign).min()
     }
 }
--- a/packages/turnford-serve/src/control/context.rs
+++ b/packages/turnford-serve/src/control/context.rs
@@ -62,6 +62,7 @@
             address: settings.inner,
             work: settings.work,
             hall: settings.hall.to_string(),
+            started: shared.started,
             incarnation: 0,
             state: MemberState::Alive,
         };
--- a/packages/turnford-serve/src/control/members.rs
+++ b/packages/turnford-serve/src/control/members.rs
@@ -53,6 +53,9 @@
     /// Address for work.
     work: SocketAddr,
     hall: String,
+    /// Start of its process, in milliseconds of the time of day.
+    #[serde(default)]
+    started: u64,
 }
 
 /// Registers this node, finds the others, and probes them for as long as the node runs.
@@ -89,6 +92,7 @@
         .map(|record| FleetMember {
             name: Arc::from(record.update.name.as_str()),
             work: record.update.work,
+            started: record.update.started,
         })
         .collect();
     live.sort_by(|left, right| left.name.cmp(&right.name));
@@ -253,6 +257,7 @@
         inner: settings.inner,
         work: settings.work,
         hall: settings.hall.to_string(),
+        started: context.shared.started,
     };
     let spec =
         serde_json::to_value(&record).map_err(|error| StoreFault::Garbled(error.to_string()))?;
@@ -287,6 +292,7 @@
         address: record.inner,
         work: record.work,
         hall: record.hall,
+        started: record.started,
         incarnation: 0,
         state: MemberState::Alive,
     };
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
@@ -41,17 +43,16 @@
 /// two answers.
 const SETTLE_SPAN: Duration = Duration::from_millis(2500);
 
-/// Part of the grace time that is left for the last bytes and the process's own end.
-const EXIT_MARGIN: Duration = Duration::from_millis(600);
-
 /// Time in which the last answers reach their clients after idle connections were told to close.
 const FLUSH_SPAN: Duration = Duration::from_millis(100);
 
 /// A running node that serves routes.
 pub struct ServeNode {
     shared: Arc<ServeShared>,
-    /// Dropped to close the connections of clients after their answers.
+    /// Closed to close the connections of clients after their answers.
     closing: Sender<()>,
+    /// Closed to end requests that no target has.
+    ending: Sender<()>,
     /// Dropped to end the threads.
     stop: Sender<()>,
     threads: Vec<JoinHandle<()>>,
@@ -75,14 +76,17 @@
         let shared = Arc::new(ServeShared {
             settings,
             clock: Arc::new(SystemClock::new()),
+            started: time_of_day(),
             view: ArcSwap::from_pointee(RouteView::default()),
             changes,
             draining: AtomicBool::new(false),
+            stop_begun: AtomicU64::new(0),
             running: AtomicU64::new(0),
             metrics: ServeMetrics::new(),
         });
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let (closing, closed) = async_channel::bounded::<()>(1);
+        let (ending, ended) = async_channel::bounded::<()>(1);
         let control = {
             let shared = shared.clone();
             let stopped = stopped.clone();
@@ -94,7 +98,12 @@
             let shared = shared.clone();
             spawn_thread("traffic", move || {
                 let listeners = TrafficListeners { listener, work };
-                run_traffic(shared, listeners, changed, closed, wait_stop(stopped));
+                let signals = TrafficSignals {
+                    changed,
+                    closing: closed,
+                    ending: ended,
+                };
+                run_traffic(shared, listeners, signals, wait_stop(stopped));
             })?
         };
         log::info!(
@@ -106,6 +115,7 @@
         Ok(Self {
             shared,
             closing,
+            ending,
             stop,
             threads: vec![control, traffic],
         })
@@ -125,20 +135,25 @@
     /// returns how many requests still ran at the end of the grace time.
     pub async fn drain(&self) -> u64 {
         log::info!("stop begins: no new connections");
-        self.shared.draining.store(true, Ordering::SeqCst);
+        self.shared.begin_stop();
+        // The traffic thread hands its duties over; a full channel holds a wake-up already.
+        let _ = self.shared.changes.try_send(());
         let begun = self.shared.now();
-        let grace = self.shared.settings.stop_grace;
-        let latest = grace.saturating_sub(EXIT_MARGIN);
-        let settle = SETTLE_SPAN.min(latest);
+        let latest = self.shared.end_at().unwrap_or(begun);
+        let settled = (begun + SETTLE_SPAN).min(latest);
         loop {
             let running = self.shared.running.load(Ordering::SeqCst);
-            let waited = self.shared.now().saturating_sub(begun);
-            if waited >= latest || (running == 0 && waited >= settle) {
+            let now = self.shared.now();
+            if now >= settled {
+                // Idle connections close; the others do after their answers.
+                self.closing.close();
+            }
+            if now >= latest || (running == 0 && now >= settled) {
                 break;
             }
             Timer::after(DRAIN_PAUSE).await;
         }
-        self.closing.close();
+        self.ending.close();
         Timer::after(FLUSH_SPAN).await;
         self.shared.running.load(Ordering::SeqCst)
     }
@@ -155,6 +170,13 @@
     }
 }
 
+/// Returns the time of day in milliseconds; a clock before 1970 counts as 1970.
+fn time_of_day() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map_or(0, |since| since.as_millis());
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
 fn spawn_thread(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
     std::thread::Builder::new().name(name.to_owned()).spawn(run)
 }
@@ -172,18 +194,27 @@
     work: TcpListener,
 }
 
+/// What the traffic thread is told.
+struct TrafficSignals {
+    /// A message for each change of the view.
+    changed: Receiver<()>,
+    /// Ends when connections of clients are to close.
+    closing: Receiver<()>,
+    /// Ends when the process is about to end.
+    ending: Receiver<()>,
+}
+
 /// Serves clients and other nodes' work on this thread until `stop` ends.
 fn run_traffic(
     shared: Arc<ServeShared>,
     listeners: TrafficListeners,
-    changed: Receiver<()>,
-    closing: Receiver<()>,
+    signals: TrafficSignals,
     stop: impl Future<Output = ()>,
 ) {
     let executor = Rc::new(LocalExecutor::new());
-    let traffic = Traffic::new(executor.clone(), shared, closing.clone());
+    let traffic = Traffic::new(executor.clone(), shared, signals.ending);
     executor
-        .spawn(follow_changes(traffic.clone(), changed))
+        .spawn(follow_changes(traffic.clone(), signals.changed))
         .detach();
     executor.spawn(sweep_links(traffic.clone())).detach();
     executor
@@ -192,6 +223,7 @@
     let listener = listeners.listener;
     let head_limit = ClientLimits::default().head_bytes;
     let handler = move |request| handle_client(traffic.clone(), request);
+    let closing = signals.closing;
     let accept = accept_links(executor.clone(), listener, head_limit, closing, handler);
     executor.spawn(accept).detach();
     async_io::block_on(executor.run(stop));
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -12,9 +12,12 @@
 use futures_lite::FutureExt;
 
 use turnford_adapter::decode_pieces;
+use turnford_adapter::decode_report;
 use turnford_adapter::encode_pieces;
+use turnford_adapter::encode_report;
 use turnford_adapter::PieceEnd;
 use turnford_adapter::PieceOrder;
+use turnford_adapter::StageReport;
 use turnford_policy::BatchBoard;
 use turnford_policy::BatchPlan;
 use turnford_policy::BatchSpec;
@@ -41,6 +44,9 @@
 /// configuration are rough, and twice the size was seen.
 const LARGER_RESULT: u64 = 2;
 
+/// Longest wait for a target's report.
+const REPORT_LIMIT: Duration = Duration::from_millis(150);
+
 /// How a piece ended for the request that needs it.
 #[derive(Clone, Debug)]
 pub(crate) enum PieceOutcome {
@@ -50,6 +56,8 @@
     InputGone,
     /// It was not made; no target has it.
     Failed(&'static str),
+    /// It was not offered to any target, since the node stops gathering.
+    NotOffered,
 }
 
 /// The pieces that wait for the targets of one cell.
@@ -122,8 +130,10 @@
 impl PieceCell {
     /// Puts pieces into the queue.
     pub(crate) fn submit(&self, works: Vec<PieceWork>) -> Vec<PieceWait> {
+        let now = self.traffic.shared.now();
         let mut waits = Vec::with_capacity(works.len());
         for work in works {
+            self.desk.allowance.borrow_mut().note_first(now);
             let (taker, outcome) = async_channel::bounded(1);
             let ticket = self.pieces.board.borrow_mut().push(work);
             self.pieces.takers.borrow_mut().insert(ticket, taker);
@@ -137,9 +147,19 @@
         waits
     }
 
+    /// Gives all waiting pieces back to the nodes that asked for them.
+    pub(crate) fn hand_back(&self) {
+        let tickets = self.pieces.board.borrow_mut().take_all();
+        for ticket in tickets {
+            // A request that left needs no word.
+            let _ = self.pieces.tell(ticket, PieceOutcome::NotOffered);
+        }
+    }
+
     /// Makes the calls that can be made now.
     pub(crate) fn pump(&self) {
         let now = self.traffic.shared.now();
+        self.ask_unknown(now);
         let (plans, late) = {
             let board = self.desk.board.borrow();
             let targets = self.pieces.targets.borrow();
@@ -159,6 +179,19 @@
         self.schedule_look(now);
     }
 
+    /// Asks targets that this node did not use lately what others left there, before it uses them.
+    fn ask_unknown(&self, now: Moment) {
+        let unknown = {
+            let targets = self.pieces.targets.borrow();
+            let mut board = self.pieces.board.borrow_mut();
+            board.take_unknown(now, &targets)
+        };
+        for target in unknown {
+            let ask = ask_report(self.clone(), target);
+            self.traffic.executor.spawn(ask).detach();
+        }
+    }
+
     /// Looks again when a pause or a deadline ends.
     fn schedule_look(&self, now: Moment) {
         let look = self.pieces.board.borrow_mut().next_look(now);
@@ -181,7 +214,7 @@
     /// Tells the requests how their pieces ended.
     fn end_pieces(&self, target: &TargetSpec, plan: BatchPlan, ends: Vec<PieceEnd>) {
         for ((ticket, work), end) in plan.pieces.into_iter().zip(ends) {
-            if end == PieceEnd::NoRoom && self.wait_for_room(ticket, &work) {
+            if end == PieceEnd::NoRoom && self.wait_for_room(&target.id, ticket, &work) {
                 continue;
             }
             let outcome = match end {
@@ -202,12 +235,13 @@
     }
 
     /// Puts a piece back that found no room for its result, which is larger than expected.
-    fn wait_for_room(&self, ticket: PieceTicket, work: &PieceWork) -> bool {
+    fn wait_for_room(&self, target: &str, ticket: PieceTicket, work: &PieceWork) -> bool {
         let now = self.traffic.shared.now();
         let is_wanted = self.pieces.takers.borrow().contains_key(&ticket);
         if !is_wanted || !self.desk.allowance.borrow_mut().take(now) {
             return false;
         }
+        self.pieces.board.borrow_mut().forget_report(target);
         let larger = PieceWork {
             result_bytes: work.result_bytes * LARGER_RESULT,
             ..work.clone()
@@ -234,6 +268,41 @@
     }
 }
 
+/// Asks a target for its room, and takes what this node does not know of as taken by others.
+async fn ask_report(cell: PieceCell, target: TargetSpec) {
+    let report = read_report(&cell, &target).await;
+    let now = cell.traffic.shared.now();
+    match report {
+        Ok(report) => {
+            let mut board = cell.pieces.board.borrow_mut();
+            board.note_report(now, &target.id, report.free_bytes);
+        }
+        Err(reason) => {
+            log::info!("target={} gave no report: {reason}", target.id);
+            let mut board = cell.pieces.board.borrow_mut();
+            board.note_report(now, &target.id, u64::MAX);
+        }
+    }
+    cell.pump();
+}
+
+async fn read_report(cell: &PieceCell, target: &TargetSpec) -> Result<StageReport, String> {
+    let host = target.address.to_string();
+    let request = encode_report(&host, &target.id).map_err(|problem| problem.to_string())?;
+    let call = call_target(
+        &cell.traffic,
+        &cell.desk,
+        target,
+        request,
+        None,
+        REPORT_LIMIT,
+    );
+    let answer = call.await.map_err(|fault| format!("{fault:?}"))?;
+    let read = answer.collect(&cell.traffic, ANSWER_LIMIT).await;
+    let (_, body) = read.map_err(|fault| format!("{fault:?}"))?;
+    decode_report(&body).map_err(|problem| problem.to_string())
+}
+
 async fn run_batch(cell: PieceCell, plan: BatchPlan) {
     let id = plan.target.clone();
     let reserved = plan.result_bytes();
@@ -295,7 +364,14 @@
         plan.pieces.len()
     );
     note_speed(cell, target, span.mul_f64(LATE_FACTOR), span);
-    cell.give_back(plan.clone(), "no result in time", true);
+    let now = cell.traffic.shared.now();
+    for (ticket, work) in &plan.pieces {
+        let is_wanted = cell.pieces.takers.borrow().contains_key(ticket);
+        if is_wanted && cell.desk.allowance.borrow_mut().take(now) {
+            let mut board = cell.pieces.board.borrow_mut();
+            board.put_back(*ticket, work.clone());
+        }
+    }
     cell.pump();
 }
 
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -41,6 +41,9 @@
 /// Part of a request's time in which its stages must be done, if its goal is not longer.
 const STAGE_PART: f64 = 0.45;
 
+/// Time to come back from a node that stops: another one takes the request at once.
+const MOVE_SPAN: Duration = Duration::from_millis(20);
+
 /// Part of a request's goal that what is expected of its stages may take. Beyond it the request would
 /// be late, and work on it would be missing where it is in time.
 const ADMIT_PART: f64 = 1.0;
@@ -107,6 +110,11 @@
         let reason = "no or an unknown key";
         return Err(EarlyRefusal::new(ResultCode::UnknownAccount, reason));
     }
+    if !traffic.shared.can_finish(route.kind, route.timeout) {
+        let mut refusal = EarlyRefusal::new(ResultCode::Draining, "the node stops");
+        refusal.retry_after = Some(MOVE_SPAN);
+        return Err(refusal);
+    }
     let rank = grant.as_ref().and_then(|grant| grant.rank);
     let rank = rank.unwrap_or(route.rank);
     let account = grant.map(|grant| grant.account);
@@ -202,7 +210,10 @@
         let over = expected.saturating_sub(record.route.goal.mul_f64(ADMIT_PART));
         let retry_after = over.max(RETRY_AFTER);
         record.note(format_args!("expected {}ms", expected.as_millis()));
-        record.end(ResultCode::DeadlineTooShort, "the queues of its stages are too long");
+        record.end(
+            ResultCode::DeadlineTooShort,
+            "the queues of its stages are too long",
+        );
         return own_answer(
             &record.facts.attempt,
             ResultCode::DeadlineTooShort,
@@ -220,7 +231,7 @@
         };
         let stopped = async {
             // Nothing is ever sent; the channel's end is the word.
-            let _ = traffic.closing.recv().await;
+            let _ = traffic.ending.recv().await;
             Err(StageFault::Failed("the node stops"))
         };
         let stages = run_stages(traffic, record);
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -6,11 +6,13 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
 
 use turnford_config::ServeSettings;
+use turnford_policy::CallKind;
 use turnford_policy::Clock;
 use turnford_policy::Moment;
 use turnford_policy::RouteConfig;
@@ -30,8 +32,17 @@
     pub(crate) name: Arc<str>,
     /// Address for work.
     pub(crate) work: SocketAddr,
+    /// Start of its process, in milliseconds of the time of day.
+    pub(crate) started: u64,
 }
 
+/// Part of the grace time that is left for the last bytes and the process's own end.
+const EXIT_MARGIN: Duration = Duration::from_millis(600);
+
+/// Time that most streams take with their stages. A stream that comes when less is left of the grace
+/// time goes to another node.
+const LONG_SPAN: Duration = Duration::from_millis(4500);
+
 /// What the control thread knows, as the traffic thread reads it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RouteView {
@@ -60,10 +71,14 @@
 pub(crate) struct ServeShared {
     pub(crate) settings: ServeSettings,
     pub(crate) clock: Arc<dyn Clock>,
+    /// Start of this process, in milliseconds of the time of day.
+    pub(crate) started: u64,
     pub(crate) view: ArcSwap<RouteView>,
     /// Wakes the traffic thread after a change of the view.
     pub(crate) changes: Sender<()>,
     pub(crate) draining: AtomicBool,
+    /// When the stop began, in milliseconds of the node's clock; 0 before.
+    pub(crate) stop_begun: AtomicU64,
     /// Requests under way.
     pub(crate) running: AtomicU64,
     pub(crate) metrics: ServeMetrics,
@@ -74,10 +89,44 @@
         self.clock.now()
     }
 
+    /// Returns the time since a moment of the time of day, which is near enough on all nodes; steps
+    /// of this VM's clock since its start don't count.
+    pub(crate) fn age_of(&self, started: u64) -> Duration {
+        let now = Duration::from_millis(self.started) + self.now();
+        now.saturating_sub(Duration::from_millis(started))
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// Begins the stop.
+    pub(crate) fn begin_stop(&self) {
+        let now = u64::try_from(self.now().as_millis()).unwrap_or(u64::MAX);
+        self.stop_begun.store(now.max(1), Ordering::SeqCst);
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns when the process ends at the latest, `None` while it is not stopping.
+    pub(crate) fn end_at(&self) -> Option<Moment> {
+        let begun = self.stop_begun.load(Ordering::SeqCst);
+        let begun = (begun > 0).then(|| Duration::from_millis(begun))?;
+        Some(begun + self.settings.stop_grace.saturating_sub(EXIT_MARGIN))
+    }
+
+    /// Tells whether a new request of a kind can be finished before the process ends.
+    pub(crate) fn can_finish(&self, kind: CallKind, timeout: Duration) -> bool {
+        let Some(end) = self.end_at() else {
+            return true;
+        };
+        let span = if kind == CallKind::Stream {
+            LONG_SPAN
+        } else {
+            timeout
+        };
+        self.now() + span.min(LONG_SPAN) <= end
+    }
+
     /// Tells whether new connections should come to this node.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining() && self.view.load().is_complete()
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -6,6 +6,7 @@
 
 use async_channel::Sender;
 use async_executor::Task;
+use async_io::Timer;
 
 use turnford_policy::cell_of_hall;
 use turnford_policy::Moment;
@@ -25,6 +26,9 @@
 /// Most times that one piece is made anew after a failure.
 const PIECE_TRIES: u32 = 2;
 
+/// Pause before pieces that were handed back are handed to another node.
+const MOVE_PAUSE: Duration = Duration::from_millis(10);
+
 /// Time that a piece waits for a target near its bytes, for each megabyte that would cross halls.
 /// A megabyte across is priced like a small part of a request's worth.
 const HALL_PATIENCE: Duration = Duration::from_millis(80);
@@ -160,7 +164,9 @@
 /// Returns the time that all stages of a request and its own call would take, as far as is known
 /// of the queues; zero for a request without stages.
 pub(crate) fn expected_span(traffic: &Traffic, record: &RequestRecord) -> Duration {
-    let graph = StageGraph::new(&record.route.stages, |stage| record.facts.piece_count(stage));
+    let graph = StageGraph::new(&record.route.stages, |stage| {
+        record.facts.piece_count(stage)
+    });
     let mut ends = vec![Duration::ZERO; graph.len()];
     let mut last = Duration::ZERO;
     for stage in (0..graph.len()).filter(|&stage| graph.count(stage) > 0) {
@@ -304,15 +310,14 @@
     let mut missing: Vec<u32> = (0..needs.count).collect();
     let mut results = HeldResults::new(&traffic, 1);
     let mut made: Vec<Option<PieceResult>> = vec![None; missing.len()];
-    for round in 0..=PIECE_TRIES {
-        if round > 0 && !may_repeat(&traffic, &record, &place, missing.len()) {
-            break;
-        }
+    let mut failures = 0;
+    loop {
         let works = missing.iter();
         let works = works.map(|&piece| piece_work(&traffic, &record, &needs, piece));
         let works: Vec<PieceWork> = works.collect();
         let outcomes = run_pieces(&traffic, &place, &works).await;
         let pieces = std::mem::take(&mut missing);
+        let mut offered = 0;
         for (piece, outcome) in pieces.into_iter().zip(outcomes) {
             match outcome {
                 PieceOutcome::Made(result) => {
@@ -325,16 +330,26 @@
                         "stage {} piece {piece}: {reason}",
                         needs.stage
                     ));
+                    offered += 1;
                     missing.push(piece);
                 }
+                PieceOutcome::NotOffered => missing.push(piece),
             }
         }
         if missing.is_empty() {
             results.stages[0].clear();
             return Ok(made.into_iter().flatten().collect());
         }
+        if offered == 0 {
+            // The node that gathered stops; the others learn of it meanwhile.
+            Timer::after(MOVE_PAUSE).await;
+            continue;
+        }
+        failures += 1;
+        if failures > PIECE_TRIES || !may_repeat(&traffic, &record, &place, offered) {
+            return Err(StageFault::Failed("a piece was not made"));
+        }
     }
-    Err(StageFault::Failed("a piece was not made"))
 }
 
 /// Chooses the cell near a hall, or any.
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -38,7 +38,7 @@
     pub(crate) work: WorkClient,
     pub(crate) progress: ProgressQueue,
     /// Ends when the node is about to end.
-    pub(crate) closing: Receiver<()>,
+    pub(crate) ending: Receiver<()>,
     desks: RefCell<HashMap<ServiceId, Rc<ServiceDesk>>>,
     rng: RefCell<SmallRng>,
 }
@@ -47,7 +47,7 @@
     pub(crate) fn new(
         executor: Rc<LocalExecutor<'static>>,
         shared: Arc<ServeShared>,
-        closing: Receiver<()>,
+        ending: Receiver<()>,
     ) -> Rc<Self> {
         let work = WorkClient::new(executor.clone());
         Rc::new(Self {
@@ -57,7 +57,7 @@
             releaser: ResultReleaser::default(),
             work,
             progress: ProgressQueue::default(),
-            closing,
+            ending,
             desks: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
         })
@@ -116,6 +116,11 @@
         desk.refresh_cells();
     }
 
+    /// Tells whether no other node lives.
+    fn is_alone(&self) -> bool {
+        self.shared.view.load().members.is_empty()
+    }
+
     /// Notes that a target gave results up, whose room is free now.
     pub(crate) fn note_released(self: &Rc<Self>, desk: &Rc<ServiceDesk>, handles: &[String]) {
         for cell in self.cells(desk) {
@@ -141,11 +146,17 @@
 
 /// Takes each change of the view into force.
 pub(crate) async fn follow_changes(traffic: Rc<Traffic>, changes: Receiver<()>) {
+    let mut has_handed_back = false;
     while changes.recv().await.is_ok() {
         traffic.refresh();
+        let hands_back = traffic.shared.is_draining() && !has_handed_back && !traffic.is_alone();
+        has_handed_back |= hands_back;
         let desks: Vec<_> = traffic.desks.borrow().values().cloned().collect();
         for desk in desks {
             for cell in traffic.cells(&desk) {
+                if hands_back {
+                    cell.hand_back();
+                }
                 cell.pump();
             }
         }
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -17,6 +17,7 @@
 use async_net::TcpListener;
 use futures_lite::FutureExt;
 
+use turnford_fleet::is_settled;
 use turnford_fleet::rank_members;
 use turnford_fleet::Duty;
 use turnford_policy::Moment;
@@ -103,8 +104,20 @@
         let state = states.get(address);
         state.is_none_or(|state| state.down_until.get() <= now)
     };
+    let shared = &traffic.shared;
     let up = view.members.iter().filter(|member| is_up(&member.work));
-    let names = up.map(|member| &*member.name).chain([&**own]);
+    let ages = up.map(|member| (&*member.name, shared.age_of(member.started)));
+    // A node that stops does no more duties than it must.
+    let own_age = shared.age_of(shared.started);
+    let own_age = if shared.is_draining() {
+        Duration::ZERO
+    } else {
+        own_age
+    };
+    let ages: Vec<(&str, Duration)> = ages.chain([(&**own, own_age)]).collect();
+    let longest = ages.iter().map(|(_, age)| *age).max().unwrap_or_default();
+    let settled = ages.iter().filter(|(_, age)| is_settled(*age, longest));
+    let names = settled.map(|(name, _)| *name);
     let chosen = rank_members(duty, names, 1).first().copied()?;
     let member = view.members.iter().find(|member| &*member.name == chosen);
     member.map(|member| member.work)
@@ -119,6 +132,11 @@
 ) -> Option<WorkReply> {
     let state = traffic.work.state(peer);
     match traffic.work.peers.call(peer, request, limit).await {
+        Ok(WorkReply::Refused) => {
+            log::info!("node at {peer} takes no work");
+            mark_down(traffic, &state);
+            None
+        }
         Ok(reply) => {
             state.heard.set(traffic.shared.now());
             Some(reply)
@@ -204,7 +222,8 @@
             Some(ends.map(|end| outcome_of(place, peer, end)).collect())
         }
         Some(Ok(_)) => {
-            log::warn!("node at {peer} refused pieces");
+            log::info!("node at {peer} takes no pieces");
+            mark_down(traffic, &state);
             None
         }
         Some(Err(fault)) => {
@@ -255,6 +274,7 @@
         }
         PieceReplyEnd::InputGone => PieceOutcome::InputGone,
         PieceReplyEnd::Failed => PieceOutcome::Failed("the gathering node got no result"),
+        PieceReplyEnd::NotOffered => PieceOutcome::NotOffered,
     }
 }
 
@@ -353,6 +373,10 @@
 async fn answer_work(traffic: Rc<Traffic>, request: WorkRequest) -> WorkReply {
     match request {
         WorkRequest::Alive => WorkReply::Noted,
+        // Another node gathers from now on.
+        WorkRequest::Pieces(_) | WorkRequest::Place(_) if traffic.shared.is_draining() => {
+            WorkReply::Refused
+        }
         WorkRequest::Pieces(ask) => answer_pieces(&traffic, ask).await,
         WorkRequest::Place(ask) => answer_place(&traffic, ask),
         WorkRequest::Progress { service, news } => {
@@ -383,6 +407,7 @@
         },
         PieceOutcome::InputGone => PieceReplyEnd::InputGone,
         PieceOutcome::Failed(_) => PieceReplyEnd::Failed,
+        PieceOutcome::NotOffered => PieceReplyEnd::NotOffered,
     });
     WorkReply::Pieces(ends.collect(), told_waits(traffic, &place))
 }
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -139,6 +139,8 @@
     InputGone,
     /// It was not made.
     Failed,
+    /// It was not offered to any target; the node stops gathering.
+    NotOffered,
 }
 
 /// How the pieces of a call ended, in their order.
