Make large results last, and repeat pieces within the slack alone

Change: no second offer while pieces wait; repeats of pieces from the slack; large last results begin after all other stages have begun.

--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -130,10 +130,8 @@
 impl PieceCell {
     /// Puts pieces into the queue.
     pub(crate) fn submit(&self, works: Vec<PieceWork>) -> Vec<PieceWait> {
-        let now = self.traffic.shared.now();
         let mut waits = Vec::with_capacity(works.len());
         for work in works {
-            self.desk.allowance.borrow_mut().note_first(now);
             let (taker, outcome) = async_channel::bounded(1);
             let ticket = self.pieces.board.borrow_mut().push(work);
             self.pieces.takers.borrow_mut().insert(ticket, taker);
@@ -365,6 +363,10 @@
     );
     note_speed(cell, target, span.mul_f64(LATE_FACTOR), span);
     let now = cell.traffic.shared.now();
+    if cell.pieces.board.borrow().waiting() > 0 {
+        // The others have enough to do; making these twice would only make them later.
+        return;
+    }
     for (ticket, work) in &plan.pieces {
         let is_wanted = cell.pieces.takers.borrow().contains_key(ticket);
         if is_wanted && cell.desk.allowance.borrow_mut().take(now) {
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -26,6 +26,9 @@
 /// Most times that one piece is made anew after a failure.
 const PIECE_TRIES: u32 = 2;
 
+/// Size of a result, in bytes, that counts as large: a few of them fill a target's room.
+const HEAVY_RESULT: u64 = 500_000;
+
 /// Pause before pieces that were handed back are handed to another node.
 const MOVE_PAUSE: Duration = Duration::from_millis(10);
 
@@ -137,7 +140,8 @@
     loop {
         for stage in 0..graph.len() {
             let is_due = graph.inputs(stage).iter().all(|&before| done[before]);
-            if graph.count(stage) > 0 && is_due && !begun[stage] {
+            let waits = is_heavy(record, &graph, stage) && has_more(record, &graph, &begun);
+            if graph.count(stage) > 0 && is_due && !waits && !begun[stage] {
                 begun[stage] = true;
                 let needs = stage_needs(traffic, record, &graph, &held, stage);
                 tasks.push(start_stage(traffic, record, needs, &ends));
@@ -215,6 +219,19 @@
     }
 }
 
+/// Tells whether a stage's results are large and only needed at the end. They would take room for
+/// as long as the other stages run, so such a stage begins last.
+fn is_heavy(record: &RequestRecord, graph: &StageGraph, stage: usize) -> bool {
+    let bytes = record.route.stages[stage].result_bytes;
+    bytes >= HEAVY_RESULT && graph.inputs(stage).is_empty() && graph.last().contains(&stage)
+}
+
+/// Tells whether a stage whose results are not large has yet to begin.
+fn has_more(record: &RequestRecord, graph: &StageGraph, begun: &[bool]) -> bool {
+    let mut left = (0..graph.len()).filter(|&stage| graph.count(stage) > 0 && !begun[stage]);
+    left.any(|stage| !is_heavy(record, graph, stage))
+}
+
 /// Finds what a stage's pieces need, and the hall that most of their bytes come from or go to.
 fn stage_needs(
     traffic: &Traffic,
