--- a/packages/turnford-fleet/src/member.rs
+++ b/packages/turnford-fleet/src/member.rs
@@ -60,9 +60,8 @@
     pub work: SocketAddr,
     /// Hall of the member.
     pub hall: String,
-    /// Start of its process, in milliseconds of the time of day.
-    pub started: u64,
-    /// Number that only the member itself raises.
+    /// Number that only the member itself raises. Where it begins with the time of day, a new process
+    /// of the same name goes before the old one at once.
     pub incarnation: u64,
     /// State.
     pub state: MemberState,
--- a/packages/turnford-fleet/tests/member_heal.rs
+++ b/packages/turnford-fleet/tests/member_heal.rs
@@ -115,7 +115,6 @@
         name: name(number),
         address: SocketAddr::from(([127, 0, 0, 1], 7000 + number as u16)),
         work: SocketAddr::from(([127, 0, 0, 1], 7000 + number as u16)),
-        started: 0,
         hall: "hal-a".to_owned(),
         incarnation,
         state: MemberState::Alive,
--- a/packages/turnford-node/examples/capacity.rs
+++ b/packages/turnford-node/examples/capacity.rs
@@ -112,7 +112,6 @@
         name: format!("dk-vest-hal-a-node-{number:04}"),
         address: SocketAddr::from(([10, 20, (number / 250) as u8, (number % 250) as u8], 7000)),
         work: SocketAddr::from(([10, 20, (number / 250) as u8, (number % 250) as u8], 7000)),
-        started: 0,
         hall: format!("hal-{}", number % 7),
         incarnation: 1,
         state: MemberState::Alive,
--- a/packages/turnford-node/src/control/context.rs
+++ b/packages/turnford-node/src/control/context.rs
@@ -53,7 +53,6 @@
             name: settings.name.to_string(),
             address: settings.inner,
             work: settings.inner,
-            started: 0,
             hall: settings.hall.to_string(),
             incarnation: 1,
             state: MemberState::Alive,
--- a/packages/turnford-node/src/control/members.rs
+++ b/packages/turnford-node/src/control/members.rs
@@ -298,7 +298,6 @@
             name: object.key.trim_start_matches(NODE_PREFIX).to_owned(),
             address: record.address,
             work: record.address,
-            started: 0,
             hall: record.hall,
             incarnation: 0,
             state: MemberState::Alive,
--- a/packages/turnford-serve/src/control/context.rs
+++ b/packages/turnford-serve/src/control/context.rs
@@ -62,8 +62,7 @@
             address: settings.inner,
             work: settings.work,
             hall: settings.hall.to_string(),
-            started: shared.started,
-            incarnation: 0,
+            incarnation: shared.started,
             state: MemberState::Alive,
         };
         let members = RefCell::new(MemberTable::new(own, rand::random()));
--- a/packages/turnford-serve/src/control/members.rs
+++ b/packages/turnford-serve/src/control/members.rs
@@ -92,7 +92,7 @@
         .map(|record| FleetMember {
             name: Arc::from(record.update.name.as_str()),
             work: record.update.work,
-            started: record.update.started,
+            started: record.update.incarnation,
         })
         .collect();
     live.sort_by(|left, right| left.name.cmp(&right.name));
@@ -292,8 +292,7 @@
         address: record.inner,
         work: record.work,
         hall: record.hall,
-        started: record.started,
-        incarnation: 0,
+        incarnation: record.started,
         state: MemberState::Alive,
     };
     let now = context.now();
