Put pieces that were turned away back without an allowance

Cause: Pieces that a full target turned away had not run, yet each took a repeat; without one their request was refused after half a second. Change: such pieces go back freely, their target pauses, longer with each refusal.

--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -22,8 +22,12 @@
 /// Account ranks that waits are told for.
 pub const RANK_COUNT: usize = 4;
 
-/// Pause after a target refused a call because it was full, before it is offered another.
-const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// First pause after a target refused a call because it was full, before it is offered another; it
+/// doubles with each further refusal.
+const FULL_PAUSE: Duration = Duration::from_millis(50);
+
+/// Doublings of the pause at most.
+const FULL_DOUBLINGS: u32 = 3;
 
 /// Time after its last use for which a target is known without asking it: others use it only after
 /// this node has stopped gathering for it.
@@ -106,6 +110,8 @@
     /// Ends that the calls are expected to have, in the order of their start.
     ends: Vec<Moment>,
     paused_until: Moment,
+    /// Refusals in a row.
+    refusals: u32,
     /// Until when this board knows what the target holds; `None` before its first report.
     known_until: Option<Moment>,
     /// Whether a report is on its way.
@@ -315,6 +321,10 @@
             }
         }
         self.room.end_call(target, reserved);
+        let mut results = results.peekable();
+        if let (Some(_), Some(calls)) = (results.peek(), self.calls.get_mut(target)) {
+            calls.refusals = 0;
+        }
         for (handle, bytes) in results {
             let until = now + self.spec.result_span;
             self.room.keep(handle, target, bytes, until);
@@ -329,7 +339,8 @@
     /// Notes that a target refused a call; it gets a pause before the next.
     pub fn note_full(&mut self, now: Moment, target: &str) {
         if let Some(calls) = self.calls.get_mut(target) {
-            calls.paused_until = now + FULL_PAUSE;
+            calls.paused_until = now + FULL_PAUSE * 2_u32.pow(calls.refusals);
+            calls.refusals = (calls.refusals + 1).min(FULL_DOUBLINGS);
         }
     }
 
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -232,31 +232,33 @@
         }
     }
 
-    /// Puts a piece back that found no room for its result, which is larger than expected.
+    /// Puts a piece back that found no room for its result, which is larger than expected. Nothing
+    /// ran, so it is no repeat.
     fn wait_for_room(&self, target: &str, ticket: PieceTicket, work: &PieceWork) -> bool {
-        let now = self.traffic.shared.now();
-        let is_wanted = self.pieces.takers.borrow().contains_key(&ticket);
-        if !is_wanted || !self.desk.allowance.borrow_mut().take(now) {
+        if !self.pieces.takers.borrow().contains_key(&ticket) {
             return false;
         }
-        self.pieces.board.borrow_mut().forget_report(target);
+        let now = self.traffic.shared.now();
         let larger = PieceWork {
-            result_bytes: work.result_bytes * LARGER_RESULT,
+            result_bytes: work.result_bytes.saturating_mul(LARGER_RESULT),
             ..work.clone()
         };
-        self.pieces.board.borrow_mut().put_back(ticket, larger);
+        let mut board = self.pieces.board.borrow_mut();
+        board.forget_report(target);
+        board.note_full(now, target);
+        board.put_back(ticket, larger);
         true
     }
 
-    /// Puts the pieces of a call that gave nothing back into the queue. Where the call reached its
-    /// target, each needs room in the allowance of repeats.
-    fn give_back(&self, plan: BatchPlan, reason: &'static str, has_arrived: bool) {
+    /// Puts the pieces of a call that gave nothing back into the queue. Where they may have run, each
+    /// needs room in the allowance of repeats.
+    fn give_back(&self, plan: BatchPlan, reason: &'static str, may_have_run: bool) {
         let now = self.traffic.shared.now();
         for (ticket, work) in plan.pieces {
             if !self.pieces.takers.borrow().contains_key(&ticket) {
                 continue;
             }
-            if !has_arrived || self.desk.allowance.borrow_mut().take(now) {
+            if !may_have_run || self.desk.allowance.borrow_mut().take(now) {
                 self.pieces.board.borrow_mut().put_back(ticket, work);
             } else {
                 // A request that left needs no word.
@@ -403,7 +405,7 @@
         CallFault::NotRun(status) => {
             log::debug!("target={} turned {count} pieces away: {status}", target.id);
             cell.pieces.board.borrow_mut().note_full(now, &target.id);
-            cell.give_back(plan, "the target turned it away", true);
+            cell.give_back(plan, "the target turned it away", false);
         }
         CallFault::Unknown(reason) => {
             log::info!("target={} pieces={count} no result: {reason}", target.id);
