--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -26,6 +26,7 @@
 use turnford_wire::serve_peer;
 use turnford_wire::GivenUpCall;
 use turnford_wire::PeerClient;
+use turnford_wire::PeerFault;
 use turnford_wire::PieceAsk;
 use turnford_wire::PieceReplyEnd;
 use turnford_wire::WorkReply;
@@ -226,6 +227,10 @@
             mark_down(traffic, &state);
             None
         }
+        Some(Err(PeerFault::Late)) => {
+            // The request's time is over, which says nothing of the node.
+            Some(vec![PieceOutcome::Failed("its time was over"); works.len()])
+        }
         Some(Err(fault)) => {
             log::info!("node at {peer} lost pieces: {fault}");
             mark_down(traffic, &state);
