--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -275,7 +275,7 @@
     match report {
         Ok(report) => {
             let mut board = cell.pieces.board.borrow_mut();
-            board.note_report(now, &target.id, report.free_bytes);
+            board.note_report(now, &target.id, report.most_free_bytes);
         }
         Err(reason) => {
             log::info!("target={} gave no report: {reason}", target.id);
