Let stages end before half of a request's time, and pause only targets that made nothing

Change: stages end at 0.47 of the time; no pause after a call that made results; 0.92 of the room is planned with.

--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -42,7 +42,10 @@
 const SLOW_FACTOR: f64 = 1.8;
 
 /// Part of the room for results that is planned with, since their sizes are known roughly.
-const ROOM_PART: f64 = 0.85;
+const ROOM_PART: f64 = 0.92;
+
+/// A result that found no room is taken for one in so many of all the room at most.
+const LARGEST_PART: u64 = 4;
 
 /// A piece to run.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -166,6 +169,18 @@
         self.waiting.push(QueuedPiece { ticket, work });
     }
 
+    /// Puts a piece back whose result found no room: it may be larger than the configuration says.
+    pub fn put_back_larger(&mut self, ticket: PieceTicket, work: PieceWork) {
+        let larger = work.result_bytes + work.result_bytes / 2;
+        let most = self.spec.result_room / LARGEST_PART;
+        let result_bytes = larger.min(most.max(work.result_bytes));
+        let work = PieceWork {
+            result_bytes,
+            ..work
+        };
+        self.put_back(ticket, work);
+    }
+
     /// Takes a piece out of the queue; false if it is in a call or gone.
     pub fn withdraw(&mut self, ticket: PieceTicket) -> bool {
         let before = self.waiting.len();
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -40,10 +40,6 @@
 /// Times its expected span after which the pieces of a call are offered to other targets, too.
 const LATE_FACTOR: f64 = 2.5;
 
-/// Factor by which a result is taken to be larger once it found no room: sizes in the
-/// configuration are rough, and twice the size was seen.
-const LARGER_RESULT: u64 = 2;
-
 /// Longest wait for a target's report.
 const REPORT_LIMIT: Duration = Duration::from_millis(150);
 
@@ -184,6 +180,14 @@
             let mut board = self.pieces.board.borrow_mut();
             board.take_unknown(now, &targets)
         };
+        if !unknown.is_empty() {
+            let waiting = self.pieces.board.borrow().waiting();
+            log::info!(
+                "gathers for service={} waiting={waiting}, asks targets={}",
+                self.desk.spec.borrow().name,
+                unknown.len()
+            );
+        }
         for target in unknown {
             let ask = ask_report(self.clone(), target);
             self.traffic.executor.spawn(ask).detach();
@@ -238,15 +242,9 @@
         if !self.pieces.takers.borrow().contains_key(&ticket) {
             return false;
         }
-        let now = self.traffic.shared.now();
-        let larger = PieceWork {
-            result_bytes: work.result_bytes.saturating_mul(LARGER_RESULT),
-            ..work.clone()
-        };
         let mut board = self.pieces.board.borrow_mut();
         board.forget_report(target);
-        board.note_full(now, target);
-        board.put_back(ticket, larger);
+        board.put_back_larger(ticket, work.clone());
         true
     }
 
@@ -345,6 +343,10 @@
             cell.desk.board.borrow_mut().note_success(&target.id);
             note_speed(cell, target, took, span);
             let made = made_results(&plan, &ends);
+            if made.is_empty() && ends.contains(&PieceEnd::NoRoom) {
+                let now = traffic.shared.now();
+                cell.pieces.board.borrow_mut().note_full(now, &target.id);
+            }
             cell.end_pieces(target, plan, ends);
             made
         }
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -38,8 +38,8 @@
 /// Times that the stages of a request run when their results are gone before they are used.
 const STAGE_ROUNDS: u32 = 2;
 
-/// Part of a request's time in which its stages must be done, if its goal is not longer.
-const STAGE_PART: f64 = 0.45;
+/// Part of a request's time in which its stages must be done.
+const STAGE_PART: f64 = 0.47;
 
 /// Time to come back from a node that stops: another one takes the request at once.
 const MOVE_SPAN: Duration = Duration::from_millis(20);
@@ -265,9 +265,7 @@
 /// by then is better off with a second try, elsewhere or later, than with a late refusal.
 fn stage_deadline(record: &RequestRecord) -> Moment {
     let patience = record.deadline.saturating_sub(record.begun);
-    let half = patience.mul_f64(STAGE_PART);
-    let goal = record.route.goal;
-    record.begun + half.max(goal).min(patience)
+    record.begun + patience.mul_f64(STAGE_PART)
 }
 
 /// Refuses a request that has not run and never will.
