--- a/packages/turnford-http/src/client.rs
+++ b/packages/turnford-http/src/client.rs
@@ -1,23 +1,35 @@
-//! The calling side: kept connections by address, bounded bodies, one time limit per exchange.
+//! The calling side of the product's own interfaces: kept connections by address, bounded bodies,
+//! one time limit per exchange.
 
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::pin::Pin;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::task::Poll;
 use std::time::Duration;
 
 use async_io::Timer;
 use async_net::TcpStream;
-use futures_lite::io::AsyncBufReadExt;
-use futures_lite::io::AsyncReadExt;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_lite::future;
 use futures_lite::FutureExt;
-use http_types::Method;
-use http_types::Request;
-use http_types::Response;
-use http_types::Url;
+use http::Method;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::Connection;
+use hyper::client::conn::http1::SendRequest;
+use smol_hyper::rt::FuturesIo;
 
 use crate::HttpFault;
+use crate::HttpRequest;
 use crate::DEFAULT_BODY_LIMIT;
 
 /// Most idle connections kept to one address.
@@ -29,10 +41,91 @@
 /// Largest answer of [`HttpClient::send_large`], in bytes.
 const LARGE_BODY_LIMIT: usize = 512 * 1024 * 1024;
 
+/// The driver of a connection, which has to be polled for anything to happen on it.
+type LinkDriver = Connection<FuturesIo<TcpStream>, Full<Bytes>>;
+
+/// A connection that is driven by whoever waits for its answer.
+struct DrivenLink {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Pin<Box<LinkDriver>>,
+    /// Whether the driver has ended.
+    is_done: bool,
+    stream: TcpStream,
+}
+
+impl DrivenLink {
+    async fn open(to: SocketAddr) -> Result<Self, HttpFault> {
+        let stream = TcpStream::connect(to).await;
+        let stream = stream.map_err(|_| HttpFault::NotConnected)?;
+        stream
+            .set_nodelay(true)
+            .map_err(|_| HttpFault::NotConnected)?;
+        let shaken = http1::handshake(FuturesIo::new(stream.clone())).await;
+        let (sender, driver) = shaken.map_err(|_| HttpFault::NotConnected)?;
+        Ok(Self {
+            sender,
+            driver: Box::pin(driver),
+            is_done: false,
+            stream,
+        })
+    }
+
+    /// Tells whether nothing came since the last answer. A connection that shows bytes or an end
+    /// while idle belongs to no call any more; using it would give one call the answer of another.
+    fn is_quiet(&self) -> bool {
+        let mut byte = [0_u8; 1];
+        let peeked = future::block_on(future::poll_once(self.stream.peek(&mut byte)));
+        peeked.is_none()
+    }
+
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, HttpFault> {
+        let Self {
+            sender,
+            driver,
+            is_done,
+            ..
+        } = self;
+        let exchange = async {
+            if sender.ready().await.is_err() {
+                return Err(HttpFault::NotConnected);
+            }
+            let sent = sender.try_send_request(request).await;
+            sent.map_err(|mut error| match error.take_message() {
+                Some(_) => HttpFault::NotConnected,
+                None => HttpFault::Broken,
+            })
+        };
+        drive(driver, is_done, exchange).await
+    }
+}
+
+/// Polls a step together with the driver of its connection until the step ends.
+async fn drive<T>(
+    driver: &mut Pin<Box<LinkDriver>>,
+    is_done: &mut bool,
+    step: impl Future<Output = T>,
+) -> T {
+    let mut step = pin!(step);
+    future::poll_fn(|context| {
+        if let Poll::Ready(value) = step.as_mut().poll(context) {
+            return Poll::Ready(value);
+        }
+        if !*is_done {
+            // How the connection ends shows in the step.
+            *is_done = driver.as_mut().poll(context).is_ready();
+        }
+        step.as_mut().poll(context)
+    })
+    .await
+}
+
 /// A client that keeps connections for reuse.
 #[derive(Default)]
 pub struct HttpClient {
-    idle: Mutex<HashMap<SocketAddr, Vec<TcpStream>>>,
+    idle: Mutex<HashMap<SocketAddr, Vec<DrivenLink>>>,
 }
 
 /// A whole answer.
@@ -51,8 +144,11 @@
     pub status: u16,
     client: &'a HttpClient,
     address: SocketAddr,
-    stream: TcpStream,
-    response: Response,
+    link: DrivenLink,
+    parts: http::response::Parts,
+    body: Incoming,
+    /// Bytes read and not yet given out.
+    rest: BytesMut,
 }
 
 impl HttpClient {
@@ -65,10 +161,12 @@
     ///
     /// # Errors
     ///
-    /// Returns [`HttpFault::NotConnected`] if the address and path make no URL.
-    pub fn request(method: Method, to: SocketAddr, path: &str) -> Result<Request, HttpFault> {
-        let url = Url::parse(&format!("http://{to}{path}")).map_err(|_| HttpFault::NotConnected)?;
-        Ok(Request::new(method, url))
+    /// Returns [`HttpFault::NotConnected`] if the path is none.
+    pub fn request(method: Method, to: SocketAddr, path: &str) -> Result<HttpRequest, HttpFault> {
+        if !path.starts_with('/') {
+            return Err(HttpFault::NotConnected);
+        }
+        Ok(HttpRequest::new(method, to, path))
     }
 
     /// Sends a request and reads the whole answer within `limit`.
@@ -79,7 +177,7 @@
     pub async fn send(
         &self,
         to: SocketAddr,
-        request: Request,
+        request: HttpRequest,
         limit: Duration,
     ) -> Result<HttpAnswer, HttpFault> {
         let started = std::time::Instant::now();
@@ -104,7 +202,7 @@
     pub async fn send_large(
         &self,
         to: SocketAddr,
-        request: Request,
+        request: HttpRequest,
         limit: Duration,
     ) -> Result<HttpAnswer, HttpFault> {
         let mut open = self.open(to, request, limit).await?;
@@ -127,54 +225,67 @@
     pub async fn open(
         &self,
         to: SocketAddr,
-        request: Request,
+        request: HttpRequest,
         limit: Duration,
     ) -> Result<HttpStream<'_>, HttpFault> {
         let started = std::time::Instant::now();
-        let stream = match self.take_idle(to) {
-            Some(stream) => stream,
-            None => within(limit, HttpFault::LateBeforeSend, connect(to)).await?,
+        let request = encode(request)?;
+        let mut link = match self.take_idle(to) {
+            Some(link) => link,
+            None => within(limit, HttpFault::LateBeforeSend, DrivenLink::open(to)).await?,
         };
         let left = limit.saturating_sub(started.elapsed());
         if left.is_zero() {
             return Err(HttpFault::LateBeforeSend);
         }
-        let call = exchange(stream.clone(), request);
-        let response = within(left, HttpFault::LateAfterSend, call).await?;
-        let status = u16::from(response.status());
+        let response = within(left, HttpFault::LateAfterSend, link.send(request)).await?;
+        let (parts, body) = response.into_parts();
         Ok(HttpStream {
-            status,
+            status: parts.status.as_u16(),
             client: self,
             address: to,
-            stream,
-            response,
+            link,
+            parts,
+            body,
+            rest: BytesMut::new(),
         })
     }
 
     /// Takes a kept connection that the other side has not closed or written to.
-    ///
-    /// A connection that shows bytes or an end while idle belongs to no call any more; using it
-    /// would give one call the answer of another.
-    fn take_idle(&self, to: SocketAddr) -> Option<TcpStream> {
+    fn take_idle(&self, to: SocketAddr) -> Option<DrivenLink> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&to)?;
-        while let Some(stream) = list.pop() {
-            if is_quiet(&stream) {
-                return Some(stream);
+        while let Some(link) = list.pop() {
+            if !link.is_done && link.is_quiet() {
+                return Some(link);
             }
         }
         None
     }
 
-    fn put_idle(&self, to: SocketAddr, stream: TcpStream) {
+    fn put_idle(&self, to: SocketAddr, link: DrivenLink) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(to).or_default();
         if list.len() < IDLE_LIMIT {
-            list.push(stream);
+            list.push(link);
         }
     }
 }
 
+/// Returns the request as the library sends it.
+fn encode(request: HttpRequest) -> Result<Request<Full<Bytes>>, HttpFault> {
+    let mut builder = Request::builder().method(request.method).uri(request.path);
+    let names_host = request.headers.iter().any(|(name, _)| name == "host");
+    if !names_host {
+        builder = builder.header(http::header::HOST, request.to.to_string());
+    }
+    for (name, value) in request.headers {
+        builder = builder.header(name, value);
+    }
+    let body = Full::new(Bytes::from(request.body));
+    builder.body(body).map_err(|_| HttpFault::NotConnected)
+}
+
 impl HttpAnswer {
     /// Returns a header's value by its lower-case name.
     pub fn header(&self, name: &str) -> Option<&str> {
@@ -191,29 +302,20 @@
     /// Returns [`HttpFault::Broken`] if the connection fails, [`HttpFault::TooLarge`] for a line
     /// over the bound.
     pub async fn next_line(&mut self) -> Result<Option<String>, HttpFault> {
-        let mut line = Vec::new();
         loop {
-            let chunk = self
-                .response
-                .fill_buf()
-                .await
-                .map_err(|_| HttpFault::Broken)?;
-            if chunk.is_empty() {
-                return if line.is_empty() {
-                    Ok(None)
-                } else {
-                    Err(HttpFault::Truncated)
-                };
+            if let Some(end) = self.rest.iter().position(|byte| *byte == b'\n') {
+                let line = self.rest.split_to(end + 1);
+                let line = String::from_utf8_lossy(&line[..end]);
+                return Ok(Some(line.into_owned()));
             }
-            let end = chunk.iter().position(|byte| *byte == b'\n');
-            let used = end.map_or(chunk.len(), |at| at + 1);
-            line.extend_from_slice(&chunk[..end.unwrap_or(used)]);
-            self.response.consume_unpin(used);
-            if line.len() > LINE_LIMIT {
+            if self.rest.len() > LINE_LIMIT {
                 return Err(HttpFault::TooLarge);
             }
-            if end.is_some() {
-                return Ok(Some(String::from_utf8_lossy(&line).into_owned()));
+            match self.next_chunk().await {
+                Ok(Some(chunk)) => self.rest.extend_from_slice(&chunk),
+                Ok(None) if self.rest.is_empty() => return Ok(None),
+                Ok(None) => return Err(HttpFault::Truncated),
+                Err(_) => return Err(HttpFault::Broken),
             }
         }
     }
@@ -228,70 +330,57 @@
     }
 
     async fn read_bounded(&mut self, bound: usize) -> Result<Vec<u8>, HttpFault> {
-        let announced = self.response.len();
-        let mut body = Vec::new();
-        let limit = bound as u64 + 1;
-        let mut reader = (&mut self.response).take(limit);
-        reader
-            .read_to_end(&mut body)
-            .await
-            .map_err(|_| HttpFault::Broken)?;
-        if body.len() as u64 == limit {
-            return Err(HttpFault::TooLarge);
-        }
-        if announced.is_some_and(|length| length != body.len()) {
-            return Err(HttpFault::Truncated);
+        let mut body = std::mem::take(&mut self.rest).to_vec();
+        while let Some(chunk) = self.next_chunk().await? {
+            body.extend_from_slice(&chunk);
+            if body.len() > bound {
+                return Err(HttpFault::TooLarge);
+            }
         }
         Ok(body)
     }
 
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, HttpFault> {
+        loop {
+            let frame = self.body.frame();
+            let link = &mut self.link;
+            let frame = drive(&mut link.driver, &mut link.is_done, frame).await;
+            match frame {
+                None => return Ok(None),
+                // Trailers say nothing that is used here.
+                Some(Ok(frame)) => {
+                    if let Ok(chunk) = frame.into_data() {
+                        return Ok(Some(chunk));
+                    }
+                }
+                Some(Err(error)) => {
+                    log::debug!("an answer broke off: {error}");
+                    return Err(HttpFault::Truncated);
+                }
+            }
+        }
+    }
+
     /// Gives the connection back for reuse. To be called only after the body's end was read.
     pub fn keep(self) {
-        let close = self
-            .response
-            .header("connection")
-            .is_some_and(|value| value.as_str() == "close");
-        if !close {
-            self.client.put_idle(self.address, self.stream);
+        let connection = self.parts.headers.get(http::header::CONNECTION);
+        let closes = connection.is_some_and(|value| value.as_bytes() == b"close");
+        if !closes && !self.link.is_done {
+            self.client.put_idle(self.address, self.link);
         }
     }
 
     /// Returns the answer's headers, names in lower case.
     pub fn headers(&self) -> Vec<(String, String)> {
-        let pairs = self.response.iter();
-        pairs
-            .map(|(name, value)| (name.as_str().to_owned(), value.as_str().to_owned()))
-            .collect()
-    }
-}
-
-/// Small extension so that a response can be consumed without pinning by hand.
-trait ConsumeUnpin {
-    fn consume_unpin(&mut self, amount: usize);
-}
-
-impl ConsumeUnpin for Response {
-    fn consume_unpin(&mut self, amount: usize) {
-        futures_lite::io::AsyncBufRead::consume(std::pin::Pin::new(self), amount);
+        let pairs = self.parts.headers.iter();
+        let texts = pairs.filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some((name.as_str().to_owned(), value.to_owned()))
+        });
+        texts.collect()
     }
 }
 
-async fn connect(to: SocketAddr) -> Result<TcpStream, HttpFault> {
-    let stream = TcpStream::connect(to)
-        .await
-        .map_err(|_| HttpFault::NotConnected)?;
-    stream
-        .set_nodelay(true)
-        .map_err(|_| HttpFault::NotConnected)?;
-    Ok(stream)
-}
-
-async fn exchange(stream: TcpStream, request: Request) -> Result<Response, HttpFault> {
-    async_h1::connect(stream, request)
-        .await
-        .map_err(|_| HttpFault::Broken)
-}
-
 /// Runs a step under a time limit.
 async fn within<T>(
     limit: Duration,
@@ -304,10 +393,3 @@
     };
     step.or(timer).await
 }
-
-fn is_quiet(stream: &TcpStream) -> bool {
-    let mut byte = [0u8; 1];
-    let peeked =
-        futures_lite::future::block_on(futures_lite::future::poll_once(stream.peek(&mut byte)));
-    peeked.is_none()
-}
--- a/packages/turnford-http/src/lib.rs
+++ b/packages/turnford-http/src/lib.rs
@@ -1,21 +1,23 @@
 //! HTTP/1.1 as every outside interface uses it: kept connections on the calling side, a bounded
-//! serving loop on the other. The protocol itself comes from `async-h1`.
+//! serving loop on the other. The protocol itself comes from `hyper`, over `async-io`.
 
-mod body;
 mod client;
 mod fault;
 mod link;
 mod listen;
+mod message;
 mod server;
 mod shelf;
 
-pub use body::stream_body;
 pub use client::HttpAnswer;
 pub use client::HttpClient;
 pub use client::HttpStream;
 pub use fault::HttpFault;
 pub use link::HttpLink;
 pub use listen::serve_link;
+pub use message::HttpBody;
+pub use message::HttpRequest;
+pub use message::HttpResponse;
 pub use server::bind_listener;
 pub use server::serve_connection;
 pub use server::HttpCall;
--- /dev/null
+++ b/packages/turnford-http/src/message.rs
@@ -0,0 +1,180 @@
+//! Requests and answers of the product's own interfaces.
+
+use std::fmt;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::Stream;
+use http::Method;
+use http::StatusCode;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+
+/// The stream behind a body.
+type ChunkStream = Pin<Box<dyn Stream<Item = Vec<u8>> + Send>>;
+
+/// Time for the bytes of a cut body to arrive before the connection breaks off.
+const CUT_PAUSE: Duration = Duration::from_millis(30);
+
+/// A request to an address.
+#[derive(Clone, Debug)]
+pub struct HttpRequest {
+    pub(crate) to: SocketAddr,
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+}
+
+impl HttpRequest {
+    pub(crate) fn new(method: Method, to: SocketAddr, path: &str) -> Self {
+        Self {
+            to,
+            method,
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: Vec::new(),
+        }
+    }
+
+    /// Adds a header.
+    pub fn insert_header(&mut self, name: &str, value: impl Into<String>) {
+        self.headers.push((name.to_owned(), value.into()));
+    }
+
+    /// Sets the body.
+    pub fn set_body(&mut self, body: impl Into<Vec<u8>>) {
+        self.body = body.into();
+    }
+}
+
+/// An answer.
+#[derive(Debug)]
+pub struct HttpResponse {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: HttpBody,
+}
+
+impl HttpResponse {
+    /// Makes an answer without a body.
+    pub fn new(status: StatusCode) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            body: HttpBody::Whole(Bytes::new()),
+        }
+    }
+
+    /// Sets the status.
+    pub fn set_status(&mut self, status: StatusCode) {
+        self.status = status;
+    }
+
+    /// Adds a header.
+    pub fn insert_header(&mut self, name: &str, value: impl Into<String>) {
+        self.headers.push((name.to_owned(), value.into()));
+    }
+
+    /// Sets the body.
+    pub fn set_body(&mut self, body: impl Into<HttpBody>) {
+        self.body = body.into();
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+}
+
+/// Body of an answer.
+pub enum HttpBody {
+    /// All bytes are there.
+    Whole(Bytes),
+    /// Bytes come as they are made; their number is not known.
+    Stream(ChunkStream),
+    /// Some bytes, then the connection breaks off; for tests of those who read.
+    Cut(Option<Bytes>, Timer),
+}
+
+impl HttpBody {
+    /// Makes a body of unknown length from chunks. Dropping the body drops the stream.
+    pub fn stream(chunks: impl Stream<Item = Vec<u8>> + Send + 'static) -> Self {
+        HttpBody::Stream(Box::pin(chunks))
+    }
+
+    /// Makes a body that breaks off after some bytes.
+    pub fn cut(bytes: impl Into<Vec<u8>>) -> Self {
+        let bytes = Bytes::from(bytes.into());
+        HttpBody::Cut(Some(bytes), Timer::after(CUT_PAUSE))
+    }
+}
+
+impl fmt::Debug for HttpBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            HttpBody::Whole(bytes) => write!(f, "Whole({} bytes)", bytes.len()),
+            HttpBody::Stream(_) => f.write_str("Stream"),
+            HttpBody::Cut(..) => f.write_str("Cut"),
+        }
+    }
+}
+
+impl From<String> for HttpBody {
+    fn from(text: String) -> Self {
+        HttpBody::Whole(Bytes::from(text))
+    }
+}
+
+impl From<Vec<u8>> for HttpBody {
+    fn from(bytes: Vec<u8>) -> Self {
+        HttpBody::Whole(Bytes::from(bytes))
+    }
+}
+
+impl Body for HttpBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match self.get_mut() {
+            HttpBody::Whole(bytes) => {
+                let bytes = std::mem::take(bytes);
+                let frame = (!bytes.is_empty()).then(|| Ok(Frame::data(bytes)));
+                Poll::Ready(frame)
+            }
+            HttpBody::Stream(chunks) => {
+                let chunk = chunks.as_mut().poll_next(context);
+                chunk.map(|chunk| chunk.map(|bytes| Ok(Frame::data(Bytes::from(bytes)))))
+            }
+            HttpBody::Cut(bytes, pause) => match bytes.take() {
+                Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                None => Pin::new(pause)
+                    .poll(context)
+                    .map(|_| Some(Err(io::ErrorKind::BrokenPipe.into()))),
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, HttpBody::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            HttpBody::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            HttpBody::Stream(_) | HttpBody::Cut(..) => SizeHint::default(),
+        }
+    }
+}
--- a/packages/turnford-http/src/server.rs
+++ b/packages/turnford-http/src/server.rs
@@ -1,23 +1,25 @@
-//! The serving side: bounded calls, kept connections, and word of a caller that went away.
+//! The serving side of the product's own interfaces: bounded calls over kept connections.
 
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use async_h1::server::ConnectionStatus;
-use async_h1::server::Server;
-use async_io::Timer;
 use async_net::TcpListener;
 use async_net::TcpStream;
-use futures_lite::io::AsyncReadExt;
-use futures_lite::FutureExt;
-use http_types::Request;
-use http_types::Response;
-use http_types::StatusCode;
+use http::header::HeaderName;
+use http::header::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol_hyper::rt::FuturesIo;
 
-/// Pause between looks at a connection that holds unread bytes.
-const CLOSED_CHECK: Duration = Duration::from_millis(50);
+use crate::HttpBody;
+use crate::HttpResponse;
 
 /// One call with its whole body.
 #[derive(Clone, Debug)]
@@ -70,77 +72,68 @@
 pub async fn serve_connection<F, Fut>(stream: TcpStream, body_limit: usize, handler: F)
 where
     F: Fn(HttpCall) -> Fut,
-    Fut: Future<Output = Option<Response>>,
+    Fut: Future<Output = Option<HttpResponse>>,
 {
-    if stream.set_nodelay(true).is_err() {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("a caller's connection can't be set up: {error}");
         return;
     }
-    let peer = stream.clone();
-    let endpoint = |request: Request| answer(request, body_limit, &handler);
-    let mut server = Server::new(stream, endpoint);
-    let calls = async {
-        // Anything but "keep" ends the connection, an unreadable call among them.
-        while let Ok(ConnectionStatus::KeepAlive) = server.accept_one().await {}
-    };
-    calls.or(wait_closed(&peer)).await;
+    let service = service_fn(|request| answer(request, body_limit, &handler));
+    let mut builder = http1::Builder::new();
+    builder.auto_date_header(false);
+    let served = builder.serve_connection(FuturesIo::new(stream), service);
+    if let Err(error) = served.await {
+        log::debug!("a caller's connection ended: {error}");
+    }
 }
 
 async fn answer<F, Fut>(
-    request: Request,
+    request: Request<Incoming>,
     body_limit: usize,
     handler: &F,
-) -> http_types::Result<Response>
+) -> io::Result<Response<HttpBody>>
 where
     F: Fn(HttpCall) -> Fut,
-    Fut: Future<Output = Option<Response>>,
+    Fut: Future<Output = Option<HttpResponse>>,
 {
     let Some(call) = read_call(request, body_limit).await else {
-        let mut refusal = Response::new(StatusCode::PayloadTooLarge);
+        let mut refusal = HttpResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
         refusal.insert_header("connection", "close");
-        return Ok(refusal);
+        return write_answer(refusal);
     };
-    let response = handler(call).await;
-    response.ok_or_else(|| http_types::format_err!("closed without an answer"))
+    match handler(call).await {
+        Some(response) => write_answer(response),
+        // An error of the service closes the connection without an answer.
+        None => Err(io::ErrorKind::ConnectionAborted.into()),
+    }
 }
 
-/// Resolves when the caller closed its side.
-async fn wait_closed(peer: &TcpStream) {
-    let mut byte = [0u8; 1];
-    loop {
-        match peer.peek(&mut byte).await {
-            Ok(0) | Err(_) => return,
-            // Bytes that nobody reads yet belong to a further call; look again later.
-            Ok(_) => Timer::after(CLOSED_CHECK).await,
-        };
+fn write_answer(answer: HttpResponse) -> io::Result<Response<HttpBody>> {
+    let mut response = Response::new(answer.body);
+    *response.status_mut() = answer.status;
+    for (name, value) in answer.headers {
+        let name = HeaderName::try_from(name).map_err(io::Error::other)?;
+        let value = HeaderValue::try_from(value).map_err(io::Error::other)?;
+        response.headers_mut().insert(name, value);
     }
+    Ok(response)
 }
 
-async fn read_call(mut request: Request, body_limit: usize) -> Option<HttpCall> {
-    let mut body = Vec::new();
-    let limit = body_limit as u64 + 1;
-    let announced = request.len();
-    let mut reader = (&mut request).take(limit);
-    reader.read_to_end(&mut body).await.ok()?;
-    if body.len() > body_limit || announced.is_some_and(|length| length != body.len()) {
-        return None;
-    }
-    let url = request.url();
-    let query = url.query_pairs();
-    let query = query
-        .map(|(name, value)| (name.into_owned(), value.into_owned()))
-        .collect();
-    let headers = request.iter();
-    let headers = headers
-        .map(|(name, value)| (name.as_str().to_owned(), value.as_str().to_owned()))
-        .collect();
-    let method = request.method().to_string();
-    let path = url.path().to_owned();
+async fn read_call(request: Request<Incoming>, body_limit: usize) -> Option<HttpCall> {
+    let (parts, body) = request.into_parts();
+    let body = Limited::new(body, body_limit).collect().await.ok()?;
+    let query = parts.uri.query().unwrap_or("");
+    let query = form_urlencoded::parse(query.as_bytes());
+    let headers = parts.headers.iter().filter_map(|(name, value)| {
+        let value = value.to_str().ok()?;
+        Some((name.as_str().to_owned(), value.to_owned()))
+    });
     Some(HttpCall {
-        method,
-        path,
-        body,
-        query,
-        headers,
+        method: parts.method.to_string(),
+        path: parts.uri.path().to_owned(),
+        body: body.to_bytes().to_vec(),
+        query: query.into_owned().collect(),
+        headers: headers.collect(),
     })
 }
 
--- a/packages/turnford-http/tests/kept_connections.rs
+++ b/packages/turnford-http/tests/kept_connections.rs
@@ -9,7 +9,7 @@
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
-use http_types::Method;
+use http::Method;
 use turnford_http::HttpAnswer;
 use turnford_http::HttpClient;
 use turnford_http::HttpFault;
@@ -49,7 +49,7 @@
 }
 
 fn call(client: &HttpClient, to: SocketAddr, limit: Duration) -> Result<HttpAnswer, HttpFault> {
-    let request = HttpClient::request(Method::Get, to, "/")?;
+    let request = HttpClient::request(Method::GET, to, "/")?;
     async_io::block_on(client.send(to, request, limit))
 }
 
--- a/packages/turnford-node/src/answer.rs
+++ b/packages/turnford-node/src/answer.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use http_types::Response;
-use http_types::StatusCode;
+use http::StatusCode;
 use serde::Serialize;
+use turnford_http::HttpResponse;
 use turnford_policy::AttemptId;
 use turnford_policy::RanWord;
 use turnford_policy::ResultCode;
@@ -87,9 +87,9 @@
     }
 
     /// Returns the whole answer.
-    pub(crate) fn response(&self, trace: AttemptId) -> Response {
+    pub(crate) fn response(&self, trace: AttemptId) -> HttpResponse {
         let status = StatusCode::try_from(self.code.http_status());
-        let mut response = Response::new(status.unwrap_or(StatusCode::InternalServerError));
+        let mut response = HttpResponse::new(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
         response.set_body(self.json(trace, true));
         response.insert_header("content-type", "application/json");
         response.insert_header("turnford-code", self.code.number().to_string());
--- a/packages/turnford-node/src/entry.rs
+++ b/packages/turnford-node/src/entry.rs
@@ -3,9 +3,9 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
-use http_types::Response;
-use http_types::StatusCode;
+use http::StatusCode;
 use turnford_http::HttpCall;
+use turnford_http::HttpResponse;
 use turnford_policy::AttemptId;
 use turnford_policy::ResultCode;
 
@@ -19,11 +19,11 @@
 use crate::stream::stream_request;
 
 /// Answers one call.
-pub(crate) async fn handle_call(state: Arc<NodeState>, call: HttpCall) -> Option<Response> {
+pub(crate) async fn handle_call(state: Arc<NodeState>, call: HttpCall) -> Option<HttpResponse> {
     let path = call.path.clone();
     let response = match (call.method.as_str(), path.as_str()) {
         ("POST", path) if path.starts_with("/v1/pipelines/") => run_pipeline(&state, call).await,
-        ("GET", "/healthz") => Response::new(StatusCode::Ok),
+        ("GET", "/healthz") => HttpResponse::new(StatusCode::OK),
         ("GET", "/readyz") => ready(&state),
         ("GET", "/metrics") => metrics(&state),
         ("GET", "/status") => node_status(&state),
@@ -33,7 +33,7 @@
     Some(response)
 }
 
-async fn run_pipeline(state: &Arc<NodeState>, call: HttpCall) -> Response {
+async fn run_pipeline(state: &Arc<NodeState>, call: HttpCall) -> HttpResponse {
     let trace = state.attempts.next_request();
     let accept = call.header("accept").unwrap_or("");
     let streams = accept.contains("text/event-stream");
@@ -71,17 +71,17 @@
         .note_end("-", u8::MAX, end.code, std::time::Duration::ZERO);
 }
 
-fn ready(state: &NodeState) -> Response {
+fn ready(state: &NodeState) -> HttpResponse {
     let ready = state.ready.load(Ordering::SeqCst) && !state.draining.load(Ordering::SeqCst);
     let status = if ready {
-        StatusCode::Ok
+        StatusCode::OK
     } else {
-        StatusCode::ServiceUnavailable
+        StatusCode::SERVICE_UNAVAILABLE
     };
-    Response::new(status)
+    HttpResponse::new(status)
 }
 
-fn metrics(state: &NodeState) -> Response {
+fn metrics(state: &NodeState) -> HttpResponse {
     let running = state.running.load(Ordering::SeqCst);
     state
         .metrics
@@ -94,23 +94,23 @@
         .metrics
         .config_version
         .set(state.config.load().version);
-    let mut response = Response::new(StatusCode::Ok);
+    let mut response = HttpResponse::new(StatusCode::OK);
     response.set_body(state.metrics.text());
     let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     response.insert_header("content-type", kind);
     response
 }
 
-fn start_drain(state: &NodeState) -> Response {
+fn start_drain(state: &NodeState) -> HttpResponse {
     if !state.draining.swap(true, Ordering::SeqCst) {
         log::warn!("planned stop begins: no new requests");
     }
-    Response::new(StatusCode::Accepted)
+    HttpResponse::new(StatusCode::ACCEPTED)
 }
 
-fn unknown_path(state: &NodeState) -> Response {
+fn unknown_path(state: &NodeState) -> HttpResponse {
     let end = RequestEnd::not_run(ResultCode::BadRequest, "unknown path or method");
     let mut response = end.response(state.attempts.next_request());
-    response.set_status(StatusCode::NotFound);
+    response.set_status(StatusCode::NOT_FOUND);
     response
 }
--- a/packages/turnford-node/src/status.rs
+++ b/packages/turnford-node/src/status.rs
@@ -2,10 +2,10 @@
 
 use std::sync::atomic::Ordering;
 
-use http_types::Response;
-use http_types::StatusCode;
+use http::StatusCode;
 use serde_json::json;
 use serde_json::Value;
+use turnford_http::HttpResponse;
 use turnford_policy::HealthState;
 use turnford_policy::Moment;
 use turnford_policy::ServicePool;
@@ -14,7 +14,7 @@
 use crate::state::NodeState;
 
 /// Returns the status as JSON.
-pub(crate) fn node_status(state: &NodeState) -> Response {
+pub(crate) fn node_status(state: &NodeState) -> HttpResponse {
     let config = state.config.load();
     let pools = state.pools.load();
     let mut services = serde_json::Map::new();
@@ -39,7 +39,7 @@
             "refused": counts.refused },
         "services": services,
     });
-    let mut response = Response::new(StatusCode::Ok);
+    let mut response = HttpResponse::new(StatusCode::OK);
     response.set_body(status.to_string());
     response.insert_header("content-type", "application/json");
     response
--- a/packages/turnford-node/src/stream.rs
+++ b/packages/turnford-node/src/stream.rs
@@ -6,10 +6,10 @@
 use async_channel::Receiver;
 use futures_lite::stream::unfold;
 use futures_lite::FutureExt;
-use http_types::Response;
-use http_types::StatusCode;
+use http::StatusCode;
 use serde_json::json;
-use turnford_http::stream_body;
+use turnford_http::HttpBody;
+use turnford_http::HttpResponse;
 use turnford_policy::AttemptId;
 
 use crate::admit::AdmittedRequest;
@@ -34,7 +34,7 @@
 }
 
 /// Runs a request as the body of its answer: an event a token, and a last event with the code.
-pub(crate) fn stream_request(request: AdmittedRequest) -> Response {
+pub(crate) fn stream_request(request: AdmittedRequest) -> HttpResponse {
     let (sender, tokens) = async_channel::bounded(TOKEN_QUEUE);
     let trace = request.trace;
     let source = EventSource {
@@ -47,10 +47,10 @@
         let event = source.next_event().await?;
         Some((event, source))
     });
-    let mut response = Response::new(StatusCode::Ok);
+    let mut response = HttpResponse::new(StatusCode::OK);
     response.insert_header("content-type", "text/event-stream");
     response.insert_header("turnford-trace", trace.to_string());
-    response.set_body(stream_body(events));
+    response.set_body(HttpBody::stream(events));
     response
 }
 
--- a/packages/turnford-platform/src/link.rs
+++ b/packages/turnford-platform/src/link.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_types::Method;
-use http_types::Request;
+use http::Method;
 use turnford_http::HttpAnswer;
 use turnford_http::HttpClient;
+use turnford_http::HttpRequest;
 
 use crate::CallBudget;
 use crate::PlatformFault;
@@ -30,7 +30,7 @@
     }
 
     /// Starts a call that reads, if the budget has one.
-    pub(crate) fn read(&self, method: Method, path: &str) -> Result<Request, PlatformFault> {
+    pub(crate) fn read(&self, method: Method, path: &str) -> Result<HttpRequest, PlatformFault> {
         if !self.budget.take_read() {
             return Err(PlatformFault::OverBudget);
         }
@@ -38,7 +38,7 @@
     }
 
     /// Starts a call that writes, if the budget has one.
-    pub(crate) fn write(&self, method: Method, path: &str) -> Result<Request, PlatformFault> {
+    pub(crate) fn write(&self, method: Method, path: &str) -> Result<HttpRequest, PlatformFault> {
         if !self.budget.take_write() {
             return Err(PlatformFault::OverBudget);
         }
@@ -48,7 +48,7 @@
     /// Makes a call.
     pub(crate) async fn send(
         &self,
-        request: Request,
+        request: HttpRequest,
         limit: Duration,
     ) -> Result<HttpAnswer, PlatformFault> {
         Ok(self.http.send(self.address, request, limit).await?)
--- a/packages/turnford-platform/src/object.rs
+++ b/packages/turnford-platform/src/object.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_types::Method;
+use http::Method;
 use serde::Deserialize;
 use serde::Serialize;
 use turnford_http::HttpAnswer;
@@ -106,7 +106,7 @@
     ///
     /// Returns [`PlatformFault::Absent`] if there is none, or the fault of the call.
     pub async fn get(&self, key: &str) -> Result<ObjectValue, PlatformFault> {
-        let request = self.link.read(Method::Get, &format!("/objects/{key}"))?;
+        let request = self.link.read(Method::GET, &format!("/objects/{key}"))?;
         let answer = self.link.send(request, CALL_LIMIT).await?;
         match answer.status {
             200 => Ok(ObjectValue {
@@ -134,7 +134,7 @@
         if bytes.len() > VALUE_LIMIT {
             return Err(PlatformFault::TooLarge);
         }
-        let mut request = self.link.write(Method::Put, &format!("/objects/{key}"))?;
+        let mut request = self.link.write(Method::PUT, &format!("/objects/{key}"))?;
         request.insert_header(GUARD_HEADER, guard.header());
         request.set_body(bytes);
         let answer = self.link.send(request, CALL_LIMIT).await?;
@@ -157,7 +157,7 @@
     pub async fn delete(&self, key: &str, version: ObjectVersion) -> Result<(), PlatformFault> {
         let mut request = self
             .link
-            .write(Method::Delete, &format!("/objects/{key}"))?;
+            .write(Method::DELETE, &format!("/objects/{key}"))?;
         request.insert_header(GUARD_HEADER, version.to_string());
         let answer = self.link.send(request, CALL_LIMIT).await?;
         match answer.status {
@@ -179,7 +179,7 @@
     pub async fn list(&self, prefix: &str) -> Result<ObjectList, PlatformFault> {
         let request = self
             .link
-            .read(Method::Get, &format!("/list?prefix={prefix}"))?;
+            .read(Method::GET, &format!("/list?prefix={prefix}"))?;
         let answer = self.link.send(request, CALL_LIMIT).await?;
         parse_list(&answer)
     }
@@ -198,7 +198,7 @@
     ) -> Result<ObjectList, PlatformFault> {
         let wait_ms = wait.as_millis();
         let path = format!("/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
-        let request = self.link.read(Method::Get, &path)?;
+        let request = self.link.read(Method::GET, &path)?;
         let limit = wait + WATCH_GRACE;
         let answer = self.link.send(request, limit).await?;
         if answer.status == 410 {
--- a/packages/turnford-platform/src/vm.rs
+++ b/packages/turnford-platform/src/vm.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_types::Method;
+use http::Method;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -70,7 +70,7 @@
     ///
     /// Returns the fault of the call.
     pub async fn list(&self) -> Result<Vec<VmEntry>, PlatformFault> {
-        let request = self.link.read(Method::Get, "/vms")?;
+        let request = self.link.read(Method::GET, "/vms")?;
         let answer = self.link.send(request, LIST_LIMIT).await?;
         if answer.status != 200 {
             return Err(PlatformFault::Unavailable);
--- a/packages/turnford-platform/src/weight.rs
+++ b/packages/turnford-platform/src/weight.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_types::Method;
+use http::Method;
 use serde::Deserialize;
 
 use crate::link::PlatformLink;
@@ -41,7 +41,7 @@
     /// Returns [`PlatformFault::Absent`] for an unknown model, or the fault of the call.
     pub async fn reserve(&self, model: &str) -> Result<Duration, PlatformFault> {
         let path = format!("/weights/{model}");
-        let request = self.link.read(Method::Post, &path)?;
+        let request = self.link.read(Method::POST, &path)?;
         let answer = self.link.send(request, CALL_LIMIT).await?;
         match answer.status {
             200 => {
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -178,8 +178,6 @@
     answer: TargetAnswer,
 ) -> Option<ForwardEnd> {
     let target = placed.target.clone();
-    log.sent += 1;
-    log.may_have_run = true;
     let record = job.record;
     let status = answer.parts.status;
     record.note(format_args!("answer {status}"));
@@ -193,6 +191,8 @@
         Ok(whole) => whole,
         Err(fault) => return note_fault(traffic, job, log, &target, &fault),
     };
+    log.sent += 1;
+    log.may_have_run = true;
     let passed = passed_answer(&parts, AnswerBody::whole(body));
     if status.is_server_error() {
         job.desk.board.borrow_mut().note_failure(&target.id);
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -62,10 +62,6 @@
     Connected,
     /// A call of pieces was made.
     Batch,
-    /// A piece was part of a call.
-    Piece,
-    /// A stream went on at another target.
-    Resumed,
 }
 
 impl ServiceEvent {
@@ -79,8 +75,6 @@
             ServiceEvent::OtherAttempt => "other-attempt",
             ServiceEvent::Connected => "connected",
             ServiceEvent::Batch => "batch",
-            ServiceEvent::Piece => "piece",
-            ServiceEvent::Resumed => "resumed",
         }
     }
 }
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -76,15 +76,15 @@
         })
     }
 
-    fn tell(&self, ticket: PieceTicket, outcome: PieceOutcome) -> Result<(), PieceOutcome> {
+    /// Tells a request how its piece ended; returns the outcome if nobody waits for it.
+    fn tell(&self, ticket: PieceTicket, outcome: PieceOutcome) -> Option<PieceOutcome> {
         let Some(taker) = self.takers.borrow_mut().remove(&ticket) else {
-            return Err(outcome);
+            return Some(outcome);
         };
         // It may have been offered to another target, too.
         self.board.borrow_mut().withdraw(ticket);
-        taker
-            .try_send(outcome)
-            .map_err(async_channel::TrySendError::into_inner)
+        let told = taker.try_send(outcome);
+        told.err().map(async_channel::TrySendError::into_inner)
     }
 }
 
@@ -230,7 +230,7 @@
                 PieceEnd::NoRoom => PieceOutcome::Failed("no room for the result"),
                 PieceEnd::Failed => PieceOutcome::Failed("the target failed at it"),
             };
-            if let Err(PieceOutcome::Made(result)) = self.pieces.tell(ticket, outcome) {
+            if let Some(PieceOutcome::Made(result)) = self.pieces.tell(ticket, outcome) {
                 release_results(&self.traffic, vec![result]);
             }
         }
--- a/packages/turnford-serve/src/release.rs
+++ b/packages/turnford-serve/src/release.rs
@@ -35,10 +35,13 @@
     pub(crate) gatherer: Option<SocketAddr>,
 }
 
+/// Where results are given up: the target that keeps them, and the node that gathered them.
+type ReleasePlace = (TargetId, Option<SocketAddr>);
+
 /// Results that nobody needs any more.
 #[derive(Default)]
 pub(crate) struct ResultReleaser {
-    waiting: RefCell<HashMap<(TargetId, Option<SocketAddr>), Vec<PieceResult>>>,
+    waiting: RefCell<HashMap<ReleasePlace, Vec<PieceResult>>>,
 }
 
 /// Gives results up, soon.
@@ -55,7 +58,7 @@
     }
 }
 
-async fn send_release(traffic: Rc<Traffic>, place: (TargetId, Option<SocketAddr>)) {
+async fn send_release(traffic: Rc<Traffic>, place: ReleasePlace) {
     Timer::after(GATHER_SPAN).await;
     let results = traffic.releaser.waiting.borrow_mut().remove(&place);
     let results = results.unwrap_or_default();
--- /dev/null
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -0,0 +1,299 @@
+//! A small site on loopback: a store, targets, and nodes that serve routes.
+
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Method;
+use serde_json::json;
+use serde_json::Value;
+use turnford_config::LogLevel;
+use turnford_config::LogSettings;
+use turnford_config::RepeatSettings;
+use turnford_config::ServeSettings;
+use turnford_http::HttpAnswer;
+use turnford_http::HttpClient;
+use turnford_http::HttpFault;
+use turnford_http::HttpRequest;
+use turnford_serve::ServeNode;
+use turnford_standin::start_threads;
+use turnford_standin::MetaStore;
+use turnford_standin::RouteJournal;
+use turnford_standin::RouteTarget;
+use turnford_standin::SharedExecutor;
+use turnford_standin::TargetRole;
+
+/// Longest wait for anything; tests end much sooner.
+pub(crate) const LIMIT: Duration = Duration::from_secs(20);
+
+/// Time that clients give their requests.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Short work of a plain service.
+pub(crate) const QUICK: TargetRole = TargetRole::Plain(Duration::from_millis(5));
+
+/// Targets of a stage that work quickly.
+pub(crate) const STAGE: TargetRole = TargetRole::Stage {
+    call: Duration::from_millis(30),
+    piece: Duration::from_millis(1),
+};
+
+/// An engine with a short answer.
+pub(crate) const ENGINE: TargetRole = TargetRole::Engine {
+    first: Duration::from_millis(10),
+    pause: Duration::from_millis(5),
+    events: 5,
+};
+
+/// A site with its nodes.
+pub(crate) struct RouteSite {
+    pub(crate) executor: SharedExecutor,
+    pub(crate) store: MetaStore,
+    pub(crate) journal: Arc<RouteJournal>,
+    pub(crate) nodes: Vec<SiteNode>,
+    pub(crate) client: HttpClient,
+}
+
+/// A running node and where it is.
+pub(crate) struct SiteNode {
+    pub(crate) node: Option<ServeNode>,
+    pub(crate) settings: ServeSettings,
+    /// Its own door to the store.
+    pub(crate) door: usize,
+}
+
+impl RouteSite {
+    /// Makes a site without targets and nodes.
+    pub(crate) fn new() -> Self {
+        let store = MetaStore::new();
+        store.put("config", "main", config(1));
+        Self {
+            executor: start_threads("standin", 2),
+            store,
+            journal: Arc::default(),
+            nodes: Vec::new(),
+            client: HttpClient::new(),
+        }
+    }
+
+    /// Starts a target.
+    pub(crate) fn target(&self, id: &str, service: &str, role: TargetRole) -> RouteTarget {
+        RouteTarget::start(
+            &self.executor,
+            &self.store,
+            &self.journal,
+            id,
+            service,
+            role,
+        )
+        .expect("a free port")
+    }
+
+    /// Starts a node and waits until it takes requests.
+    pub(crate) fn node(&mut self, name: &str) -> usize {
+        let number = self.node_unready(name);
+        let node = &self.nodes[number];
+        wait_until("the node is ready", || {
+            node.node.as_ref().is_some_and(ServeNode::is_ready)
+        });
+        number
+    }
+
+    /// Starts a node.
+    pub(crate) fn node_unready(&mut self, name: &str) -> usize {
+        let (door, store) = self.store.open_door(&self.executor).expect("a free port");
+        let peers = self.nodes.iter().map(|node| node.settings.inner);
+        let settings = settings(name, store, peers.collect());
+        let node = ServeNode::start(settings.clone()).expect("free ports");
+        self.nodes.push(SiteNode {
+            node: Some(node),
+            settings,
+            door,
+        });
+        self.nodes.len() - 1
+    }
+
+    /// Sends a request to a node and reads its whole answer.
+    pub(crate) fn call(&self, node: usize, ask: Ask<'_>) -> Result<HttpAnswer, HttpFault> {
+        let to = self.nodes[node].settings.listen;
+        let request = ask.request(to);
+        async_io::block_on(self.client.send(to, request, LIMIT))
+    }
+
+    /// Reads a node's metrics.
+    pub(crate) fn metrics(&self, node: usize) -> String {
+        let to = self.nodes[node].settings.metrics;
+        let request = HttpClient::request(Method::GET, to, "/metrics").expect("a path");
+        let answer = async_io::block_on(self.client.send(to, request, LIMIT));
+        String::from_utf8(answer.expect("metrics").body).expect("text")
+    }
+
+    /// Asks a node whether it takes requests, as the platform does.
+    pub(crate) fn readiness(&self, node: usize) -> u16 {
+        let to = self.nodes[node].settings.ready;
+        let request = HttpClient::request(Method::GET, to, "/v1/readiness").expect("a path");
+        let answer = async_io::block_on(self.client.send(to, request, LIMIT));
+        answer.expect("an answer").status
+    }
+
+    /// Waits until all nodes know each other.
+    pub(crate) fn settle(&self) {
+        let others = self.nodes.len() - 1;
+        for number in 0..self.nodes.len() {
+            let line = format!("turnford_members {others}\n");
+            wait_until("all nodes know each other", || {
+                self.metrics(number).contains(&line)
+            });
+        }
+    }
+}
+
+/// A client's request.
+#[derive(Clone, Copy)]
+pub(crate) struct Ask<'a> {
+    pub(crate) attempt: &'a str,
+    pub(crate) path: &'a str,
+    pub(crate) key: Option<&'a str>,
+    pub(crate) headers: &'a [(&'a str, &'a str)],
+    pub(crate) body: &'a str,
+}
+
+impl<'a> Ask<'a> {
+    /// Makes a request with a valid key.
+    pub(crate) fn new(attempt: &'a str, path: &'a str) -> Self {
+        Self {
+            attempt,
+            path,
+            key: Some("key-skagen"),
+            headers: &[],
+            body: "",
+        }
+    }
+
+    /// Returns the request to a node.
+    pub(crate) fn request(&self, to: SocketAddr) -> HttpRequest {
+        let mut request = HttpClient::request(Method::POST, to, self.path).expect("a path");
+        request.insert_header("host", "site.example");
+        request.insert_header("x-turnford-attempt-id", self.attempt);
+        let names_patience = |(name, _): &(&str, &str)| *name == "x-turnford-deadline-ms";
+        if !self.headers.iter().any(names_patience) {
+            request.insert_header("x-turnford-deadline-ms", PATIENCE.as_millis().to_string());
+        }
+        if let Some(key) = self.key {
+            request.insert_header("authorization", format!("Bearer {key}"));
+        }
+        for (name, value) in self.headers {
+            request.insert_header(name, *value);
+        }
+        request.set_body(self.body);
+        request
+    }
+}
+
+/// Headers of a request with a prompt and pieces of two stages.
+pub(crate) const STAGED: &[(&str, &str)] = &[
+    ("x-turnford-model", "m"),
+    ("x-turnford-token-counts", "1460,80"),
+    (
+        "x-turnford-prompt-prefix",
+        "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+    ),
+    ("x-turnford-pieces", "2,3"),
+    ("x-turnford-piece-key", "7c1e07a291bd"),
+];
+
+/// Returns settings with free ports.
+pub(crate) fn settings(name: &str, store: SocketAddr, peers: Vec<SocketAddr>) -> ServeSettings {
+    ServeSettings {
+        name: Arc::from(name),
+        hall: Arc::from("hal-a"),
+        region: Arc::from("dk-vest"),
+        listen: free_address(),
+        ready: free_address(),
+        inner: free_address(),
+        work: free_address(),
+        metrics: free_address(),
+        store,
+        peers,
+        stop_grace: Duration::from_secs(6),
+        leave_bound: Duration::from_secs(2),
+        repeats: RepeatSettings {
+            window: Duration::from_secs(10),
+            ratio: 0.2,
+            slack: 40.0,
+        },
+        log: LogSettings {
+            level: LogLevel::Info,
+            file: None,
+        },
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("the port is known")
+}
+
+/// Returns a configuration of some version.
+pub(crate) fn config(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            route("hold", "/hold/", "unsafe", "booking", 1, &json!([])),
+            route("pay", "/pay/", "safe", "booking", 2, &json!([])),
+            route("draft", "/draft/", "streaming", "sprog", 1, &json!([])),
+            route("chat", "/chat/", "streaming", "sprog", 2, &json!([
+                { "service": "kort", "after_revision": [], "byte_count": 8000 },
+                { "service": "ejer", "after_revision": [0], "byte_count": 60000 },
+            ])),
+        ],
+        "services": [
+            { "name": "booking", "health_check_path": "/health", "connection_limit": 96 },
+            { "name": "sprog", "health_check_path": "/health", "connection_limit": 600,
+              "inference_engine": { "slots": 128, "kv_cache_tokens": 286_093 } },
+            stage_service("kort", 8),
+            stage_service("ejer", 22),
+        ],
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 4096,
+                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
+        "tenants": [
+            { "name": "skagen", "api_keys": ["key-skagen"], "priority": 1 },
+            { "name": "fyn", "api_keys": ["key-fyn"], "priority": 0 },
+        ],
+    })
+}
+
+fn route(name: &str, prefix: &str, kind: &str, service: &str, limit: u32, stages: &Value) -> Value {
+    json!({
+        "name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
+        "timeout_ms": 9000, "target_latency_ms": 3000, "priority": 1, "service": service,
+        "max_attempts": limit, "stages": stages, "allow_anonymous": false,
+        "resumable": name == "chat", "target_gap_ms": 500,
+    })
+}
+
+fn stage_service(name: &str, batch: u32) -> Value {
+    json!({
+        "name": name, "health_check_path": "/health", "connection_limit": 600,
+        "pieces": { "slots": 1, "queue": 2, "batch": batch, "call_ms": 30.0, "item_ms": 1.0,
+                    "headroom_mb": 18.0, "handle_s": 4.0, "link_mbps": 10000 },
+    })
+}
+
+/// Waits until a condition holds.
+pub(crate) fn wait_until(what: &str, holds: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < LIMIT, "not within {LIMIT:?}: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Returns an answer's body as text.
+pub(crate) fn text(answer: &HttpAnswer) -> String {
+    String::from_utf8(answer.body.clone()).expect("text")
+}
--- /dev/null
+++ b/packages/turnford-serve/tests/gathered_pieces.rs
@@ -0,0 +1,83 @@
+//! One node gathers the pieces of all; without it the others go on.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use common::Ask;
+use common::RouteSite;
+use common::ENGINE;
+use common::STAGED;
+use turnford_standin::RunKind;
+use turnford_standin::TargetRole;
+
+/// Targets slow enough that pieces gather while a call is at work.
+const SLOW_STAGE: TargetRole = TargetRole::Stage {
+    call: Duration::from_millis(200),
+    piece: Duration::from_millis(1),
+};
+
+fn calls_of(site: &RouteSite, target: &str) -> BTreeSet<u64> {
+    let runs = site.journal.runs().into_iter();
+    let own = runs.filter(|run| run.target == target);
+    own.filter_map(|run| match run.kind {
+        RunKind::Piece { call, .. } => Some(call),
+        _ => None,
+    })
+    .collect()
+}
+
+fn call_all(site: &RouteSite, nodes: &[usize], names: &[String]) {
+    std::thread::scope(|scope| {
+        for (number, name) in names.iter().enumerate() {
+            let node = nodes[number % nodes.len()];
+            scope.spawn(move || {
+                let mut ask = Ask::new(name, "/chat/");
+                ask.headers = STAGED;
+                let answer = site.call(node, ask).expect("an answer");
+                assert_eq!(answer.status, 200, "{name} at node {node}");
+            });
+        }
+    });
+}
+
+#[test]
+fn few_calls() {
+    let mut site = RouteSite::new();
+    site.target("k1", "kort", SLOW_STAGE);
+    site.target("e1", "ejer", SLOW_STAGE);
+    site.target("s1", "sprog", ENGINE);
+    let nodes: Vec<usize> = ["one", "two", "three"].map(|name| site.node(name)).to_vec();
+    site.settle();
+    let names: Vec<String> = (0..12).map(|number| format!("a{number}")).collect();
+    call_all(&site, &nodes, &names);
+    // 24 pieces in calls of eight: the first call takes what is there, the others are full.
+    let calls = calls_of(&site, "k1").len();
+    assert!(calls <= 5, "{calls} calls for 24 pieces");
+}
+
+#[test]
+fn gatherer_stops() {
+    let mut site = RouteSite::new();
+    site.target("k1", "kort", SLOW_STAGE);
+    site.target("e1", "ejer", SLOW_STAGE);
+    site.target("s1", "sprog", ENGINE);
+    let nodes: Vec<usize> = ["one", "two", "three"].map(|name| site.node(name)).to_vec();
+    site.settle();
+    // Whichever node gathers, one of these stops is its own; the one that is left serves all.
+    for stopped in [0, 1] {
+        let node = site.nodes[stopped].node.take().expect("a node");
+        let left: Vec<usize> = nodes[stopped + 1..].to_vec();
+        let site = &site;
+        std::thread::scope(|scope| {
+            let names: Vec<String> = (0..6)
+                .map(|number| format!("s{stopped}-{number}"))
+                .collect();
+            let calls = scope.spawn(move || call_all(site, &left, &names));
+            std::thread::sleep(Duration::from_millis(100));
+            node.stop();
+            calls.join().expect("all are served");
+        });
+    }
+}
--- /dev/null
+++ b/packages/turnford-serve/tests/leaving_targets.rs
@@ -0,0 +1,100 @@
+//! Targets that leave get no new work; those whose entries only lapsed come back.
+
+mod common;
+
+use std::time::Duration;
+
+use common::wait_until;
+use common::Ask;
+use common::RouteSite;
+use common::QUICK;
+use turnford_standin::DoorState;
+
+fn targets(site: &RouteSite, node: usize) -> String {
+    let metrics = site.metrics(node);
+    let line = metrics
+        .lines()
+        .find(|line| line.starts_with("turnford_targets "));
+    line.unwrap_or("").to_owned()
+}
+
+#[test]
+fn no_new_work() {
+    let mut site = RouteSite::new();
+    let first = site.target("b1", "booking", QUICK);
+    site.target("b2", "booking", QUICK);
+    let node = site.node("one");
+    first.list("draining");
+    // The change needs a moment to be known; from then on the target gets nothing.
+    std::thread::sleep(Duration::from_millis(300));
+    for number in 0..20 {
+        let attempt = format!("a{number}");
+        let answer = site
+            .call(node, Ask::new(&attempt, "/hold/1"))
+            .expect("an answer");
+        assert_eq!(answer.status, 200);
+        assert_eq!(site.journal.of(&attempt)[0].target, "b2");
+    }
+}
+
+#[test]
+fn gone_at_once() {
+    let mut site = RouteSite::new();
+    let first = site.target("b1", "booking", QUICK);
+    site.target("b2", "booking", QUICK);
+    let node = site.node("one");
+    wait_until("both are known", || {
+        targets(&site, node) == "turnford_targets 2"
+    });
+    first.unlist();
+    wait_until("one is left", || {
+        targets(&site, node) == "turnford_targets 1"
+    });
+}
+
+#[test]
+fn lapse_and_return() {
+    // Entries that lapsed while the store was away keep their targets until they are back.
+    let mut site = RouteSite::new();
+    let target = site.target("b1", "booking", QUICK);
+    let node = site.node("one");
+    let door = site.nodes[node].door;
+    site.store.set_door(door, DoorState::Refusing);
+    std::thread::sleep(Duration::from_millis(5000));
+    target.unlist();
+    site.store.set_door(door, DoorState::Open);
+    std::thread::sleep(Duration::from_millis(1500));
+    assert_eq!(
+        site.call(node, Ask::new("a1", "/hold/1"))
+            .expect("an answer")
+            .status,
+        200
+    );
+    target.list("ready");
+    std::thread::sleep(Duration::from_millis(2500));
+    assert_eq!(
+        site.call(node, Ask::new("a2", "/hold/1"))
+            .expect("an answer")
+            .status,
+        200
+    );
+}
+
+#[test]
+fn other_instance() {
+    // The address now belongs to another incarnation, which turns the call away.
+    let mut site = RouteSite::new();
+    let first = site.target("b1", "booking", QUICK);
+    let spec = serde_json::json!({
+        "service": "booking", "address": first.address().to_string(), "zone": "hal-a",
+        "slots": 8, "state": "ready",
+    });
+    site.store.put("servers", "b0", spec);
+    first.unlist();
+    let node = site.node("one");
+    let answer = site
+        .call(node, Ask::new("a1", "/hold/1"))
+        .expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert_eq!(site.journal.runs(), []);
+}
--- /dev/null
+++ b/packages/turnford-serve/tests/planned_stop.rs
@@ -0,0 +1,66 @@
+//! A planned stop cuts no request.
+
+mod common;
+
+use std::time::Duration;
+
+use common::text;
+use common::Ask;
+use common::RouteSite;
+use turnford_standin::TargetRole;
+
+#[test]
+fn running_finishes() {
+    let mut site = RouteSite::new();
+    let slow = TargetRole::Engine {
+        first: Duration::from_millis(50),
+        pause: Duration::from_millis(100),
+        events: 20,
+    };
+    site.target("s1", "sprog", slow);
+    let node = site.node("one");
+    let running = site.nodes[node].node.take().expect("a node");
+    let site = &site;
+    std::thread::scope(|scope| {
+        let call = scope.spawn(|| site.call(node, Ask::new("a1", "/draft/")));
+        common::wait_until("the request runs", || site.journal.of("a1").len() == 1);
+        let stop = scope.spawn(|| async_io::block_on(running.drain()));
+        common::wait_until("the node is not ready", || site.readiness(node) == 503);
+        let answer = call.join().expect("no panic").expect("an answer");
+        assert_eq!(text(&answer).matches("data: token").count(), 20);
+        assert_eq!(stop.join().expect("no panic"), 0);
+    });
+}
+
+#[test]
+fn late_arrivals() {
+    // What can't be finished any more is refused as not run, so that another node takes it.
+    let mut site = RouteSite::new();
+    let engine = TargetRole::Engine {
+        first: Duration::from_millis(10),
+        pause: Duration::from_millis(300),
+        events: 15,
+    };
+    site.target("s1", "sprog", engine);
+    let node = site.node("one");
+    let running = site.nodes[node].node.take().expect("a node");
+    let site = &site;
+    std::thread::scope(|scope| {
+        // One request keeps the node from ending early.
+        let first = scope.spawn(|| site.call(node, Ask::new("a1", "/draft/")));
+        common::wait_until("the request runs", || site.journal.of("a1").len() == 1);
+        let stop = scope.spawn(|| async_io::block_on(running.drain()));
+        std::thread::sleep(Duration::from_millis(1500));
+        let answer = site
+            .call(node, Ask::new("a2", "/draft/"))
+            .expect("an answer");
+        assert_eq!(answer.status, 503, "{}", text(&answer));
+        assert!(answer.header("retry-after").is_some());
+        assert_eq!(site.journal.of("a2"), []);
+        assert_eq!(
+            first.join().expect("no panic").expect("an answer").status,
+            200
+        );
+        assert_eq!(stop.join().expect("no panic"), 0);
+    });
+}
--- /dev/null
+++ b/packages/turnford-serve/tests/truthful_ends.rs
@@ -0,0 +1,134 @@
+//! "Not run" is said only where nothing ran, and what may not be repeated runs once.
+
+mod common;
+
+use std::time::Duration;
+
+use common::text;
+use common::Ask;
+use common::RouteSite;
+use common::ENGINE;
+use common::QUICK;
+use turnford_http::HttpFault;
+use turnford_standin::TargetFault;
+
+#[test]
+fn turned_away() {
+    // A target that did not run an unsafe call leaves it to another only within the route's limit.
+    let mut site = RouteSite::new();
+    let target = site.target("b1", "booking", QUICK);
+    let node = site.node("one");
+    target.fail_next([TargetFault::TurnAway]);
+    let answer = site
+        .call(node, Ask::new("a1", "/hold/1"))
+        .expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(site.journal.runs(), []);
+}
+
+#[test]
+fn unsafe_once() {
+    for fault in [
+        TargetFault::Vanish,
+        TargetFault::Cut,
+        TargetFault::OtherAttempt,
+    ] {
+        let mut site = RouteSite::new();
+        let first = site.target("b1", "booking", QUICK);
+        let second = site.target("b2", "booking", QUICK);
+        let node = site.node("one");
+        first.fail_next([fault.clone()]);
+        second.fail_next([fault.clone()]);
+        let answer = site
+            .call(node, Ask::new("a1", "/hold/1"))
+            .expect("an answer");
+        assert!(
+            matches!(answer.status, 502 | 504),
+            "{fault:?}: {}",
+            answer.status
+        );
+        assert!(text(&answer).contains(r#""ran":"unknown""#));
+        assert_eq!(answer.header("x-turnford-server-stamp"), None);
+        assert_eq!(site.journal.requests("a1").len(), 1, "{fault:?}");
+    }
+}
+
+#[test]
+fn safe_again() {
+    for fault in [
+        TargetFault::Vanish,
+        TargetFault::Cut,
+        TargetFault::OtherAttempt,
+        TargetFault::Fail,
+    ] {
+        let mut site = RouteSite::new();
+        let first = site.target("b1", "booking", QUICK);
+        site.target("b2", "booking", QUICK);
+        let node = site.node("one");
+        // Whichever is chosen first, one of the two answers.
+        first.fail_next([fault.clone()]);
+        for attempt in ["a1", "a2"] {
+            let path = format!("/pay/{attempt}");
+            let answer = site
+                .call(node, Ask::new(attempt, &path))
+                .expect("an answer");
+            assert_eq!(
+                (answer.status, text(&answer)),
+                (200, format!("answer to {attempt}"))
+            );
+        }
+    }
+}
+
+#[test]
+fn own_failure() {
+    // A target's own 500 to an unsafe call is passed on as it is.
+    let mut site = RouteSite::new();
+    let target = site.target("b1", "booking", QUICK);
+    let node = site.node("one");
+    target.fail_next([TargetFault::Fail]);
+    let answer = site
+        .call(node, Ask::new("a1", "/hold/1"))
+        .expect("an answer");
+    assert_eq!(answer.status, 500);
+    assert_eq!(answer.header("x-turnford-server-stamp"), Some("stamp-a1"));
+    assert_eq!(site.journal.requests("a1").len(), 1);
+}
+
+#[test]
+fn cut_stream() {
+    let mut site = RouteSite::new();
+    let target = site.target("s1", "sprog", ENGINE);
+    let node = site.node("one");
+    target.fail_next([TargetFault::Cut]);
+    let end = site.call(node, Ask::new("a1", "/draft/"));
+    assert_eq!(end.map(|answer| answer.body), Err(HttpFault::Truncated));
+}
+
+#[test]
+fn nobody_left() {
+    let mut site = RouteSite::new();
+    site.target("b1", "booking", QUICK);
+    let node = site.node("one");
+    let answer = site
+        .call(node, Ask::new("a1", "/draft/"))
+        .expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert!(text(&answer).contains(r#""ran":"no""#));
+}
+
+#[test]
+fn late_target() {
+    // A request that outlasts its client's time gets its final answer then.
+    let mut site = RouteSite::new();
+    let target = site.target("b1", "booking", QUICK);
+    let node = site.node("one");
+    target.fail_next([TargetFault::Slow(Duration::from_secs(5))]);
+    let mut ask = Ask::new("a1", "/hold/1");
+    ask.headers = &[("x-turnford-deadline-ms", "300")];
+    let begun = std::time::Instant::now();
+    let answer = site.call(node, ask).expect("an answer");
+    assert_eq!(answer.status, 504);
+    assert!(begun.elapsed() < Duration::from_millis(1500));
+}
--- a/packages/turnford-standin/src/balancer.rs
+++ b/packages/turnford-standin/src/balancer.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use http_types::Method;
+use http::Method;
 use turnford_http::HttpClient;
 
 use crate::SharedExecutor;
@@ -66,7 +66,7 @@
 
     async fn check(&self, number: usize, client: &HttpClient) {
         let (node, ready) = &self.nodes[number];
-        let answer = match HttpClient::request(Method::Get, *node, "/readyz") {
+        let answer = match HttpClient::request(Method::GET, *node, "/readyz") {
             Ok(request) => client.send(*node, request, CHECK_LIMIT).await,
             Err(fault) => Err(fault),
         };
--- a/packages/turnford-standin/src/fleet.rs
+++ b/packages/turnford-standin/src/fleet.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use async_net::TcpListener;
-use http_types::Response;
 use turnford_http::bind_listener;
 use turnford_http::serve_connection;
 use turnford_http::HttpCall;
+use turnford_http::HttpResponse;
 use turnford_http::DEFAULT_BODY_LIMIT;
 use turnford_platform::VmEntry;
 use turnford_platform::VmState;
@@ -117,10 +117,14 @@
     Ok(entry)
 }
 
-fn serve<F, Fut>(port: u16, executor: &SharedExecutor, handler: F) -> io::Result<SocketAddr>
+pub(crate) fn serve<F, Fut>(
+    port: u16,
+    executor: &SharedExecutor,
+    handler: F,
+) -> io::Result<SocketAddr>
 where
     F: Fn(HttpCall) -> Fut + Clone + Send + Sync + 'static,
-    Fut: Future<Output = Option<Response>> + Send + 'static,
+    Fut: Future<Output = Option<HttpResponse>> + Send + 'static,
 {
     let listener = bind_loopback(port)?;
     let address = listener.local_addr()?;
@@ -131,7 +135,7 @@
 fn spawn_listener<F, Fut>(listener: TcpListener, executor: &SharedExecutor, handler: F)
 where
     F: Fn(HttpCall) -> Fut + Clone + Send + Sync + 'static,
-    Fut: Future<Output = Option<Response>> + Send + 'static,
+    Fut: Future<Output = Option<HttpResponse>> + Send + 'static,
 {
     let connections = executor.clone();
     let accept = async move {
--- a/packages/turnford-standin/src/load.rs
+++ b/packages/turnford-standin/src/load.rs
@@ -11,13 +11,14 @@
 use std::time::Instant;
 
 use async_io::Timer;
-use http_types::Method;
+use http::Method;
 use rand::rngs::SmallRng;
 use rand::Rng;
 use rand::SeedableRng;
 use serde::Deserialize;
 use turnford_http::HttpClient;
 use turnford_http::HttpFault;
+use turnford_http::HttpRequest;
 
 use crate::audit::audit_run;
 use crate::balancer::LoadBalancer;
@@ -269,7 +270,7 @@
     record: &mut RequestRecord,
 ) -> Result<AnswerBody, HttpFault> {
     let path = format!("/v1/pipelines/{}", plan.traffic.template);
-    let mut request = HttpClient::request(Method::Post, node, &path)?;
+    let mut request = HttpClient::request(Method::POST, node, &path)?;
     request.insert_header(
         "authorization",
         format!("Bearer key-{}", plan.traffic.account),
@@ -295,7 +296,7 @@
     client: &HttpClient,
     node: SocketAddr,
     plan: &RequestPlan,
-    request: http_types::Request,
+    request: HttpRequest,
     limit: Duration,
     record: &mut RequestRecord,
 ) -> Result<AnswerBody, HttpFault> {
@@ -326,7 +327,7 @@
     client: &HttpClient,
     control: SocketAddr,
 ) -> Result<Vec<JournalEntry>, String> {
-    let mut request = HttpClient::request(Method::Get, control, "/journal")
+    let mut request = HttpClient::request(Method::GET, control, "/journal")
         .map_err(|fault| format!("journal: {fault}"))?;
     request.insert_header("connection", "close");
     let limit = Duration::from_secs(30);
--- a/packages/turnford-standin/src/objects.rs
+++ b/packages/turnford-standin/src/objects.rs
@@ -8,9 +8,9 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
-use http_types::Response;
-use http_types::StatusCode;
+use http::StatusCode;
 use turnford_http::HttpCall;
+use turnford_http::HttpResponse;
 use turnford_platform::ObjectList;
 
 use crate::FaultKind;
@@ -44,9 +44,9 @@
     }
 
     /// Answers one call.
-    pub(crate) async fn handle(&self, call: HttpCall) -> Option<Response> {
+    pub(crate) async fn handle(&self, call: HttpCall) -> Option<HttpResponse> {
         if self.faults.active(FaultKind::Outage, &[PLATFORM]).is_some() {
-            return Some(Response::new(StatusCode::ServiceUnavailable));
+            return Some(HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE));
         }
         let slow = self.faults.active(FaultKind::Slow, &[PLATFORM]);
         if let Some(millis) = slow {
@@ -66,16 +66,16 @@
                 Some(json(&list))
             }
             ("GET", None) if call.path == "/watch" => Some(self.watch(&call).await),
-            _ => Some(Response::new(StatusCode::NotFound)),
+            _ => Some(HttpResponse::new(StatusCode::NOT_FOUND)),
         }
     }
 
-    fn get(&self, key: &str) -> Response {
+    fn get(&self, key: &str) -> HttpResponse {
         let store = self.store();
         let Some((version, bytes)) = store.get(key) else {
-            return Response::new(StatusCode::NotFound);
+            return HttpResponse::new(StatusCode::NOT_FOUND);
         };
-        let mut response = Response::new(StatusCode::Ok);
+        let mut response = HttpResponse::new(StatusCode::OK);
         response.insert_header("object-version", version.to_string());
         response.set_body(bytes.to_vec());
         response
@@ -86,7 +86,7 @@
         &self,
         call: &HttpCall,
         change: impl FnOnce(&mut ObjectStore, Option<u64>) -> Result<u64, StoreFault>,
-    ) -> Option<Response> {
+    ) -> Option<HttpResponse> {
         let expected = call.header("if-version").and_then(|text| text.parse().ok());
         let result = change(&mut self.store(), expected);
         if result.is_ok() {
@@ -98,17 +98,17 @@
             }
         }
         let (status, version) = match result {
-            Ok(version) => (StatusCode::Ok, version),
-            Err(StoreFault::Conflict(current)) => (StatusCode::Conflict, current),
-            Err(StoreFault::TooLarge) => (StatusCode::PayloadTooLarge, 0),
-            Err(_) => (StatusCode::NotFound, 0),
+            Ok(version) => (StatusCode::OK, version),
+            Err(StoreFault::Conflict(current)) => (StatusCode::CONFLICT, current),
+            Err(StoreFault::TooLarge) => (StatusCode::PAYLOAD_TOO_LARGE, 0),
+            Err(_) => (StatusCode::NOT_FOUND, 0),
         };
-        let mut response = Response::new(status);
+        let mut response = HttpResponse::new(status);
         response.insert_header("object-version", version.to_string());
         Some(response)
     }
 
-    async fn watch(&self, call: &HttpCall) -> Response {
+    async fn watch(&self, call: &HttpCall) -> HttpResponse {
         let prefix = call.query("prefix").unwrap_or("").to_owned();
         let after = call.query_number("after", 0);
         let wait_ms = call.query_number("wait_ms", 0).min(LONGEST_WATCH_MS);
@@ -118,7 +118,7 @@
             let found = self.store().changes(&prefix, after);
             let list = match found {
                 Ok(list) => list,
-                Err(_) => return Response::new(StatusCode::Gone),
+                Err(_) => return HttpResponse::new(StatusCode::GONE),
             };
             let left = ends_at.saturating_duration_since(std::time::Instant::now());
             if !list.objects.is_empty() || left.is_zero() {
@@ -161,6 +161,6 @@
     }
 }
 
-fn json(list: &ObjectList) -> Response {
+fn json(list: &ObjectList) -> HttpResponse {
     crate::vms::json_response(list)
 }
--- /dev/null
+++ b/packages/turnford-standin/src/route.rs
@@ -0,0 +1,16 @@
+//! Stand-ins of the users' platform: its store, and the targets that its routes reach.
+//!
+//! They speak what the platform speaks, so they know its names; what they do beyond that is small.
+
+mod meta;
+mod run;
+mod target;
+
+pub use meta::DoorState;
+pub use meta::MetaStore;
+pub use run::RouteJournal;
+pub use run::RouteRun;
+pub use run::RunKind;
+pub use target::RouteTarget;
+pub use target::TargetFault;
+pub use target::TargetRole;
--- /dev/null
+++ b/packages/turnford-standin/src/route/target.rs
@@ -0,0 +1,382 @@
+//! Targets of routes: plain services, model engines and targets of stages.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::stream;
+use http::StatusCode;
+use serde_json::json;
+use serde_json::Value;
+use turnford_http::HttpBody;
+use turnford_http::HttpCall;
+use turnford_http::HttpResponse;
+
+use super::meta::json_answer;
+use super::meta::MetaStore;
+use super::run::RouteJournal;
+use super::run::RouteRun;
+use super::run::RunKind;
+use crate::fleet::serve;
+use crate::SharedExecutor;
+
+/// What a target is.
+#[derive(Clone, Debug)]
+pub enum TargetRole {
+    /// Answers with a few bytes after a time.
+    Plain(Duration),
+    /// Answers with events.
+    Engine {
+        /// Time until the first event.
+        first: Duration,
+        /// Time between events.
+        pause: Duration,
+        /// Number of events.
+        events: u64,
+    },
+    /// Runs pieces, one call at a time.
+    Stage {
+        /// Time of a call without its pieces.
+        call: Duration,
+        /// Time of a piece.
+        piece: Duration,
+    },
+}
+
+/// What goes wrong with one call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TargetFault {
+    /// Turned away before it runs.
+    TurnAway,
+    /// It runs, and the connection closes without an answer.
+    Vanish,
+    /// It runs, and its answer breaks off.
+    Cut,
+    /// It runs, and its answer carries another request's id.
+    OtherAttempt,
+    /// It runs and fails.
+    Fail,
+    /// It takes this much longer.
+    Slow(Duration),
+}
+
+struct TargetState {
+    id: String,
+    address: Mutex<Option<SocketAddr>>,
+    role: TargetRole,
+    journal: Arc<RouteJournal>,
+    faults: Mutex<VecDeque<TargetFault>>,
+    calls: AtomicU64,
+    /// Held by the call at work at a target of a stage.
+    turn: async_channel::Receiver<()>,
+    turns: async_channel::Sender<()>,
+}
+
+/// A running target, listed in the store.
+#[derive(Clone)]
+pub struct RouteTarget {
+    state: Arc<TargetState>,
+    store: MetaStore,
+    service: String,
+    hall: String,
+}
+
+impl RouteTarget {
+    /// Starts a target and lists it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if no port can be bound.
+    pub fn start(
+        executor: &SharedExecutor,
+        store: &MetaStore,
+        journal: &Arc<RouteJournal>,
+        id: &str,
+        service: &str,
+        role: TargetRole,
+    ) -> io::Result<Self> {
+        let (turns, turn) = async_channel::bounded(1);
+        // The channel is new and has room for its one turn.
+        let _ = turns.try_send(());
+        let state = Arc::new(TargetState {
+            id: id.to_owned(),
+            address: Mutex::new(None),
+            role,
+            journal: journal.clone(),
+            faults: Mutex::default(),
+            calls: AtomicU64::new(0),
+            turn,
+            turns,
+        });
+        let shared = state.clone();
+        let address = serve(0, executor, move |call| {
+            let state = shared.clone();
+            async move { state.handle(call).await }
+        })?;
+        *state.address.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
+        let target = Self {
+            state,
+            store: store.clone(),
+            service: service.to_owned(),
+            hall: "hal-a".to_owned(),
+        };
+        target.list("ready");
+        Ok(target)
+    }
+
+    /// Returns its incarnation.
+    pub fn id(&self) -> &str {
+        &self.state.id
+    }
+
+    /// Returns its address.
+    pub fn address(&self) -> SocketAddr {
+        let address = self.state.address.lock();
+        let address = *address.unwrap_or_else(PoisonError::into_inner);
+        address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 1)))
+    }
+
+    /// Lists the target in a state, `ready` or `draining`.
+    pub fn list(&self, state: &str) {
+        let spec = json!({
+            "service": self.service,
+            "address": self.address().to_string(),
+            "zone": self.hall,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "call_sequence": 0,
+        });
+        self.store.put("servers", &self.state.id, spec);
+    }
+
+    /// Takes the target off the list; it goes on serving.
+    pub fn unlist(&self) {
+        self.store.remove("servers", &self.state.id);
+    }
+
+    /// Has the next calls go wrong, one fault each.
+    pub fn fail_next(&self, faults: impl IntoIterator<Item = TargetFault>) {
+        let next = self.state.faults.lock();
+        let mut next = next.unwrap_or_else(PoisonError::into_inner);
+        next.extend(faults);
+    }
+}
+
+impl TargetState {
+    async fn handle(&self, call: HttpCall) -> Option<HttpResponse> {
+        if call
+            .header("x-turnford-expect-instance")
+            .is_some_and(|id| id != self.id)
+        {
+            let mut answer = HttpResponse::new(StatusCode::MISDIRECTED_REQUEST);
+            answer.insert_header("x-turnford-instance-id", self.id.as_str());
+            return Some(answer);
+        }
+        match call.path.as_str() {
+            "/v1/report" => {
+                let report = json!({ "waiting_requests": 0, "busy": 0, "free_memory_mb": 100 });
+                Some(json_answer(StatusCode::OK, &report))
+            }
+            "/v1/stage-free" => Some(self.release(&call)),
+            "/v1/stage-run" => self.run_pieces(&call).await,
+            _ => self.run_request(&call).await,
+        }
+    }
+
+    fn next_fault(&self) -> Option<TargetFault> {
+        let faults = self.faults.lock();
+        faults.unwrap_or_else(PoisonError::into_inner).pop_front()
+    }
+
+    fn release(&self, call: &HttpCall) -> HttpResponse {
+        let body: Value = serde_json::from_slice(&call.body).unwrap_or(Value::Null);
+        for handle in body["handles"].as_array().into_iter().flatten() {
+            let handle = handle.as_str().unwrap_or("").to_owned();
+            // The handle holds the id of the try that it was made for.
+            let attempt = handle.split('/').nth(1).unwrap_or("");
+            let attempt = attempt.split('.').next().unwrap_or("").to_owned();
+            self.journal.add(RouteRun {
+                kind: RunKind::Release(handle),
+                ..self.run(call, attempt, RunKind::Request)
+            });
+        }
+        json_answer(StatusCode::OK, &json!({}))
+    }
+
+    fn run(&self, call: &HttpCall, attempt: String, kind: RunKind) -> RouteRun {
+        let deadline = call.header("x-turnford-deadline-ms");
+        let inputs = call.header("x-turnford-inputs").unwrap_or("");
+        let inputs = inputs.split(',').filter(|input| !input.is_empty());
+        RouteRun {
+            target: self.id.clone(),
+            kind,
+            attempt,
+            account: call.header("x-turnford-tenant").map(str::to_owned),
+            has_key: call.header("authorization").is_some(),
+            deadline_ms: deadline.and_then(|text| text.parse().ok()),
+            inputs: inputs.map(str::to_owned).collect(),
+            is_whole: false,
+        }
+    }
+
+    async fn run_pieces(&self, call: &HttpCall) -> Option<HttpResponse> {
+        let TargetRole::Stage {
+            call: call_span,
+            piece: piece_span,
+        } = self.role
+        else {
+            return Some(HttpResponse::new(StatusCode::NOT_FOUND));
+        };
+        let body: Value = serde_json::from_slice(&call.body).ok()?;
+        let items = body["items"].as_array()?.clone();
+        let fault = self.next_fault();
+        if fault == Some(TargetFault::TurnAway) {
+            return Some(turned_away());
+        }
+        let number = self.calls.fetch_add(1, Ordering::SeqCst);
+        if self.turn.recv().await.is_err() {
+            return None;
+        }
+        let count = u32::try_from(items.len()).unwrap_or(u32::MAX);
+        Timer::after(call_span + piece_span * count).await;
+        // The channel has room for its one turn.
+        let _ = self.turns.try_send(());
+        let results = items.iter().map(|item| self.run_piece(call, item, number));
+        let results: Vec<Value> = results.collect();
+        match fault {
+            Some(TargetFault::Vanish) => None,
+            Some(TargetFault::Fail) => {
+                let failed = results.iter().map(|_| json!({ "reason": "error" }));
+                let failed: Vec<Value> = failed.collect();
+                Some(json_answer(StatusCode::OK, &json!({ "items": failed })))
+            }
+            _ => Some(json_answer(StatusCode::OK, &json!({ "items": results }))),
+        }
+    }
+
+    fn run_piece(&self, call: &HttpCall, item: &Value, number: u64) -> Value {
+        let attempt = item["id"].as_str().unwrap_or("").to_owned();
+        let stage = item["stage"].as_u64().unwrap_or(0);
+        let piece = item["piece"].as_u64().unwrap_or(0);
+        let handle = format!("{}/{attempt}.{stage}.{piece}", self.id);
+        let inputs = item["inputs"].as_array().into_iter().flatten();
+        let inputs = inputs.filter_map(Value::as_str).map(str::to_owned);
+        let kind = RunKind::Piece {
+            stage,
+            piece,
+            call: number,
+        };
+        let run = RouteRun {
+            inputs: inputs.collect(),
+            is_whole: true,
+            ..self.run(call, attempt, kind)
+        };
+        self.journal.add(run);
+        json!({ "handle": handle })
+    }
+
+    async fn run_request(&self, call: &HttpCall) -> Option<HttpResponse> {
+        let attempt = call
+            .header("x-turnford-attempt-id")
+            .unwrap_or("")
+            .to_owned();
+        let fault = self.next_fault();
+        if fault == Some(TargetFault::TurnAway) {
+            return Some(turned_away());
+        }
+        let run = self.run(call, attempt.clone(), RunKind::Request);
+        let place = self.journal.add(run);
+        if let Some(TargetFault::Slow(more)) = fault {
+            Timer::after(more).await;
+        }
+        let mut answer = match self.role {
+            TargetRole::Engine {
+                first,
+                pause,
+                events,
+            } => {
+                Timer::after(first).await;
+                self.event_answer(place, pause, events, fault == Some(TargetFault::Cut))
+            }
+            TargetRole::Plain(span) => {
+                Timer::after(span).await;
+                self.journal.end(place);
+                plain_answer(&attempt, fault.as_ref())
+            }
+            TargetRole::Stage { .. } => HttpResponse::new(StatusCode::NOT_FOUND),
+        };
+        if fault == Some(TargetFault::Vanish) {
+            return None;
+        }
+        let told = if fault == Some(TargetFault::OtherAttempt) {
+            "ffffffffffffffff"
+        } else {
+            attempt.as_str()
+        };
+        answer.insert_header("x-turnford-attempt-id", told);
+        answer.insert_header("x-turnford-server-stamp", format!("stamp-{attempt}"));
+        Some(answer)
+    }
+
+    fn event_answer(
+        &self,
+        place: usize,
+        pause: Duration,
+        count: u64,
+        is_cut: bool,
+    ) -> HttpResponse {
+        let journal = self.journal.clone();
+        let events = stream::unfold(1, move |number| {
+            let journal = journal.clone();
+            async move {
+                if number > count {
+                    journal.end(place);
+                    return None;
+                }
+                if number > 1 {
+                    Timer::after(pause).await;
+                }
+                let event = format!("id: {number}\ndata: token {number}\n\n");
+                Some((event.into_bytes(), number + 1))
+            }
+        });
+        let mut answer = HttpResponse::new(StatusCode::OK);
+        answer.insert_header("content-type", "text/event-stream");
+        if is_cut {
+            answer.set_body(HttpBody::cut("id: 1\ndata: token 1\n\nid: 2\nda"));
+        } else {
+            answer.set_body(HttpBody::stream(events));
+        }
+        answer
+    }
+}
+
+fn plain_answer(attempt: &str, fault: Option<&TargetFault>) -> HttpResponse {
+    if fault == Some(&TargetFault::Fail) {
+        return HttpResponse::new(StatusCode::INTERNAL_SERVER_ERROR);
+    }
+    let text = format!("answer to {attempt}");
+    let mut answer = HttpResponse::new(StatusCode::OK);
+    if fault == Some(&TargetFault::Cut) {
+        answer.insert_header("content-length", text.len().to_string());
+        answer.set_body(HttpBody::cut(&text.as_bytes()[..text.len() / 2]));
+    } else {
+        answer.set_body(text);
+    }
+    answer
+}
+
+fn turned_away() -> HttpResponse {
+    let mut answer = HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE);
+    answer.insert_header("x-turnford-not-run", "1");
+    answer
+}
--- a/packages/turnford-standin/src/target.rs
+++ b/packages/turnford-standin/src/target.rs
@@ -17,16 +17,15 @@
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::stream;
-use http_types::Body;
-use http_types::Response;
-use http_types::StatusCode;
+use http::StatusCode;
 use rand::rngs::SmallRng;
 use rand::Rng;
 use rand::SeedableRng;
 use serde::Deserialize;
 use serde_json::json;
-use turnford_http::stream_body;
+use turnford_http::HttpBody;
 use turnford_http::HttpCall;
+use turnford_http::HttpResponse;
 use turnford_platform::VmEntry;
 
 use crate::journal::mark_of;
@@ -157,7 +156,7 @@
     }
 
     /// Answers one call.
-    pub(crate) async fn handle(self: Arc<Self>, call: HttpCall) -> Option<Response> {
+    pub(crate) async fn handle(self: Arc<Self>, call: HttpCall) -> Option<HttpResponse> {
         if self.fault(FaultKind::Die).is_some() {
             return None;
         }
@@ -166,19 +165,19 @@
             ("POST", "/order") => Some(self.order(&call)),
             ("GET", "/report") => Some(self.report_now()),
             ("GET", "/events") => Some(self.events_after(call.query_number("after", 0))),
-            _ => Some(Response::new(StatusCode::NotFound)),
+            _ => Some(HttpResponse::new(StatusCode::NOT_FOUND)),
         }
     }
 
-    async fn run(self: Arc<Self>, call: &HttpCall) -> Option<Response> {
+    async fn run(self: Arc<Self>, call: &HttpCall) -> Option<HttpResponse> {
         let Ok(body) = serde_json::from_slice::<RunBody>(&call.body) else {
-            return Some(Response::new(StatusCode::BadRequest));
+            return Some(HttpResponse::new(StatusCode::BAD_REQUEST));
         };
         if self.fault(FaultKind::Leave).is_some() {
             return Some(refusal("leaving"));
         }
         if self.fault(FaultKind::FastError).is_some() {
-            return Some(Response::new(StatusCode::InternalServerError));
+            return Some(HttpResponse::new(StatusCode::INTERNAL_SERVER_ERROR));
         }
         let limit = self.spec.slots * QUEUE_PER_SLOT;
         if self.queued.load(Ordering::SeqCst) >= limit {
@@ -195,7 +194,7 @@
         self.finish(slot, cached).await
     }
 
-    async fn finish(&self, mut slot: SlotGuard, cached: u32) -> Option<Response> {
+    async fn finish(&self, mut slot: SlotGuard, cached: u32) -> Option<HttpResponse> {
         if self.fault(FaultKind::Hang).is_some() {
             futures_lite::future::pending::<()>().await;
         }
@@ -203,7 +202,7 @@
             return None;
         }
         if self.fault(FaultKind::Error).is_some() {
-            return Some(Response::new(StatusCode::InternalServerError));
+            return Some(HttpResponse::new(StatusCode::INTERNAL_SERVER_ERROR));
         }
         slot.whole = true;
         let body = &slot.body;
@@ -218,15 +217,15 @@
         if self.fault(FaultKind::Truncate).is_some() {
             let text = answer.to_string();
             let half = text.as_bytes()[..text.len() / 2].to_vec();
-            let reader = futures_lite::io::Cursor::new(half);
-            response.set_body(Body::from_reader(reader, Some(text.len())));
+            response.set_body(HttpBody::cut(half));
+            response.insert_header("content-length", text.len().to_string());
             response.insert_header("connection", "close");
         }
         Some(response)
     }
 
     /// Streams one line a token, and a last line that says that the stream is whole.
-    fn stream(self: Arc<Self>, slot: SlotGuard, prompt: Duration, cached: u32) -> Response {
+    fn stream(self: Arc<Self>, slot: SlotGuard, prompt: Duration, cached: u32) -> HttpResponse {
         let first = slot.body.resume_from;
         let state = (self, slot, first, false);
         let lines = stream::unfold(state, move |(service, mut slot, index, ended)| async move {
@@ -265,8 +264,8 @@
                 (service, slot, index + 1, false),
             ))
         });
-        let mut response = Response::new(StatusCode::Ok);
-        response.set_body(stream_body(lines));
+        let mut response = HttpResponse::new(StatusCode::OK);
+        response.set_body(HttpBody::stream(lines));
         response
     }
 
@@ -332,7 +331,7 @@
     }
 
     /// Returns numbers that are as old as the scenario's lag, or a little older.
-    fn report_now(&self) -> Response {
+    fn report_now(&self) -> HttpResponse {
         let mut report = lock(&self.report);
         let age = report.0.elapsed();
         let answer = json!({
@@ -350,19 +349,19 @@
         json_response(&answer)
     }
 
-    fn order(&self, call: &HttpCall) -> Response {
+    fn order(&self, call: &HttpCall) -> HttpResponse {
         let Ok(order) = serde_json::from_slice::<OrderBody>(&call.body) else {
-            return Response::new(StatusCode::BadRequest);
+            return HttpResponse::new(StatusCode::BAD_REQUEST);
         };
         let status = match lock(&self.shelf).apply(&order) {
-            OrderResult::Taken => StatusCode::Accepted,
-            OrderResult::Stale => StatusCode::Conflict,
-            OrderResult::Refused => StatusCode::UnprocessableEntity,
+            OrderResult::Taken => StatusCode::ACCEPTED,
+            OrderResult::Stale => StatusCode::CONFLICT,
+            OrderResult::Refused => StatusCode::UNPROCESSABLE_ENTITY,
         };
-        Response::new(status)
+        HttpResponse::new(status)
     }
 
-    fn events_after(&self, after: u64) -> Response {
+    fn events_after(&self, after: u64) -> HttpResponse {
         let cache = lock(&self.cache);
         let newer = cache.events.iter().filter(|(number, _, _)| *number > after);
         let events: Vec<_> = newer
@@ -402,9 +401,9 @@
     }
 }
 
-fn refusal(reason: &str) -> Response {
+fn refusal(reason: &str) -> HttpResponse {
     let mut response = json_response(&json!({ "refused": reason }));
-    response.set_status(StatusCode::ServiceUnavailable);
+    response.set_status(StatusCode::SERVICE_UNAVAILABLE);
     response
 }
 
--- a/packages/turnford-standin/src/vms.rs
+++ b/packages/turnford-standin/src/vms.rs
@@ -6,10 +6,10 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use http_types::Response;
-use http_types::StatusCode;
+use http::StatusCode;
 use serde::Serialize;
 use turnford_http::HttpCall;
+use turnford_http::HttpResponse;
 use turnford_platform::VmEntry;
 use turnford_platform::VmState;
 
@@ -47,13 +47,13 @@
     }
 
     /// Answers one call.
-    pub(crate) async fn handle(&self, call: HttpCall) -> Option<Response> {
+    pub(crate) async fn handle(&self, call: HttpCall) -> Option<HttpResponse> {
         match (call.method.as_str(), call.path.as_str()) {
             ("GET", "/vms") => Some(json_response(&self.list())),
             ("GET", "/journal") => Some(json_response(&self.journal.entries())),
             ("POST", "/faults") => Some(self.add_fault(&call)),
             ("POST", path) if path.starts_with("/weights/") => Some(self.reserve_load()),
-            _ => Some(Response::new(StatusCode::NotFound)),
+            _ => Some(HttpResponse::new(StatusCode::NOT_FOUND)),
         }
     }
 
@@ -87,24 +87,24 @@
         list
     }
 
-    fn add_fault(&self, call: &HttpCall) -> Response {
+    fn add_fault(&self, call: &HttpCall) -> HttpResponse {
         let parsed: Result<FaultSpec, _> = serde_json::from_slice(&call.body);
         match parsed {
             Ok(fault) => {
                 let span = Duration::from_millis(fault.for_ms);
                 self.faults
                     .add_now(fault.kind, &fault.at, span, fault.factor);
-                Response::new(StatusCode::NoContent)
+                HttpResponse::new(StatusCode::NO_CONTENT)
             }
             Err(error) => {
-                let mut response = Response::new(StatusCode::BadRequest);
+                let mut response = HttpResponse::new(StatusCode::BAD_REQUEST);
                 response.set_body(error.to_string());
                 response
             }
         }
     }
 
-    fn reserve_load(&self) -> Response {
+    fn reserve_load(&self) -> HttpResponse {
         let now = self.faults.elapsed();
         let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
         let gap = Duration::from_secs_f64(1.0 / LOADS_PER_SECOND);
@@ -118,12 +118,12 @@
     }
 }
 
-pub(crate) fn json_response<T: Serialize>(value: &T) -> Response {
-    let mut response = Response::new(StatusCode::Ok);
+pub(crate) fn json_response<T: Serialize>(value: &T) -> HttpResponse {
+    let mut response = HttpResponse::new(StatusCode::OK);
     match serde_json::to_vec(value) {
         Ok(bytes) => response.set_body(bytes),
         Err(error) => {
-            response.set_status(StatusCode::InternalServerError);
+            response.set_status(StatusCode::INTERNAL_SERVER_ERROR);
             response.set_body(error.to_string());
         }
     }
--- a/packages/turnford-target/src/call.rs
+++ b/packages/turnford-target/src/call.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_types::Method;
-use http_types::Request;
+use http::Method;
 use serde::Deserialize;
 use serde::Serialize;
 use turnford_http::HttpClient;
+use turnford_http::HttpRequest;
 use turnford_policy::AttemptId;
 use turnford_policy::ClassRank;
 
@@ -60,7 +60,7 @@
 }
 
 impl TargetCall {
-    pub(crate) fn request(&self, to: SocketAddr, stream: bool) -> Result<Request, TargetFault> {
+    pub(crate) fn request(&self, to: SocketAddr, stream: bool) -> Result<HttpRequest, TargetFault> {
         let body = CallBody {
             attempt: self.attempt.to_string(),
             priority: self.priority,
@@ -71,7 +71,7 @@
             stream,
         };
         let bytes = serde_json::to_vec(&body).map_err(|_| TargetFault::NotSent)?;
-        let mut request = HttpClient::request(Method::Post, to, "/run")?;
+        let mut request = HttpClient::request(Method::POST, to, "/run")?;
         request.set_body(bytes);
         Ok(request)
     }
--- a/packages/turnford-target/src/order.rs
+++ b/packages/turnford-target/src/order.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_types::Method;
+use http::Method;
 use serde::Serialize;
 use turnford_http::HttpClient;
 
@@ -35,7 +35,7 @@
     ) -> Result<(), TargetFault> {
         let body = OrderBody { token, kind, model };
         let bytes = serde_json::to_vec(&body).map_err(|_| TargetFault::NotSent)?;
-        let mut request = HttpClient::request(Method::Post, to, "/order")?;
+        let mut request = HttpClient::request(Method::POST, to, "/order")?;
         request.set_body(bytes);
         let answer = self.http.send(to, request, limit).await?;
         match answer.status {
--- a/packages/turnford-target/src/report.rs
+++ b/packages/turnford-target/src/report.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_types::Method;
+use http::Method;
 use serde::Deserialize;
 use serde::Serialize;
 use turnford_http::HttpClient;
@@ -76,7 +76,7 @@
         to: SocketAddr,
         path: &str,
     ) -> Result<T, TargetFault> {
-        let request = HttpClient::request(Method::Get, to, path)?;
+        let request = HttpClient::request(Method::GET, to, path)?;
         let answer = self.http.send(to, request, REPORT_LIMIT).await?;
         if answer.status != 200 {
             return Err(TargetFault::Failed);
--- a/packages/turnford/examples/overhead.rs
+++ b/packages/turnford/examples/overhead.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use http_types::Method;
+use http::Method;
 use serde_json::json;
 use turnford::LocalSite;
 use turnford::SiteFile;
@@ -71,7 +71,7 @@
     id: Option<String>,
 ) -> Duration {
     let path = format!("/v1/pipelines/{template}");
-    let request = HttpClient::request(Method::Post, node, &path);
+    let request = HttpClient::request(Method::POST, node, &path);
     let mut request = request.expect("the address makes a URL");
     request.insert_header("authorization", "Bearer key");
     if let Some(id) = id {
@@ -99,7 +99,7 @@
 async fn direct(client: &HttpClient, targets: &[SocketAddr]) -> Duration {
     let begun = Instant::now();
     for target in targets {
-        let request = HttpClient::request(Method::Post, *target, "/run");
+        let request = HttpClient::request(Method::POST, *target, "/run");
         let mut request = request.expect("the address makes a URL");
         let body = json!({ "attempt": "1-1-0-0", "input": "mark:bench hello", "max_tokens": 0,
             "resume_from": 0, "stream": false });
@@ -176,7 +176,7 @@
 
 /// Returns the node's writes to the platform so far.
 async fn writes(client: &HttpClient, node: SocketAddr) -> f64 {
-    let request = HttpClient::request(Method::Get, node, "/metrics").expect("a URL");
+    let request = HttpClient::request(Method::GET, node, "/metrics").expect("a URL");
     let answer = client
         .send(node, request, LIMIT)
         .await
--- a/packages/turnford/src/command/demo.rs
+++ b/packages/turnford/src/command/demo.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_types::Method;
+use http::Method;
 use serde_json::Value;
 use turnford_http::HttpClient;
 use turnford_node::NodeOptions;
@@ -159,7 +159,7 @@
     (account, template, text): &(&str, &str, &str),
 ) -> Result<(), String> {
     let path = format!("/v1/pipelines/{template}");
-    let request = HttpClient::request(Method::Post, address, &path);
+    let request = HttpClient::request(Method::POST, address, &path);
     let mut request = request.map_err(|fault| fault.to_string())?;
     request.insert_header("authorization", format!("Bearer key-{account}"));
     request.insert_header("turnford-request-id", format!("demo-{number}"));
--- a/packages/turnford/src/command/remote.rs
+++ b/packages/turnford/src/command/remote.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_types::Method;
+use http::Method;
 use turnford_http::HttpAnswer;
 use turnford_http::HttpClient;
 use turnford_http::HttpFault;
@@ -15,7 +15,7 @@
 
 /// Prints what a node knows.
 pub(super) fn show_status(node: SocketAddr) -> ExitStatus {
-    match call_node(node, Method::Get, "/status") {
+    match call_node(node, Method::GET, "/status") {
         Ok(answer) => {
             let value: Option<serde_json::Value> = serde_json::from_slice(&answer.body).ok();
             match value.and_then(|value| serde_json::to_string_pretty(&value).ok()) {
@@ -32,7 +32,7 @@
 
 /// Begins a planned stop.
 pub(super) fn start_drain(node: SocketAddr) -> ExitStatus {
-    match call_node(node, Method::Post, "/drain") {
+    match call_node(node, Method::POST, "/drain") {
         Ok(answer) if answer.status == 202 => {
             println!("{node}: the planned stop begins");
             ExitStatus::Done
--- a/packages/turnford/src/command/serve.rs
+++ b/packages/turnford/src/command/serve.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::os::unix::net::UnixStream;
+use std::path::Path;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -68,7 +69,7 @@
     std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)
 }
 
-fn read_settings(path: &PathBuf) -> Option<ServeSettings> {
+fn read_settings(path: &Path) -> Option<ServeSettings> {
     let text = super::read_file(path)?;
     match ServeSettings::parse(&path.display().to_string(), &text) {
         Ok(settings) => Some(settings),
@@ -122,7 +123,7 @@
 async fn run_until_stopped(
     node: ServeNode,
     mut signals: SignalPipes,
-    path: &PathBuf,
+    path: &Path,
     mut settings: ServeSettings,
     drops: &AtomicU64,
 ) -> ExitStatus {
@@ -160,7 +161,7 @@
 }
 
 /// Reads the settings again, and says what changed. A file that can't be used changes nothing.
-fn reload_settings(path: &PathBuf, settings: &mut ServeSettings) {
+fn reload_settings(path: &Path, settings: &mut ServeSettings) {
     let Some(read) = read_settings(path) else {
         log::error!("reload refused: the settings can't be used; the old ones stay in force");
         return;
--- a/packages/turnford/tests/common/mod.rs
+++ b/packages/turnford/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use async_io::Timer;
-use http_types::Method;
+use http::Method;
 use serde_json::Value;
 use turnford::LocalSite;
 use turnford::SiteFile;
@@ -185,7 +185,7 @@
         extras: Extras<'_>,
     ) -> Option<Answer> {
         let to = self.address(node);
-        let mut request = HttpClient::request(Method::Post, to, path).ok()?;
+        let mut request = HttpClient::request(Method::POST, to, path).ok()?;
         request.insert_header("authorization", format!("Bearer {key}"));
         if let Some(id) = extras.id {
             request.insert_header("turnford-request-id", id);
@@ -206,7 +206,7 @@
     pub async fn stream(&self, node: usize, template: &str, text: &str) -> Vec<Value> {
         let to = self.address(node);
         let path = format!("/v1/pipelines/{template}");
-        let request = HttpClient::request(Method::Post, to, &path);
+        let request = HttpClient::request(Method::POST, to, &path);
         let mut request = request.expect("the address makes a URL");
         request.insert_header("authorization", "Bearer key-one");
         request.insert_header("accept", "text/event-stream");
@@ -225,7 +225,7 @@
     /// Reads a node's status.
     pub async fn status(&self, node: usize) -> Value {
         let to = self.address(node);
-        let request = HttpClient::request(Method::Get, to, "/status");
+        let request = HttpClient::request(Method::GET, to, "/status");
         let answer = self
             .client
             .send(to, request.expect("a URL"), PATIENCE)
