--- /dev/null
+++ b/packages/turnford-policy/tests/target_board.rs
@@ -0,0 +1,109 @@
+//! Targets that fail, refuse or are slow get less work, and come back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use turnford_policy::LoadMark;
+use turnford_policy::TargetBoard;
+use turnford_policy::TargetSpec;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn target(id: &str) -> TargetSpec {
+    TargetSpec {
+        id: Arc::from(id),
+        service: Arc::from("booking"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        hall: Arc::from("a"),
+        slots: 6,
+        leaving: false,
+    }
+}
+
+fn board() -> TargetBoard {
+    let mut board = TargetBoard::default();
+    board.set_targets([target("b1"), target("b2")].iter());
+    board
+}
+
+fn chosen(board: &TargetBoard, now: Duration) -> String {
+    let choice = board.choose(now, &[], |_, load| load);
+    choice.expect("a choice").spec.id.to_string()
+}
+
+#[test]
+fn least_loaded() {
+    let mut board = board();
+    board.note_sent("b1");
+    assert_eq!(chosen(&board, MS), "b2");
+    board.note_sent("b2");
+    board.note_sent("b2");
+    assert_eq!(chosen(&board, MS), "b1");
+    board.note_ended("b2");
+    board.note_ended("b2");
+    assert_eq!(chosen(&board, MS), "b2");
+}
+
+#[test]
+fn told_load() {
+    // What others have there counts, less and less with time.
+    let mut board = board();
+    let mark = LoadMark {
+        running: 5,
+        waiting: 3,
+        slots: 6,
+    };
+    board.note_load(MS, "b1", mark);
+    board.note_sent("b2");
+    assert_eq!(chosen(&board, 2 * MS), "b2");
+    assert_eq!(chosen(&board, 3000 * MS), "b1");
+}
+
+#[test]
+fn pause_doubles() {
+    let mut board = board();
+    board.note_refused(Duration::ZERO, "b1");
+    assert!(board.is_paused(200 * MS, "b1"));
+    assert!(!board.is_paused(300 * MS, "b1"));
+    board.note_refused(300 * MS, "b1");
+    assert!(board.is_paused(700 * MS, "b1"));
+    board.note_success("b1");
+    assert!(!board.is_paused(700 * MS, "b1"));
+}
+
+#[test]
+fn failing_spared() {
+    let mut board = board();
+    for _ in 0..4 {
+        board.note_failure("b1");
+    }
+    for _ in 0..5 {
+        board.note_sent("b2");
+    }
+    assert_eq!(
+        chosen(&board, MS),
+        "b2",
+        "a failing target that is idle draws no work"
+    );
+}
+
+#[test]
+fn last_resort() {
+    let mut board = board();
+    board.note_refused(Duration::ZERO, "b1");
+    board.note_refused(Duration::ZERO, "b2");
+    assert!(board.choose(MS, &[], |_, load| load).is_some());
+}
+
+#[test]
+fn leaving_passed() {
+    let mut board = board();
+    let leaving = TargetSpec {
+        leaving: true,
+        ..target("b1")
+    };
+    board.set_targets([leaving, target("b2")].iter());
+    assert_eq!(chosen(&board, MS), "b2");
+    let tried = [Arc::from("b2")];
+    assert!(board.choose(MS, &tried, |_, load| load).is_none());
+}
