Renew a lease at once after a failed call, and show the routes in the demo

Cause: outage_keeps was red once: a request right after an outage was refused over its account's concurrency. After one failed renewal a lease holder read a period later and wrote a period after that, past the lease's end, and then waited for its own record to lapse: an outage of 1.5 s cost the lease for 6 s, and with it the lender of the account's shares. Change: failed calls are repeated twenty times a span, a lease found still held is renewed at once. The demo runs the routes; 'check' takes settings of nodes that serve routes.

--- a/packages/turnford-config/src/serve.rs
+++ b/packages/turnford-config/src/serve.rs
@@ -70,6 +70,12 @@
 }
 
 impl ServeSettings {
+    /// Tells whether a text is meant as such settings: only they name a store.
+    pub fn looks_like(text: &str) -> bool {
+        let mut lines = text.lines().map(str::trim_start);
+        lines.any(|line| line.starts_with("store") || line.starts_with("work"))
+    }
+
     /// Reads a settings file.
     ///
     /// # Errors
--- /dev/null
+++ b/packages/turnford-config/tests/serve_settings.rs
@@ -0,0 +1,70 @@
+//! The settings of a node that serves routes, and what is said of bad ones.
+
+use std::time::Duration;
+
+use turnford_config::ConfigProblem;
+use turnford_config::ServeSettings;
+
+/// The template of the deployment with its gaps filled as the platform does.
+fn rendered() -> String {
+    let template = include_str!("../../../deploy/node.toml");
+    let gaps = [
+        ("{{node_name}}", "front-hal-a-1"),
+        ("{{zone}}", "hal-a"),
+        ("{{region}}", "dk-vest"),
+        ("{{listen_addresses.front}}", "10.1.0.41:8625"),
+        ("{{listen_addresses.ready}}", "10.1.0.41:8621"),
+        ("{{listen_addresses.control}}", "10.1.0.41:8628"),
+        ("{{ip_address}}", "10.1.0.41"),
+        ("{{internal_port_range.0}}", "7740"),
+        ("{{internal_port_range.1}}", "7755"),
+        ("{{platform.address}}", "10.200.1.7:8624"),
+        (
+            "{{seed_nodes|json}}",
+            "[\"10.1.0.41:8628\", \"10.2.0.25:8628\"]",
+        ),
+        ("{{bounds.grace_s}}", "8"),
+        ("{{bounds.drain_ms}}", "2000"),
+        ("{{bounds.budget_window_s}}", "10"),
+        ("{{bounds.retry_budget_ratio}}", "0.2"),
+        ("{{bounds.retry_budget_slack}}", "52"),
+    ];
+    let mut text = template.to_owned();
+    for (gap, value) in gaps {
+        text = text.replace(gap, value);
+    }
+    assert!(!text.contains("{{"), "a gap is left: {text}");
+    text
+}
+
+fn problems(text: &str) -> Vec<String> {
+    let problems = ServeSettings::parse("node.toml", text).expect_err("problems");
+    problems.iter().map(ConfigProblem::to_string).collect()
+}
+
+#[test]
+fn deploy_template() {
+    let settings = ServeSettings::parse("node.toml", &rendered()).expect("settings");
+    assert_eq!(&*settings.name, "front-hal-a-1");
+    assert_eq!(settings.work.port(), 7740);
+    assert_eq!(settings.peers.len(), 2);
+    assert_eq!(settings.stop_grace, Duration::from_secs(8));
+    assert_eq!(settings.repeats.slack, 52.0);
+    assert!(ServeSettings::looks_like(&rendered()));
+}
+
+#[test]
+fn every_problem() {
+    let text = rendered()
+        .replace("10.1.0.41:8625", "here")
+        .replace("ratio = 0.2", "ratio = \"some\"")
+        .replace("hall = \"hal-a\"", "hal = \"hal-a\"");
+    let problems = problems(&text);
+    assert_eq!(problems.len(), 4, "{problems:#?}");
+    for (field, problem) in ["hall", "hal", "listen", "repeats.ratio"]
+        .iter()
+        .zip(&problems)
+    {
+        assert!(problem.contains(field), "{field}: {problem}");
+    }
+}
--- a/packages/turnford-fleet/src/lease.rs
+++ b/packages/turnford-fleet/src/lease.rs
@@ -13,6 +13,10 @@
 /// Calls in one span of a lease.
 const RENEWALS: u32 = 4;
 
+/// Calls in one span of a lease while they fail. A failed renewal takes a read and a write to mend, and
+/// both must fit into what is left of the span.
+const RETRIES: u32 = 20;
+
 /// Spans of a lease.
 #[derive(Clone, Copy, Debug)]
 pub struct LeaseSettings {
@@ -202,7 +206,9 @@
                     .as_ref()
                     .is_none_or(|(_, record)| record.holder.is_empty());
                 self.note_found(now, found);
-                if free {
+                // What is free is taken at once, and what is held is renewed at once: it was read
+                // because a call had failed, so its end is near.
+                if free || self.held.is_some() {
                     self.next_call = now;
                 }
             }
@@ -221,6 +227,7 @@
             LeaseAnswer::Failed => {
                 self.lost = writing.map(|record| (sent, record));
                 self.seen = None;
+                self.next_call = now + self.settings.span / RETRIES;
             }
         }
     }
--- a/packages/turnford-standin/src/route.rs
+++ b/packages/turnford-standin/src/route.rs
@@ -4,6 +4,7 @@
 
 mod meta;
 mod run;
+mod site;
 mod target;
 
 pub use meta::DoorState;
@@ -11,6 +12,8 @@
 pub use run::RouteJournal;
 pub use run::RouteRun;
 pub use run::RunKind;
+pub use site::RouteCall;
+pub use site::RouteSite;
 pub use target::RouteTarget;
 pub use target::TargetFault;
 pub use target::TargetRole;
--- a/packages/turnford/src/command.rs
+++ b/packages/turnford/src/command.rs
@@ -5,6 +5,7 @@
 mod node;
 mod object;
 mod remote;
+mod routes;
 mod serve;
 mod standin;
 
--- a/packages/turnford/src/command/demo.rs
+++ b/packages/turnford/src/command/demo.rs
@@ -1,4 +1,4 @@
-//! `turnford demo`: both associations in one process.
+//! `turnford demo`: both associations and the routes of the users' platform in one process.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use turnford_standin::Scenario;
 use turnford_standin::SharedExecutor;
 
+use super::routes::show_routes;
 use crate::exit::ExitStatus;
 use crate::site::LocalSite;
 use crate::site::SiteFile;
@@ -113,6 +114,10 @@
             failed = true;
         }
     }
+    if let Err(message) = async_io::block_on(show_routes(&executor)) {
+        eprintln!("{message}");
+        failed = true;
+    }
     if failed {
         return ExitStatus::Failed;
     }
--- a/packages/turnford/src/command/object.rs
+++ b/packages/turnford/src/command/object.rs
@@ -6,6 +6,7 @@
 use turnford_config::ConfigObject;
 use turnford_config::ConfigProblem;
 use turnford_config::NodeSettings;
+use turnford_config::ServeSettings;
 
 use crate::cli::ObjectArgs;
 use crate::cli::ObjectName;
@@ -142,6 +143,9 @@
 /// Checks a file as what it looks like, and returns its kind.
 fn check_any(path: &Path, text: &str) -> Result<&'static str, Vec<ConfigProblem>> {
     let file = path.display().to_string();
+    if ServeSettings::looks_like(text) {
+        return ServeSettings::parse(&file, text).map(|_| "settings of a node that serves routes");
+    }
     if ConfigObject::looks_like_settings(text) {
         return NodeSettings::parse(&file, text).map(|_| "settings");
     }
--- /dev/null
+++ b/packages/turnford/src/command/routes.rs
@@ -0,0 +1,130 @@
+//! The routes' part of `turnford demo`: a store, targets and nodes in this process.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use turnford_config::LogLevel;
+use turnford_config::LogSettings;
+use turnford_config::RepeatSettings;
+use turnford_config::ServeSettings;
+use turnford_http::HttpClient;
+use turnford_serve::ServeNode;
+use turnford_standin::RouteSite;
+use turnford_standin::RunKind;
+use turnford_standin::SharedExecutor;
+
+/// Configuration of the demo's routes.
+const CONFIG: &str = include_str!("../../../../scenarios/routes.json");
+
+/// Nodes of the demo.
+const NODE_COUNT: usize = 3;
+
+/// Longest wait for a node to be ready, and for an answer.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Pause between looks whether a node is ready.
+const READY_PAUSE: Duration = Duration::from_millis(10);
+
+/// Grace time of the demo's nodes: nothing runs when they are told to stop.
+const STOP_GRACE: Duration = Duration::from_secs(1);
+
+/// Runs the routes and shows a request on each.
+pub(super) async fn show_routes(executor: &SharedExecutor) -> Result<(), String> {
+    let site = RouteSite::start(CONFIG, executor).map_err(|error| error.to_string())?;
+    let mut nodes = Vec::new();
+    let mut addresses = Vec::new();
+    for number in 0..NODE_COUNT {
+        let settings = settings(number, site.address).map_err(|error| error.to_string())?;
+        addresses.push(settings.listen);
+        nodes.push(ServeNode::start(settings).map_err(|error| error.to_string())?);
+    }
+    wait_ready(&nodes).await?;
+    println!("routes: {NODE_COUNT} nodes, {} targets", site.targets.len());
+    let client = HttpClient::new();
+    for (number, call) in site.calls().iter().enumerate() {
+        let to = addresses[number % addresses.len()];
+        let attempt = format!("demo{number:012x}");
+        let request = call.request(to, &attempt);
+        let request = request.map_err(|fault| fault.to_string())?;
+        let begun = Instant::now();
+        let answer = client.send(to, request, LIMIT).await;
+        let answer = answer.map_err(|fault| format!("{}: {fault}", call.name))?;
+        println!(
+            "  {} at node {}: status {}, {} bytes, {:.0} ms",
+            call.name,
+            number % NODE_COUNT,
+            answer.status,
+            answer.body.len(),
+            begun.elapsed().as_secs_f64() * 1000.0
+        );
+        show_runs(&site, &attempt);
+        if answer.status != 200 {
+            return Err(format!("{}: status {}", call.name, answer.status));
+        }
+    }
+    for node in nodes {
+        node.drain().await;
+        node.stop();
+    }
+    Ok(())
+}
+
+/// Prints what the targets ran for a request.
+fn show_runs(site: &RouteSite, attempt: &str) {
+    for run in site.journal.of(attempt) {
+        match run.kind {
+            RunKind::Piece { stage, piece, call } => {
+                println!(
+                    "    stage {stage} piece {piece} at {}, call {call}",
+                    run.target
+                );
+            }
+            RunKind::Request => println!("    the request at {}", run.target),
+            RunKind::Release(_) => {}
+        }
+    }
+}
+
+async fn wait_ready(nodes: &[ServeNode]) -> Result<(), String> {
+    let begun = Instant::now();
+    while !nodes.iter().all(ServeNode::is_ready) {
+        if begun.elapsed() > LIMIT {
+            return Err("the nodes for routes are not ready".to_owned());
+        }
+        Timer::after(READY_PAUSE).await;
+    }
+    Ok(())
+}
+
+fn settings(number: usize, store: SocketAddr) -> io::Result<ServeSettings> {
+    Ok(ServeSettings {
+        name: Arc::from(format!("route-{number}")),
+        hall: Arc::from("hal-a"),
+        region: Arc::from("dk-vest"),
+        listen: free_address()?,
+        ready: free_address()?,
+        inner: free_address()?,
+        work: free_address()?,
+        metrics: free_address()?,
+        store,
+        peers: Vec::new(),
+        stop_grace: STOP_GRACE,
+        leave_bound: Duration::from_secs(2),
+        repeats: RepeatSettings::default(),
+        log: LogSettings {
+            level: LogLevel::Info,
+            file: None,
+        },
+    })
+}
+
+/// Returns an address on loopback that is free now.
+fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
