Give inputs up once the calls that need them are at work

Cause: A call fetches its inputs at its turn, but they were kept to its end; the room for results is what binds the stages before (room for 35 results at a target of 'billing'). Change: 60 ms after a call began at a target that begins calls at once, its pieces have read their inputs; when all of a stage have, the gathering node gives up what only they needed.

--- a/packages/turnford-policy/src/route/board.rs
+++ b/packages/turnford-policy/src/route/board.rs
@@ -201,6 +201,13 @@
         1.0 + (slowness - 1.0).max(0.0) * 0.5_f64.powf(age)
     }
 
+    /// Returns the same where it was measured lately, `None` otherwise.
+    pub fn measured_slowness(&self, now: Moment, id: &str) -> Option<f64> {
+        let (slowness, at) = self.entries.get(id)?.slowness?;
+        let is_recent = now.saturating_sub(at) < SLOWNESS_HALF_LIFE;
+        is_recent.then_some(slowness)
+    }
+
     /// Notes that a call of this node goes to a target.
     pub fn note_sent(&mut self, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
--- /dev/null
+++ b/packages/turnford-serve/src/inputs.rs
@@ -0,0 +1,51 @@
+//! Results that the pieces of one stage need for the last time.
+//!
+//! A call fetches its inputs when its turn comes, long before it ends. Once the calls of all pieces
+//! are at work the inputs are given up, so that their room is free for others.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use crate::release::release_results;
+use crate::release::PieceResult;
+use crate::traffic::Traffic;
+
+/// The inputs of a stage's pieces, until all have read them.
+pub(crate) struct InputHold {
+    traffic: Rc<Traffic>,
+    results: Vec<PieceResult>,
+    /// Pieces that have not read them yet.
+    left: Cell<usize>,
+    has_given_up: Cell<bool>,
+}
+
+impl InputHold {
+    /// Makes a hold for so many pieces.
+    pub(crate) fn new(traffic: &Rc<Traffic>, results: Vec<PieceResult>, pieces: usize) -> Rc<Self> {
+        Rc::new(Self {
+            traffic: traffic.clone(),
+            results,
+            left: Cell::new(pieces),
+            has_given_up: Cell::new(false),
+        })
+    }
+
+    /// Notes that the call of a piece is at work.
+    pub(crate) fn note_read(&self) {
+        let left = self.left.get().saturating_sub(1);
+        self.left.set(left);
+        if left == 0 && !self.results.is_empty() && !self.has_given_up.replace(true) {
+            release_results(&self.traffic, self.results.clone());
+        }
+    }
+
+    /// Notes that a piece has to run again.
+    pub(crate) fn note_unread(&self) {
+        self.left.set(self.left.get() + 1);
+    }
+
+    /// Tells whether the inputs were given up.
+    pub(crate) fn has_given_up(&self) -> bool {
+        self.has_given_up.get()
+    }
+}
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -9,6 +9,7 @@
 mod desk;
 mod entry;
 mod forward;
+mod inputs;
 mod metrics;
 mod node;
 mod pieces;
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -29,6 +29,7 @@
 use crate::call::call_target;
 use crate::call::CallFault;
 use crate::desk::ServiceDesk;
+use crate::inputs::InputHold;
 use crate::metrics::ServiceEvent;
 use crate::release::release_results;
 use crate::release::PieceResult;
@@ -40,6 +41,13 @@
 /// Times its expected span after which the pieces of a call are offered to other targets, too.
 const LATE_FACTOR: f64 = 2.5;
 
+/// Time after its begin by which a call has fetched its inputs: a few megabytes over links of
+/// gigabits take some milliseconds.
+const FETCH_SPAN: Duration = Duration::from_millis(60);
+
+/// Times its expected span by which a target's last calls tell that it begins calls at once.
+const CALM_FACTOR: f64 = 1.25;
+
 /// Longest wait for a target's report.
 const REPORT_LIMIT: Duration = Duration::from_millis(150);
 
@@ -56,12 +64,20 @@
     NotOffered,
 }
 
+/// Who waits for a piece.
+struct PieceTaker {
+    outcome: Sender<PieceOutcome>,
+    inputs: Rc<InputHold>,
+    /// Whether the piece was noted as having read its inputs.
+    has_read: bool,
+}
+
 /// The pieces that wait for the targets of one cell.
 pub(crate) struct PieceDesk {
     pub(crate) board: RefCell<BatchBoard>,
     /// Targets of the cell.
     pub(crate) targets: RefCell<Vec<TargetSpec>>,
-    takers: RefCell<HashMap<PieceTicket, Sender<PieceOutcome>>>,
+    takers: RefCell<HashMap<PieceTicket, PieceTaker>>,
     /// When the next look is due though nothing happens until then.
     next_look: Cell<Option<Moment>>,
 }
@@ -83,7 +99,7 @@
         };
         // It may have been offered to another target, too.
         self.board.borrow_mut().withdraw(ticket);
-        let told = taker.try_send(outcome);
+        let told = taker.outcome.try_send(outcome);
         told.err().map(async_channel::TrySendError::into_inner)
     }
 }
@@ -125,11 +141,16 @@
 
 impl PieceCell {
     /// Puts pieces into the queue.
-    pub(crate) fn submit(&self, works: Vec<PieceWork>) -> Vec<PieceWait> {
+    pub(crate) fn submit(&self, works: Vec<PieceWork>, inputs: &Rc<InputHold>) -> Vec<PieceWait> {
         let mut waits = Vec::with_capacity(works.len());
         for work in works {
-            let (taker, outcome) = async_channel::bounded(1);
+            let (sender, outcome) = async_channel::bounded(1);
             let ticket = self.pieces.board.borrow_mut().push(work);
+            let taker = PieceTaker {
+                outcome: sender,
+                inputs: inputs.clone(),
+                has_read: false,
+            };
             self.pieces.takers.borrow_mut().insert(ticket, taker);
             waits.push(PieceWait {
                 cell: self.clone(),
@@ -236,10 +257,34 @@
         }
     }
 
+    /// Notes that the calls of these pieces are at work and have fetched their inputs.
+    fn note_read(&self, plan: &BatchPlan) {
+        let mut takers = self.pieces.takers.borrow_mut();
+        for (ticket, _) in &plan.pieces {
+            if let Some(taker) = takers.get_mut(ticket) {
+                if !std::mem::replace(&mut taker.has_read, true) {
+                    taker.inputs.note_read();
+                }
+            }
+        }
+    }
+
+    /// Notes that a piece has to run again; false if nobody waits for it.
+    fn note_unread(&self, ticket: PieceTicket) -> bool {
+        let mut takers = self.pieces.takers.borrow_mut();
+        let Some(taker) = takers.get_mut(&ticket) else {
+            return false;
+        };
+        if std::mem::take(&mut taker.has_read) {
+            taker.inputs.note_unread();
+        }
+        true
+    }
+
     /// Puts a piece back that found no room for its result, which is larger than expected. Nothing
     /// ran, so it is no repeat.
     fn wait_for_room(&self, target: &str, ticket: PieceTicket, work: &PieceWork) -> bool {
-        if !self.pieces.takers.borrow().contains_key(&ticket) {
+        if !self.note_unread(ticket) {
             return false;
         }
         let mut board = self.pieces.board.borrow_mut();
@@ -253,7 +298,7 @@
     fn give_back(&self, plan: BatchPlan, reason: &'static str, may_have_run: bool) {
         let now = self.traffic.shared.now();
         for (ticket, work) in plan.pieces {
-            if !self.pieces.takers.borrow().contains_key(&ticket) {
+            if !self.note_unread(ticket) {
                 continue;
             }
             if !may_have_run || self.desk.allowance.borrow_mut().take(now) {
@@ -332,11 +377,17 @@
     let span = cell.pieces.board.borrow().call_span(count);
     let limit = longest_wait(&plan, begun);
     let call = call_pieces(cell, target, &plan, limit);
-    let offered = offer_again(cell, target, &plan, span);
-    let ended = call.or(async {
-        offered.await;
+    let reads = is_calm(cell, target);
+    let meanwhile = async {
+        if reads {
+            Timer::after(FETCH_SPAN).await;
+            cell.note_read(&plan);
+        }
+        let waited = if reads { FETCH_SPAN } else { Duration::ZERO };
+        offer_again(cell, target, &plan, span, waited).await;
         std::future::pending().await
-    });
+    };
+    let ended = call.or(meanwhile);
     match ended.await {
         Ok(ends) => {
             let took = traffic.shared.now().saturating_sub(begun);
@@ -357,9 +408,24 @@
     }
 }
 
+/// Tells whether a target begins a call at once: its last calls took the time that they should, so
+/// nobody else uses it.
+fn is_calm(cell: &PieceCell, target: &TargetSpec) -> bool {
+    let now = cell.traffic.shared.now();
+    let board = cell.desk.board.borrow();
+    let slowness = board.measured_slowness(now, &target.id);
+    slowness.is_some_and(|slowness| slowness < CALM_FACTOR)
+}
+
 /// Offers the pieces of a call that takes too long to other targets; the first result counts.
-async fn offer_again(cell: &PieceCell, target: &TargetSpec, plan: &BatchPlan, span: Duration) {
-    Timer::after(span.mul_f64(LATE_FACTOR)).await;
+async fn offer_again(
+    cell: &PieceCell,
+    target: &TargetSpec,
+    plan: &BatchPlan,
+    span: Duration,
+    waited: Duration,
+) {
+    Timer::after(span.mul_f64(LATE_FACTOR).saturating_sub(waited)).await;
     log::info!(
         "target={} pieces={} late, offered to others",
         target.id,
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    fn results(&self, stages: &[usize]) -> Vec<PieceResult> {
+        let results = stages.iter().flat_map(|&stage| &self.stages[stage]);
+        results.cloned().collect()
+    }
+
     fn handles(&self, stages: &[usize]) -> Vec<String> {
         let results = stages.iter().flat_map(|&stage| &self.stages[stage]);
         results.map(|result| result.handle.clone()).collect()
@@ -122,7 +127,14 @@
     _held: HeldResults,
 }
 
-type StageEnd = (usize, Result<Vec<PieceResult>, StageFault>);
+/// What a stage made.
+struct StageMade {
+    results: Vec<PieceResult>,
+    /// Whether the results that only it needed were given up.
+    gave_up: bool,
+}
+
+type StageEnd = (usize, Result<StageMade, StageFault>);
 
 /// Runs all stages of a request.
 pub(crate) async fn run_stages(
@@ -153,8 +165,14 @@
         let Ok((stage, end)) = ended.recv().await else {
             return Err(StageFault::Failed("a stage was dropped"));
         };
-        held.stages[stage] = end?;
+        let made = end?;
+        held.stages[stage] = made.results;
         done[stage] = true;
+        if made.gave_up {
+            for before in only_inputs(&graph, stage) {
+                held.stages[before].clear();
+            }
+        }
         record.note(format_args!("stage {stage} done"));
         give_up_used(&graph, &done, &mut held);
     }
@@ -219,6 +237,13 @@
     }
 }
 
+/// Returns the stages whose results only this one needs.
+fn only_inputs(graph: &StageGraph, stage: usize) -> Vec<usize> {
+    let inputs = graph.inputs(stage).iter().copied();
+    let is_only = |before: &usize| graph.users(*before).count() == 1;
+    inputs.filter(is_only).collect()
+}
+
 /// Tells whether a stage's results are large and only needed at the end. They would take room for
 /// as long as the other stages run, so such a stage begins last.
 fn is_heavy(record: &RequestRecord, graph: &StageGraph, stage: usize) -> bool {
@@ -261,6 +286,7 @@
         count,
         due,
         inputs: Arc::from(held.handles(inputs)),
+        last_use: held.results(&only_inputs(graph, stage)),
         hall,
         bytes,
     }
@@ -307,6 +333,8 @@
     stage: usize,
     count: u32,
     inputs: Arc<[String]>,
+    /// Results that only these pieces need.
+    last_use: Vec<PieceResult>,
     /// Hall in which the pieces should run.
     hall: Option<Arc<str>>,
     /// Bytes that cross halls where they run elsewhere.
@@ -319,7 +347,7 @@
     traffic: Rc<Traffic>,
     record: Rc<RequestRecord>,
     needs: StageNeeds,
-) -> Result<Vec<PieceResult>, StageFault> {
+) -> Result<StageMade, StageFault> {
     let service = &record.route.stages[needs.stage].service;
     let desk = traffic.desk(service);
     let desk = desk.ok_or(StageFault::Failed("the stage's service is not known"))?;
@@ -328,11 +356,20 @@
     let mut results = HeldResults::new(&traffic, 1);
     let mut made: Vec<Option<PieceResult>> = vec![None; missing.len()];
     let mut failures = 0;
+    let mut gave_up = false;
     loop {
         let works = missing.iter();
         let works = works.map(|&piece| piece_work(&traffic, &record, &needs, piece));
         let works: Vec<PieceWork> = works.collect();
-        let outcomes = run_pieces(&traffic, &place, &works).await;
+        // After a failure the pieces that are left can't tell what the others have read.
+        let last_use = if failures == 0 && works.len() == needs.count as usize {
+            &needs.last_use[..]
+        } else {
+            &[]
+        };
+        let end = run_pieces(&traffic, &place, &works, last_use).await;
+        gave_up |= end.gave_up;
+        let outcomes = end.outcomes;
         let pieces = std::mem::take(&mut missing);
         let mut offered = 0;
         for (piece, outcome) in pieces.into_iter().zip(outcomes) {
@@ -355,7 +392,10 @@
         }
         if missing.is_empty() {
             results.stages[0].clear();
-            return Ok(made.into_iter().flatten().collect());
+            return Ok(StageMade {
+                results: made.into_iter().flatten().collect(),
+                gave_up,
+            });
         }
         if offered == 0 {
             // The node that gathered stops; the others learn of it meanwhile.
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -25,6 +25,7 @@
 use turnford_policy::RANK_COUNT;
 use turnford_wire::serve_peer;
 use turnford_wire::GivenUpCall;
+use turnford_wire::InputEntry;
 use turnford_wire::PeerClient;
 use turnford_wire::PeerFault;
 use turnford_wire::PieceAsk;
@@ -33,6 +34,7 @@
 use turnford_wire::WorkRequest;
 
 use crate::desk::ServiceDesk;
+use crate::inputs::InputHold;
 use crate::pieces::PieceCell;
 use crate::pieces::PieceOutcome;
 use crate::placement::answer_place;
@@ -150,45 +152,62 @@
     }
 }
 
-/// Runs pieces of one stage of one request, at the node that gathers for their cell.
+/// How the pieces of a stage ended.
+pub(crate) struct PiecesEnd {
+    pub(crate) outcomes: Vec<PieceOutcome>,
+    /// Whether the results that only they needed were given up.
+    pub(crate) gave_up: bool,
+}
+
+/// Runs pieces of one stage of one request, at the node that gathers for their cell. `last_use` are
+/// the results that only these pieces need.
 pub(crate) async fn run_pieces(
     traffic: &Rc<Traffic>,
     place: &CellPlace,
     works: &[PieceWork],
-) -> Vec<PieceOutcome> {
+    last_use: &[PieceResult],
+) -> PiecesEnd {
     for _ in 0..GATHERER_TRIES {
         let service = place.desk.spec.borrow().name.to_string();
         let duty = Duty::Gather(service, place.number);
         let Some(peer) = doer_of(traffic, &duty) else {
             break;
         };
-        if let Some(outcomes) = ask_peer(traffic, place, works, peer).await {
-            return outcomes;
+        if let Some(end) = ask_peer(traffic, place, works, last_use, peer).await {
+            return end;
         }
     }
-    run_here(traffic, place, works.to_vec()).await
+    run_here(traffic, place, works.to_vec(), last_use.to_vec()).await
 }
 
 async fn run_here(
     traffic: &Rc<Traffic>,
     place: &CellPlace,
     works: Vec<PieceWork>,
-) -> Vec<PieceOutcome> {
+    last_use: Vec<PieceResult>,
+) -> PiecesEnd {
     let count = works.len();
     let Some(pieces) = place.desk.cell(place.number) else {
-        return vec![PieceOutcome::Failed("the service has no targets"); count];
+        return PiecesEnd {
+            outcomes: vec![PieceOutcome::Failed("the service has no targets"); count],
+            gave_up: false,
+        };
     };
+    let inputs = InputHold::new(traffic, last_use, count);
     let cell = PieceCell {
         traffic: traffic.clone(),
         desk: place.desk.clone(),
         pieces,
     };
-    let waits = cell.submit(works);
+    let waits = cell.submit(works, &inputs);
     let mut outcomes = Vec::with_capacity(count);
     for wait in &waits {
         outcomes.push(wait.outcome().await);
     }
-    outcomes
+    PiecesEnd {
+        outcomes,
+        gave_up: inputs.has_given_up(),
+    }
 }
 
 /// Hands pieces to another node; `None` if it gave no answer.
@@ -196,12 +215,15 @@
     traffic: &Rc<Traffic>,
     place: &CellPlace,
     works: &[PieceWork],
+    last_use: &[PieceResult],
     peer: SocketAddr,
-) -> Option<Vec<PieceOutcome>> {
+) -> Option<PiecesEnd> {
     let now = traffic.shared.now();
     let first = works.first()?;
     let limit = first.deadline.saturating_sub(now);
-    let request = WorkRequest::Pieces(piece_ask(place, works, now)?);
+    let mut ask = piece_ask(place, works, now)?;
+    ask.last_use = input_entries(traffic, last_use);
+    let request = WorkRequest::Pieces(ask);
     let state = traffic.work.state(peer);
     let _waiting = WaitingGuard::new(traffic, peer, &state);
     let call = async {
@@ -215,12 +237,17 @@
         None
     };
     match call.or(watch).await {
-        Some(Ok(WorkReply::Pieces(ends, waits))) if ends.len() == works.len() => {
+        Some(Ok(WorkReply::Pieces {
+            ends,
+            waits,
+            gave_up,
+        })) if ends.len() == works.len() => {
             let now = traffic.shared.now();
             state.heard.set(now);
             place.desk.note_waits(now, place.number, &waits);
             let ends = ends.into_iter();
-            Some(ends.map(|end| outcome_of(place, peer, end)).collect())
+            let outcomes = ends.map(|end| outcome_of(place, peer, end)).collect();
+            Some(PiecesEnd { outcomes, gave_up })
         }
         Some(Ok(_)) => {
             log::info!("node at {peer} takes no pieces");
@@ -229,7 +256,10 @@
         }
         Some(Err(PeerFault::Late)) => {
             // The request's time is over, which says nothing of the node.
-            Some(vec![PieceOutcome::Failed("its time was over"); works.len()])
+            Some(PiecesEnd {
+                outcomes: vec![PieceOutcome::Failed("its time was over"); works.len()],
+                gave_up: false,
+            })
         }
         Some(Err(fault)) => {
             log::info!("node at {peer} lost pieces: {fault}");
@@ -254,6 +284,7 @@
         pieces: works.iter().map(|work| work.piece).collect(),
         key: first.key.as_deref().map(str::to_owned),
         inputs: first.inputs.to_vec(),
+        last_use: Vec::new(),
         left_ms: millis(first.deadline),
         due_ms: millis(first.due),
         ranks: first.ranks,
@@ -263,6 +294,35 @@
     })
 }
 
+/// Returns results as another node can give them up.
+fn input_entries(traffic: &Traffic, results: &[PieceResult]) -> Vec<InputEntry> {
+    let own = traffic.shared.settings.work;
+    let entries = results.iter().map(|result| InputEntry {
+        service: result.maker.service.to_string(),
+        target: result.maker.id.to_string(),
+        handle: result.handle.clone(),
+        gatherer: result.gatherer.unwrap_or(own),
+    });
+    entries.collect()
+}
+
+/// Returns the results that another node's pieces need for the last time, those whose targets are
+/// known here.
+fn asked_inputs(traffic: &Traffic, entries: &[InputEntry]) -> Vec<PieceResult> {
+    let own = traffic.shared.settings.work;
+    let known = entries.iter().filter_map(|entry| {
+        let desk = traffic.desk(&entry.service)?;
+        let maker = desk.board.borrow().get(&entry.target)?.clone();
+        let gatherer = (entry.gatherer != own).then_some(entry.gatherer);
+        Some(PieceResult {
+            handle: entry.handle.clone(),
+            maker,
+            gatherer,
+        })
+    });
+    known.collect()
+}
+
 fn outcome_of(place: &CellPlace, peer: SocketAddr, end: PieceReplyEnd) -> PieceOutcome {
     match end {
         PieceReplyEnd::Made { handle, target } => {
@@ -404,8 +464,12 @@
         number: ask.cell as usize,
     };
     let works = asked_works(&ask, traffic.shared.now());
-    let outcomes = run_here(traffic, &place, works).await;
-    let ends = outcomes.into_iter().map(|outcome| match outcome {
+    let inputs = asked_inputs(traffic, &ask.last_use);
+    // What is not known here is given up by the node that asks.
+    let knows_all = inputs.len() == ask.last_use.len();
+    let end = run_here(traffic, &place, works, inputs).await;
+    let gave_up = end.gave_up && knows_all;
+    let ends = end.outcomes.into_iter().map(|outcome| match outcome {
         PieceOutcome::Made(result) => PieceReplyEnd::Made {
             handle: result.handle,
             target: result.maker.id.to_string(),
@@ -414,7 +478,11 @@
         PieceOutcome::Failed(_) => PieceReplyEnd::Failed,
         PieceOutcome::NotOffered => PieceReplyEnd::NotOffered,
     });
-    WorkReply::Pieces(ends.collect(), told_waits(traffic, &place))
+    WorkReply::Pieces {
+        ends: ends.collect(),
+        waits: told_waits(traffic, &place),
+        gave_up,
+    }
 }
 
 /// Returns the milliseconds that new pieces would wait at this node, by account rank.
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -94,6 +94,19 @@
     Refused,
 }
 
+/// A result that pieces need, and who can give it up.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct InputEntry {
+    /// Service whose target keeps it.
+    pub service: String,
+    /// Incarnation of that target.
+    pub target: String,
+    /// Handle of the result.
+    pub handle: String,
+    /// Node that gathered it.
+    pub gatherer: SocketAddr,
+}
+
 /// Pieces of one stage of one request, handed to the node that gathers them.
 #[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
 pub struct PieceAsk {
@@ -111,6 +124,8 @@
     pub key: Option<String>,
     /// Results that they need.
     pub inputs: Vec<String>,
+    /// Results that only they need: these may be given up once all pieces have read them.
+    pub last_use: Vec<InputEntry>,
     /// Milliseconds until they are no longer wanted.
     pub left_ms: u64,
     /// Milliseconds until they should be done.
@@ -206,9 +221,15 @@
 pub enum WorkReply {
     /// To the question whether it is there, to progress and to a release.
     Noted,
-    /// To pieces: their ends, and the milliseconds that new pieces of each account rank would
-    /// wait now.
-    Pieces(PieceReply, Vec<u32>),
+    /// To pieces.
+    Pieces {
+        /// Their ends.
+        ends: PieceReply,
+        /// Milliseconds that new pieces of each account rank would wait now.
+        waits: Vec<u32>,
+        /// Whether the results that only they needed were given up.
+        gave_up: bool,
+    },
     /// To a request to place: the engine and the number of the placement.
     Placed(Option<(String, u64)>),
     /// The call was not understood, or the node can't do it.
