--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -1,10 +1,11 @@
 //! The request's own call: to one target, and to another where that is allowed.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
+use async_io::Timer;
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use http::request::Parts;
 use http::Response;
 use http::StatusCode;
@@ -28,6 +29,7 @@
 use crate::placement::place_request;
 use crate::placement::PlacedRun;
 use crate::record::RequestRecord;
+use crate::stages::StageResults;
 use crate::stream::relay_stream;
 use crate::traffic::Traffic;
 
@@ -39,6 +41,10 @@
 /// ordinary times.
 const UNREACHED_LIMIT: usize = 8;
 
+/// Time after which a target has fetched the inputs of a request that it was sent: it does so before
+/// it reads the prompt, and a few hundred kilobytes take some milliseconds.
+const FETCH_SPAN: Duration = Duration::from_millis(80);
+
 /// Time to come back after a refusal by which a failed target has been replaced or has recovered.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -48,9 +54,7 @@
     pub(crate) desk: &'a Rc<ServiceDesk>,
     pub(crate) parts: &'a Parts,
     pub(crate) body: &'a Bytes,
-    pub(crate) inputs: &'a [String],
-    /// Bytes of the inputs in each hall.
-    pub(crate) halls: &'a [(Arc<str>, u64)],
+    pub(crate) results: &'a StageResults,
 }
 
 /// How the call ended.
@@ -87,7 +91,14 @@
     let now = traffic.shared.now();
     job.desk.allowance.borrow_mut().note_first(now);
     while may_try(traffic, job, &log) {
-        let placed = place_request(traffic, job.record, job.desk, job.halls, &log.tried).await;
+        let placed = place_request(
+            traffic,
+            job.record,
+            job.desk,
+            &job.results.halls,
+            &log.tried,
+        )
+        .await;
         let Some(placed) = placed else {
             break;
         };
@@ -152,7 +163,7 @@
         left,
         account: record.account.as_deref(),
         rank: is_engine.then_some(record.rank),
-        inputs: job.inputs,
+        inputs: &job.results.handles,
         last_event: None,
     };
     let request = encode_order(job.parts, job.body.clone(), &order).map_err(|problem| {
@@ -166,7 +177,13 @@
         left.as_millis()
     ));
     let attempt = Some(record.facts.attempt.as_str());
-    call_target(traffic, job.desk, target, request, attempt, left).await
+    let call = call_target(traffic, job.desk, target, request, attempt, left);
+    let fetched = async {
+        Timer::after(FETCH_SPAN).await;
+        job.results.give_up();
+        std::future::pending().await
+    };
+    call.or(fetched).await
 }
 
 /// Takes a target's answer: to the client, or to try another target.
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -250,8 +250,7 @@
             desk: &desk,
             parts,
             body,
-            inputs: &results.handles,
-            halls: &results.halls,
+            results: &results,
         };
         match forward(traffic, &job).await {
             ForwardEnd::Answer(answer) => return answer,
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -1,5 +1,6 @@
 //! The stages of one request, in the order that their results allow.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -104,6 +105,12 @@
         longest.first().cloned()
     }
 
+    fn give_up_all(&mut self) {
+        for stage in 0..self.stages.len() {
+            self.give_up(stage);
+        }
+    }
+
     fn give_up(&mut self, stage: usize) {
         let results = std::mem::take(&mut self.stages[stage]);
         release_results(&self.traffic, results);
@@ -112,9 +119,7 @@
 
 impl Drop for HeldResults {
     fn drop(&mut self) {
-        for stage in 0..self.stages.len() {
-            self.give_up(stage);
-        }
+        self.give_up_all();
     }
 }
 
@@ -124,7 +129,14 @@
     pub(crate) handles: Vec<String>,
     /// Bytes of these results in each hall.
     pub(crate) halls: Vec<(Arc<str>, u64)>,
-    _held: HeldResults,
+    held: RefCell<HeldResults>,
+}
+
+impl StageResults {
+    /// Gives the results up: their target has read them.
+    pub(crate) fn give_up(&self) {
+        self.held.borrow_mut().give_up_all();
+    }
 }
 
 /// What a stage made.
@@ -179,7 +191,7 @@
     Ok(StageResults {
         handles: held.handles(graph.last()),
         halls: held.hall_bytes(record, graph.last()),
-        _held: held,
+        held: RefCell::new(held),
     })
 }
 
