Admit by the time that stages have and by what calls really hold

Cause: A second try with little time was admitted by its route's goal and dropped in a queue; the rate of a stage was reckoned with full calls where room allows 27 of 40 pieces. Change: what is expected must fit both the goal and the time of the stages; the average size of calls that left others waiting gives the rate.

--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -19,6 +19,9 @@
 /// Number of a piece on the board.
 pub type PieceTicket = u64;
 
+/// Weight of the newest call in the average size of calls.
+const SIZE_WEIGHT: f64 = 0.1;
+
 /// Account ranks that waits are told for.
 pub const RANK_COUNT: usize = 4;
 
@@ -135,12 +138,15 @@
     calls: BTreeMap<TargetId, TargetCalls>,
     room: RoomLedger,
     next_ticket: PieceTicket,
+    /// Average number of pieces of calls that left others waiting.
+    busy_size: f64,
 }
 
 impl BatchBoard {
     /// Makes a board for a service.
     pub fn new(spec: BatchSpec) -> Self {
         Self {
+            busy_size: spec.piece_limit.max(1) as f64,
             spec,
             waiting: Vec::new(),
             calls: BTreeMap::new(),
@@ -250,8 +256,10 @@
         board: &TargetBoard,
         targets: &[TargetSpec],
     ) -> [Duration; RANK_COUNT] {
-        let full = self.full_span().as_secs_f64().max(0.001);
-        let limit = self.spec.piece_limit.max(1) as f64;
+        // What calls really hold while pieces wait, which the room for results may bound.
+        let limit = self.busy_size.max(1.0);
+        let full = self.spec.call_span.as_secs_f64() + self.spec.piece_span.as_secs_f64() * limit;
+        let full = full.max(0.001);
         let open = targets.iter().filter(|target| !target.leaving);
         let awake = open.filter(|target| !board.is_paused(now, &target.id));
         let rates = awake.map(|target| limit / full / board.slowness(now, &target.id));
@@ -436,6 +444,9 @@
         if taken.is_empty() {
             return None;
         }
+        if !self.waiting.is_empty() {
+            self.busy_size += SIZE_WEIGHT * (taken.len() as f64 - self.busy_size);
+        }
         let end = now + self.call_span(taken.len());
         let calls = self.calls.entry(target.id.clone()).or_default();
         calls.ends.push(end);
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -33,6 +33,7 @@
 use crate::stages::expected_span;
 use crate::stages::run_stages;
 use crate::stages::StageFault;
+use crate::stages::LAST_SPAN;
 use crate::traffic::Traffic;
 
 /// Times that the stages of a request run when their results are gone before they are used.
@@ -44,10 +45,6 @@
 /// Time to come back from a node that stops: another one takes the request at once.
 const MOVE_SPAN: Duration = Duration::from_millis(20);
 
-/// Part of a request's goal that what is expected of its stages may take. Beyond it the request would
-/// be late, and work on it would be missing where it is in time.
-const ADMIT_PART: f64 = 1.0;
-
 /// Time to come back to a node that has no configuration yet.
 const NOT_READY_SPAN: Duration = Duration::from_millis(500);
 
@@ -206,8 +203,9 @@
         return refuse_admitted(record, ResultCode::NoTarget, "the service is not known");
     };
     let expected = expected_span(traffic, record);
-    if expected > record.route.goal.mul_f64(ADMIT_PART) {
-        let over = expected.saturating_sub(record.route.goal.mul_f64(ADMIT_PART));
+    let limit = admit_limit(record);
+    if expected > limit {
+        let over = expected.saturating_sub(limit);
         let retry_after = over.max(RETRY_AFTER);
         record.note(format_args!("expected {}ms", expected.as_millis()));
         record.end(
@@ -260,6 +258,13 @@
     refuse_admitted(record, ResultCode::Shed, "results of stages were gone")
 }
 
+/// Returns the time that a request's stages and its own call may be expected to take: beyond its goal
+/// it would be late, and beyond the time that its stages have they would be dropped.
+fn admit_limit(record: &RequestRecord) -> Duration {
+    let stages = stage_deadline(record).saturating_sub(record.begun);
+    record.route.goal.min(stages + LAST_SPAN)
+}
+
 /// Returns when the stages of a request must be done. A request that has used up half of its time
 /// by then is better off with a second try, elsewhere or later, than with a late refusal.
 fn stage_deadline(record: &RequestRecord) -> Moment {
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -38,7 +38,7 @@
 const HALL_PATIENCE: Duration = Duration::from_millis(80);
 
 /// Time that the request's own call takes until its first answer, at least.
-const LAST_SPAN: Duration = Duration::from_millis(250);
+pub(crate) const LAST_SPAN: Duration = Duration::from_millis(250);
 
 /// Factor on the least time of what comes after a stage, for its waits.
 const LATER_FACTOR: f64 = 1.4;
