--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -288,7 +288,9 @@
         let planned = record.planned_hall.borrow().clone();
         (planned.filter(|_| goes_last), size(stage))
     } else {
-        let bytes = inputs.iter().map(|&before| size(before)).sum();
+        // Each piece fetches all of its inputs.
+        let each: u64 = inputs.iter().map(|&before| size(before)).sum();
+        let bytes = each * u64::from(count);
         (held.main_hall(inputs), bytes)
     };
     let later = later_span(traffic, record, graph, stage).mul_f64(LATER_FACTOR);
