--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -79,8 +79,8 @@
 
 impl PieceWork {
     /// Tells whether a target in a hall may run it now.
-    fn suits(&self, now: Moment, hall: &str) -> bool {
-        self.is_near(hall) || self.hall.is_none() || self.hall_until <= now
+    fn suits(&self, now: Moment, hall: &str, is_crowded: bool) -> bool {
+        is_crowded || self.is_near(hall) || self.hall.is_none() || self.hall_until <= now
     }
 
     fn is_near(&self, hall: &str) -> bool {
@@ -305,10 +305,13 @@
             (is_overdue, piece.work.ranks, piece.work.due, piece.ticket)
         });
         let mut free = self.free_targets(now, board, targets);
+        // Where more waits than a round of calls holds, no target stays idle for what is near.
+        let round = self.spec.piece_limit * targets.len();
+        let is_crowded = self.waiting.len() > round;
         // Pieces that belong near a free target take it first.
         for only_near in [true, false] {
             free.retain(|target| {
-                let plan = self.fill_call(now, target, only_near);
+                let plan = self.fill_call(now, target, only_near, is_crowded);
                 let is_free = plan.is_none();
                 plans.extend(plan);
                 is_free
@@ -417,6 +420,7 @@
         now: Moment,
         target: &TargetSpec,
         only_near: bool,
+        is_crowded: bool,
     ) -> Option<BatchPlan> {
         let hall = &*target.hall;
         let has_near = self.waiting.iter().any(|piece| piece.work.is_near(hall));
@@ -433,7 +437,7 @@
             // A result larger than all the room is tried where there is nothing else.
             let fits = bytes <= room || (used == 0 && taken.is_empty());
             let has_place = taken.len() < self.spec.piece_limit.max(1);
-            if has_place && fits && piece.work.suits(now, hall) {
+            if has_place && fits && piece.work.suits(now, hall, is_crowded) {
                 room = room.saturating_sub(bytes);
                 taken.push((piece.ticket, piece.work));
             } else {
