--- a/packages/turnford-policy/src/route/board.rs
+++ b/packages/turnford-policy/src/route/board.rs
@@ -145,19 +145,9 @@
         self.entries.get(id).map_or(0.0, |entry| entry.load(now))
     }
 
-    /// Returns the part of a service's places that are taken.
-    pub fn occupancy(&self, now: Moment) -> f64 {
-        let mut taken = 0.0;
-        let mut places = 0.0;
-        for entry in self.entries.values().filter(|entry| !entry.spec.leaving) {
-            taken += entry.load(now).min(f64::from(entry.spec.slots));
-            places += f64::from(entry.spec.slots);
-        }
-        if places > 0.0 {
-            taken / places
-        } else {
-            1.0
-        }
+    /// Returns the calls of this node that are under way at a target.
+    pub fn in_flight(&self, id: &str) -> u32 {
+        self.entries.get(id).map_or(0, |entry| entry.in_flight)
     }
 
     /// Chooses the target with the least cost, among those not tried yet.
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -34,6 +34,8 @@
     pub(crate) planned_hall: RefCell<Option<Arc<str>>>,
     version: u64,
     story: RefCell<String>,
+    /// Time until the first byte of the answer.
+    head: Cell<Option<Duration>>,
     is_ended: Cell<bool>,
 }
 
@@ -61,6 +63,7 @@
             planned_hall: RefCell::default(),
             version,
             story: RefCell::new(String::new()),
+            head: Cell::new(None),
             is_ended: Cell::new(false),
         })
     }
@@ -83,6 +86,7 @@
     /// Notes the first byte of the answer.
     pub(crate) fn note_head(&self) {
         let time = self.shared.now().saturating_sub(self.begun);
+        self.head.set(Some(time));
         self.shared
             .metrics
             .note_head(self.account_name(), self.rank, time);
@@ -98,7 +102,8 @@
         let account = self.account_name();
         self.shared.metrics.note_end(account, self.rank, code, time);
         let story = self.story.borrow();
-        let is_plain = code.is_whole() && time <= self.route.goal;
+        let head = self.head.get();
+        let is_plain = code.is_whole() && head.is_some_and(|head| head <= self.route.goal);
         let level = if is_plain {
             log::Level::Info
         } else {
@@ -108,7 +113,7 @@
         let story = if is_plain { "" } else { story.as_str() };
         log::log!(
             level,
-            "request={} route={} account={} rank={} config={} code={} end={} ms={}{}{}{}",
+            "request={} route={} account={} rank={} config={} code={} end={} head_ms={} ms={}{}{}{}",
             self.facts.attempt,
             self.route.name,
             account,
@@ -116,6 +121,7 @@
             self.version,
             code.number(),
             code.name(),
+            head.map_or(-1, |head| head.as_millis() as i64),
             time.as_millis(),
             if reason.is_empty() { "" } else { " reason=" },
             reason,
