Split grown files, and refuse answers that are not the target's own

Cause: work.rs, pieces.rs and stages.rs did more than one job each; the loop that takes peers' connections stood three times; a success without its target's signature, or with an encoding that nobody asked for, would have been passed on; a setting and three public items were not used. Change: gather.rs, batch.rs, results.rs; accept_peers in turnford-wire; such answers count as broken; leave_bound_ms, cell_of_target and BoardChoice are gone.

--- a/packages/turnford-config/src/serve.rs
+++ b/packages/turnford-config/src/serve.rs
@@ -61,8 +61,6 @@
     pub peers: Vec<SocketAddr>,
     /// Time from the order to stop until the process is ended.
     pub stop_grace: Duration,
-    /// Time after which a target that is leaving must get no new work.
-    pub leave_bound: Duration,
     /// Repeats that a service may get.
     pub repeats: RepeatSettings,
     /// Log lines.
@@ -98,7 +96,6 @@
     let store = reader.parsed("store", ADDRESS);
     let peers = reader.parsed_list("peers", ADDRESS);
     let stop_grace = reader.number_or("stop_grace_s", 0.0..=3600.0, 8.0);
-    let leave_bound = reader.number_or("leave_bound_ms", 0.0..=600_000.0, 2000.0);
     let repeats = reader.table("repeats", read_repeats);
     let log = reader.table("log", read_log);
     Some(ServeSettings {
@@ -113,7 +110,6 @@
         store: store?,
         peers,
         stop_grace: Duration::from_secs_f64(stop_grace),
-        leave_bound: Duration::from_secs_f64(leave_bound / 1000.0),
         repeats: repeats.unwrap_or_default(),
         log: log.unwrap_or(LogSettings {
             level: LogLevel::Info,
--- a/packages/turnford-config/tests/serve_settings.rs
+++ b/packages/turnford-config/tests/serve_settings.rs
@@ -24,7 +24,6 @@
             "[\"10.1.0.41:8628\", \"10.2.0.25:8628\"]",
         ),
         ("{{bounds.grace_s}}", "8"),
-        ("{{bounds.drain_ms}}", "2000"),
         ("{{bounds.budget_window_s}}", "10"),
         ("{{bounds.retry_budget_ratio}}", "0.2"),
         ("{{bounds.retry_budget_slack}}", "52"),
--- a/packages/turnford-node/src/control/peers.rs
+++ b/packages/turnford-node/src/control/peers.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use async_net::TcpListener;
-use turnford_wire::serve_peer;
+use turnford_wire::accept_peers;
 use turnford_wire::GivenUpCall;
 use turnford_wire::PeerReply;
 use turnford_wire::PeerRequest;
@@ -12,25 +12,10 @@
 
 /// Serves the inner protocol for as long as the node runs.
 pub(super) async fn serve_peers(context: Rc<ControlContext>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            async_io::Timer::after(std::time::Duration::from_millis(20)).await;
-            continue;
-        };
-        if stream.set_nodelay(true).is_err() {
-            continue;
-        }
-        let handler_context = context.clone();
-        let handler = move |request| answer(handler_context.clone(), request);
-        let serve = serve_peer(
-            stream,
-            context.executor.clone(),
-            GivenUpCall::Finished,
-            || PeerReply::Refused,
-            handler,
-        );
-        context.executor.spawn(serve).detach();
-    }
+    let executor = context.executor.clone();
+    let handler = move |request| answer(context.clone(), request);
+    let refusal = || PeerReply::Refused;
+    accept_peers(listener, executor, GivenUpCall::Finished, refusal, handler).await;
 }
 
 async fn answer(context: Rc<ControlContext>, request: PeerRequest) -> PeerReply {
--- a/packages/turnford-policy/src/route/board.rs
+++ b/packages/turnford-policy/src/route/board.rs
@@ -86,13 +86,6 @@
     }
 }
 
-/// A chosen target.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BoardChoice {
-    /// Target.
-    pub spec: TargetSpec,
-}
-
 /// The targets of one service.
 #[derive(Clone, Debug, Default)]
 pub struct TargetBoard {
@@ -159,7 +152,7 @@
         now: Moment,
         tried: &[TargetId],
         cost_of: impl Fn(&TargetSpec, f64) -> f64,
-    ) -> Option<BoardChoice> {
+    ) -> Option<TargetSpec> {
         let open = self.entries.values().filter(|entry| !entry.spec.leaving);
         let left: Vec<&BoardEntry> = open
             .filter(|entry| !tried.contains(&entry.spec.id))
@@ -175,9 +168,7 @@
             .min_by(least)
             .or_else(|| awake.min_by(least))
             .or_else(|| left.iter().min_by_key(|entry| entry.paused_until));
-        chosen.map(|entry| BoardChoice {
-            spec: entry.spec.clone(),
-        })
+        chosen.map(|entry| entry.spec.clone())
     }
 
     /// Returns the time of a target's calls against what is expected of them. What was measured
--- a/packages/turnford-policy/src/route/cell.rs
+++ b/packages/turnford-policy/src/route/cell.rs
@@ -1,7 +1,5 @@
 //! Cells: a service's targets in groups, each used by one node for all.
 
-use crate::TargetId;
-
 use super::TargetSpec;
 
 /// Targets in one cell. A node that gathers for eight targets makes some 25 calls a second, which a
@@ -30,10 +28,3 @@
     let best = counts.enumerate().max_by_key(|(_, count)| *count);
     best.filter(|(_, count)| *count > 0).map(|(cell, _)| cell)
 }
-
-/// Returns the cell that a target is in.
-pub fn cell_of_target(cells: &[Vec<TargetSpec>], id: &TargetId) -> Option<usize> {
-    cells
-        .iter()
-        .position(|cell| cell.iter().any(|target| target.id == *id))
-}
--- a/packages/turnford-policy/src/route/engine.rs
+++ b/packages/turnford-policy/src/route/engine.rs
@@ -177,7 +177,7 @@
         self.forget_late(now);
         let home = PromptHome::new(&need.parts, board.open_targets().map(|target| &target.id));
         let cost = |target: &TargetSpec, _: f64| self.cost(now, target, need, &home);
-        let chosen = board.choose(now, &need.tried, cost)?.spec;
+        let chosen = board.choose(now, &need.tried, cost)?;
         let ticket = self.start(now, &chosen.id, need);
         Some((chosen, ticket))
     }
--- a/packages/turnford-policy/tests/target_board.rs
+++ b/packages/turnford-policy/tests/target_board.rs
@@ -28,7 +28,7 @@
 
 fn chosen(board: &TargetBoard, now: Duration) -> String {
     let choice = board.choose(now, &[], |_, load| load);
-    choice.expect("a choice").spec.id.to_string()
+    choice.expect("a choice").id.to_string()
 }
 
 #[test]
--- /dev/null
+++ b/packages/turnford-serve/src/batch.rs
@@ -0,0 +1,262 @@
+//! Calls of pieces, and what they tell of their target.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+
+use turnford_adapter::decode_pieces;
+use turnford_adapter::decode_report;
+use turnford_adapter::encode_pieces;
+use turnford_adapter::encode_report;
+use turnford_adapter::PieceEnd;
+use turnford_adapter::PieceOrder;
+use turnford_adapter::StageReport;
+use turnford_policy::BatchPlan;
+use turnford_policy::Moment;
+use turnford_policy::TargetSpec;
+
+use crate::call::call_target;
+use crate::call::CallFault;
+use crate::metrics::ServiceEvent;
+use crate::pieces::PieceCell;
+
+/// Longest body of an answer, in bytes.
+const ANSWER_LIMIT: usize = 256 * 1024;
+
+/// Times its expected span after which the pieces of a call are offered to other targets, too.
+const LATE_FACTOR: f64 = 2.5;
+
+/// Time after its begin by which a call has fetched its inputs: a few megabytes over links of
+/// gigabits take some milliseconds.
+const FETCH_SPAN: Duration = Duration::from_millis(60);
+
+/// Times its expected span by which a target's last calls tell that it begins calls at once.
+const CALM_FACTOR: f64 = 1.25;
+
+/// Longest wait for a target's report.
+const REPORT_LIMIT: Duration = Duration::from_millis(150);
+
+/// Asks a target for its room, and takes what this node does not know of as taken by others.
+pub(crate) async fn ask_report(cell: PieceCell, target: TargetSpec) {
+    let report = read_report(&cell, &target).await;
+    let now = cell.traffic.shared.now();
+    match report {
+        Ok(report) => {
+            let mut board = cell.pieces.board.borrow_mut();
+            board.note_report(now, &target.id, report.most_free_bytes);
+        }
+        Err(reason) => {
+            log::info!("target={} gave no report: {reason}", target.id);
+            let mut board = cell.pieces.board.borrow_mut();
+            board.note_report(now, &target.id, u64::MAX);
+        }
+    }
+    cell.pump();
+}
+
+async fn read_report(cell: &PieceCell, target: &TargetSpec) -> Result<StageReport, String> {
+    let host = target.address.to_string();
+    let request = encode_report(&host, &target.id).map_err(|problem| problem.to_string())?;
+    let call = call_target(
+        &cell.traffic,
+        &cell.desk,
+        target,
+        request,
+        None,
+        REPORT_LIMIT,
+    );
+    let answer = call.await.map_err(|fault| format!("{fault:?}"))?;
+    let read = answer.collect(&cell.traffic, ANSWER_LIMIT).await;
+    let (_, body) = read.map_err(|fault| format!("{fault:?}"))?;
+    decode_report(&body).map_err(|problem| problem.to_string())
+}
+
+/// Makes one call and looks what can be done next.
+pub(crate) async fn run_batch(cell: PieceCell, plan: BatchPlan) {
+    let id = plan.target.clone();
+    let reserved = plan.result_bytes();
+    let target = cell.desk.board.borrow().get(&id).cloned();
+    let results = match target {
+        Some(target) => run_call(&cell, &target, plan).await,
+        None => {
+            cell.give_back(plan, "the target is gone", false);
+            Vec::new()
+        }
+    };
+    let now = cell.traffic.shared.now();
+    let kept = results
+        .iter()
+        .map(|(handle, bytes)| (handle.as_str(), *bytes));
+    let mut board = cell.pieces.board.borrow_mut();
+    board.note_ended(now, &id, reserved, kept);
+    drop(board);
+    cell.pump();
+}
+
+/// Makes a call; returns the results that its target keeps, with their sizes.
+async fn run_call(cell: &PieceCell, target: &TargetSpec, plan: BatchPlan) -> Vec<(String, u64)> {
+    let traffic = &cell.traffic;
+    let begun = traffic.shared.now();
+    let count = plan.pieces.len();
+    let metrics = &traffic.shared.metrics;
+    metrics.note_service(&target.service, ServiceEvent::Batch);
+    let span = cell.pieces.board.borrow().call_span(count);
+    let limit = longest_wait(&plan, begun);
+    let call = call_pieces(cell, target, &plan, limit);
+    let reads = is_calm(cell, target);
+    let meanwhile = async {
+        if reads {
+            Timer::after(FETCH_SPAN).await;
+            cell.note_read(&plan);
+        }
+        let waited = if reads { FETCH_SPAN } else { Duration::ZERO };
+        offer_again(cell, target, &plan, span, waited).await;
+        std::future::pending().await
+    };
+    let ended = call.or(meanwhile);
+    match ended.await {
+        Ok(ends) => {
+            let took = traffic.shared.now().saturating_sub(begun);
+            cell.desk.board.borrow_mut().note_success(&target.id);
+            note_speed(cell, target, took, span);
+            let made = made_results(&plan, &ends);
+            if made.is_empty() && ends.contains(&PieceEnd::NoRoom) {
+                let now = traffic.shared.now();
+                cell.pieces.board.borrow_mut().note_full(now, &target.id);
+            }
+            cell.end_pieces(target, plan, ends);
+            made
+        }
+        Err(fault) => {
+            note_fault(cell, target, plan, &fault);
+            Vec::new()
+        }
+    }
+}
+
+/// Tells whether a target begins a call at once: its last calls took the time that they should, so
+/// nobody else uses it.
+fn is_calm(cell: &PieceCell, target: &TargetSpec) -> bool {
+    let now = cell.traffic.shared.now();
+    let board = cell.desk.board.borrow();
+    let slowness = board.measured_slowness(now, &target.id);
+    slowness.is_some_and(|slowness| slowness < CALM_FACTOR)
+}
+
+/// Offers the pieces of a call that takes too long to other targets; the first result counts.
+async fn offer_again(
+    cell: &PieceCell,
+    target: &TargetSpec,
+    plan: &BatchPlan,
+    span: Duration,
+    waited: Duration,
+) {
+    Timer::after(span.mul_f64(LATE_FACTOR).saturating_sub(waited)).await;
+    log::info!(
+        "target={} pieces={} late, offered to others",
+        target.id,
+        plan.pieces.len()
+    );
+    note_speed(cell, target, span.mul_f64(LATE_FACTOR), span);
+    let now = cell.traffic.shared.now();
+    if cell.pieces.board.borrow().waiting() > 0 {
+        // The others have enough to do; making these twice would only make them later.
+        return;
+    }
+    for (ticket, work) in &plan.pieces {
+        let is_wanted = cell.pieces.is_wanted(*ticket);
+        if is_wanted && cell.desk.allowance.borrow_mut().take(now) {
+            let mut board = cell.pieces.board.borrow_mut();
+            board.put_back(*ticket, work.clone());
+        }
+    }
+    cell.pump();
+}
+
+/// Notes how a call's time was against what the configuration says.
+fn note_speed(cell: &PieceCell, target: &TargetSpec, took: Duration, span: Duration) {
+    let now = cell.traffic.shared.now();
+    let sample = took.as_secs_f64() / span.as_secs_f64().max(0.001);
+    let mut board = cell.desk.board.borrow_mut();
+    board.note_slowness(now, &target.id, sample);
+}
+
+fn made_results(plan: &BatchPlan, ends: &[PieceEnd]) -> Vec<(String, u64)> {
+    let pieces = plan.pieces.iter().zip(ends);
+    let made = pieces.filter_map(|((_, work), end)| match end {
+        PieceEnd::Made(handle) => Some((handle.clone(), work.result_bytes)),
+        _ => None,
+    });
+    made.collect()
+}
+
+fn note_fault(cell: &PieceCell, target: &TargetSpec, plan: BatchPlan, fault: &CallFault) {
+    let traffic = &cell.traffic;
+    let now = traffic.shared.now();
+    let count = plan.pieces.len();
+    match fault {
+        CallFault::NotSent(reason) => cell.give_back(plan, reason, false),
+        CallFault::NotRun(status) => {
+            log::debug!("target={} turned {count} pieces away: {status}", target.id);
+            cell.pieces.board.borrow_mut().note_full(now, &target.id);
+            cell.give_back(plan, "the target turned it away", false);
+        }
+        CallFault::Unknown(reason) => {
+            log::info!("target={} pieces={count} no result: {reason}", target.id);
+            let metrics = &traffic.shared.metrics;
+            metrics.note_service(&target.service, ServiceEvent::Broken);
+            let mut board = cell.desk.board.borrow_mut();
+            board.note_failure(&target.id);
+            board.note_refused(now, &target.id);
+            drop(board);
+            cell.give_back(plan, reason, true);
+        }
+    }
+}
+
+/// Returns the time until the last piece of a call is no longer wanted.
+fn longest_wait(plan: &BatchPlan, now: Moment) -> Duration {
+    let deadlines = plan.pieces.iter().map(|(_, work)| work.deadline);
+    let last = deadlines.max().unwrap_or(now);
+    last.saturating_sub(now)
+}
+
+async fn call_pieces(
+    cell: &PieceCell,
+    target: &TargetSpec,
+    plan: &BatchPlan,
+    limit: Duration,
+) -> Result<Vec<PieceEnd>, CallFault> {
+    let now = cell.traffic.shared.now();
+    let orders = plan.pieces.iter().map(|(_, work)| PieceOrder {
+        attempt: &work.attempt,
+        stage: work.stage,
+        piece: work.piece,
+        left: work.deadline.saturating_sub(now),
+        key: work.key.as_deref(),
+        inputs: &work.inputs,
+    });
+    let orders: Vec<PieceOrder<'_>> = orders.collect();
+    let host = target.address.to_string();
+    let request = encode_pieces(&host, &target.id, &orders).map_err(|problem| {
+        log::error!("target={} call of pieces: {problem}", target.id);
+        CallFault::NotSent("the call can't be written down")
+    })?;
+    let exchange = async {
+        let answer = call_target(&cell.traffic, &cell.desk, target, request, None, limit).await?;
+        answer.collect(&cell.traffic, ANSWER_LIMIT).await
+    };
+    let late = async {
+        Timer::after(limit).await;
+        Err(CallFault::Unknown("no whole answer in time"))
+    };
+    let (parts, body) = exchange.or(late).await?;
+    if !parts.status.is_success() {
+        return Err(CallFault::Unknown("the target failed at the call"));
+    }
+    decode_pieces(&body, orders.len()).map_err(|problem| {
+        log::warn!("target={} answer refused: {problem}", target.id);
+        CallFault::Unknown("the answer makes no sense")
+    })
+}
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -156,6 +156,10 @@
     if attempt.is_some() && !facts.not_run && facts.attempt.as_deref() != attempt {
         return Err(other_attempt(traffic, target, &facts));
     }
+    let is_whole = attempt.is_none() || (facts.is_signed && !facts.is_encoded);
+    if parts.status.is_success() && !is_whole {
+        return Err(CallFault::Unknown("the answer is not the target's own"));
+    }
     if facts.not_run {
         drain_refusal(traffic, link, &facts, body).await;
         traffic
--- a/packages/turnford-serve/src/entry.rs
+++ b/packages/turnford-serve/src/entry.rs
@@ -53,7 +53,7 @@
     }
 }
 
-/// Answers a client, or the readiness probe where it comes to the same address.
+/// Answers a client. While the node stops, each answer closes its connection.
 pub(crate) async fn handle_client(
     traffic: Rc<Traffic>,
     request: Request<Incoming>,
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -29,7 +29,7 @@
 use crate::placement::place_request;
 use crate::placement::PlacedRun;
 use crate::record::RequestRecord;
-use crate::stages::StageResults;
+use crate::results::StageResults;
 use crate::stream::relay_stream;
 use crate::traffic::Traffic;
 
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -4,11 +4,13 @@
 //! the first knows.
 
 mod answer;
+mod batch;
 mod call;
 mod control;
 mod desk;
 mod entry;
 mod forward;
+mod gather;
 mod inputs;
 mod metrics;
 mod node;
@@ -17,6 +19,7 @@
 mod record;
 mod release;
 mod request;
+mod results;
 mod shared;
 mod stages;
 mod stream;
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -159,7 +159,7 @@
         let over = if is_over { OVER_COST } else { 0.0 };
         load / f64::from(target.slots.max(1)) + hall + over
     };
-    board.choose(now, tried, cost).map(|choice| choice.spec)
+    board.choose(now, tried, cost)
 }
 
 /// Places a request by what this node knows.
--- a/packages/turnford-serve/src/release.rs
+++ b/packages/turnford-serve/src/release.rs
@@ -14,8 +14,8 @@
 
 use crate::call::call_target;
 use crate::desk::ServiceDesk;
+use crate::gather::release_at_peer;
 use crate::traffic::Traffic;
-use crate::work::release_at_peer;
 
 /// Time for which results to give up are gathered. Their room is missed meanwhile.
 const GATHER_SPAN: Duration = Duration::from_millis(15);
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -15,14 +15,15 @@
 use turnford_policy::StageGraph;
 
 use crate::desk::ServiceDesk;
+use crate::gather::expected_wait;
+use crate::gather::run_pieces;
+use crate::gather::CellPlace;
 use crate::pieces::PieceOutcome;
 use crate::record::RequestRecord;
-use crate::release::release_results;
 use crate::release::PieceResult;
+use crate::results::HeldResults;
+use crate::results::StageResults;
 use crate::traffic::Traffic;
-use crate::work::expected_wait;
-use crate::work::run_pieces;
-use crate::work::CellPlace;
 
 /// Most times that one piece is made anew after a failure.
 const PIECE_TRIES: u32 = 2;
@@ -55,90 +56,6 @@
     Failed(&'static str),
 }
 
-/// Results that one request holds; they are given up when this is dropped.
-pub(crate) struct HeldResults {
-    traffic: Rc<Traffic>,
-    stages: Vec<Vec<PieceResult>>,
-}
-
-impl HeldResults {
-    fn new(traffic: &Rc<Traffic>, stages: usize) -> Self {
-        Self {
-            traffic: traffic.clone(),
-            stages: vec![Vec::new(); stages],
-        }
-    }
-
-    fn results(&self, stages: &[usize]) -> Vec<PieceResult> {
-        let results = stages.iter().flat_map(|&stage| &self.stages[stage]);
-        results.cloned().collect()
-    }
-
-    fn handles(&self, stages: &[usize]) -> Vec<String> {
-        let results = stages.iter().flat_map(|&stage| &self.stages[stage]);
-        results.map(|result| result.handle.clone()).collect()
-    }
-
-    /// Returns the bytes that the results of some stages have in each hall.
-    fn hall_bytes(&self, record: &RequestRecord, stages: &[usize]) -> Vec<(Arc<str>, u64)> {
-        let mut halls: Vec<(Arc<str>, u64)> = Vec::new();
-        for &stage in stages {
-            let bytes = record.route.stages[stage].result_bytes;
-            for result in &self.stages[stage] {
-                let hall = &result.maker.hall;
-                match halls.iter_mut().find(|(other, _)| other == hall) {
-                    Some((_, sum)) => *sum += bytes,
-                    None => halls.push((hall.clone(), bytes)),
-                }
-            }
-        }
-        halls
-    }
-
-    /// Returns the hall in which most results of some stages lie.
-    fn main_hall(&self, stages: &[usize]) -> Option<Arc<str>> {
-        let results = stages.iter().flat_map(|&stage| &self.stages[stage]);
-        let mut halls: Vec<Arc<str>> = results.map(|result| result.maker.hall.clone()).collect();
-        halls.sort_unstable();
-        let runs = halls.chunk_by(|left, right| left == right);
-        let longest = runs.max_by_key(|run| run.len())?;
-        longest.first().cloned()
-    }
-
-    fn give_up_all(&mut self) {
-        for stage in 0..self.stages.len() {
-            self.give_up(stage);
-        }
-    }
-
-    fn give_up(&mut self, stage: usize) {
-        let results = std::mem::take(&mut self.stages[stage]);
-        release_results(&self.traffic, results);
-    }
-}
-
-impl Drop for HeldResults {
-    fn drop(&mut self) {
-        self.give_up_all();
-    }
-}
-
-/// The results that a request's own call needs.
-pub(crate) struct StageResults {
-    /// Handles in the order of stages and pieces.
-    pub(crate) handles: Vec<String>,
-    /// Bytes of these results in each hall.
-    pub(crate) halls: Vec<(Arc<str>, u64)>,
-    held: RefCell<HeldResults>,
-}
-
-impl StageResults {
-    /// Gives the results up: their target has read them.
-    pub(crate) fn give_up(&self) {
-        self.held.borrow_mut().give_up_all();
-    }
-}
-
 /// What a stage made.
 struct StageMade {
     results: Vec<PieceResult>,
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -15,39 +15,25 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_net::TcpListener;
-use futures_lite::FutureExt;
 
 use turnford_fleet::is_settled;
 use turnford_fleet::rank_members;
 use turnford_fleet::Duty;
 use turnford_policy::Moment;
-use turnford_policy::PieceWork;
-use turnford_policy::RANK_COUNT;
-use turnford_wire::serve_peer;
+use turnford_wire::accept_peers;
 use turnford_wire::GivenUpCall;
-use turnford_wire::InputEntry;
 use turnford_wire::PeerClient;
-use turnford_wire::PeerFault;
-use turnford_wire::PieceAsk;
-use turnford_wire::PieceReplyEnd;
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
-use crate::desk::ServiceDesk;
-use crate::inputs::InputHold;
-use crate::pieces::PieceCell;
-use crate::pieces::PieceOutcome;
+use crate::gather::answer_pieces;
+use crate::gather::answer_release;
 use crate::placement::answer_place;
 use crate::placement::answer_progress;
-use crate::release::release_results;
-use crate::release::PieceResult;
 use crate::traffic::Traffic;
 
-/// Pause after a connection could not be taken.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Silence of a node with work of ours after which it is asked whether it is there.
-const SILENCE_SPAN: Duration = Duration::from_millis(150);
+pub(crate) const SILENCE_SPAN: Duration = Duration::from_millis(150);
 
 /// Longest wait for that answer. Nodes answer in a few milliseconds; a slow one in some tens.
 const ALIVE_LIMIT: Duration = Duration::from_millis(250);
@@ -55,25 +41,19 @@
 /// Time for which a node that did not answer gets no work. Its own probes find out meanwhile.
 const DOWN_SPAN: Duration = Duration::from_secs(3);
 
-/// Nodes that the pieces of one stage are offered to before this node gathers them itself.
-const GATHERER_TRIES: usize = 2;
-
-/// Longest wait for a node to note a release.
-const RELEASE_LIMIT: Duration = Duration::from_millis(500);
-
 /// What is known of another node that got work.
 #[derive(Default)]
-struct PeerState {
-    heard: Cell<Moment>,
+pub(crate) struct PeerState {
+    pub(crate) heard: Cell<Moment>,
     /// Calls that wait for it.
     waiting: Cell<usize>,
     is_watched: Cell<bool>,
-    down_until: Cell<Moment>,
+    pub(crate) down_until: Cell<Moment>,
 }
 
 /// The calling side of work between nodes.
 pub(crate) struct WorkClient {
-    peers: PeerClient,
+    pub(crate) peers: PeerClient,
     states: RefCell<HashMap<SocketAddr, Rc<PeerState>>>,
 }
 
@@ -85,18 +65,11 @@
         }
     }
 
-    fn state(&self, peer: SocketAddr) -> Rc<PeerState> {
+    pub(crate) fn state(&self, peer: SocketAddr) -> Rc<PeerState> {
         self.states.borrow_mut().entry(peer).or_default().clone()
     }
 }
 
-/// A cell of a service by its number.
-#[derive(Clone)]
-pub(crate) struct CellPlace {
-    pub(crate) desk: Rc<ServiceDesk>,
-    pub(crate) number: usize,
-}
-
 /// Returns the address of the node that does a duty, `None` if it is this one.
 pub(crate) fn doer_of(traffic: &Traffic, duty: &Duty) -> Option<SocketAddr> {
     let now = traffic.shared.now();
@@ -152,204 +125,13 @@
     }
 }
 
-/// How the pieces of a stage ended.
-pub(crate) struct PiecesEnd {
-    pub(crate) outcomes: Vec<PieceOutcome>,
-    /// Whether the results that only they needed were given up.
-    pub(crate) gave_up: bool,
-}
-
-/// Runs pieces of one stage of one request, at the node that gathers for their cell. `last_use` are
-/// the results that only these pieces need.
-pub(crate) async fn run_pieces(
-    traffic: &Rc<Traffic>,
-    place: &CellPlace,
-    works: &[PieceWork],
-    last_use: &[PieceResult],
-) -> PiecesEnd {
-    for _ in 0..GATHERER_TRIES {
-        let service = place.desk.spec.borrow().name.to_string();
-        let duty = Duty::Gather(service, place.number);
-        let Some(peer) = doer_of(traffic, &duty) else {
-            break;
-        };
-        if let Some(end) = ask_peer(traffic, place, works, last_use, peer).await {
-            return end;
-        }
-    }
-    run_here(traffic, place, works.to_vec(), last_use.to_vec()).await
-}
-
-async fn run_here(
-    traffic: &Rc<Traffic>,
-    place: &CellPlace,
-    works: Vec<PieceWork>,
-    last_use: Vec<PieceResult>,
-) -> PiecesEnd {
-    let count = works.len();
-    let Some(pieces) = place.desk.cell(place.number) else {
-        return PiecesEnd {
-            outcomes: vec![PieceOutcome::Failed("the service has no targets"); count],
-            gave_up: false,
-        };
-    };
-    let inputs = InputHold::new(traffic, last_use, count);
-    let cell = PieceCell {
-        traffic: traffic.clone(),
-        desk: place.desk.clone(),
-        pieces,
-    };
-    let waits = cell.submit(works, &inputs);
-    let mut outcomes = Vec::with_capacity(count);
-    for wait in &waits {
-        outcomes.push(wait.outcome().await);
-    }
-    PiecesEnd {
-        outcomes,
-        gave_up: inputs.has_given_up(),
-    }
-}
-
-/// Hands pieces to another node; `None` if it gave no answer.
-async fn ask_peer(
-    traffic: &Rc<Traffic>,
-    place: &CellPlace,
-    works: &[PieceWork],
-    last_use: &[PieceResult],
-    peer: SocketAddr,
-) -> Option<PiecesEnd> {
-    let now = traffic.shared.now();
-    let first = works.first()?;
-    let limit = first.deadline.saturating_sub(now);
-    let mut ask = piece_ask(place, works, now)?;
-    ask.last_use = input_entries(traffic, last_use);
-    let request = WorkRequest::Pieces(ask);
-    let state = traffic.work.state(peer);
-    let _waiting = WaitingGuard::new(traffic, peer, &state);
-    let call = async {
-        let reply = traffic.work.peers.call(peer, &request, limit).await;
-        Some(reply)
-    };
-    let watch = async {
-        while state.down_until.get() <= traffic.shared.now() {
-            Timer::after(SILENCE_SPAN).await;
-        }
-        None
-    };
-    match call.or(watch).await {
-        Some(Ok(WorkReply::Pieces {
-            ends,
-            waits,
-            gave_up,
-        })) if ends.len() == works.len() => {
-            let now = traffic.shared.now();
-            state.heard.set(now);
-            place.desk.note_waits(now, place.number, &waits);
-            let ends = ends.into_iter();
-            let outcomes = ends.map(|end| outcome_of(place, peer, end)).collect();
-            Some(PiecesEnd { outcomes, gave_up })
-        }
-        Some(Ok(_)) => {
-            log::info!("node at {peer} takes no pieces");
-            mark_down(traffic, &state);
-            None
-        }
-        Some(Err(PeerFault::Late)) => {
-            // The request's time is over, which says nothing of the node.
-            Some(PiecesEnd {
-                outcomes: vec![PieceOutcome::Failed("its time was over"); works.len()],
-                gave_up: false,
-            })
-        }
-        Some(Err(fault)) => {
-            log::info!("node at {peer} lost pieces: {fault}");
-            mark_down(traffic, &state);
-            None
-        }
-        None => None,
-    }
-}
-
-fn piece_ask(place: &CellPlace, works: &[PieceWork], now: Moment) -> Option<PieceAsk> {
-    let first = works.first()?;
-    let millis = |until: Moment| {
-        let left = until.saturating_sub(now).as_millis();
-        u64::try_from(left).unwrap_or(u64::MAX)
-    };
-    Some(PieceAsk {
-        service: place.desk.spec.borrow().name.to_string(),
-        cell: u32::try_from(place.number).unwrap_or(u32::MAX),
-        attempt: first.attempt.to_string(),
-        stage: u32::try_from(first.stage).unwrap_or(u32::MAX),
-        pieces: works.iter().map(|work| work.piece).collect(),
-        key: first.key.as_deref().map(str::to_owned),
-        inputs: first.inputs.to_vec(),
-        last_use: Vec::new(),
-        left_ms: millis(first.deadline),
-        due_ms: millis(first.due),
-        ranks: first.ranks,
-        result_bytes: first.result_bytes,
-        hall: first.hall.as_deref().map(str::to_owned),
-        patience_ms: u32::try_from(millis(first.hall_until)).unwrap_or(u32::MAX),
-    })
-}
-
-/// Returns results as another node can give them up.
-fn input_entries(traffic: &Traffic, results: &[PieceResult]) -> Vec<InputEntry> {
-    let own = traffic.shared.settings.work;
-    let entries = results.iter().map(|result| InputEntry {
-        service: result.maker.service.to_string(),
-        target: result.maker.id.to_string(),
-        handle: result.handle.clone(),
-        gatherer: result.gatherer.unwrap_or(own),
-    });
-    entries.collect()
-}
-
-/// Returns the results that another node's pieces need for the last time, those whose targets are
-/// known here.
-fn asked_inputs(traffic: &Traffic, entries: &[InputEntry]) -> Vec<PieceResult> {
-    let own = traffic.shared.settings.work;
-    let known = entries.iter().filter_map(|entry| {
-        let desk = traffic.desk(&entry.service)?;
-        let maker = desk.board.borrow().get(&entry.target)?.clone();
-        let gatherer = (entry.gatherer != own).then_some(entry.gatherer);
-        Some(PieceResult {
-            handle: entry.handle.clone(),
-            maker,
-            gatherer,
-        })
-    });
-    known.collect()
-}
-
-fn outcome_of(place: &CellPlace, peer: SocketAddr, end: PieceReplyEnd) -> PieceOutcome {
-    match end {
-        PieceReplyEnd::Made { handle, target } => {
-            // A target that left the list meanwhile keeps its result; the input's fetch will tell.
-            let maker = place.desk.board.borrow().get(&target).cloned();
-            match maker {
-                Some(maker) => PieceOutcome::Made(PieceResult {
-                    handle,
-                    maker,
-                    gatherer: Some(peer),
-                }),
-                None => PieceOutcome::Failed("its target is gone"),
-            }
-        }
-        PieceReplyEnd::InputGone => PieceOutcome::InputGone,
-        PieceReplyEnd::Failed => PieceOutcome::Failed("the gathering node got no result"),
-        PieceReplyEnd::NotOffered => PieceOutcome::NotOffered,
-    }
-}
-
 /// Counts a call that waits for a node, and has the node watched meanwhile.
-struct WaitingGuard {
+pub(crate) struct WaitingGuard {
     state: Rc<PeerState>,
 }
 
 impl WaitingGuard {
-    fn new(traffic: &Rc<Traffic>, peer: SocketAddr, state: &Rc<PeerState>) -> Self {
+    pub(crate) fn new(traffic: &Rc<Traffic>, peer: SocketAddr, state: &Rc<PeerState>) -> Self {
         state.waiting.set(state.waiting.get() + 1);
         if !state.is_watched.replace(true) {
             state.heard.set(traffic.shared.now());
@@ -387,52 +169,17 @@
     state.is_watched.set(false);
 }
 
-fn mark_down(traffic: &Traffic, state: &PeerState) {
+/// Gives a node no work for a while.
+pub(crate) fn mark_down(traffic: &Traffic, state: &PeerState) {
     state.down_until.set(traffic.shared.now() + DOWN_SPAN);
 }
 
-/// Gives results up at the node that gathered them; true if it noted it.
-pub(crate) async fn release_at_peer(
-    traffic: &Traffic,
-    peer: SocketAddr,
-    results: &[PieceResult],
-) -> bool {
-    let Some(first) = results.first() else {
-        return true;
-    };
-    let ids = results.iter().map(|result| {
-        let target = result.maker.id.to_string();
-        (target, result.handle.clone())
-    });
-    let request = WorkRequest::Release {
-        service: first.maker.service.to_string(),
-        results: ids.collect(),
-    };
-    let reply = call_peer(traffic, peer, &request, RELEASE_LIMIT).await;
-    reply == Some(WorkReply::Noted)
-}
-
 /// Serves other nodes' work for as long as the node runs.
 pub(crate) async fn serve_work(traffic: Rc<Traffic>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("a connection of a node can't be taken: {error}");
-                Timer::after(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        if stream.set_nodelay(true).is_err() {
-            continue;
-        }
-        let asked = traffic.clone();
-        let handler = move |request| answer_work(asked.clone(), request);
-        let executor = traffic.executor.clone();
-        let refusal = || WorkReply::Refused;
-        let serve = serve_peer(stream, executor, GivenUpCall::Dropped, refusal, handler);
-        traffic.executor.spawn(serve).detach();
-    }
+    let executor = traffic.executor.clone();
+    let handler = move |request| answer_work(traffic.clone(), request);
+    let refusal = || WorkReply::Refused;
+    accept_peers(listener, executor, GivenUpCall::Dropped, refusal, handler).await;
 }
 
 async fn answer_work(traffic: Rc<Traffic>, request: WorkRequest) -> WorkReply {
@@ -454,94 +201,3 @@
         }
     }
 }
-
-async fn answer_pieces(traffic: &Rc<Traffic>, ask: PieceAsk) -> WorkReply {
-    let Some(desk) = traffic.desk(&ask.service) else {
-        return WorkReply::Refused;
-    };
-    let place = CellPlace {
-        desk,
-        number: ask.cell as usize,
-    };
-    let works = asked_works(&ask, traffic.shared.now());
-    let inputs = asked_inputs(traffic, &ask.last_use);
-    // What is not known here is given up by the node that asks.
-    let knows_all = inputs.len() == ask.last_use.len();
-    let end = run_here(traffic, &place, works, inputs).await;
-    let gave_up = end.gave_up && knows_all;
-    let ends = end.outcomes.into_iter().map(|outcome| match outcome {
-        PieceOutcome::Made(result) => PieceReplyEnd::Made {
-            handle: result.handle,
-            target: result.maker.id.to_string(),
-        },
-        PieceOutcome::InputGone => PieceReplyEnd::InputGone,
-        PieceOutcome::Failed(_) => PieceReplyEnd::Failed,
-        PieceOutcome::NotOffered => PieceReplyEnd::NotOffered,
-    });
-    WorkReply::Pieces {
-        ends: ends.collect(),
-        waits: told_waits(traffic, &place),
-        gave_up,
-    }
-}
-
-/// Returns the milliseconds that new pieces would wait at this node, by account rank.
-fn told_waits(traffic: &Traffic, place: &CellPlace) -> Vec<u32> {
-    let now = traffic.shared.now();
-    let waits = place.desk.own_waits(now, place.number);
-    let millis = waits.iter().map(|wait| wait.as_millis());
-    millis
-        .map(|millis| u32::try_from(millis).unwrap_or(u32::MAX))
-        .collect()
-}
-
-/// Returns the time that a new piece of an account rank would wait for its call, as far as known.
-pub(crate) fn expected_wait(traffic: &Traffic, place: &CellPlace, rank: u8) -> Duration {
-    let now = traffic.shared.now();
-    let service = place.desk.spec.borrow().name.to_string();
-    let duty = Duty::Gather(service, place.number);
-    let rank = usize::from(rank).min(RANK_COUNT - 1);
-    match doer_of(traffic, &duty) {
-        Some(_) => place.desk.told_wait(now, place.number, rank),
-        None => place.desk.own_waits(now, place.number)[rank],
-    }
-}
-
-fn asked_works(ask: &PieceAsk, now: Moment) -> Vec<PieceWork> {
-    let first = PieceWork {
-        attempt: ask.attempt.as_str().into(),
-        stage: ask.stage as usize,
-        piece: 0,
-        key: ask.key.as_deref().map(Into::into),
-        inputs: ask.inputs.clone().into(),
-        deadline: now + Duration::from_millis(ask.left_ms),
-        due: now + Duration::from_millis(ask.due_ms),
-        ranks: ask.ranks,
-        result_bytes: ask.result_bytes,
-        hall: ask.hall.as_deref().map(Into::into),
-        hall_until: now + Duration::from_millis(u64::from(ask.patience_ms)),
-    };
-    let works = ask.pieces.iter().map(|&piece| PieceWork {
-        piece,
-        ..first.clone()
-    });
-    works.collect()
-}
-
-fn answer_release(traffic: &Rc<Traffic>, service: &str, results: Vec<(String, String)>) {
-    let Some(desk) = traffic.desk(service) else {
-        return;
-    };
-    let board = desk.board.borrow();
-    let known = results.into_iter().filter_map(|(target, handle)| {
-        let maker = board.get(&target)?.clone();
-        Some(PieceResult {
-            handle,
-            maker,
-            gatherer: None,
-        })
-    });
-    let known = known.collect();
-    drop(board);
-    release_results(traffic, known);
-}
--- a/packages/turnford-serve/tests/common/mod.rs
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -220,7 +220,6 @@
         store,
         peers,
         stop_grace: Duration::from_secs(6),
-        leave_bound: Duration::from_secs(2),
         repeats: RepeatSettings {
             window: Duration::from_secs(10),
             ratio: 0.2,
--- a/packages/turnford-wire/src/lib.rs
+++ b/packages/turnford-wire/src/lib.rs
@@ -35,5 +35,5 @@
 pub use route::ViewMark;
 pub use route::WorkReply;
 pub use route::WorkRequest;
-pub use server::serve_peer;
+pub use server::accept_peers;
 pub use server::GivenUpCall;
--- a/packages/turnford-wire/src/server.rs
+++ b/packages/turnford-wire/src/server.rs
@@ -2,8 +2,11 @@
 
 use std::future::Future;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpListener;
 use async_net::TcpStream;
 use bincode::Decode;
 use bincode::Encode;
@@ -19,6 +22,9 @@
 use crate::encode_frame;
 use crate::FRAME_LIMIT;
 
+/// Pause after a connection could not be taken, for example for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Most calls at a time on one connection.
 const STREAM_LIMIT: u32 = 256;
 
@@ -31,9 +37,40 @@
     Dropped,
 }
 
+/// Takes the connections of peers for as long as the process runs, and serves each in a task.
+pub async fn accept_peers<Q, R, F, Fut>(
+    listener: TcpListener,
+    executor: Rc<LocalExecutor<'static>>,
+    given_up: GivenUpCall,
+    refusal: fn() -> R,
+    handler: F,
+) where
+    Q: Decode<()> + 'static,
+    R: Encode + 'static,
+    F: Fn(Q) -> Fut + Clone + 'static,
+    Fut: Future<Output = R> + 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("a connection of a node can't be taken: {error}");
+                Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("a connection of a node can't be set up: {error}");
+            continue;
+        }
+        let serve = serve_peer(stream, executor.clone(), given_up, refusal, handler.clone());
+        executor.spawn(serve).detach();
+    }
+}
+
 /// Serves one peer's connection until it ends. A frame that is not understood is answered by
 /// `refusal`.
-pub async fn serve_peer<Q, R, F, Fut>(
+async fn serve_peer<Q, R, F, Fut>(
     stream: TcpStream,
     executor: Rc<LocalExecutor<'static>>,
     given_up: GivenUpCall,
--- a/packages/turnford/src/command/routes.rs
+++ b/packages/turnford/src/command/routes.rs
@@ -115,7 +115,6 @@
         store,
         peers: Vec::new(),
         stop_grace: STOP_GRACE,
-        leave_bound: Duration::from_secs(2),
         repeats: RepeatSettings::default(),
         log: LogSettings {
             level: LogLevel::Info,
