Let the system choose the ports of a node's listeners

The tests looked for free ports, let them go and bound them again; another test was faster. Change: ServeNode takes port 0 and tells its settings with the ports it got; tests and the demo use it.

--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -59,12 +59,12 @@
 }
 
 impl ServeNode {
-    /// Starts a node.
+    /// Starts a node. Port 0 lets the system choose; [`ServeNode::settings`] tells which.
     ///
     /// # Errors
     ///
     /// Returns the system's error if an address can't be bound or a thread not started.
-    pub fn start(settings: ServeSettings) -> io::Result<Self> {
+    pub fn start(mut settings: ServeSettings) -> io::Result<Self> {
         let listener = bind_listener(settings.listen)?;
         let listeners = ControlListeners {
             ready: bind_listener(settings.ready)?,
@@ -72,6 +72,11 @@
             inner: bind_listener(settings.inner)?,
         };
         let work = bind_listener(settings.work)?;
+        settings.listen = listener.local_addr()?;
+        settings.ready = listeners.ready.local_addr()?;
+        settings.metrics = listeners.metrics.local_addr()?;
+        settings.inner = listeners.inner.local_addr()?;
+        settings.work = work.local_addr()?;
         let (changes, changed) = async_channel::bounded(1);
         let shared = Arc::new(ServeShared {
             settings,
@@ -121,6 +126,11 @@
         })
     }
 
+    /// Returns the settings, with the ports that the system chose.
+    pub fn settings(&self) -> &ServeSettings {
+        &self.shared.settings
+    }
+
     /// Tells whether the node takes requests.
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
--- a/packages/turnford-serve/tests/common/mod.rs
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -3,7 +3,6 @@
 #![allow(dead_code)]
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -108,7 +107,8 @@
         let (door, store) = self.store.open_door(&self.executor).expect("a free port");
         let peers = self.nodes.iter().map(|node| node.settings.inner);
         let settings = settings(name, store, peers.collect());
-        let node = ServeNode::start(settings.clone()).expect("free ports");
+        let node = ServeNode::start(settings).expect("free ports");
+        let settings = node.settings().clone();
         self.nodes.push(SiteNode {
             node: Some(node),
             settings,
@@ -206,7 +206,7 @@
     ("x-turnford-piece-key", "7c1e07a291bd"),
 ];
 
-/// Returns settings with free ports.
+/// Returns settings whose ports the system chooses.
 pub(crate) fn settings(name: &str, store: SocketAddr, peers: Vec<SocketAddr>) -> ServeSettings {
     ServeSettings {
         name: Arc::from(name),
@@ -232,9 +232,9 @@
     }
 }
 
+/// Returns an address whose port the system chooses.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("the port is known")
+    SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
 /// Returns a configuration of some version.
--- a/packages/turnford/src/command/routes.rs
+++ b/packages/turnford/src/command/routes.rs
@@ -1,9 +1,7 @@
 //! The routes' part of `turnford demo`: a store, targets and nodes in this process.
 
-use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -40,9 +38,10 @@
     let mut nodes = Vec::new();
     let mut addresses = Vec::new();
     for number in 0..NODE_COUNT {
-        let settings = settings(number, site.address).map_err(|error| error.to_string())?;
-        addresses.push(settings.listen);
-        nodes.push(ServeNode::start(settings).map_err(|error| error.to_string())?);
+        let node = ServeNode::start(settings(number, site.address));
+        let node = node.map_err(|error| error.to_string())?;
+        addresses.push(node.settings().listen);
+        nodes.push(node);
     }
     wait_ready(&nodes).await?;
     println!("routes: {NODE_COUNT} nodes, {} targets", site.targets.len());
@@ -102,16 +101,18 @@
     Ok(())
 }
 
-fn settings(number: usize, store: SocketAddr) -> io::Result<ServeSettings> {
-    Ok(ServeSettings {
+fn settings(number: usize, store: SocketAddr) -> ServeSettings {
+    // The system chooses the ports.
+    let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    ServeSettings {
         name: Arc::from(format!("route-{number}")),
         hall: Arc::from("hal-a"),
         region: Arc::from("dk-vest"),
-        listen: free_address()?,
-        ready: free_address()?,
-        inner: free_address()?,
-        work: free_address()?,
-        metrics: free_address()?,
+        listen: free,
+        ready: free,
+        inner: free,
+        work: free,
+        metrics: free,
         store,
         peers: Vec::new(),
         stop_grace: STOP_GRACE,
@@ -120,10 +121,5 @@
             level: LogLevel::Info,
             file: None,
         },
-    })
-}
-
-/// Returns an address on loopback that is free now.
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+    }
 }
