--- a/packages/turnford-serve/src/control/follow.rs
+++ b/packages/turnford-serve/src/control/follow.rs
@@ -26,6 +26,10 @@
 /// Longest pause between calls to a store that does not answer.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// Time in which further changes gather after one, so that many in a row don't cost a call each. Well
+/// below the seconds in which a change must be in force.
+const GATHER_PAUSE: Duration = Duration::from_millis(150);
+
 /// What a follower hears.
 pub(super) enum StoreNews {
     /// All objects of the kind.
@@ -76,7 +80,12 @@
                 // What a peer told meanwhile may be newer than this.
                 if cell.get() == from {
                     cell.set(Some(revision));
+                    let has_changes =
+                        matches!(&news, StoreNews::Events(events, _) if !events.is_empty());
                     hear(news);
+                    if has_changes {
+                        Timer::after(GATHER_PAUSE).await;
+                    }
                 }
             }
             Err(StoreFault::HistoryGone) => {
--- a/packages/turnford-standin/src/route/meta.rs
+++ b/packages/turnford-standin/src/route/meta.rs
@@ -61,6 +61,8 @@
     /// Revision up to which history is forgotten.
     forgotten: u64,
     doors: Vec<DoorState>,
+    /// Calls through each door.
+    calls: Vec<u64>,
 }
 
 /// A running store.
@@ -84,6 +86,7 @@
         let door = {
             let mut state = self.lock();
             state.doors.push(DoorState::Open);
+            state.calls.push(0);
             state.doors.len() - 1
         };
         let store = self.clone();
@@ -99,6 +102,11 @@
         self.lock().doors[door] = to;
     }
 
+    /// Returns the number of calls that came through a door, those turned away among them.
+    pub fn calls(&self, door: usize) -> u64 {
+        self.lock().calls[door]
+    }
+
     /// Writes an object; each write is a change.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         let mut state = self.lock();
@@ -129,8 +137,12 @@
     }
 
     async fn handle(&self, door: usize, call: HttpCall) -> Option<HttpResponse> {
-        let door = self.lock().doors[door];
-        match door {
+        let state = {
+            let mut state = self.lock();
+            state.calls[door] += 1;
+            state.doors[door]
+        };
+        match state {
             DoorState::Open => {}
             DoorState::Refusing => {
                 return Some(HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE));
