Take the pieces of a stage back from a target that is silent

Repeats of pieces had only this node's part of the slack: 2.5 in ten seconds on 74 nodes. Change: a call that takes 1.3 times as long as it should has its target asked for its report; one that gives none loses the call, and gets no other before it has given one. New pieces count in the allowance of repeats. The stand-in's stage target gives its turn on also where a caller left. Test gathered_pieces/silent_target failed first.

--- a/packages/turnford-policy/src/route/allowance.rs
+++ b/packages/turnford-policy/src/route/allowance.rs
@@ -41,8 +41,13 @@
 
     /// Notes a request that is new to the service.
     pub fn note_first(&mut self, now: Moment) {
+        self.note_firsts(now, 1);
+    }
+
+    /// Notes so many requests that are new to the service.
+    pub fn note_firsts(&mut self, now: Moment, count: usize) {
         self.forget(now);
-        self.firsts.push_back(now);
+        self.firsts.extend(std::iter::repeat_n(now, count));
     }
 
     /// Takes one repeat if the window has room for it.
--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -208,7 +208,8 @@
         let mut unknown = Vec::new();
         for target in targets.iter().filter(|target| !target.leaving) {
             let calls = self.calls.entry(target.id.clone()).or_default();
-            if !calls.is_known(now) && !std::mem::replace(&mut calls.is_asked, true) {
+            let is_due = !calls.is_known(now) && calls.paused_until <= now;
+            if is_due && !std::mem::replace(&mut calls.is_asked, true) {
                 unknown.push(target.clone());
             }
         }
@@ -225,6 +226,13 @@
         self.room.note_taken(now, target, taken, until);
     }
 
+    /// Notes that a target gave no report: it is asked again after a pause, and gets no call before.
+    pub fn note_no_report(&mut self, now: Moment, target: &TargetId) {
+        let calls = self.calls.entry(target.clone()).or_default();
+        calls.is_asked = false;
+        self.note_full(now, target);
+    }
+
     /// Has a target asked anew before its next call, since it holds more than is known.
     pub fn forget_report(&mut self, target: &str) {
         if let Some(calls) = self.calls.get_mut(target) {
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -37,9 +37,19 @@
 /// Longest wait for a target's report.
 const REPORT_LIMIT: Duration = Duration::from_millis(150);
 
+/// Times its expected span after which a call's target is asked whether it is there. A slow target
+/// still answers that; one that is down or cut off does not, and its pieces go elsewhere.
+const OVERDUE_FACTOR: f64 = 1.3;
+
+/// Longest wait for that answer: a report takes a few milliseconds, a lost packet some hundred more.
+const ALIVE_LIMIT: Duration = Duration::from_millis(400);
+
+/// Pause between such questions while a call goes on.
+const ALIVE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Asks a target for its room, and takes what this node does not know of as taken by others.
 pub(crate) async fn ask_report(cell: PieceCell, target: TargetSpec) {
-    let report = read_report(&cell, &target).await;
+    let report = read_report(&cell, &target, REPORT_LIMIT).await;
     let now = cell.traffic.shared.now();
     match report {
         Ok(report) => {
@@ -49,26 +59,29 @@
         Err(reason) => {
             log::info!("target={} gave no report: {reason}", target.id);
             let mut board = cell.pieces.board.borrow_mut();
-            board.note_report(now, &target.id, u64::MAX);
+            board.note_no_report(now, &target.id);
         }
     }
     cell.pump();
 }
 
-async fn read_report(cell: &PieceCell, target: &TargetSpec) -> Result<StageReport, String> {
+async fn read_report(
+    cell: &PieceCell,
+    target: &TargetSpec,
+    limit: Duration,
+) -> Result<StageReport, String> {
     let host = target.address.to_string();
     let request = encode_report(&host, &target.id).map_err(|problem| problem.to_string())?;
-    let call = call_target(
-        &cell.traffic,
-        &cell.desk,
-        target,
-        request,
-        None,
-        REPORT_LIMIT,
-    );
-    let answer = call.await.map_err(|fault| format!("{fault:?}"))?;
-    let read = answer.collect(&cell.traffic, ANSWER_LIMIT).await;
-    let (_, body) = read.map_err(|fault| format!("{fault:?}"))?;
+    let call = call_target(&cell.traffic, &cell.desk, target, request, None, limit);
+    let read = async {
+        let answer = call.await?;
+        answer.collect(&cell.traffic, ANSWER_LIMIT).await
+    };
+    let late = async {
+        Timer::after(limit).await;
+        Err(CallFault::Unknown("no whole report in time"))
+    };
+    let (_, body) = read.or(late).await.map_err(|fault| format!("{fault:?}"))?;
     decode_report(&body).map_err(|problem| problem.to_string())
 }
 
@@ -111,8 +124,8 @@
             cell.note_read(&plan);
         }
         let waited = if reads { FETCH_SPAN } else { Duration::ZERO };
-        offer_again(cell, target, &plan, span, waited).await;
-        std::future::pending().await
+        watch_call(cell, target, &plan, span, waited).await;
+        Err(CallFault::Unknown("the target is silent"))
     };
     let ended = call.or(meanwhile);
     match ended.await {
@@ -144,15 +157,40 @@
     slowness.is_some_and(|slowness| slowness < CALM_FACTOR)
 }
 
-/// Offers the pieces of a call that takes too long to other targets; the first result counts.
-async fn offer_again(
+/// Watches a call that takes longer than it should; ends when its target is silent.
+async fn watch_call(
     cell: &PieceCell,
     target: &TargetSpec,
     plan: &BatchPlan,
     span: Duration,
     waited: Duration,
 ) {
-    Timer::after(span.mul_f64(LATE_FACTOR).saturating_sub(waited)).await;
+    let overdue = span.mul_f64(OVERDUE_FACTOR);
+    Timer::after(overdue.saturating_sub(waited)).await;
+    if is_silent(cell, target).await {
+        return;
+    }
+    Timer::after(span.mul_f64(LATE_FACTOR) - overdue).await;
+    offer_again(cell, target, plan, span);
+    while !is_silent(cell, target).await {
+        Timer::after(ALIVE_PAUSE).await;
+    }
+}
+
+/// Asks a target whether it is there.
+async fn is_silent(cell: &PieceCell, target: &TargetSpec) -> bool {
+    let report = read_report(cell, target, ALIVE_LIMIT).await;
+    if let Err(reason) = &report {
+        log::info!("target={} is overdue and silent: {reason}", target.id);
+        // Before it gets another call, it must answer.
+        let mut board = cell.pieces.board.borrow_mut();
+        board.forget_report(&target.id);
+    }
+    report.is_err()
+}
+
+/// Offers the pieces of a call that takes too long to other targets; the first result counts.
+fn offer_again(cell: &PieceCell, target: &TargetSpec, plan: &BatchPlan, span: Duration) {
     log::info!(
         "target={} pieces={} late, offered to others",
         target.id,
--- a/packages/turnford-serve/src/gather.rs
+++ b/packages/turnford-serve/src/gather.rs
@@ -269,6 +269,12 @@
         number: ask.cell as usize,
     };
     let works = asked_works(&ask, traffic.shared.now());
+    let now = traffic.shared.now();
+    place
+        .desk
+        .allowance
+        .borrow_mut()
+        .note_firsts(now, works.len());
     let inputs = asked_inputs(traffic, &ask.last_use);
     // What is not known here is given up by the node that asks.
     let knows_all = inputs.len() == ask.last_use.len();
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -284,6 +284,7 @@
     let desk = desk.ok_or(StageFault::Failed("the stage's service is not known"))?;
     let place = choose_cell(&traffic, desk, needs.hall.as_deref());
     let mut missing: Vec<u32> = (0..needs.count).collect();
+    note_firsts(&traffic, &place, missing.len());
     let mut results = HeldResults::new(&traffic, 1);
     let mut made: Vec<Option<PieceResult>> = vec![None; missing.len()];
     let mut failures = 0;
@@ -351,6 +352,13 @@
     }
 }
 
+/// Notes new pieces, of which a part may be made anew.
+fn note_firsts(traffic: &Traffic, place: &CellPlace, count: usize) {
+    let now = traffic.shared.now();
+    let mut allowance = place.desk.allowance.borrow_mut();
+    allowance.note_firsts(now, count);
+}
+
 /// Takes repeats of so many pieces from the service's allowance, all or none.
 fn may_repeat(traffic: &Traffic, record: &RequestRecord, place: &CellPlace, count: usize) -> bool {
     let now = traffic.shared.now();
--- a/packages/turnford-serve/tests/gathered_pieces.rs
+++ b/packages/turnford-serve/tests/gathered_pieces.rs
@@ -81,3 +81,19 @@
         });
     }
 }
+
+#[test]
+fn silent_target() {
+    // A target falls silent while more pieces wait than the other one can take at once: its pieces go
+    // to the other one soon, and all requests are served.
+    let mut site = RouteSite::new();
+    let silent = site.target("k1", "kort", SLOW_STAGE);
+    site.target("k2", "kort", SLOW_STAGE);
+    site.target("e1", "ejer", SLOW_STAGE);
+    site.target("s1", "sprog", ENGINE);
+    let node = site.node("one");
+    call_all(&site, &[node], &["w0".to_owned()]);
+    silent.set_silent(true);
+    let names: Vec<String> = (0..24).map(|number| format!("a{number}")).collect();
+    call_all(&site, &[node], &names);
+}
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -27,6 +28,9 @@
 use crate::fleet::serve;
 use crate::SharedExecutor;
 
+/// Longest time that a silent target holds a call.
+const SILENCE: Duration = Duration::from_secs(60);
+
 /// What a target is.
 #[derive(Clone, Debug)]
 pub enum TargetRole {
@@ -73,6 +77,7 @@
     role: TargetRole,
     journal: Arc<RouteJournal>,
     faults: Mutex<VecDeque<TargetFault>>,
+    is_silent: AtomicBool,
     calls: AtomicU64,
     /// Held by the call at work at a target of a stage.
     turn: async_channel::Receiver<()>,
@@ -111,6 +116,7 @@
             role,
             journal: journal.clone(),
             faults: Mutex::default(),
+            is_silent: AtomicBool::new(false),
             calls: AtomicU64::new(0),
             turn,
             turns,
@@ -163,6 +169,11 @@
         self.store.remove("servers", &self.state.id);
     }
 
+    /// Has the target say nothing any more, whatever it is asked, or speak again.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.state.is_silent.store(is_silent, Ordering::SeqCst);
+    }
+
     /// Has the next calls go wrong, one fault each.
     pub fn fail_next(&self, faults: impl IntoIterator<Item = TargetFault>) {
         let next = self.state.faults.lock();
@@ -171,8 +182,24 @@
     }
 }
 
+/// The turn of the call at work; it goes on to the next call also where the caller left.
+struct TurnGuard<'a> {
+    turns: &'a async_channel::Sender<()>,
+}
+
+impl Drop for TurnGuard<'_> {
+    fn drop(&mut self) {
+        // The channel has room for its one turn.
+        let _ = self.turns.try_send(());
+    }
+}
+
 impl TargetState {
     async fn handle(&self, call: HttpCall) -> Option<HttpResponse> {
+        if self.is_silent.load(Ordering::SeqCst) {
+            Timer::after(SILENCE).await;
+            return None;
+        }
         if call
             .header("x-turnford-expect-instance")
             .is_some_and(|id| id != self.id)
@@ -246,10 +273,10 @@
         if self.turn.recv().await.is_err() {
             return None;
         }
+        let turn = TurnGuard { turns: &self.turns };
         let count = u32::try_from(items.len()).unwrap_or(u32::MAX);
         Timer::after(call_span + piece_span * count).await;
-        // The channel has room for its one turn.
-        let _ = self.turns.try_send(());
+        drop(turn);
         let results = items.iter().map(|item| self.run_piece(call, item, number));
         let results: Vec<Value> = results.collect();
         match fault {
