Add a randomised soak of separate processes

Change: packages/turnford/tests/soak: five nodes as processes, links through proxies that delay, reset, cut and silence, signals that stop, kill and pause, store, targets and clients in the test's process; a plan by seed; promises checked from what clients and targets saw.

--- /dev/null
+++ b/packages/turnford/tests/soak/client.rs
@@ -0,0 +1,146 @@
+//! Clients that call nodes through their links, and what became of each request.
+
+use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use rand::Rng;
+use turnford_http::HttpClient;
+use turnford_http::HttpFault;
+use turnford_standin::RouteCall;
+
+use crate::plan::NODES;
+use crate::proxy::LinkProxy;
+
+/// Longest time that a client waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// Pause of a client between two requests, at most.
+const LONGEST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause of a client that finds no node.
+const NO_NODE_PAUSE: Duration = Duration::from_millis(200);
+
+/// How a request ended for its client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallEnd {
+    /// An answer: status, stamp and body.
+    Answer(u16, String, String),
+    /// No whole answer.
+    Broken(HttpFault),
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub(crate) struct CallRecord {
+    pub(crate) attempt: String,
+    pub(crate) route: String,
+    pub(crate) node: usize,
+    pub(crate) sent: Instant,
+    pub(crate) ended: Instant,
+    pub(crate) end: CallEnd,
+}
+
+/// What all clients share.
+pub(crate) struct ClientRoom {
+    pub(crate) links: Vec<LinkProxy>,
+    /// Whether the platform would send new connections to a node.
+    pub(crate) ready: Vec<AtomicBool>,
+    pub(crate) calls: Vec<RouteCall>,
+    pub(crate) records: Mutex<Vec<CallRecord>>,
+    pub(crate) is_over: AtomicBool,
+    numbers: AtomicU64,
+}
+
+impl ClientRoom {
+    pub(crate) fn new(links: Vec<LinkProxy>, calls: Vec<RouteCall>) -> Arc<Self> {
+        Arc::new(Self {
+            links,
+            ready: (0..NODES).map(|_| AtomicBool::new(false)).collect(),
+            calls,
+            records: Mutex::default(),
+            is_over: AtomicBool::new(false),
+            numbers: AtomicU64::new(1),
+        })
+    }
+
+    /// Returns all requests that ended, by their ids.
+    pub(crate) fn ended(&self) -> HashMap<String, CallRecord> {
+        let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        let pairs = records
+            .iter()
+            .map(|record| (record.attempt.clone(), record.clone()));
+        pairs.collect()
+    }
+
+    fn add(&self, record: CallRecord) {
+        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        records.push(record);
+    }
+
+    fn choose_node(&self) -> Option<usize> {
+        let ready = (0..NODES).filter(|&node| self.ready[node].load(Ordering::SeqCst));
+        let ready: Vec<usize> = ready.collect();
+        if ready.is_empty() {
+            return None;
+        }
+        Some(ready[rand::rng().random_range(0..ready.len())])
+    }
+}
+
+/// Sends one request after the other; a client keeps its connection until it breaks.
+pub(crate) async fn run_client(room: Arc<ClientRoom>) {
+    let mut kept: Option<(usize, HttpClient)> = None;
+    while !room.is_over.load(Ordering::SeqCst) {
+        let (node, client) = match kept.take() {
+            Some(kept) => kept,
+            None => match room.choose_node() {
+                Some(node) => (node, HttpClient::new()),
+                None => {
+                    Timer::after(NO_NODE_PAUSE).await;
+                    continue;
+                }
+            },
+        };
+        let record = send_one(&room, node, &client).await;
+        let is_kept = matches!(record.end, CallEnd::Answer(..));
+        room.add(record);
+        if is_kept {
+            kept = Some((node, client));
+        }
+        let pause = LONGEST_PAUSE.mul_f64(rand::rng().random());
+        Timer::after(pause).await;
+    }
+}
+
+async fn send_one(room: &ClientRoom, node: usize, client: &HttpClient) -> CallRecord {
+    let number = room.numbers.fetch_add(1, Ordering::SeqCst);
+    let attempt = format!("{number:016x}");
+    let call = &room.calls[rand::rng().random_range(0..room.calls.len())];
+    let to = room.links[node].address;
+    let sent = Instant::now();
+    let request = call.request(to, &attempt).expect("a path");
+    let end = match client.send(to, request, PATIENCE).await {
+        Ok(answer) => {
+            let stamp = answer.header("x-turnford-server-stamp").unwrap_or("");
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            CallEnd::Answer(answer.status, stamp.to_owned(), body)
+        }
+        Err(fault) => CallEnd::Broken(fault),
+    };
+    CallRecord {
+        attempt,
+        route: call.name.clone(),
+        node,
+        sent,
+        ended: Instant::now(),
+        end,
+    }
+}
--- /dev/null
+++ b/packages/turnford/tests/soak/plan.rs
@@ -0,0 +1,119 @@
+//! What goes wrong and when, drawn from a seed.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::Rng;
+use rand::SeedableRng;
+use turnford_standin::TargetFault;
+
+use crate::proxy::LinkState;
+
+/// Nodes of a run.
+pub(crate) const NODES: usize = 5;
+
+/// Targets of a run's site: two of each of five services.
+pub(crate) const TARGETS: usize = 10;
+
+/// Time before the first fault, in which nodes find each other.
+const LEAD: Duration = Duration::from_secs(4);
+
+/// Time in which faults begin.
+const FAULT_SPAN: Duration = Duration::from_secs(9);
+
+/// Faults of one run.
+const FAULTS: usize = 14;
+
+/// Fault of one moment.
+#[derive(Clone, Debug)]
+pub(crate) enum Fault {
+    /// The node gets SIGTERM and is started again after its end.
+    Stop(usize),
+    /// The node is killed and started again.
+    Kill(usize),
+    /// All nodes are killed and started again.
+    KillAll,
+    /// The node stands still for a while.
+    Pause(usize, Duration),
+    /// The link of a node to the store, or of all nodes, is harmed for a while.
+    StoreLink(Option<usize>, LinkState, Duration),
+    /// The link between clients and a node is harmed for a while.
+    ClientLink(usize, LinkState, Duration),
+    /// Some calls of a target go wrong.
+    Target(usize, TargetFault, usize),
+    /// The target says that it leaves; it is listed anew some seconds later.
+    Leave(usize),
+    /// A configuration with a higher version is written.
+    Config,
+    /// The store forgets its history.
+    Compact,
+}
+
+/// The faults of a run in the order of their times.
+#[derive(Clone, Debug)]
+pub(crate) struct FaultPlan {
+    pub(crate) steps: Vec<(Duration, Fault)>,
+}
+
+impl FaultPlan {
+    /// Draws a plan.
+    pub(crate) fn new(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut steps = Vec::with_capacity(FAULTS);
+        for _ in 0..FAULTS {
+            let at = LEAD + FAULT_SPAN.mul_f64(rng.random());
+            steps.push((at, draw_fault(&mut rng)));
+        }
+        steps.sort_by_key(|(at, _)| *at);
+        Self { steps }
+    }
+
+    /// Returns when the last fault is over, with what nodes need to find back.
+    pub(crate) fn settled_at() -> Duration {
+        LEAD + FAULT_SPAN + Duration::from_secs(9)
+    }
+}
+
+fn draw_fault(rng: &mut StdRng) -> Fault {
+    let node = rng.random_range(0..NODES);
+    let target = rng.random_range(0..TARGETS);
+    let span = Duration::from_millis(rng.random_range(300..3500));
+    match rng.random_range(0..22) {
+        0..3 => Fault::Stop(node),
+        3..6 => Fault::Kill(node),
+        6 => Fault::KillAll,
+        7..9 => Fault::Pause(node, span),
+        9..11 => Fault::StoreLink(Some(node), draw_link(rng), span),
+        11 => Fault::StoreLink(None, draw_link(rng), span),
+        12..14 => Fault::ClientLink(node, draw_link(rng), span),
+        14..17 => Fault::Target(target, draw_target_fault(rng), rng.random_range(1..8)),
+        17..19 => Fault::Leave(target),
+        19..21 => Fault::Config,
+        _ => Fault::Compact,
+    }
+}
+
+fn draw_link(rng: &mut StdRng) -> LinkState {
+    let delay = Duration::from_millis(rng.random_range(20..400));
+    let states = [
+        LinkState::Delayed(delay),
+        LinkState::Reset,
+        LinkState::Silent,
+        LinkState::CutTo,
+        LinkState::CutFrom,
+    ];
+    states[rng.random_range(0..states.len())]
+}
+
+fn draw_target_fault(rng: &mut StdRng) -> TargetFault {
+    let slow = Duration::from_millis(rng.random_range(50..900));
+    let faults = [
+        TargetFault::TurnAway,
+        TargetFault::Vanish,
+        TargetFault::Cut,
+        TargetFault::OtherAttempt,
+        TargetFault::Fail,
+        TargetFault::Slow(slow),
+    ];
+    faults[rng.random_range(0..faults.len())].clone()
+}
--- /dev/null
+++ b/packages/turnford/tests/soak/proxy.rs
@@ -0,0 +1,125 @@
+//! A proxy on loopback that harms the connections that pass through it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_io::Timer;
+use async_net::TcpListener;
+use async_net::TcpStream;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+use futures_lite::FutureExt;
+use turnford_standin::SharedExecutor;
+
+/// Pause between looks whether a harmed link is whole again.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+
+/// Bytes that pass at once.
+const CHUNK: usize = 16 * 1024;
+
+/// How a link is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LinkState {
+    /// Bytes pass.
+    Open,
+    /// Bytes pass later.
+    Delayed(Duration),
+    /// Connections are closed at once, open ones too.
+    Reset,
+    /// No byte passes in either direction; what waits passes later.
+    Silent,
+    /// No byte passes towards the server.
+    CutTo,
+    /// No byte passes from the server.
+    CutFrom,
+}
+
+/// A proxy before one server.
+#[derive(Clone)]
+pub(crate) struct LinkProxy {
+    pub(crate) address: SocketAddr,
+    state: Arc<Mutex<LinkState>>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    To,
+    From,
+}
+
+impl LinkProxy {
+    /// Starts a proxy before a server.
+    pub(crate) fn start(executor: &SharedExecutor, server: SocketAddr) -> io::Result<Self> {
+        let listener = async_io::block_on(TcpListener::bind("127.0.0.1:0"))?;
+        let proxy = Self {
+            address: listener.local_addr()?,
+            state: Arc::new(Mutex::new(LinkState::Open)),
+        };
+        let accepting = proxy.clone();
+        let spawner = executor.clone();
+        let accept = async move {
+            while let Ok((client, _)) = listener.accept().await {
+                spawner
+                    .spawn(accepting.clone().pass(client, server))
+                    .detach();
+            }
+        };
+        executor.spawn(accept).detach();
+        Ok(proxy)
+    }
+
+    /// Sets how the link is from now on.
+    pub(crate) fn set(&self, state: LinkState) {
+        *self.state.lock().unwrap_or_else(PoisonError::into_inner) = state;
+    }
+
+    fn state(&self) -> LinkState {
+        *self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn pass(self, client: TcpStream, server: SocketAddr) {
+        let Ok(server) = TcpStream::connect(server).await else {
+            return;
+        };
+        let to = self.pump(client.clone(), server.clone(), Direction::To);
+        let from = self.pump(server, client, Direction::From);
+        let broken = async {
+            while self.state() != LinkState::Reset {
+                Timer::after(LOOK_PAUSE).await;
+            }
+        };
+        // Each side's end ends the other's, as for a caller that closes.
+        to.or(from).or(broken).await;
+    }
+
+    async fn pump(&self, mut from: TcpStream, mut to: TcpStream, direction: Direction) {
+        let mut bytes = vec![0; CHUNK];
+        while let Ok(count @ 1..) = from.read(&mut bytes).await {
+            self.wait_open(direction).await;
+            if to.write_all(&bytes[..count]).await.is_err() {
+                return;
+            }
+        }
+        self.wait_open(direction).await;
+    }
+
+    async fn wait_open(&self, direction: Direction) {
+        loop {
+            match self.state() {
+                LinkState::Delayed(span) => {
+                    Timer::after(span).await;
+                    return;
+                }
+                LinkState::Silent => {}
+                LinkState::CutTo if direction == Direction::To => {}
+                LinkState::CutFrom if direction == Direction::From => {}
+                _ => return,
+            }
+            Timer::after(LOOK_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/packages/turnford/tests/soak/run.rs
@@ -0,0 +1,397 @@
+//! One run: the site, its nodes, the faults of a plan, and the promises.
+
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Method;
+use rustix::process::Signal;
+use serde_json::Value;
+use turnford_http::HttpClient;
+use turnford_standin::start_threads;
+use turnford_standin::RouteSite;
+use turnford_standin::RunKind;
+use turnford_standin::SharedExecutor;
+
+use crate::check::check_calls;
+use crate::check::check_recovery;
+use crate::check::check_stops;
+use crate::check::NodeSpan;
+use crate::check::IN_FORCE;
+use crate::client::run_client;
+use crate::client::ClientRoom;
+use crate::plan::Fault;
+use crate::plan::FaultPlan;
+use crate::plan::NODES;
+use crate::process::NodeProcess;
+use crate::process::GRACE_S;
+use crate::proxy::LinkProxy;
+use crate::proxy::LinkState;
+
+/// Clients of a run.
+const CLIENTS: usize = 24;
+
+/// Pause between steps of a run.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Pause between questions whether nodes are ready, as the platform makes them.
+const READY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest wait for an answer about a node.
+const ASK_LIMIT: Duration = Duration::from_millis(400);
+
+/// Time before a killed process is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time in which a target that left comes back, as a new entry.
+const RETURN_PAUSE: Duration = Duration::from_secs(5);
+
+/// Time after a fault of a node for which it is not held to time bounds.
+const CONTACT_SPAN: Duration = Duration::from_secs(4);
+
+/// Time after all faults in which requests must be served.
+const LAST_SPAN: Duration = Duration::from_secs(4);
+
+/// Number of runs that this process has begun, for addresses of their own.
+static RUNS: AtomicU16 = AtomicU16::new(0);
+
+/// Something that is to be done later.
+enum Later {
+    Start(usize),
+    Wake(usize),
+    StoreLink(Option<usize>),
+    ClientLink(usize),
+    Return(usize),
+    /// Check that a target has got nothing since it left.
+    Left(usize, usize),
+    /// Check that a configuration is in force.
+    InForce(u64),
+}
+
+/// A run.
+struct SoakRun {
+    executor: SharedExecutor,
+    site: RouteSite,
+    config: Value,
+    version: u64,
+    nodes: Vec<NodeProcess>,
+    stores: Vec<LinkProxy>,
+    room: Arc<ClientRoom>,
+    client: HttpClient,
+    later: Vec<(Instant, Later)>,
+    /// Planned stops, from the signal to the end of the process.
+    stops: Vec<NodeSpan>,
+    /// Faults of nodes and their links.
+    harms: Vec<NodeSpan>,
+    stopping: HashMap<usize, Instant>,
+    /// Highest version that a process told, with the process's number.
+    told: HashMap<usize, (usize, u64)>,
+    broken: Vec<String>,
+    folder: PathBuf,
+}
+
+/// Plays the plan of a seed; returns what broke a promise, and where the logs are.
+pub(crate) fn play(seed: u64) -> (Vec<String>, PathBuf) {
+    let mut run = SoakRun::start(seed);
+    let plan = FaultPlan::new(seed);
+    let begun = Instant::now();
+    let settled = begun + FaultPlan::settled_at();
+    let mut steps = plan.steps.into_iter().peekable();
+    let mut ask_at = begun;
+    while Instant::now() < settled + LAST_SPAN {
+        while steps
+            .next_if(|(at, _)| begun + *at <= Instant::now())
+            .map(|(_, fault)| run.apply(fault))
+            .is_some()
+        {}
+        run.do_due();
+        run.watch_ends();
+        if Instant::now() >= ask_at {
+            ask_at = Instant::now() + READY_PAUSE;
+            run.ask_nodes();
+        }
+        std::thread::sleep(TICK);
+    }
+    run.finish(settled);
+    (run.broken.clone(), run.folder.clone())
+}
+
+impl SoakRun {
+    fn start(seed: u64) -> Self {
+        let executor = start_threads("soak", 3);
+        let config = include_str!("../../../../scenarios/routes.json");
+        let site = RouteSite::start(config, &executor).expect("a site on loopback");
+        let number = RUNS.fetch_add(1, Ordering::SeqCst);
+        let process = (std::process::id() % 251) as u16;
+        let run = number.wrapping_mul(251).wrapping_add(process);
+        let folder =
+            std::env::temp_dir().join(format!("turnford-soak-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder for logs");
+        let mut nodes = Vec::new();
+        let mut stores = Vec::new();
+        let mut links = Vec::new();
+        for node in 0..NODES {
+            let store = LinkProxy::start(&executor, site.address).expect("a free port");
+            let mut process = NodeProcess::new(&folder, run, node, store.address);
+            links.push(LinkProxy::start(&executor, process.listen()).expect("a free port"));
+            process.start();
+            nodes.push(process);
+            stores.push(store);
+        }
+        let room = ClientRoom::new(links, site.calls());
+        for _ in 0..CLIENTS {
+            executor.spawn(run_client(room.clone())).detach();
+        }
+        let config: Value = serde_json::from_str(config).expect("a configuration");
+        Self {
+            executor,
+            version: config["version"].as_u64().unwrap_or(1),
+            config,
+            site,
+            nodes,
+            stores,
+            room,
+            client: HttpClient::new(),
+            later: Vec::new(),
+            stops: Vec::new(),
+            harms: Vec::new(),
+            stopping: HashMap::new(),
+            told: HashMap::new(),
+            broken: Vec::new(),
+            folder,
+        }
+    }
+
+    fn after(&mut self, span: Duration, later: Later) {
+        self.later.push((Instant::now() + span, later));
+    }
+
+    fn harm(&mut self, node: usize, span: Duration) {
+        let begin = Instant::now();
+        self.harms.push(NodeSpan {
+            node,
+            begin,
+            end: begin + span,
+        });
+    }
+
+    fn apply(&mut self, fault: Fault) {
+        match fault {
+            Fault::Stop(node) => {
+                let begin = Instant::now();
+                if self.nodes[node].is_running() && !self.stopping.contains_key(&node) {
+                    self.nodes[node].signal(Signal::TERM);
+                    self.stopping.insert(node, begin);
+                }
+            }
+            Fault::Kill(node) => self.kill(node),
+            Fault::KillAll => (0..NODES).for_each(|node| self.kill(node)),
+            Fault::Pause(node, span) => {
+                self.harm(node, span + CONTACT_SPAN);
+                self.nodes[node].signal(Signal::STOP);
+                self.after(span, Later::Wake(node));
+            }
+            Fault::StoreLink(node, state, span) => {
+                for node in node.map_or(0..NODES, |node| node..node + 1) {
+                    self.harm(node, span + CONTACT_SPAN);
+                    self.stores[node].set(state);
+                }
+                self.after(span, Later::StoreLink(node));
+            }
+            Fault::ClientLink(node, state, span) => {
+                self.harm(node, span + CONTACT_SPAN);
+                self.room.links[node].set(state);
+                self.after(span, Later::ClientLink(node));
+            }
+            Fault::Target(target, fault, count) => {
+                self.site.targets[target].fail_next(vec![fault; count]);
+            }
+            Fault::Leave(target) => {
+                self.site.targets[target].list("draining");
+                self.after(
+                    IN_FORCE,
+                    Later::Left(target, self.site.journal.runs().len()),
+                );
+                self.after(RETURN_PAUSE, Later::Return(target));
+            }
+            Fault::Config => {
+                self.version += 3;
+                self.config["version"] = Value::from(self.version);
+                self.site.store.put("config", "main", self.config.clone());
+                self.after(IN_FORCE, Later::InForce(self.version));
+            }
+            Fault::Compact => self.site.store.forget_history(),
+        }
+    }
+
+    fn kill(&mut self, node: usize) {
+        self.harm(node, RESTART_PAUSE + CONTACT_SPAN);
+        self.nodes[node].signal(Signal::KILL);
+    }
+
+    /// Does what is due.
+    fn do_due(&mut self) {
+        let now = Instant::now();
+        let (due, later) = std::mem::take(&mut self.later)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.later = later;
+        for (_, step) in due {
+            self.do_later(step);
+        }
+    }
+
+    fn do_later(&mut self, step: Later) {
+        match step {
+            Later::Start(node) => self.nodes[node].start(),
+            Later::Wake(node) => self.nodes[node].signal(Signal::CONT),
+            Later::StoreLink(node) => {
+                for node in node.map_or(0..NODES, |node| node..node + 1) {
+                    self.stores[node].set(LinkState::Open);
+                }
+            }
+            Later::ClientLink(node) => self.room.links[node].set(LinkState::Open),
+            Later::Return(target) => self.site.targets[target].list("ready"),
+            Later::Left(target, before) => self.check_left(target, before),
+            Later::InForce(version) => self.check_version(version),
+        }
+    }
+
+    /// Tells whether a node has been free of faults for long enough to be held to time bounds.
+    fn is_calm(&self, node: usize) -> bool {
+        let now = Instant::now();
+        let is_harmed = |harm: &NodeSpan| harm.node == node && harm.begin <= now && now <= harm.end;
+        let is_stopping = self.stopping.contains_key(&node);
+        self.nodes[node].is_running() && !is_stopping && !self.harms.iter().any(is_harmed)
+    }
+
+    /// Checks that a target that leaves got nothing in the last moments, where all nodes are calm.
+    fn check_left(&mut self, target: usize, before: usize) {
+        if !(0..NODES).all(|node| self.is_calm(node)) {
+            return;
+        }
+        let id = self.site.targets[target].id().to_owned();
+        // What is new in the journal came since the target left; the last part of that is too late.
+        let seen = self.site.journal.runs().len();
+        std::thread::sleep(Duration::from_millis(300));
+        let runs = self.site.journal.runs();
+        let late = runs[seen.max(before)..]
+            .iter()
+            .find(|run| run.target == id && !matches!(run.kind, RunKind::Release(_)));
+        if let Some(run) = late {
+            self.broken
+                .push(format!("a target that left got a call: {run:?}"));
+        }
+    }
+
+    fn check_version(&mut self, version: u64) {
+        for node in 0..NODES {
+            if !self.is_calm(node) {
+                continue;
+            }
+            let told = self.read_version(node);
+            if told.is_some_and(|told| told < version) && self.is_calm(node) {
+                let name = &self.nodes[node].name;
+                let line = format!("{name} is at configuration {told:?}, {version} was written");
+                self.broken.push(line);
+            }
+        }
+    }
+
+    fn read_version(&self, node: usize) -> Option<u64> {
+        let text = self.ask(self.nodes[node].metrics(), "/metrics")?.1;
+        let line = text
+            .lines()
+            .find_map(|line| line.strip_prefix("turnford_config_version "))?;
+        line.parse().ok()
+    }
+
+    fn ask(&self, to: std::net::SocketAddr, path: &str) -> Option<(u16, String)> {
+        let request = HttpClient::request(Method::GET, to, path).ok()?;
+        let answer = async_io::block_on(self.client.send(to, request, ASK_LIMIT)).ok()?;
+        Some((answer.status, String::from_utf8(answer.body).ok()?))
+    }
+
+    /// Takes processes that ended, and has them started again.
+    fn watch_ends(&mut self) {
+        for node in 0..NODES {
+            let Some(status) = self.nodes[node].ended() else {
+                continue;
+            };
+            let now = Instant::now();
+            let was_killed = std::os::unix::process::ExitStatusExt::signal(&status) == Some(9);
+            match self.stopping.remove(&node) {
+                Some(begin) => {
+                    self.stops.push(NodeSpan {
+                        node,
+                        begin,
+                        end: now,
+                    });
+                    let took = now.saturating_duration_since(begin);
+                    let is_late = took > Duration::from_secs(GRACE_S);
+                    let is_harmed = self
+                        .harms
+                        .iter()
+                        .any(|harm| harm.node == node && harm.end >= begin);
+                    if is_late && !is_harmed {
+                        let name = &self.nodes[node].name;
+                        self.broken.push(format!("{name} took {took:?} to stop"));
+                    }
+                }
+                None if was_killed => {}
+                None => {
+                    let name = &self.nodes[node].name;
+                    self.broken
+                        .push(format!("{name} ended by itself: {status}"));
+                }
+            }
+            self.after(RESTART_PAUSE, Later::Start(node));
+        }
+    }
+
+    /// Asks nodes whether they are ready, as the platform does, and which configuration they have.
+    fn ask_nodes(&mut self) {
+        for node in 0..NODES {
+            let answer = self.ask(self.nodes[node].ready(), "/v1/readiness");
+            let is_ready = answer.is_some_and(|(status, _)| status == 200);
+            self.room.ready[node].store(is_ready, Ordering::SeqCst);
+            let Some(version) = self.read_version(node) else {
+                continue;
+            };
+            let start = self.nodes[node].starts();
+            let told = self.told.insert(node, (start, version));
+            if told.is_some_and(|(before, old)| before == start && old > version) {
+                let name = &self.nodes[node].name;
+                self.broken
+                    .push(format!("{name} went back to configuration {version}"));
+            }
+        }
+    }
+
+    /// Ends the clients and checks what they saw.
+    fn finish(&mut self, settled: Instant) {
+        self.room.is_over.store(true, Ordering::SeqCst);
+        std::thread::sleep(Duration::from_secs(2));
+        let records = self.room.ended();
+        // A request that is still under way has no record, and may run.
+        let runs = self.site.journal.runs();
+        let known = runs
+            .into_iter()
+            .filter(|run| records.contains_key(&run.attempt));
+        let runs: Vec<_> = known.collect();
+        self.broken.extend(check_calls(&records, &runs));
+        let stops = check_stops(&records, &runs, &self.stops, &self.harms);
+        self.broken.extend(stops);
+        self.broken.extend(check_recovery(&records, settled));
+        let served = records
+            .values()
+            .filter(|record| matches!(record.end, crate::client::CallEnd::Answer(200, ..)));
+        println!("{} requests, {} served", records.len(), served.count());
+        // The executor's threads end with it.
+        let _ = &self.executor;
+    }
+}
