Make a kept connection to a node anew where it has ended

Change: a kept connection that takes no call is replaced before the call is sent. Test peer_restart failed first.

--- a/packages/turnford-wire/src/client.rs
+++ b/packages/turnford-wire/src/client.rs
@@ -98,8 +98,7 @@
     }
 
     async fn exchange(&self, to: SocketAddr, frame: Vec<u8>) -> Result<Vec<u8>, PeerFault> {
-        let sender = self.connection(to).await?;
-        let mut sender = sender.ready().await.map_err(|_| PeerFault::Broken)?;
+        let mut sender = self.ready_connection(to).await?;
         let request = Request::builder().method(Method::POST).uri("http://peer/");
         let request = request.body(()).map_err(|_| PeerFault::Broken)?;
         let sent = sender
@@ -114,10 +113,21 @@
             .ok_or(PeerFault::Broken)
     }
 
-    async fn connection(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerFault> {
-        if let Some(sender) = self.connections.borrow().get(&to) {
-            return Ok(sender.clone());
+    /// Returns a connection that takes a call now. A kept one that has ended meanwhile, as with a peer
+    /// that was restarted, is made anew: nothing was sent on it.
+    async fn ready_connection(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerFault> {
+        let kept = self.connections.borrow().get(&to).cloned();
+        if let Some(sender) = kept {
+            if let Ok(sender) = sender.ready().await {
+                return Ok(sender);
+            }
+            self.connections.borrow_mut().remove(&to);
         }
+        let sender = self.connect(to).await?;
+        sender.ready().await.map_err(|_| PeerFault::Broken)
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerFault> {
         let stream = TcpStream::connect(to)
             .await
             .map_err(|_| PeerFault::Broken)?;
--- /dev/null
+++ b/packages/turnford-wire/tests/peer_restart.rs
@@ -0,0 +1,67 @@
+//! Calls to a peer that was restarted since the last one.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_net::TcpListener;
+use bytes::Bytes;
+use http::Response;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+use turnford_wire::accept_peers;
+use turnford_wire::encode_frame;
+use turnford_wire::GivenUpCall;
+use turnford_wire::PeerClient;
+use turnford_wire::WorkReply;
+use turnford_wire::WorkRequest;
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Answers one call on one connection and ends both; returns the listener.
+async fn answer_once(listener: TcpListener) -> TcpListener {
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let shaken = h2::server::handshake(stream.compat()).await;
+    let mut connection = shaken.expect("a peer");
+    let accepted = connection.accept().await.expect("a call");
+    let (_, mut respond) = accepted.expect("a sound call");
+    let mut body = respond
+        .send_response(Response::new(()), false)
+        .expect("an open call");
+    let frame = encode_frame(&WorkReply::Noted).expect("a frame");
+    body.send_data(Bytes::from(frame), true)
+        .expect("an open call");
+    // What is to be sent leaves while the next call is waited for.
+    let sent = async {
+        Timer::after(Duration::from_millis(50)).await;
+    };
+    let next = async {
+        connection.accept().await;
+    };
+    futures_lite::future::or(sent, next).await;
+    listener
+}
+
+#[test]
+fn first_call() {
+    let executor = Rc::new(LocalExecutor::new());
+    let client = PeerClient::new(executor.clone());
+    async_io::block_on(executor.run(async {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = TcpListener::bind(any).await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let old = executor.spawn(answer_once(listener));
+        let call = || client.call::<_, WorkReply>(address, &WorkRequest::Alive, LIMIT);
+        assert_eq!(call().await, Ok(WorkReply::Noted));
+        let listener = old.await;
+        // The old connection's end arrives.
+        Timer::after(Duration::from_millis(50)).await;
+        let answer = |_: WorkRequest| async { WorkReply::Noted };
+        let refusal = || WorkReply::Refused;
+        let given_up = GivenUpCall::Dropped;
+        let accept = accept_peers(listener, executor.clone(), given_up, refusal, answer);
+        executor.spawn(accept).detach();
+        assert_eq!(call().await, Ok(WorkReply::Noted));
+    }));
+}
