Let a node that takes no new work finish what it has

Cause: a node that stops refuses new pieces; its refusal counted as silence, so those who waited for pieces that it still had at work gave them to another node. No test of its own yet.

--- a/packages/turnford-serve/src/gather.rs
+++ b/packages/turnford-serve/src/gather.rs
@@ -31,6 +31,7 @@
 use crate::work::call_peer;
 use crate::work::doer_of;
 use crate::work::mark_down;
+use crate::work::mark_refusing;
 use crate::work::WaitingGuard;
 use crate::work::SILENCE_SPAN;
 
@@ -146,7 +147,7 @@
         }
         Some(Ok(_)) => {
             log::info!("node at {peer} takes no pieces");
-            mark_down(traffic, &state);
+            mark_refusing(traffic, &state);
             None
         }
         Some(Err(PeerFault::Late)) => {
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -47,7 +47,16 @@
     /// Calls that wait for it.
     waiting: Cell<usize>,
     is_watched: Cell<bool>,
+    /// Until when it counts as silent; what it has of ours goes to another.
     pub(crate) down_until: Cell<Moment>,
+    /// Until when it gets no new work. It may finish what it has, as a node that stops does.
+    refuses_until: Cell<Moment>,
+}
+
+impl PeerState {
+    fn takes_work(&self, now: Moment) -> bool {
+        self.down_until.get() <= now && self.refuses_until.get() <= now
+    }
 }
 
 /// The calling side of work between nodes.
@@ -76,7 +85,7 @@
     let states = traffic.work.states.borrow();
     let is_up = |address: &SocketAddr| {
         let state = states.get(address);
-        state.is_none_or(|state| state.down_until.get() <= now)
+        state.is_none_or(|state| state.takes_work(now))
     };
     let up = view.members.iter().filter(|member| is_up(&member.work));
     let names = traffic.shared.settled_names(up);
@@ -96,7 +105,7 @@
     match traffic.work.peers.call(peer, request, limit).await {
         Ok(WorkReply::Refused) => {
             log::info!("node at {peer} takes no work");
-            mark_down(traffic, &state);
+            mark_refusing(traffic, &state);
             None
         }
         Ok(reply) => {
@@ -155,7 +164,12 @@
     state.is_watched.set(false);
 }
 
-/// Gives a node no work for a while.
+/// Gives a node no new work for a while.
+pub(crate) fn mark_refusing(traffic: &Traffic, state: &PeerState) {
+    state.refuses_until.set(traffic.shared.now() + DOWN_SPAN);
+}
+
+/// Gives a node no work for a while, and takes back what it has.
 pub(crate) fn mark_down(traffic: &Traffic, state: &PeerState) {
     state.down_until.set(traffic.shared.now() + DOWN_SPAN);
 }
