Don't offer pieces again whose inputs were given up

Cause: inputs are given up once all calls that need them are at work; a call that was late or lost had its pieces offered again all the same, and they failed the whole request though the first call might still have given its result. Change: only pieces whose inputs are kept are offered again; those of a lost call fail at once. Inputs are kept for four seconds after a lost call in the cell.

--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -34,6 +34,9 @@
 /// Times its expected span by which a target's last calls tell that it begins calls at once.
 const CALM_FACTOR: f64 = 1.25;
 
+/// Time after a lost call in which another may be lost: faults of targets last some seconds.
+const UNSURE_SPAN: Duration = Duration::from_secs(4);
+
 /// Longest wait for a target's report.
 const REPORT_LIMIT: Duration = Duration::from_millis(150);
 
@@ -148,10 +151,15 @@
     }
 }
 
-/// Tells whether a target begins a call at once: its last calls took the time that they should, so
-/// nobody else uses it.
+/// Tells whether a target begins a call at once and will end it: its last calls took the time that
+/// they should, so nobody else uses it, and no call of its cell was lost lately. The inputs of a call
+/// that is lost are needed again.
 fn is_calm(cell: &PieceCell, target: &TargetSpec) -> bool {
     let now = cell.traffic.shared.now();
+    let last_fault = cell.pieces.last_fault.get();
+    if last_fault.is_some_and(|at| now.saturating_sub(at) < UNSURE_SPAN) {
+        return false;
+    }
     let board = cell.desk.board.borrow();
     let slowness = board.measured_slowness(now, &target.id);
     slowness.is_some_and(|slowness| slowness < CALM_FACTOR)
@@ -203,8 +211,8 @@
         return;
     }
     for (ticket, work) in &plan.pieces {
-        let is_wanted = cell.pieces.is_wanted(*ticket);
-        if is_wanted && cell.desk.allowance.borrow_mut().take(now) {
+        let is_possible = cell.pieces.has_inputs(*ticket);
+        if is_possible && cell.desk.allowance.borrow_mut().take(now) {
             let mut board = cell.pieces.board.borrow_mut();
             board.put_back(*ticket, work.clone());
         }
@@ -248,6 +256,7 @@
             board.note_failure(&target.id);
             board.note_refused(now, &target.id);
             drop(board);
+            cell.pieces.last_fault.set(Some(now));
             cell.give_back(plan, reason, true);
         }
     }
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -53,6 +53,8 @@
     /// Targets of the cell.
     pub(crate) targets: RefCell<Vec<TargetSpec>>,
     takers: RefCell<HashMap<PieceTicket, PieceTaker>>,
+    /// When a call gave no result last.
+    pub(crate) last_fault: Cell<Option<Moment>>,
     /// When the next look is due though nothing happens until then.
     next_look: Cell<Option<Moment>>,
 }
@@ -63,13 +65,16 @@
             board: RefCell::new(BatchBoard::new(spec)),
             targets: RefCell::default(),
             takers: RefCell::default(),
+            last_fault: Cell::new(None),
             next_look: Cell::new(None),
         })
     }
 
-    /// Tells whether a request waits for a piece.
-    pub(crate) fn is_wanted(&self, ticket: PieceTicket) -> bool {
-        self.takers.borrow().contains_key(&ticket)
+    /// Tells whether a piece can be made anew: the results that it needs were not given up.
+    pub(crate) fn has_inputs(&self, ticket: PieceTicket) -> bool {
+        let takers = self.takers.borrow();
+        let taker = takers.get(&ticket);
+        taker.is_some_and(|taker| !taker.inputs.has_given_up())
     }
 
     /// Tells a request how its piece ended; returns the outcome if nobody waits for it.
@@ -278,6 +283,11 @@
     pub(crate) fn give_back(&self, plan: BatchPlan, reason: &'static str, may_have_run: bool) {
         let now = self.traffic.shared.now();
         for (ticket, work) in plan.pieces {
+            if !self.pieces.has_inputs(ticket) {
+                // A request that left needs no word.
+                let _ = self.pieces.tell(ticket, PieceOutcome::InputGone);
+                continue;
+            }
             if !self.note_unread(ticket) {
                 continue;
             }
