Admit requests by what all admitted ones still need of each stage

Cause: a queue shows only what has come to it. Change: the node that places a service's requests admits them, too. It counts the pieces that all admitted requests still need by service and rank, learns each service's rate while it is busy, and refuses at once, with a time to come back, what would be late. A node without its answer admits by the queues that it knows. Last stages that are under way may go on until the goal. Tests: flow_board.

--- /dev/null
+++ b/packages/turnford-policy/tests/flow_board.rs
@@ -0,0 +1,141 @@
+//! Requests are admitted by what all admitted ones still need of every stage.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use turnford_policy::FlowBoard;
+use turnford_policy::FlowNeed;
+use turnford_policy::FlowStage;
+use turnford_policy::FlowTicket;
+use turnford_policy::Moment;
+use turnford_policy::StageRate;
+
+/// A quick first stage, and a second one that makes a hundred results a second.
+fn rate_of(service: &str) -> Option<StageRate> {
+    let nominal = match service {
+        "first" => 1000.0,
+        "second" => 100.0,
+        _ => return None,
+    };
+    Some(StageRate {
+        nominal,
+        call_span: Duration::from_millis(100),
+        piece_span: Duration::ZERO,
+        piece_limit: 10,
+    })
+}
+
+fn need(ranks: (u8, u8)) -> FlowNeed {
+    let stage = |service: &str, pieces, inputs| FlowStage {
+        service: Arc::from(service),
+        pieces,
+        inputs,
+    };
+    FlowNeed {
+        stages: vec![stage("first", 1, vec![]), stage("second", 10, vec![0])],
+        ranks,
+        limit: Duration::from_secs(2),
+        deadline: Duration::from_secs(60),
+    }
+}
+
+fn admit(board: &mut FlowBoard, now: Moment, ranks: (u8, u8)) -> Option<FlowTicket> {
+    board.admit(now, &need(ranks), rate_of).ok()
+}
+
+fn admit_all(board: &mut FlowBoard, now: Moment, ranks: (u8, u8), count: usize) -> Vec<u64> {
+    (0..count)
+        .filter_map(|_| admit(board, now, ranks))
+        .collect()
+}
+
+#[test]
+fn later_stage() {
+    // Nothing has come to the second stage yet; it can make the pieces of 19 before the last starts.
+    let mut board = FlowBoard::default();
+    let admitted = admit_all(&mut board, Moment::ZERO, (1, 1), 50);
+    assert_eq!(admitted.len(), 20);
+    assert_eq!(board.backlog("second"), 200);
+    let late = board.admit(Moment::ZERO, &need((1, 1)), rate_of);
+    assert_eq!(late, Err(Duration::from_millis(100)));
+}
+
+#[test]
+fn ranks_first() {
+    let mut board = FlowBoard::default();
+    admit_all(&mut board, Moment::ZERO, (1, 2), 50);
+    assert!(admit(&mut board, Moment::ZERO, (1, 2)).is_none());
+    assert!(admit(&mut board, Moment::ZERO, (1, 1)).is_some());
+    assert!(admit(&mut board, Moment::ZERO, (0, 2)).is_some());
+}
+
+#[test]
+fn ends_free() {
+    let mut board = FlowBoard::default();
+    let admitted = admit_all(&mut board, Moment::ZERO, (1, 1), 50);
+    for ticket in &admitted[..10] {
+        board.note_stage(*ticket, 0);
+        board.note_stage(*ticket, 1);
+    }
+    for ticket in &admitted[10..15] {
+        board.note_ended(*ticket);
+    }
+    assert_eq!(board.backlog("first"), 5);
+    assert_eq!(board.backlog("second"), 50);
+    assert_eq!(admit_all(&mut board, Moment::ZERO, (1, 1), 50).len(), 15);
+}
+
+#[test]
+fn rate_learned() {
+    // The second stage is busy and makes 50 a second, half of what it should.
+    let mut board = FlowBoard::default();
+    let mut open = admit_all(&mut board, Moment::ZERO, (1, 1), 50);
+    for ticket in &open {
+        board.note_stage(*ticket, 0);
+    }
+    for step in 1..=30_u32 {
+        let now = Duration::from_millis(200) * step;
+        let done = open.remove(0);
+        board.note_stage(done, 1);
+        let admitted = admit_all(&mut board, now, (1, 1), 5);
+        for ticket in admitted {
+            board.note_stage(ticket, 0);
+            open.push(ticket);
+        }
+    }
+    // Two seconds' work at 50 a second are ten requests, not twenty.
+    assert!(open.len() <= 13, "{} are admitted at a time", open.len());
+}
+
+#[test]
+fn silent_forgotten() {
+    let mut board = FlowBoard::default();
+    admit_all(&mut board, Moment::ZERO, (1, 1), 50);
+    let late = Duration::from_secs(63);
+    assert!(admit(&mut board, late, (1, 1)).is_some());
+    assert_eq!(board.backlog("second"), 10);
+}
+
+proptest! {
+    #[test]
+    fn nothing_stays(steps in prop::collection::vec((0_u8..4, 0_usize..40, 0_usize..3), 1..200)) {
+        // Whatever is told in whatever order, ended requests leave nothing behind.
+        let mut board = FlowBoard::default();
+        let mut tickets = Vec::new();
+        for (number, (step, which, stage)) in (1_u32..).zip(steps) {
+            let now = Duration::from_millis(20) * number;
+            let ticket = tickets.get(which).copied().unwrap_or(0);
+            match step {
+                0 | 1 => tickets.extend(admit(&mut board, now, (step, 1))),
+                2 => board.note_stage(ticket, stage),
+                _ => board.note_ended(ticket),
+            }
+        }
+        for ticket in tickets {
+            board.note_ended(ticket);
+        }
+        prop_assert_eq!(board.backlog("first"), 0);
+        prop_assert_eq!(board.backlog("second"), 0);
+    }
+}
--- a/packages/turnford-serve/src/desk.rs
+++ b/packages/turnford-serve/src/desk.rs
@@ -8,9 +8,11 @@
 
 use turnford_policy::split_cells;
 use turnford_policy::EngineBoard;
+use turnford_policy::FlowBoard;
 use turnford_policy::Moment;
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceSpec;
+use turnford_policy::StageRate;
 use turnford_policy::TargetBoard;
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
@@ -27,6 +29,8 @@
     pub(crate) board: RefCell<TargetBoard>,
     /// What is known of the targets where they are model engines.
     pub(crate) engines: RefCell<EngineBoard>,
+    /// What admitted requests for this service still need of their stages.
+    pub(crate) flow: RefCell<FlowBoard>,
     pub(crate) allowance: RefCell<RetryAllowance>,
     /// Cells of the targets, where the service runs pieces of stages.
     pub(crate) cells: RefCell<Vec<Rc<PieceDesk>>>,
@@ -46,6 +50,7 @@
             spec: RefCell::new(spec),
             board: RefCell::default(),
             engines: RefCell::default(),
+            flow: RefCell::default(),
             allowance: RefCell::new(allowance),
             cells: RefCell::default(),
             waits: RefCell::default(),
@@ -58,6 +63,25 @@
         board.get(target).is_some_and(|spec| !spec.leaving)
     }
 
+    /// Returns what the service can do as a stage, `None` if it is none.
+    pub(crate) fn stage_rate(&self, now: Moment) -> Option<StageRate> {
+        let spec = self.spec.borrow().clone();
+        let batch = spec.batch.as_ref()?;
+        let board = self.board.borrow();
+        let open = board.open_targets();
+        let awake = open.filter(|target| !board.is_paused(now, &target.id));
+        let calls = awake.count() * batch.slots.max(1);
+        let pieces = u32::try_from(batch.piece_limit.max(1)).unwrap_or(u32::MAX);
+        let span = batch.call_span + batch.piece_span * pieces;
+        let nominal = calls as f64 * f64::from(pieces) / span.as_secs_f64().max(0.001);
+        Some(StageRate {
+            nominal,
+            call_span: batch.call_span,
+            piece_span: batch.piece_span,
+            piece_limit: pieces,
+        })
+    }
+
     /// Splits the targets into cells anew. A cell that is no longer needed helps another one until
     /// its last piece has ended.
     pub(crate) fn refresh_cells(&self) {
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -3,6 +3,7 @@
 //! One thread follows the store and the other nodes; one serves requests from snapshots of what
 //! the first knows.
 
+mod admission;
 mod answer;
 mod batch;
 mod call;
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -35,7 +35,7 @@
 
 /// Longest wait for the node that places: above its usual answer of a few milliseconds, well below
 /// what a request can spare.
-const PLACE_LIMIT: Duration = Duration::from_millis(120);
+pub(crate) const PLACE_LIMIT: Duration = Duration::from_millis(120);
 
 /// Time in which news of placed requests is gathered.
 const NEWS_PAUSE: Duration = Duration::from_millis(40);
@@ -58,32 +58,37 @@
 
 /// The placement at an engine, where it was noted.
 struct EngineRun {
-    traffic: Rc<Traffic>,
-    desk: Rc<ServiceDesk>,
+    placer: PlacerLink,
     ticket: RunTicket,
-    /// Node that placed it, `None` for this one.
-    placer: Option<SocketAddr>,
+}
+
+/// The node that admits and places a service's requests, to be told what became of one.
+pub(crate) struct PlacerLink {
+    pub(crate) traffic: Rc<Traffic>,
+    pub(crate) desk: Rc<ServiceDesk>,
+    /// Its address, `None` for this node.
+    pub(crate) address: Option<SocketAddr>,
 }
 
 impl PlacedRun {
     /// Notes that the first event came.
     pub(crate) fn note_begun(&self) {
         if let Some(run) = &self.run {
-            run.tell(RunNews::Begun(run.ticket));
+            run.placer.tell(RunNews::Begun(run.ticket));
         }
     }
 
     /// Notes that the target could not be reached or did not take the request.
     pub(crate) fn note_refused(&self) {
         if let Some(run) = &self.run {
-            run.tell(RunNews::Refused(run.ticket));
+            run.placer.tell(RunNews::Refused(run.ticket));
         }
     }
 }
 
-impl EngineRun {
-    fn tell(&self, news: RunNews) {
-        match self.placer {
+impl PlacerLink {
+    pub(crate) fn tell(&self, news: RunNews) {
+        match self.address {
             Some(placer) => {
                 let service = self.desk.spec.borrow().name.clone();
                 tell_progress(&self.traffic, placer, service, news);
@@ -95,7 +100,7 @@
 
 impl Drop for EngineRun {
     fn drop(&mut self) {
-        self.tell(RunNews::Ended(self.ticket));
+        self.placer.tell(RunNews::Ended(self.ticket));
     }
 }
 
@@ -173,10 +178,12 @@
     let placed = desk.engines.borrow_mut().place(now, &board, need);
     let (target, ticket) = placed?;
     let run = EngineRun {
-        traffic: traffic.clone(),
-        desk: desk.clone(),
+        placer: PlacerLink {
+            traffic: traffic.clone(),
+            desk: desk.clone(),
+            address: None,
+        },
         ticket,
-        placer: None,
     };
     Some(PlacedRun {
         target,
@@ -215,10 +222,12 @@
         return None;
     };
     let run = EngineRun {
-        traffic: traffic.clone(),
-        desk: desk.clone(),
+        placer: PlacerLink {
+            traffic: traffic.clone(),
+            desk: desk.clone(),
+            address: Some(placer),
+        },
         ticket,
-        placer: Some(placer),
     };
     // The other node may not know yet that the target leaves.
     let target = desk.board.borrow().get(&id).cloned();
@@ -276,6 +285,10 @@
             }
         }
         RunNews::Ended(ticket) => engines.note_ended(now, ticket),
+        RunNews::StageDone(ticket, stage) => {
+            desk.flow.borrow_mut().note_stage(ticket, stage as usize);
+        }
+        RunNews::StagesEnded(ticket) => desk.flow.borrow_mut().note_ended(ticket),
     }
 }
 
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -33,6 +33,8 @@
     /// Hall of the target that the request will probably run at.
     pub(crate) planned_hall: RefCell<Option<Arc<str>>>,
     version: u64,
+    /// Whether nothing but its last stages is left to be done before its own call.
+    pub(crate) is_finishing: Cell<bool>,
     story: RefCell<String>,
     /// Time until the first byte of the answer.
     head: Cell<Option<Duration>>,
@@ -62,6 +64,7 @@
             deadline,
             planned_hall: RefCell::default(),
             version,
+            is_finishing: Cell::new(false),
             story: RefCell::new(String::new()),
             head: Cell::new(None),
             is_ended: Cell::new(false),
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -20,6 +20,7 @@
 use turnford_policy::ResultCode;
 use turnford_policy::RouteSpec;
 
+use crate::admission::admit_flow;
 use crate::answer::own_answer;
 use crate::answer::AnswerBody;
 use crate::answer::RanState;
@@ -30,7 +31,6 @@
 use crate::placement::plan_hall;
 use crate::record::RequestRecord;
 use crate::shared::RouteView;
-use crate::stages::expected_span;
 use crate::stages::run_stages;
 use crate::stages::StageFault;
 use crate::stages::LAST_SPAN;
@@ -202,29 +202,19 @@
     let Some(desk) = desk else {
         return refuse_admitted(record, ResultCode::NoTarget, "the service is not known");
     };
-    let expected = expected_span(traffic, record);
-    let limit = admit_limit(record);
-    if expected > limit {
-        let over = expected.saturating_sub(limit);
-        let retry_after = over.max(RETRY_AFTER);
-        record.note(format_args!("expected {}ms", expected.as_millis()));
-        record.end(
-            ResultCode::DeadlineTooShort,
-            "the queues of its stages are too long",
-        );
-        return own_answer(
-            &record.facts.attempt,
-            ResultCode::DeadlineTooShort,
-            RanState::No,
-            "the queues of its stages are too long",
-            Some(retry_after),
-        );
-    }
+    let admitted = admit_flow(traffic, record, &desk, admit_limit(record)).await;
+    let flow = match admitted {
+        Ok(flow) => flow,
+        Err(late) => return refuse_late(record, late),
+    };
     *record.planned_hall.borrow_mut() = plan_hall(&desk, &record.facts.parts);
     for _ in 0..STAGE_ROUNDS {
-        let left = stage_deadline(record).saturating_sub(traffic.shared.now());
         let late = async {
-            Timer::after(left).await;
+            let now = || traffic.shared.now();
+            Timer::after(stage_deadline(record).saturating_sub(now())).await;
+            if record.is_finishing.get() {
+                Timer::after(finish_deadline(record).saturating_sub(now())).await;
+            }
             Err(StageFault::Failed("the stages took too long"))
         };
         let stopped = async {
@@ -232,7 +222,7 @@
             let _ = traffic.ending.recv().await;
             Err(StageFault::Failed("the node stops"))
         };
-        let stages = run_stages(traffic, record);
+        let stages = run_stages(traffic, record, &flow);
         let results = match stages.or(late).or(stopped).await {
             Ok(results) => results,
             Err(StageFault::InputGone) => {
@@ -258,11 +248,24 @@
     refuse_admitted(record, ResultCode::Shed, "results of stages were gone")
 }
 
-/// Returns the time that a request's stages and its own call may be expected to take: beyond its goal
-/// it would be late, and beyond the time that its stages have they would be dropped.
+/// Returns the time in which a request's stages must be done: later it would be late, or dropped.
 fn admit_limit(record: &RequestRecord) -> Duration {
     let stages = stage_deadline(record).saturating_sub(record.begun);
-    record.route.goal.min(stages + LAST_SPAN)
+    record.route.goal.saturating_sub(LAST_SPAN).min(stages)
+}
+
+/// Refuses a request whose stages would be late by so much.
+fn refuse_late(record: &RequestRecord, late: Duration) -> Response<AnswerBody> {
+    let reason = "the queues of its stages are too long";
+    record.note(format_args!("late by {}ms", late.as_millis()));
+    record.end(ResultCode::DeadlineTooShort, reason);
+    own_answer(
+        &record.facts.attempt,
+        ResultCode::DeadlineTooShort,
+        RanState::No,
+        reason,
+        Some(late.max(RETRY_AFTER)),
+    )
 }
 
 /// Returns when the stages of a request must be done. A request that has used up half of its time
@@ -272,6 +275,11 @@
     record.begun + patience.mul_f64(STAGE_PART)
 }
 
+/// Returns when the last stages of a request must be done for it to be in time.
+fn finish_deadline(record: &RequestRecord) -> Moment {
+    record.begun + record.route.goal.saturating_sub(LAST_SPAN)
+}
+
 /// Refuses a request that has not run and never will.
 fn refuse_admitted(record: &RequestRecord, code: ResultCode, reason: &str) -> Response<AnswerBody> {
     record.end(code, reason);
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -14,6 +14,7 @@
 use turnford_policy::PieceWork;
 use turnford_policy::StageGraph;
 
+use crate::admission::AdmittedFlow;
 use crate::desk::ServiceDesk;
 use crate::gather::expected_wait;
 use crate::gather::run_pieces;
@@ -69,6 +70,7 @@
 pub(crate) async fn run_stages(
     traffic: &Rc<Traffic>,
     record: &Rc<RequestRecord>,
+    flow: &AdmittedFlow,
 ) -> Result<StageResults, StageFault> {
     let graph = StageGraph::new(&record.route.stages, |stage| {
         record.facts.piece_count(stage)
@@ -103,6 +105,11 @@
             }
         }
         record.note(format_args!("stage {stage} done"));
+        flow.note_stage(stage);
+        let is_left = |stage: &usize| graph.count(*stage) > 0 && !done[*stage];
+        let mut left = (0..graph.len()).filter(is_left);
+        let is_finishing = left.all(|stage| graph.last().contains(&stage));
+        record.is_finishing.set(is_finishing);
         give_up_used(&graph, &done, &mut held);
     }
     Ok(StageResults {
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -25,6 +25,7 @@
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
+use crate::admission::answer_admit;
 use crate::gather::answer_pieces;
 use crate::gather::answer_release;
 use crate::placement::answer_place;
@@ -186,10 +187,13 @@
     match request {
         WorkRequest::Alive => WorkReply::Noted,
         // Another node gathers from now on.
-        WorkRequest::Pieces(_) | WorkRequest::Place(_) if traffic.shared.is_draining() => {
+        WorkRequest::Pieces(_) | WorkRequest::Admit(_) | WorkRequest::Place(_)
+            if traffic.shared.is_draining() =>
+        {
             WorkReply::Refused
         }
         WorkRequest::Pieces(ask) => answer_pieces(&traffic, ask).await,
+        WorkRequest::Admit(ask) => answer_admit(&traffic, ask),
         WorkRequest::Place(ask) => answer_place(&traffic, ask),
         WorkRequest::Progress { service, news } => {
             answer_progress(&traffic, &service, &news);
--- a/packages/turnford-wire/src/lib.rs
+++ b/packages/turnford-wire/src/lib.rs
@@ -23,6 +23,8 @@
 pub use codec::PROTOCOL_VERSION;
 pub use message::PeerReply;
 pub use message::PeerRequest;
+pub use route::AdmitAsk;
+pub use route::AdmitStage;
 pub use route::InputEntry;
 pub use route::PieceAsk;
 pub use route::PieceReply;
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -209,7 +209,33 @@
     pub left_ms: u64,
 }
 
-/// What became of a placed request.
+/// A stage of a request to admit.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct AdmitStage {
+    /// Service that runs it.
+    pub service: String,
+    /// Its pieces.
+    pub pieces: u32,
+    /// Stages whose results it needs.
+    pub inputs: Vec<u32>,
+}
+
+/// A request to admit to its stages.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct AdmitAsk {
+    /// Service of the request's own call, whose placer admits.
+    pub service: String,
+    /// Its stages.
+    pub stages: Vec<AdmitStage>,
+    /// Ranks of the request, the one of its account before that of its route; 0 goes first.
+    pub ranks: (u8, u8),
+    /// Milliseconds in which its stages must be done.
+    pub limit_ms: u64,
+    /// Milliseconds until the request ends at the latest.
+    pub left_ms: u64,
+}
+
+/// What became of an admitted or placed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
 pub enum RunNews {
     /// Its prompt is read.
@@ -218,6 +244,10 @@
     Refused(u64),
     /// It ended.
     Ended(u64),
+    /// A stage of an admitted request is done.
+    StageDone(u64, u32),
+    /// An admitted request needs nothing more of any stage.
+    StagesEnded(u64),
 }
 
 /// A call from one traffic thread to another.
@@ -227,6 +257,8 @@
     Alive,
     /// Run these pieces.
     Pieces(PieceAsk),
+    /// May this request begin its stages?
+    Admit(AdmitAsk),
     /// Which engine should take this request?
     Place(PlaceAsk),
     /// What became of placed requests.
@@ -259,6 +291,8 @@
         /// Whether the results that only they needed were given up.
         gave_up: bool,
     },
+    /// To a request to admit: its number, or `None` and the milliseconds by which it would be late.
+    Admitted(Option<u64>, u64),
     /// To a request to place: the engine and the number of the placement.
     Placed(Option<(String, u64)>),
     /// The call was not understood, or the node can't do it.
