Let members' sums hold incarnations, and choose cells by their waits

A piece went to the cell of its hall or to a drawn one, however long its queue. Change: the sum that probes compare holds incarnations; who differs pulls the list. Cells are chosen by the wait that was told last, with what crossing halls is worth. A starting node leaves the store to its hall's watchers for two seconds. Test member_heal/all_restarted failed first.

--- a/packages/turnford-fleet/src/member.rs
+++ b/packages/turnford-fleet/src/member.rs
@@ -259,14 +259,17 @@
         self.spread(own);
     }
 
-    /// Returns a sum by which two nodes see whether they know the same live members.
+    /// Returns a sum by which two nodes see whether they know the same live members in the same
+    /// incarnations: after many were restarted at once, gossip alone takes many rounds.
     pub fn checksum(&self) -> u64 {
         use std::hash::Hasher;
 
+        let live = self.live().map(|record| &record.update);
         let mut sum = 0_u64;
-        for name in self.live_names() {
+        for update in live.chain(std::iter::once(&self.own)) {
             let mut hasher = siphasher::sip::SipHasher13::new();
-            hasher.write(name.as_bytes());
+            hasher.write(update.name.as_bytes());
+            hasher.write_u64(update.incarnation);
             sum ^= hasher.finish();
         }
         sum
--- a/packages/turnford-fleet/tests/member_heal.rs
+++ b/packages/turnford-fleet/tests/member_heal.rs
@@ -216,3 +216,22 @@
         .map(|record| record.update.state);
     assert_eq!(gone, Some(MemberState::Left));
 }
+
+#[test]
+fn all_restarted() {
+    // All processes start again at once; each read the others' old records at its start.
+    const COUNT: usize = 60;
+    let mut world = World::new(COUNT);
+    for number in 0..COUNT {
+        let mut table = MemberTable::new(update(number, 100), number as u64);
+        for other in (0..COUNT).filter(|other| *other != number) {
+            table.apply(world.now, update(other, 1));
+        }
+        world.tables[number] = table;
+    }
+    world.run(Duration::from_secs(6));
+    for table in &world.tables {
+        let old = table.live().filter(|record| record.update.incarnation == 1);
+        assert_eq!(old.count(), 0, "old records at {}", table.own().name);
+    }
+}
--- a/packages/turnford-serve/src/control/members.rs
+++ b/packages/turnford-serve/src/control/members.rs
@@ -247,7 +247,13 @@
 
 /// Writes this node's object and reads those of the others, until both worked once.
 async fn register(context: Rc<ControlContext>) {
-    while let Err(fault) = try_register(&context).await {
+    loop {
+        let tried = try_register(&context).await;
+        publish(&context);
+        context.has_asked_members.set(true);
+        let Err(fault) = tried else {
+            return;
+        };
         log::warn!("this node can't be registered yet: {fault}");
         Timer::after(context.jitter(REGISTER_PAUSE)).await;
     }
--- a/packages/turnford-serve/src/control/source.rs
+++ b/packages/turnford-serve/src/control/source.rs
@@ -52,6 +52,15 @@
 /// know them yet.
 const START_SPAN: Duration = Duration::from_secs(10);
 
+/// Time in which a starting node waits for word of the other nodes before it goes on by itself.
+const MEMBER_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Pause between looks for that word.
+const MEMBER_PAUSE: Duration = Duration::from_millis(10);
+
+/// Time in which a starting node leaves the store to its hall's watchers.
+const START_PATIENCE: Duration = Duration::from_secs(2);
+
 /// Pause after a watcher could not be followed, so that a fault that shows at once makes no storm.
 const FAULT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -65,6 +74,9 @@
 
 /// Follows the configuration and the targets for as long as the node runs.
 pub(super) async fn follow_view(context: Rc<ControlContext>) {
+    while !context.has_asked_members.get() && context.now() < MEMBER_PATIENCE {
+        Timer::after(MEMBER_PAUSE).await;
+    }
     loop {
         match choose_source(&context) {
             ViewSource::Store => {
@@ -140,12 +152,16 @@
     let watchers = watchers_of(context, &view, own_hall);
     let own = &*context.shared.settings.name;
     let is_lost = context.is_store_lost();
-    let asks_store = if is_lost {
+    // Where a large fleet starts at once, its watchers alone read the lists, which are long.
+    let is_starting = !view.is_complete() && now < START_PATIENCE;
+    let asks_store = if is_starting {
+        watchers.contains(&own)
+    } else if is_lost {
         context.may_ask_store(now)
     } else {
         watchers.contains(&own) || now < context.direct_until.get()
     };
-    if asks_store || !view.is_complete() {
+    if asks_store || (!view.is_complete() && !is_starting) {
         return ViewSource::Store;
     }
     // Each node asks the watchers in an order of its own, so that they share the work.
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -289,7 +289,7 @@
     let service = &record.route.stages[needs.stage].service;
     let desk = traffic.desk(service);
     let desk = desk.ok_or(StageFault::Failed("the stage's service is not known"))?;
-    let place = choose_cell(&traffic, desk, needs.hall.as_deref());
+    let place = choose_cell(&traffic, &record, desk, &needs);
     let mut missing: Vec<u32> = (0..needs.count).collect();
     note_firsts(&traffic, &place, missing.len());
     let mut results = HeldResults::new(&traffic, 1);
@@ -348,15 +348,42 @@
     }
 }
 
-/// Chooses the cell near a hall, or any.
-fn choose_cell(traffic: &Traffic, desk: Rc<ServiceDesk>, hall: Option<&str>) -> CellPlace {
+/// Chooses the cell whose pieces wait the least, as far as known; bytes that would cross halls count
+/// as the time that they are worth waiting for.
+fn choose_cell(
+    traffic: &Traffic,
+    record: &RequestRecord,
+    desk: Rc<ServiceDesk>,
+    needs: &StageNeeds,
+) -> CellPlace {
     let split = desk.split();
+    let hall = needs.hall.as_deref();
     let near = hall.and_then(|hall| cell_of_hall(&split, hall));
     let drawn = (traffic.draw() * split.len() as f64) as usize;
-    CellPlace {
-        desk,
-        number: near.unwrap_or(drawn),
-    }
+    let place = |number: usize| CellPlace {
+        desk: desk.clone(),
+        number,
+    };
+    let cost = |number: usize| {
+        let wait = expected_wait(traffic, &place(number), record.rank);
+        let is_far = near.is_some_and(|near| near != number);
+        let crossing = if is_far {
+            hall_patience(needs.bytes)
+        } else {
+            Duration::ZERO
+        };
+        wait + crossing
+    };
+    // Equal cells are not all chosen alike.
+    let cells = (0..split.len()).map(|number| (number + drawn) % split.len());
+    let best = cells.min_by_key(|&number| cost(number));
+    place(best.unwrap_or(0))
+}
+
+/// Returns how long it is worth waiting so that so many bytes don't cross halls.
+fn hall_patience(bytes: u64) -> Duration {
+    let patience = HALL_PATIENCE.mul_f64(bytes as f64 / 1e6);
+    patience.min(LONGEST_PATIENCE)
 }
 
 /// Notes new pieces, of which a part may be made anew.
@@ -381,7 +408,6 @@
 ) -> PieceWork {
     let is_first = needs.inputs.is_empty();
     let key = record.facts.piece_key.as_deref().filter(|_| is_first);
-    let patience = HALL_PATIENCE.mul_f64(needs.bytes as f64 / 1e6);
     let now = traffic.shared.now();
     PieceWork {
         attempt: Arc::from(record.facts.attempt.as_str()),
@@ -394,6 +420,6 @@
         ranks: (record.rank, record.route.rank),
         result_bytes: record.route.stages[needs.stage].result_bytes,
         hall: needs.hall.clone(),
-        hall_until: now + patience.min(LONGEST_PATIENCE),
+        hall_until: now + hall_patience(needs.bytes),
     }
 }
