Let starting nodes wait a second for watchers chosen by names

Cause: right after all were restarted, records of processes that had not told yet passed for the settled nodes, so starting nodes waited the whole two seconds for watchers that were not there yet; and a node whose members differed pulled the list every three seconds only. Change: while a node has no configuration its hall's watchers are chosen among all names; it waits one second; lists are pulled once a second at most. Test gathered_pieces/stop_finishes for the refusal of a stopping node (fails where a refusal counts as silence).

--- a/packages/turnford-serve/src/control/members.rs
+++ b/packages/turnford-serve/src/control/members.rs
@@ -40,7 +40,7 @@
 const STORE_LIMIT: Duration = Duration::from_millis(1500);
 
 /// Shortest time between two pulls of the whole member list.
-const PULL_PAUSE: Duration = Duration::from_secs(3);
+const PULL_PAUSE: Duration = Duration::from_secs(1);
 
 /// Members that are told of a planned stop directly; they tell the others.
 const LEAVE_FANOUT: usize = 8;
--- a/packages/turnford-serve/src/control/source.rs
+++ b/packages/turnford-serve/src/control/source.rs
@@ -59,7 +59,7 @@
 const MEMBER_PAUSE: Duration = Duration::from_millis(10);
 
 /// Time in which a starting node leaves the store to its hall's watchers.
-const START_PATIENCE: Duration = Duration::from_secs(2);
+const START_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Pause after a watcher could not be followed, so that a fault that shows at once makes no storm.
 const FAULT_PAUSE: Duration = Duration::from_millis(20);
@@ -191,5 +191,11 @@
 /// Returns the nodes that watch for a hall.
 fn watchers_of<'a>(context: &'a ControlContext, view: &'a RouteView, hall: &str) -> Vec<&'a str> {
     let near = view.members.iter().filter(|member| &*member.hall == hall);
+    if !view.is_complete() {
+        // Where all start at once, those that have not told yet would pass for the settled ones.
+        let own = &*context.shared.settings.name;
+        let names = near.map(|member| &*member.name).chain([own]);
+        return choose_watchers(hall, &names.collect::<Vec<&str>>());
+    }
     choose_watchers(hall, &context.shared.settled_names(near))
 }
--- a/packages/turnford-serve/tests/gathered_pieces.rs
+++ b/packages/turnford-serve/tests/gathered_pieces.rs
@@ -18,6 +18,12 @@
     piece: Duration::from_millis(1),
 };
 
+/// Targets whose calls go on for some time after a node began to stop.
+const LONG_STAGE: TargetRole = TargetRole::Stage {
+    call: Duration::from_millis(600),
+    piece: Duration::from_millis(1),
+};
+
 fn calls_of(site: &RouteSite, target: &str) -> BTreeSet<u64> {
     let runs = site.journal.runs().into_iter();
     let own = runs.filter(|run| run.target == target);
@@ -97,3 +103,37 @@
     let names: Vec<String> = (0..24).map(|number| format!("a{number}")).collect();
     call_all(&site, &[node], &names);
 }
+
+#[test]
+fn stop_finishes() {
+    // A node that stops refuses new pieces, and finishes those that it has: none is made twice.
+    let mut site = RouteSite::new();
+    site.target("k1", "kort", LONG_STAGE);
+    site.target("e1", "ejer", LONG_STAGE);
+    site.target("s1", "sprog", ENGINE);
+    let nodes: Vec<usize> = ["one", "two", "three"].map(|name| site.node(name)).to_vec();
+    site.settle();
+    // Whichever node gathers, one of these stops is its own.
+    for stopped in [0, 1] {
+        let left = &nodes[stopped + 1..];
+        let site = &site;
+        std::thread::scope(|scope| {
+            for number in 0..12 {
+                let names = [format!("s{stopped}-{number}")];
+                scope.spawn(move || call_all(site, &left[number % left.len()..][..1], &names));
+                std::thread::sleep(Duration::from_millis(25));
+                if number == 6 {
+                    let node = site.nodes[stopped].node.as_ref().expect("a node");
+                    scope.spawn(move || async_io::block_on(node.drain()));
+                }
+            }
+        });
+    }
+    let mut made = BTreeSet::new();
+    for run in site.journal.runs() {
+        if let RunKind::Piece { stage, piece, .. } = run.kind {
+            let is_new = made.insert((run.attempt.clone(), stage, piece));
+            assert!(is_new, "{} stage {stage} piece {piece} twice", run.attempt);
+        }
+    }
+}
--- a/packages/turnford-standin/src/route/run.rs
+++ b/packages/turnford-standin/src/route/run.rs
@@ -38,6 +38,8 @@
     pub deadline_ms: Option<u64>,
     /// Results that it was given.
     pub inputs: Vec<String>,
+    /// Whether the target was told to spoil it.
+    pub is_spoiled: bool,
     /// Whether it ran to its end; false while it runs, and where its caller left.
     pub is_whole: bool,
 }
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -251,6 +251,7 @@
             has_key: call.header("authorization").is_some(),
             deadline_ms: deadline.and_then(|text| text.parse().ok()),
             inputs: inputs.map(str::to_owned).collect(),
+            is_spoiled: false,
             is_whole: false,
         }
     }
@@ -320,7 +321,10 @@
         if fault == Some(TargetFault::TurnAway) {
             return Some(turned_away());
         }
-        let run = self.run(call, attempt.clone(), RunKind::Request);
+        let run = RouteRun {
+            is_spoiled: fault.is_some(),
+            ..self.run(call, attempt.clone(), RunKind::Request)
+        };
         let place = self.journal.add(run);
         if let Some(TargetFault::Slow(more)) = fault {
             Timer::after(more).await;
