Split the running of one stage from their order, and name what chooses the source

Change: stage.rs runs one stage; asks_store and peers_to_ask stand apart; RequestRecord::stage_graph. No behaviour changes.

--- a/packages/turnford-serve/src/admission.rs
+++ b/packages/turnford-serve/src/admission.rs
@@ -11,7 +11,6 @@
 use turnford_policy::FlowNeed;
 use turnford_policy::FlowStage;
 use turnford_policy::FlowTicket;
-use turnford_policy::StageGraph;
 use turnford_wire::AdmitAsk;
 use turnford_wire::AdmitStage;
 use turnford_wire::RunNews;
@@ -119,7 +118,7 @@
 
 fn flow_need(record: &RequestRecord, limit: Duration) -> FlowNeed {
     let route = &record.route;
-    let graph = StageGraph::new(&route.stages, |stage| record.facts.piece_count(stage));
+    let graph = record.stage_graph();
     let stages = route
         .stages
         .iter()
--- a/packages/turnford-serve/src/control/source.rs
+++ b/packages/turnford-serve/src/control/source.rs
@@ -147,47 +147,52 @@
 
 fn choose_source(context: &ControlContext) -> ViewSource {
     let view = context.shared.view.load();
-    let now = context.now();
-    let own_hall = &context.shared.settings.hall;
-    let watchers = watchers_of(context, &view, own_hall);
-    let own = &*context.shared.settings.name;
-    let is_lost = context.is_store_lost();
-    // Where a large fleet starts at once, its watchers alone read the lists, which are long.
-    let is_starting = !view.is_complete() && now < START_PATIENCE;
-    let asks_store = if is_starting {
-        watchers.contains(&own)
-    } else if is_lost {
-        context.may_ask_store(now)
-    } else {
-        watchers.contains(&own) || now < context.direct_until.get()
-    };
-    if asks_store || (!view.is_complete() && !is_starting) {
+    let watchers = watchers_of(context, &view, &context.shared.settings.hall);
+    if asks_store(context, &view, &watchers) {
         return ViewSource::Store;
     }
-    // Each node asks the watchers in an order of its own, so that they share the work.
-    let order = rank_members(
-        &Duty::Watch(own.to_owned()),
-        watchers.iter().copied(),
-        watchers.len(),
-    );
-    let mut candidates: Vec<&str> = order;
-    if is_lost {
-        let others = view
-            .members
-            .iter()
-            .filter(|member| member.hall != *own_hall);
-        candidates.extend(others.map(|member| &*member.name));
-    }
+    let now = context.now();
     let avoided = context.avoided.borrow();
     let is_usable = |address: &SocketAddr| avoided.get(address).is_none_or(|until| *until <= now);
-    let mut usable = candidates.into_iter().filter_map(|name| {
-        let mut members = view.members.iter();
-        let member = members.find(|member| &*member.name == name)?;
-        Some(member.inner).filter(is_usable)
-    });
+    let mut usable = peers_to_ask(context, &view, &watchers)
+        .into_iter()
+        .filter(is_usable);
     usable.next().map_or(ViewSource::Store, ViewSource::Peer)
 }
 
+/// Tells whether this node asks the store itself, whoever watches.
+fn asks_store(context: &ControlContext, view: &RouteView, watchers: &[&str]) -> bool {
+    let now = context.now();
+    let is_watcher = watchers.contains(&&*context.shared.settings.name);
+    if !view.is_complete() {
+        // Where a large fleet starts at once, its watchers alone read the lists, which are long.
+        return is_watcher || now >= START_PATIENCE;
+    }
+    if context.is_store_lost() {
+        return context.may_ask_store(now);
+    }
+    is_watcher || now < context.direct_until.get()
+}
+
+/// Returns the peers to ask, in an order that is this node's own, so that watchers share the work.
+/// Without the store any node may know more.
+fn peers_to_ask(context: &ControlContext, view: &RouteView, watchers: &[&str]) -> Vec<SocketAddr> {
+    let settings = &context.shared.settings;
+    let duty = Duty::Watch(settings.name.to_string());
+    let mut names = rank_members(&duty, watchers.iter().copied(), watchers.len());
+    if context.is_store_lost() {
+        let members = view.members.iter();
+        let far = members.filter(|member| member.hall != settings.hall);
+        names.extend(far.map(|member| &*member.name));
+    }
+    let member_of = |name: &str| {
+        let mut members = view.members.iter();
+        members.find(|member| &*member.name == name)
+    };
+    let members = names.into_iter().filter_map(member_of);
+    members.map(|member| member.inner).collect()
+}
+
 /// Returns the nodes that watch for a hall.
 fn watchers_of<'a>(context: &'a ControlContext, view: &'a RouteView, hall: &str) -> Vec<&'a str> {
     let near = view.members.iter().filter(|member| &*member.hall == hall);
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -22,6 +22,7 @@
 mod request;
 mod results;
 mod shared;
+mod stage;
 mod stages;
 mod stream;
 mod traffic;
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -13,6 +13,7 @@
 use turnford_policy::Moment;
 use turnford_policy::ResultCode;
 use turnford_policy::RouteSpec;
+use turnford_policy::StageGraph;
 
 use crate::shared::ServeShared;
 
@@ -71,6 +72,11 @@
         })
     }
 
+    /// Returns the request's stages in their order.
+    pub(crate) fn stage_graph(&self) -> StageGraph {
+        StageGraph::new(&self.route.stages, |stage| self.facts.piece_count(stage))
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_sub(self.shared.now())
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -209,21 +209,9 @@
     };
     *record.planned_hall.borrow_mut() = plan_hall(&desk, &record.facts.parts);
     for _ in 0..STAGE_ROUNDS {
-        let late = async {
-            let now = || traffic.shared.now();
-            Timer::after(stage_deadline(record).saturating_sub(now())).await;
-            if record.is_finishing.get() {
-                Timer::after(finish_deadline(record).saturating_sub(now())).await;
-            }
-            Err(StageFault::Failed("the stages took too long"))
-        };
-        let stopped = async {
-            // Nothing is ever sent; the channel's end is the word.
-            let _ = traffic.ending.recv().await;
-            Err(StageFault::Failed("the node stops"))
-        };
         let stages = run_stages(traffic, record, &flow);
-        let results = match stages.or(late).or(stopped).await {
+        let given_up = async { Err(give_stages_up(traffic, record).await) };
+        let results = match stages.or(given_up).await {
             Ok(results) => results,
             Err(StageFault::InputGone) => {
                 record.note(format_args!("a result was gone"));
@@ -248,6 +236,24 @@
     refuse_admitted(record, ResultCode::Shed, "results of stages were gone")
 }
 
+/// Waits until the stages of a request are given up, and returns why.
+async fn give_stages_up(traffic: &Traffic, record: &RequestRecord) -> StageFault {
+    let late = async {
+        let now = || traffic.shared.now();
+        Timer::after(stage_deadline(record).saturating_sub(now())).await;
+        if record.is_finishing.get() {
+            Timer::after(finish_deadline(record).saturating_sub(now())).await;
+        }
+        StageFault::Failed("the stages took too long")
+    };
+    let stopped = async {
+        // Nothing is ever sent; the channel's end is the word.
+        let _ = traffic.ending.recv().await;
+        StageFault::Failed("the node stops")
+    };
+    late.or(stopped).await
+}
+
 /// Returns the time in which a request's stages must be done: later it would be late, or dropped.
 fn admit_limit(record: &RequestRecord) -> Duration {
     let stages = stage_deadline(record).saturating_sub(record.begun);
