Serve each request from services made of the same view

Cause: a node is ready once its control thread has a configuration and targets, but the traffic thread made its services from them when its own task came to run. Change: a request, or another node's work, first brings the services up to the view that it reads.

--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -71,7 +71,7 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let (parts, incoming) = request.into_parts();
-    let view = traffic.shared.view.load_full();
+    let view = traffic.current_view();
     let record = match admit_request(&traffic, &view, &parts) {
         Ok(record) => record,
         Err(refusal) => return refuse(&traffic, &parts, &refusal),
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -40,6 +40,8 @@
     /// Ends when the node is about to end.
     pub(crate) ending: Receiver<()>,
     desks: RefCell<HashMap<ServiceId, Rc<ServiceDesk>>>,
+    /// What the services were last made from.
+    view: RefCell<Arc<RouteView>>,
     rng: RefCell<SmallRng>,
 }
 
@@ -59,6 +61,7 @@
             progress: ProgressQueue::default(),
             ending,
             desks: RefCell::default(),
+            view: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
         })
     }
@@ -73,9 +76,19 @@
         self.rng.borrow_mut().random()
     }
 
-    /// Takes what the control thread knows now.
-    pub(crate) fn refresh(&self) {
+    /// Returns what the control thread knows now, with the services made from it. A request that
+    /// comes right after a change would find a configuration whose targets are not there yet, and be
+    /// refused by a node that says that it is ready.
+    pub(crate) fn current_view(&self) -> Arc<RouteView> {
         let view = self.shared.view.load_full();
+        if !Arc::ptr_eq(&view, &self.view.borrow()) {
+            self.view.replace(view.clone());
+            self.refresh(&view);
+        }
+        view
+    }
+
+    fn refresh(&self, view: &RouteView) {
         let mut desks = self.desks.borrow_mut();
         for spec in &view.config.services {
             let desk = desks
@@ -86,7 +99,7 @@
             desk.allowance.borrow_mut().set_slack(slack);
         }
         for (service, desk) in desks.iter() {
-            self.refresh_targets(&view, service, desk);
+            self.refresh_targets(view, service, desk);
         }
     }
 
@@ -148,7 +161,7 @@
 pub(crate) async fn follow_changes(traffic: Rc<Traffic>, changes: Receiver<()>) {
     let mut has_handed_back = false;
     while changes.recv().await.is_ok() {
-        traffic.refresh();
+        traffic.current_view();
         let hands_back = traffic.shared.is_draining() && !has_handed_back && !traffic.is_alone();
         has_handed_back |= hands_back;
         let desks: Vec<_> = traffic.desks.borrow().values().cloned().collect();
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -184,6 +184,7 @@
 }
 
 async fn answer_work(traffic: Rc<Traffic>, request: WorkRequest) -> WorkReply {
+    traffic.current_view();
     match request {
         WorkRequest::Alive => WorkReply::Noted,
         // Another node gathers from now on.
--- a/packages/turnford-serve/tests/common/mod.rs
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use turnford_http::HttpRequest;
 use turnford_serve::ServeNode;
 use turnford_standin::start_threads;
+use turnford_standin::DoorState;
 use turnford_standin::MetaStore;
 use turnford_standin::RouteJournal;
 use turnford_standin::RouteTarget;
@@ -104,7 +105,17 @@
 
     /// Starts a node.
     pub(crate) fn node_unready(&mut self, name: &str) -> usize {
+        self.start_node(name, DoorState::Open)
+    }
+
+    /// Starts a node that the store turns away until its door is opened.
+    pub(crate) fn node_held(&mut self, name: &str) -> usize {
+        self.start_node(name, DoorState::Refusing)
+    }
+
+    fn start_node(&mut self, name: &str, state: DoorState) -> usize {
         let (door, store) = self.store.open_door(&self.executor).expect("a free port");
+        self.store.set_door(door, state);
         let peers = self.nodes.iter().map(|node| node.settings.inner);
         let settings = settings(name, store, peers.collect());
         let node = ServeNode::start(settings).expect("free ports");
--- a/packages/turnford-serve/tests/truthful_ends.rs
+++ b/packages/turnford-serve/tests/truthful_ends.rs
@@ -10,8 +10,12 @@
 use common::ENGINE;
 use common::QUICK;
 use turnford_http::HttpFault;
+use turnford_standin::DoorState;
 use turnford_standin::TargetFault;
 
+/// Clients that ask at once.
+const CLIENTS: usize = 64;
+
 #[test]
 fn turned_away() {
     // A target that did not run an unsafe call leaves it to another only within the route's limit.
@@ -169,3 +173,32 @@
         }
     }
 }
+
+#[test]
+fn ready_serves() {
+    // Many clients ask while a node gets its configuration and targets: each is told that the node
+    // is not ready, or is served.
+    let mut site = RouteSite::new();
+    site.target("b1", "booking", QUICK);
+    let node = site.node_held("one");
+    let door = site.nodes[node].door;
+    let site = &site;
+    std::thread::scope(|scope| {
+        for client in 0..CLIENTS {
+            scope.spawn(move || {
+                for number in 0.. {
+                    let attempt = format!("a{client}-{number}");
+                    let answer = site
+                        .call(node, Ask::new(&attempt, "/hold/1"))
+                        .expect("an answer");
+                    if answer.status == 200 {
+                        break;
+                    }
+                    assert!(text(&answer).contains("not-ready"), "{}", text(&answer));
+                }
+            });
+        }
+        std::thread::sleep(Duration::from_millis(300));
+        site.store.set_door(door, DoorState::Open);
+    });
+}
