Learn how long a request's own call takes, and tell pauses in its line

Cause: 250 ms for the own call and 1.4 times the least time of later stages were written down; a quote of 10,000 own tokens at 19 tokens a ms takes three times that. A request's line did not tell the pauses of its stream, so late heads and late pauses could not be told apart. Change: each node learns the span of its own calls by the tokens that only the request has; what comes after a stage is reckoned with the waits that the gathering nodes told. A request that would be late with empty queues is held to its deadline, not refused: it would be late again. Lines hold pause_ms.

--- a/packages/turnford-policy/src/route/call.rs
+++ b/packages/turnford-policy/src/route/call.rs
@@ -35,6 +35,11 @@
 }
 
 impl CallFacts {
+    /// Returns the tokens of the prompt that are this request's or its session's own.
+    pub fn own_tokens(&self) -> u64 {
+        self.parts.last().map_or(0, |part| part.tokens)
+    }
+
     /// Returns the number of pieces of a stage.
     pub fn piece_count(&self, stage: usize) -> u32 {
         self.pieces.get(stage).copied().unwrap_or(0)
--- a/packages/turnford-serve/src/admission.rs
+++ b/packages/turnford-serve/src/admission.rs
@@ -22,7 +22,7 @@
 use crate::placement::PLACE_LIMIT;
 use crate::record::RequestRecord;
 use crate::stages::expected_span;
-use crate::stages::LAST_SPAN;
+use crate::stages::least_span;
 use crate::traffic::Traffic;
 use crate::work::call_peer;
 use crate::work::doer_of;
@@ -51,7 +51,7 @@
     }
 }
 
-/// Admits a request whose stages must be done within a limit.
+/// Admits a request if its stages will be done in time.
 ///
 /// # Errors
 ///
@@ -60,9 +60,8 @@
     traffic: &Rc<Traffic>,
     record: &RequestRecord,
     desk: &Rc<ServiceDesk>,
-    limit: Duration,
 ) -> Result<AdmittedFlow, Duration> {
-    let need = flow_need(record, limit);
+    let need = flow_need(traffic, record);
     if need.stages.iter().all(|stage| stage.pieces == 0) {
         return Ok(AdmittedFlow { admitted: None });
     }
@@ -81,7 +80,7 @@
     };
     let Some(answer) = answer else {
         record.note(format_args!("admitted here: the placer gave no answer"));
-        return admit_alone(traffic, record, limit);
+        return admit_alone(traffic, record, need.limit);
     };
     let placer = PlacerLink {
         traffic: traffic.clone(),
@@ -99,7 +98,7 @@
     record: &RequestRecord,
     limit: Duration,
 ) -> Result<AdmittedFlow, Duration> {
-    let expected = expected_span(traffic, record).saturating_sub(LAST_SPAN);
+    let expected = expected_span(traffic, record);
     if expected > limit {
         return Err(expected - limit);
     }
@@ -116,7 +115,20 @@
     desk.flow.borrow_mut().admit(now, need, rate_of)
 }
 
-fn flow_need(record: &RequestRecord, limit: Duration) -> FlowNeed {
+/// Returns the time in which a request's stages must be done. One that is late however short the
+/// queues are would be late again after a refusal, too, and is served within its deadline.
+fn stage_limit(traffic: &Traffic, record: &RequestRecord) -> Duration {
+    let last = record.last_span.get();
+    let latest = record.left().saturating_sub(last);
+    let prompt = record.route.goal.saturating_sub(last).min(latest);
+    if least_span(traffic, record) <= prompt {
+        prompt
+    } else {
+        latest
+    }
+}
+
+fn flow_need(traffic: &Traffic, record: &RequestRecord) -> FlowNeed {
     let route = &record.route;
     let graph = record.stage_graph();
     let stages = route
@@ -131,7 +143,7 @@
     FlowNeed {
         stages: stages.collect(),
         ranks: (record.rank, route.rank),
-        limit,
+        limit: stage_limit(traffic, record),
         deadline: record.deadline,
     }
 }
--- a/packages/turnford-serve/src/desk.rs
+++ b/packages/turnford-serve/src/desk.rs
@@ -12,6 +12,7 @@
 use turnford_policy::Moment;
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceSpec;
+use turnford_policy::SpanLine;
 use turnford_policy::StageRate;
 use turnford_policy::TargetBoard;
 use turnford_policy::TargetId;
@@ -23,6 +24,14 @@
 /// Time after which half of a told wait no longer counts: queues change within a call or two.
 const WAIT_HALF_LIFE: Duration = Duration::from_millis(500);
 
+/// What is thought of a service's own calls before a first one was made, by the tokens that only the
+/// request has: the span until the first answer of none, and of [`START_TOKENS`]. Calls of the first
+/// second replace it.
+const START_LAST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(150));
+
+/// Tokens of the second of these.
+const START_TOKENS: f64 = 2000.0;
+
 /// A service.
 pub(crate) struct ServiceDesk {
     pub(crate) spec: RefCell<Arc<ServiceSpec>>,
@@ -32,6 +41,8 @@
     /// What admitted requests for this service still need of their stages.
     pub(crate) flow: RefCell<FlowBoard>,
     pub(crate) allowance: RefCell<RetryAllowance>,
+    /// Span of this node's own calls until their first answer, by the tokens that only the request has.
+    last_line: RefCell<SpanLine>,
     /// Cells of the targets, where the service runs pieces of stages.
     pub(crate) cells: RefCell<Vec<Rc<PieceDesk>>>,
     /// Waits that the gathering nodes told, by cell.
@@ -52,11 +63,22 @@
             engines: RefCell::default(),
             flow: RefCell::default(),
             allowance: RefCell::new(allowance),
+            last_line: RefCell::new(SpanLine::new(START_LAST.0, START_TOKENS, START_LAST.1)),
             cells: RefCell::default(),
             waits: RefCell::default(),
         })
     }
 
+    /// Returns the span that a request's own call takes until its first answer, as most do.
+    pub(crate) fn last_span(&self, own_tokens: u64) -> Duration {
+        self.last_line.borrow().span(own_tokens as f64)
+    }
+
+    /// Learns the span of such a call.
+    pub(crate) fn note_last(&self, own_tokens: u64, span: Duration) {
+        self.last_line.borrow_mut().note(own_tokens as f64, span);
+    }
+
     /// Tells whether a target still takes new work.
     pub(crate) fn is_open(&self, target: &str) -> bool {
         let board = self.board.borrow();
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -90,6 +90,7 @@
     };
     let now = traffic.shared.now();
     job.desk.allowance.borrow_mut().note_first(now);
+    job.record.note_last_begun();
     while may_try(traffic, job, &log) {
         let placed = place_request(
             traffic,
@@ -201,7 +202,7 @@
     let is_stream = record.route.kind == CallKind::Stream && status.is_success();
     if is_stream {
         job.desk.board.borrow_mut().note_success(&target.id);
-        let answer = relay_stream(traffic, job.record, placed, answer);
+        let answer = relay_stream(traffic, job.record, job.desk, placed, answer);
         return Some(ForwardEnd::Answer(answer));
     }
     let (parts, body) = match answer.collect(traffic, ANSWER_LIMIT).await {
@@ -221,6 +222,10 @@
         job.desk.board.borrow_mut().note_success(&target.id);
     }
     record.note_head();
+    if status.is_success() {
+        job.desk
+            .note_last(record.facts.own_tokens(), record.last_elapsed());
+    }
     record.end(passed_code(traffic, job, status), "");
     Some(ForwardEnd::Answer(passed))
 }
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -34,11 +34,19 @@
     /// Hall of the target that the request will probably run at.
     pub(crate) planned_hall: RefCell<Option<Arc<str>>>,
     version: u64,
+    /// Span that its own call takes until the first answer, as known when the request came.
+    pub(crate) last_span: Cell<Duration>,
+    /// When its own call began.
+    last_begun: Cell<Moment>,
     /// Whether nothing but its last stages is left to be done before its own call.
     pub(crate) is_finishing: Cell<bool>,
     story: RefCell<String>,
     /// Time until the first byte of the answer.
     head: Cell<Option<Duration>>,
+    /// When the last event of the answer came.
+    last_event: Cell<Option<Moment>>,
+    /// Longest pause between two events of the answer.
+    longest_pause: Cell<Duration>,
     is_ended: Cell<bool>,
 }
 
@@ -65,9 +73,13 @@
             deadline,
             planned_hall: RefCell::default(),
             version,
+            last_span: Cell::new(Duration::ZERO),
+            last_begun: Cell::new(begun),
             is_finishing: Cell::new(false),
             story: RefCell::new(String::new()),
             head: Cell::new(None),
+            last_event: Cell::new(None),
+            longest_pause: Cell::new(Duration::ZERO),
             is_ended: Cell::new(false),
         })
     }
@@ -92,6 +104,16 @@
         }
     }
 
+    /// Notes that the request's own call begins.
+    pub(crate) fn note_last_begun(&self) {
+        self.last_begun.set(self.shared.now());
+    }
+
+    /// Returns the span since the request's own call began.
+    pub(crate) fn last_elapsed(&self) -> Duration {
+        self.shared.now().saturating_sub(self.last_begun.get())
+    }
+
     /// Notes the first byte of the answer.
     pub(crate) fn note_head(&self) {
         let time = self.shared.now().saturating_sub(self.begun);
@@ -101,6 +123,20 @@
             .note_head(self.account_name(), self.rank, time);
     }
 
+    /// Notes an event of the answer.
+    pub(crate) fn note_event(&self) {
+        let now = self.shared.now();
+        if let Some(last) = self.last_event.replace(Some(now)) {
+            let pause = now.saturating_sub(last);
+            self.longest_pause.set(self.longest_pause.get().max(pause));
+        }
+    }
+
+    /// Returns the longest pause between two events so far.
+    pub(crate) fn longest_pause(&self) -> Duration {
+        self.longest_pause.get()
+    }
+
     /// Ends the request, once.
     pub(crate) fn end(&self, code: ResultCode, reason: &str) {
         if self.is_ended.replace(true) {
@@ -112,7 +148,10 @@
         self.shared.metrics.note_end(account, self.rank, code, time);
         let story = self.story.borrow();
         let head = self.head.get();
-        let is_plain = code.is_whole() && head.is_some_and(|head| head <= self.route.goal);
+        let is_prompt = head.is_some_and(|head| head <= self.route.goal);
+        let pause = self.longest_pause();
+        let is_steady = self.route.pause_goal.is_none_or(|goal| pause <= goal);
+        let is_plain = code.is_whole() && is_prompt && is_steady;
         let level = if is_plain {
             log::Level::Info
         } else {
@@ -122,7 +161,7 @@
         let story = if is_plain { "" } else { story.as_str() };
         log::log!(
             level,
-            "request={} route={} account={} rank={} config={} code={} end={} head_ms={} ms={}{}{}{}",
+            "request={} route={} account={} rank={} config={} code={} end={} head_ms={} pause_ms={} ms={}{}{}{}",
             self.facts.attempt,
             self.route.name,
             account,
@@ -131,6 +170,7 @@
             code.number(),
             code.name(),
             head.map_or(-1, |head| head.as_millis() as i64),
+            self.longest_pause().as_millis(),
             time.as_millis(),
             if reason.is_empty() { "" } else { " reason=" },
             reason,
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -33,7 +33,6 @@
 use crate::shared::RouteView;
 use crate::stages::run_stages;
 use crate::stages::StageFault;
-use crate::stages::LAST_SPAN;
 use crate::traffic::Traffic;
 
 /// Times that the stages of a request run when their results are gone before they are used.
@@ -202,7 +201,10 @@
     let Some(desk) = desk else {
         return refuse_admitted(record, ResultCode::NoTarget, "the service is not known");
     };
-    let admitted = admit_flow(traffic, record, &desk, admit_limit(record)).await;
+    record
+        .last_span
+        .set(desk.last_span(record.facts.own_tokens()));
+    let admitted = admit_flow(traffic, record, &desk).await;
     let flow = match admitted {
         Ok(flow) => flow,
         Err(late) => return refuse_late(record, late),
@@ -254,12 +256,6 @@
     late.or(stopped).await
 }
 
-/// Returns the time in which a request's stages must be done: later it would be late, or dropped.
-fn admit_limit(record: &RequestRecord) -> Duration {
-    let stages = stage_deadline(record).saturating_sub(record.begun);
-    record.route.goal.saturating_sub(LAST_SPAN).min(stages)
-}
-
 /// Refuses a request whose stages would be late by so much.
 fn refuse_late(record: &RequestRecord, late: Duration) -> Response<AnswerBody> {
     let reason = "the queues of its stages are too long";
@@ -283,7 +279,7 @@
 
 /// Returns when the last stages of a request must be done for it to be in time.
 fn finish_deadline(record: &RequestRecord) -> Moment {
-    record.begun + record.route.goal.saturating_sub(LAST_SPAN)
+    record.begun + record.route.goal.saturating_sub(record.last_span.get())
 }
 
 /// Refuses a request that has not run and never will.
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -24,12 +24,6 @@
 /// Size of a result, in bytes, that counts as large: a few of them fill a target's room.
 const HEAVY_RESULT: u64 = 500_000;
 
-/// Time that the request's own call takes until its first answer, at least.
-pub(crate) const LAST_SPAN: Duration = Duration::from_millis(250);
-
-/// Factor on the least time of what comes after a stage, for its waits.
-const LATER_FACTOR: f64 = 1.4;
-
 /// Why the stages gave no results.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StageFault {
@@ -89,22 +83,35 @@
     })
 }
 
-/// Returns the time that all stages of a request and its own call would take, as far as is known
-/// of the queues; zero for a request without stages.
+/// Returns the time that all stages of a request would take, as far as is known of the queues.
 pub(crate) fn expected_span(traffic: &Traffic, record: &RequestRecord) -> Duration {
     let graph = record.stage_graph();
+    longest_path(&graph, |stage| {
+        stage_span(traffic, record, &graph, stage) + stage_wait(traffic, record, stage)
+    })
+}
+
+/// Returns the time that all stages of a request take at least.
+pub(crate) fn least_span(traffic: &Traffic, record: &RequestRecord) -> Duration {
+    let graph = record.stage_graph();
+    longest_path(&graph, |stage| stage_span(traffic, record, &graph, stage))
+}
+
+/// Returns the span from the first stage's begin to the last one's end, stages that need others
+/// beginning once these are done.
+fn longest_path(graph: &StageGraph, span_of: impl Fn(usize) -> Duration) -> Duration {
     let mut ends = vec![Duration::ZERO; graph.len()];
     let mut last = Duration::ZERO;
     for stage in (0..graph.len()).filter(|&stage| graph.count(stage) > 0) {
         let inputs = graph.inputs(stage).iter().map(|&before| ends[before]);
         let begin = inputs.max().unwrap_or(Duration::ZERO);
-        ends[stage] = begin + stage_span(traffic, record, &graph, stage);
-        last = last.max(ends[stage] + LAST_SPAN);
+        ends[stage] = begin + span_of(stage);
+        last = last.max(ends[stage]);
     }
     last
 }
 
-/// Returns the time that the pieces of a stage would wait and run.
+/// Returns the time of a call with the pieces of a stage.
 fn stage_span(
     traffic: &Traffic,
     record: &RequestRecord,
@@ -112,23 +119,26 @@
     stage: usize,
 ) -> Duration {
     let service = &record.route.stages[stage].service;
-    let Some(desk) = traffic.desk(service) else {
-        return Duration::ZERO;
-    };
-    let spec = desk.spec.borrow().clone();
-    let Some(batch) = &spec.batch else {
+    let spec = traffic.desk(service).map(|desk| desk.spec.borrow().clone());
+    let batch = spec.and_then(|spec| spec.batch.clone());
+    batch.map_or(Duration::ZERO, |batch| {
+        batch.call_span + batch.piece_span * graph.count(stage)
+    })
+}
+
+/// Returns the time that new pieces of a stage would wait, in the cell where it is least.
+fn stage_wait(traffic: &Traffic, record: &RequestRecord, stage: usize) -> Duration {
+    let Some(desk) = traffic.desk(&record.route.stages[stage].service) else {
         return Duration::ZERO;
     };
-    let cells = desk.split().len();
-    let own = batch.call_span + batch.piece_span * graph.count(stage);
-    let waits = (0..cells).map(|number| {
+    let waits = (0..desk.split().len()).map(|number| {
         let place = CellPlace {
             desk: desk.clone(),
             number,
         };
         expected_wait(traffic, &place, record.rank)
     });
-    own + waits.min().unwrap_or(Duration::ZERO)
+    waits.min().unwrap_or(Duration::ZERO)
 }
 
 /// Tells whether only last stages are left to be done.
@@ -192,7 +202,7 @@
         let bytes = each * u64::from(count);
         (held.main_hall(inputs), bytes)
     };
-    let later = later_span(traffic, record, graph, stage).mul_f64(LATER_FACTOR);
+    let later = later_span(traffic, record, graph, stage);
     let due = record.begun + record.route.goal.saturating_sub(later);
     StageNeeds {
         stage,
@@ -214,15 +224,11 @@
 ) -> Duration {
     let users = graph.users(stage);
     let spans = users.map(|user| {
-        let service = &record.route.stages[user].service;
-        let spec = traffic.desk(service).map(|desk| desk.spec.borrow().clone());
-        let batch = spec.and_then(|spec| spec.batch.clone());
-        let own = batch.map_or(Duration::ZERO, |batch| {
-            batch.call_span + batch.piece_span * graph.count(user)
-        });
-        own + later_span(traffic, record, graph, user)
+        stage_span(traffic, record, graph, user)
+            + stage_wait(traffic, record, user)
+            + later_span(traffic, record, graph, user)
     });
-    spans.max().unwrap_or(LAST_SPAN)
+    spans.max().unwrap_or(record.last_span.get())
 }
 
 fn start_stage(
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -16,6 +16,7 @@
 use crate::answer::AnswerBody;
 use crate::answer::AnswerCut;
 use crate::call::TargetAnswer;
+use crate::desk::ServiceDesk;
 use crate::placement::PlacedRun;
 use crate::record::RequestRecord;
 use crate::traffic::Traffic;
@@ -29,6 +30,7 @@
 pub(crate) fn relay_stream(
     traffic: &Rc<Traffic>,
     record: &Rc<RequestRecord>,
+    desk: &Rc<ServiceDesk>,
     placed: PlacedRun,
     answer: TargetAnswer,
 ) -> Response<AnswerBody> {
@@ -37,8 +39,9 @@
     let relay = {
         let traffic = traffic.clone();
         let record = record.clone();
+        let desk = desk.clone();
         async move {
-            if pass_chunks(&record, &placed, body, &sender).await {
+            if pass_chunks(&record, &desk, &placed, body, &sender).await {
                 rest.finish(&traffic);
                 record.end(ResultCode::Done, "");
                 return;
@@ -55,6 +58,7 @@
 /// Passes a body on until its end or the deadline; true if it ended whole.
 async fn pass_chunks(
     record: &RequestRecord,
+    desk: &ServiceDesk,
     placed: &PlacedRun,
     mut body: Incoming,
     sender: &ChunkSender,
@@ -81,9 +85,11 @@
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
+        record.note_event();
         if std::mem::take(&mut is_first) {
             record.note(format_args!("first event"));
             record.note_head();
+            desk.note_last(record.facts.own_tokens(), record.last_elapsed());
             placed.note_begun();
         }
         if sender.send(Ok(chunk)).await.is_err() {
