Refuse requests by a forecast of their stages, not after a share of their time

Change: a request is admitted with the end that each stage is expected to have, by what goes before its own pieces. Where one is not done 100 ms after that, the node that admitted it forecasts the rest anew, late requests behind all others; what can't be served within its deadline is refused then, and what can is held. A service without targets makes nothing, and nothing is begun for it. Times to come back are those at which the queues have room for one more, each refused request after the one before. STAGE_PART and the second window at the goal are gone; a request whose results were gone is admitted anew, up to five times.

--- a/packages/turnford-policy/src/route/flow.rs
+++ b/packages/turnford-policy/src/route/flow.rs
@@ -14,6 +14,16 @@
 /// Number of an admitted request.
 pub type FlowTicket = u64;
 
+/// Wait for a service that has no target: longer than any request's time.
+const NEVER: Duration = Duration::from_secs(3600);
+
+/// Longest time to come back that is told. Clients wait for some seconds at most, and what is known of
+/// the queues is older than that by then.
+const LONGEST_RETURN: Duration = Duration::from_secs(10);
+
+/// Ranks of a request: that of its account, which goes first, and that of its route.
+type Ranks = (ClassRank, ClassRank);
+
 /// Time over which the rate of a service's results is measured: some calls of each target.
 const RATE_WINDOW: Duration = Duration::from_millis(800);
 
@@ -70,13 +80,37 @@
     /// Its stages.
     pub stages: Vec<FlowStage>,
     /// Ranks of its account and its route; 0 goes first.
-    pub ranks: (ClassRank, ClassRank),
+    pub ranks: Ranks,
     /// Time in which its stages must be done.
     pub limit: Duration,
     /// When it ends at the latest.
     pub deadline: Moment,
 }
 
+/// When an admitted request's stages will be done, from now, by all that is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FlowForecast {
+    /// End of each stage; 0 for those that are done or left out.
+    pub ends: Vec<Duration>,
+}
+
+impl FlowForecast {
+    /// Returns the end of the last stage.
+    pub fn end(&self) -> Duration {
+        self.ends.iter().max().copied().unwrap_or(Duration::ZERO)
+    }
+}
+
+/// Why a request is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlowRefusal {
+    /// By how much its stages would be late.
+    pub late: Duration,
+    /// Time to come back, when the queues will have room for one like it. Those that are refused
+    /// together get different ones.
+    pub back_after: Duration,
+}
+
 /// A stage of an admitted request that is not done.
 #[derive(Clone, Debug)]
 struct OpenStage {
@@ -84,6 +118,11 @@
     pieces: u32,
     /// Stages that have to be done before.
     inputs: Vec<usize>,
+    /// Pieces that went before its own when it was admitted.
+    before: u64,
+    /// Pieces of more urgent requests that had come until then, and pieces that had been made of all
+    /// that go before it.
+    marks: (u64, u64),
 }
 
 /// An admitted request.
@@ -91,7 +130,7 @@
 struct FlowRun {
     /// Its stages; `None` for one that is done or left out.
     open: Vec<Option<OpenStage>>,
-    ranks: (ClassRank, ClassRank),
+    ranks: Ranks,
     forget_at: Moment,
 }
 
@@ -99,19 +138,37 @@
 #[derive(Clone, Debug, Default)]
 struct FlowService {
     /// Pieces to be made, by the ranks of their requests.
-    backlog: BTreeMap<(ClassRank, ClassRank), u64>,
+    backlog: BTreeMap<Ranks, u64>,
     /// Of these, the pieces that no other stage has to be done for.
     ready: u64,
+    /// Pieces that ever came, and those that were made or are no longer needed.
+    came: BTreeMap<Ranks, u64>,
+    went: BTreeMap<Ranks, u64>,
     /// Measured results a second, `None` before the first window.
     rate: Option<f64>,
     window_begin: Moment,
     window_done: u64,
+    /// When the next request that is refused may come back.
+    next_return: Moment,
     /// Whether there was enough to do ever since the window began.
     is_busy: bool,
 }
 
 impl FlowService {
-    fn ahead(&self, ranks: (ClassRank, ClassRank)) -> u64 {
+    fn marks(&self, ranks: Ranks) -> (u64, u64) {
+        let came = self.came.range(..ranks).map(|(_, count)| count).sum();
+        let went = self.went.range(..=ranks).map(|(_, count)| count).sum();
+        (came, went)
+    }
+
+    /// Returns the pieces that go before those of an open stage now.
+    fn ahead_of(&self, ranks: Ranks, stage: &OpenStage) -> u64 {
+        let (came, went) = self.marks(ranks);
+        let ahead = stage.before + (came - stage.marks.0);
+        ahead.saturating_sub(went - stage.marks.1)
+    }
+
+    fn ahead(&self, ranks: Ranks) -> u64 {
         self.backlog.range(..=ranks).map(|(_, count)| count).sum()
     }
 
@@ -143,16 +200,21 @@
         self.is_busy = true;
     }
 
-    fn add(&mut self, ranks: (ClassRank, ClassRank), stage: &OpenStage) {
+    /// Adds a stage of a request.
+    fn add(&mut self, ranks: Ranks, stage: &mut OpenStage) {
         let pieces = u64::from(stage.pieces);
+        stage.before = self.ahead(ranks);
+        stage.marks = self.marks(ranks);
+        *self.came.entry(ranks).or_default() += pieces;
         *self.backlog.entry(ranks).or_default() += pieces;
         if stage.inputs.is_empty() {
             self.ready += pieces;
         }
     }
 
-    fn take(&mut self, ranks: (ClassRank, ClassRank), stage: &OpenStage) {
+    fn take(&mut self, ranks: Ranks, stage: &OpenStage) {
         let pieces = u64::from(stage.pieces);
+        *self.went.entry(ranks).or_default() += pieces;
         if let Some(count) = self.backlog.get_mut(&ranks) {
             *count = count.saturating_sub(pieces);
         }
@@ -171,17 +233,17 @@
 }
 
 impl FlowBoard {
-    /// Admits a request if its stages will be done in time.
+    /// Admits a request if its stages will be done in time, and tells when they will be.
     ///
     /// # Errors
     ///
-    /// Returns by how much they would be late.
+    /// Returns by how much they would be late, and when to come back.
     pub fn admit(
         &mut self,
         now: Moment,
         need: &FlowNeed,
         rate_of: impl Fn(&str) -> Option<StageRate>,
-    ) -> Result<FlowTicket, Duration> {
+    ) -> Result<(FlowTicket, FlowForecast), FlowRefusal> {
         self.forget_late(now);
         for stage in &need.stages {
             if let Some(rate) = rate_of(&stage.service) {
@@ -189,18 +251,22 @@
                 service.measure(now, rate.nominal);
             }
         }
-        let expected = self.expected_span(need, rate_of);
-        if expected > need.limit {
-            return Err(expected - need.limit);
+        let forecast = self.forecast_new(need, &rate_of);
+        let late = forecast.end().saturating_sub(need.limit);
+        if !late.is_zero() {
+            let back_after = self.plan_return(now, need, late, &rate_of);
+            return Err(FlowRefusal { late, back_after });
         }
         let open = need.stages.iter().map(|stage| {
-            let open = OpenStage {
+            let mut open = OpenStage {
                 service: stage.service.clone(),
                 pieces: stage.pieces,
                 inputs: stage.inputs.clone(),
+                before: 0,
+                marks: (0, 0),
             };
             let service = self.services.entry(stage.service.clone()).or_default();
-            service.add(need.ranks, &open);
+            service.add(need.ranks, &mut open);
             (stage.pieces > 0).then_some(open)
         });
         let run = FlowRun {
@@ -210,31 +276,87 @@
         };
         self.next_ticket += 1;
         self.runs.insert(self.next_ticket, run);
-        Ok(self.next_ticket)
+        Ok((self.next_ticket, forecast))
+    }
+
+    /// Forecasts the stages of a request that is not admitted.
+    fn forecast_new(
+        &self,
+        need: &FlowNeed,
+        rate_of: impl Fn(&str) -> Option<StageRate>,
+    ) -> FlowForecast {
+        let stages = need.stages.iter().map(|stage| {
+            let rate = rate_of(&stage.service).filter(|_| stage.pieces > 0)?;
+            let ahead = |service: &FlowService| service.ahead(need.ranks);
+            let wait = self.wait(&stage.service, &rate, ahead);
+            Some((wait, rate.span(stage.pieces), &stage.inputs[..]))
+        });
+        forecast_stages(stages)
     }
 
-    /// Returns the time until all stages of a request would be done.
-    fn expected_span(
+    /// Forecasts what is left of an admitted request's stages; `None` if it is not known. Pieces of
+    /// one that will be late go behind those of all others.
+    pub fn forecast(
         &self,
+        ticket: FlowTicket,
+        is_late: bool,
+        rate_of: impl Fn(&str) -> Option<StageRate>,
+    ) -> Option<FlowForecast> {
+        let run = self.runs.get(&ticket)?;
+        let stages = run.open.iter().map(|open| {
+            let stage = open.as_ref()?;
+            let rate = rate_of(&stage.service)?;
+            let ahead = |service: &FlowService| {
+                if is_late {
+                    service.all().saturating_sub(u64::from(stage.pieces))
+                } else {
+                    service.ahead_of(run.ranks, stage)
+                }
+            };
+            let wait = self.wait(&stage.service, &rate, ahead);
+            Some((wait, rate.span(stage.pieces), &stage.inputs[..]))
+        });
+        Some(forecast_stages(stages))
+    }
+
+    /// Returns the time until what is ahead at a service is made. One without targets makes nothing.
+    fn wait(
+        &self,
+        service: &str,
+        rate: &StageRate,
+        ahead: impl Fn(&FlowService) -> u64,
+    ) -> Duration {
+        if rate.nominal <= 0.0 {
+            return NEVER;
+        }
+        let Some(service) = self.services.get(service) else {
+            return Duration::ZERO;
+        };
+        let per_second = service.rate(rate.nominal).max(LEAST_RATE);
+        Duration::from_secs_f64(ahead(service) as f64 / per_second)
+    }
+
+    /// Chooses when a request that is refused should come back: when it would not be late, and not
+    /// together with those that were refused before it.
+    fn plan_return(
+        &mut self,
+        now: Moment,
         need: &FlowNeed,
+        late: Duration,
         rate_of: impl Fn(&str) -> Option<StageRate>,
     ) -> Duration {
-        let mut ends = vec![Duration::ZERO; need.stages.len()];
-        for (number, stage) in need.stages.iter().enumerate() {
-            let inputs = stage.inputs.iter().filter_map(|&input| ends.get(input));
-            let begin = inputs.max().copied().unwrap_or(Duration::ZERO);
-            let Some(rate) = rate_of(&stage.service).filter(|_| stage.pieces > 0) else {
-                ends[number] = begin;
+        let mut back = now + late.min(LONGEST_RETURN);
+        for stage in need.stages.iter().filter(|stage| stage.pieces > 0) {
+            let Some(rate) = rate_of(&stage.service) else {
                 continue;
             };
-            let service = self.services.get(&stage.service);
-            let ahead = service.map_or(0, |service| service.ahead(need.ranks));
-            let per_second = service.map_or(rate.nominal, |service| service.rate(rate.nominal));
-            // What is ahead is worked on while the stages before run.
-            let reached = Duration::from_secs_f64(ahead as f64 / per_second.max(LEAST_RATE));
-            ends[number] = begin.max(reached) + rate.span(stage.pieces);
+            let service = self.services.entry(stage.service.clone()).or_default();
+            back = back.max(service.next_return);
+            let span = f64::from(stage.pieces) / service.rate(rate.nominal).max(LEAST_RATE);
+            let next = back + Duration::from_secs_f64(span);
+            service.next_return = next.min(now + LONGEST_RETURN);
         }
-        ends.into_iter().max().unwrap_or(Duration::ZERO)
+        back.saturating_sub(now).min(LONGEST_RETURN)
     }
 
     /// Notes that a stage of a request is done.
@@ -286,3 +408,20 @@
         }
     }
 }
+
+/// Adds up when stages end, in their order: each is its wait, its own span and its inputs, `None` for
+/// one that is done or left out. What is ahead is worked on while the stages before run.
+fn forecast_stages<'a>(
+    stages: impl Iterator<Item = Option<(Duration, Duration, &'a [usize])>>,
+) -> FlowForecast {
+    let mut ends: Vec<Duration> = Vec::new();
+    for stage in stages {
+        let end = stage.map(|(wait, span, inputs)| {
+            let inputs = inputs.iter().filter_map(|&input| ends.get(input));
+            let begin = inputs.max().copied().unwrap_or(Duration::ZERO);
+            begin.max(wait) + span
+        });
+        ends.push(end.unwrap_or(Duration::ZERO));
+    }
+    FlowForecast { ends }
+}
--- a/packages/turnford-policy/tests/flow_board.rs
+++ b/packages/turnford-policy/tests/flow_board.rs
@@ -41,7 +41,8 @@
 }
 
 fn admit(board: &mut FlowBoard, now: Moment, ranks: (u8, u8)) -> Option<FlowTicket> {
-    board.admit(now, &need(ranks), rate_of).ok()
+    let admitted = board.admit(now, &need(ranks), rate_of).ok();
+    admitted.map(|(ticket, _)| ticket)
 }
 
 fn admit_all(board: &mut FlowBoard, now: Moment, ranks: (u8, u8), count: usize) -> Vec<u64> {
@@ -58,7 +59,81 @@
     assert_eq!(admitted.len(), 20);
     assert_eq!(board.backlog("second"), 200);
     let late = board.admit(Moment::ZERO, &need((1, 1)), rate_of);
-    assert_eq!(late, Err(Duration::from_millis(100)));
+    assert_eq!(
+        late.map_err(|refusal| refusal.late),
+        Err(Duration::from_millis(100))
+    );
+}
+
+#[test]
+fn forecast_follows() {
+    let mut board = FlowBoard::default();
+    let tickets = admit_all(&mut board, Moment::ZERO, (1, 1), 20);
+    let end = |board: &FlowBoard, is_late| {
+        let forecast = board.forecast(tickets[10], is_late, rate_of);
+        forecast.expect("it is admitted").end()
+    };
+    // A hundred pieces go before its own, ten a call of 100 ms, and all others where it is late.
+    assert_eq!(end(&board, false), Duration::from_millis(1100));
+    assert_eq!(end(&board, true), Duration::from_millis(2000));
+    for &ticket in &tickets[..5] {
+        board.note_stage(ticket, 0);
+        board.note_stage(ticket, 1);
+    }
+    assert_eq!(end(&board, false), Duration::from_millis(600));
+    // More urgent ones go before it, others don't.
+    admit_all(&mut board, Moment::ZERO, (0, 1), 2);
+    admit_all(&mut board, Moment::ZERO, (1, 1), 2);
+    assert_eq!(end(&board, false), Duration::from_millis(800));
+    board.note_ended(tickets[10]);
+    assert_eq!(board.forecast(tickets[10], false, rate_of), None);
+}
+
+#[test]
+fn no_targets() {
+    // What no target can make is refused at once, and known to be hopeless.
+    let mut board = FlowBoard::default();
+    let ticket = admit(&mut board, Moment::ZERO, (1, 1)).expect("a ticket");
+    let dead = |service: &str| {
+        let rate = rate_of(service)?;
+        Some(StageRate {
+            nominal: if service == "second" {
+                0.0
+            } else {
+                rate.nominal
+            },
+            ..rate
+        })
+    };
+    let forecast = board.forecast(ticket, false, dead).expect("a forecast");
+    assert!(forecast.end() > Duration::from_secs(60));
+    let refusal = board.admit(Moment::ZERO, &need((1, 1)), dead);
+    let refusal = refusal.expect_err("nothing can serve it");
+    assert!(refusal.back_after <= Duration::from_secs(10));
+}
+
+#[test]
+fn returns_spread() {
+    // Those that are refused together are told different times, and find room then.
+    let mut board = FlowBoard::default();
+    let tickets = admit_all(&mut board, Moment::ZERO, (1, 1), 20);
+    let refusals = (0..8).map(|_| {
+        let refused = board.admit(Moment::ZERO, &need((1, 1)), rate_of);
+        refused.expect_err("the queue is full").back_after
+    });
+    let backs: Vec<Duration> = refusals.collect();
+    assert!(backs.windows(2).all(|pair| pair[0] < pair[1]), "{backs:?}");
+    let mut done = 0;
+    for back in backs {
+        // A call of ten pieces, those of one request, ends every 100 ms.
+        while Duration::from_millis(100) * (done + 1) <= back {
+            let ticket = tickets[done as usize];
+            board.note_stage(ticket, 0);
+            board.note_stage(ticket, 1);
+            done += 1;
+        }
+        assert!(admit(&mut board, back, (1, 1)).is_some(), "after {back:?}");
+    }
 }
 
 #[test]
--- a/packages/turnford-serve/src/admission.rs
+++ b/packages/turnford-serve/src/admission.rs
@@ -4,13 +4,17 @@
 //! requests still need of the stages. A node that gets no answer from it admits by the queues that it
 //! knows itself.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use turnford_fleet::Duty;
+use turnford_policy::FlowForecast;
 use turnford_policy::FlowNeed;
+use turnford_policy::FlowRefusal;
 use turnford_policy::FlowStage;
 use turnford_policy::FlowTicket;
+use turnford_policy::Moment;
 use turnford_wire::AdmitAsk;
 use turnford_wire::AdmitStage;
 use turnford_wire::RunNews;
@@ -21,7 +25,7 @@
 use crate::placement::PlacerLink;
 use crate::placement::PLACE_LIMIT;
 use crate::record::RequestRecord;
-use crate::stages::expected_span;
+use crate::stages::forecast_alone;
 use crate::stages::least_span;
 use crate::traffic::Traffic;
 use crate::work::call_peer;
@@ -30,12 +34,58 @@
 /// An admitted request's stages; their end is told when this is dropped.
 pub(crate) struct AdmittedFlow {
     /// Who admitted it, `None` where nobody counts it.
-    admitted: Option<(PlacerLink, FlowTicket)>,
+    pub(crate) admitted: Option<(PlacerLink, FlowTicket)>,
+    /// When each stage that is not done is expected to be; `None` for the others.
+    expected: RefCell<Vec<Option<Moment>>>,
 }
 
 impl AdmittedFlow {
+    fn new(
+        now: Moment,
+        admitted: Option<(PlacerLink, FlowTicket)>,
+        forecast: &FlowForecast,
+    ) -> Self {
+        let flow = Self {
+            admitted,
+            expected: RefCell::new(vec![None; forecast.ends.len()]),
+        };
+        flow.expect_all(now, forecast);
+        flow
+    }
+
+    fn expect_all(&self, now: Moment, forecast: &FlowForecast) {
+        let is_open = |end: &Duration| !end.is_zero();
+        let ends = forecast.ends.iter();
+        let ends = ends.map(|end| is_open(end).then(|| now + *end));
+        self.expected.replace(ends.collect());
+    }
+
+    /// Takes a new forecast of the stages that are not done.
+    pub(crate) fn expect(&self, now: Moment, forecast: &FlowForecast) {
+        let mut expected = self.expected.borrow_mut();
+        for (open, end) in expected.iter_mut().zip(&forecast.ends) {
+            if open.is_some() {
+                *open = Some(now + *end);
+            }
+        }
+    }
+
+    /// Returns when the next stage is expected to be done, `None` if all are.
+    pub(crate) fn next_end(&self) -> Option<Moment> {
+        self.expected.borrow().iter().flatten().min().copied()
+    }
+
+    /// Tells whether a stage is not done.
+    pub(crate) fn is_open(&self, stage: usize) -> bool {
+        let expected = self.expected.borrow();
+        expected.get(stage).is_some_and(Option::is_some)
+    }
+
     /// Notes that a stage is done.
     pub(crate) fn note_stage(&self, stage: usize) {
+        if let Some(expected) = self.expected.borrow_mut().get_mut(stage) {
+            *expected = None;
+        }
         if let Some((placer, ticket)) = &self.admitted {
             let stage = u32::try_from(stage).unwrap_or(u32::MAX);
             placer.tell(RunNews::StageDone(*ticket, stage));
@@ -55,15 +105,17 @@
 ///
 /// # Errors
 ///
-/// Returns by how much they would be late.
+/// Returns by how much they would be late, and when to come back.
 pub(crate) async fn admit_flow(
     traffic: &Rc<Traffic>,
     record: &RequestRecord,
     desk: &Rc<ServiceDesk>,
-) -> Result<AdmittedFlow, Duration> {
+) -> Result<AdmittedFlow, FlowRefusal> {
     let need = flow_need(traffic, record);
+    let now = traffic.shared.now();
     if need.stages.iter().all(|stage| stage.pieces == 0) {
-        return Ok(AdmittedFlow { admitted: None });
+        let forecast = FlowForecast { ends: Vec::new() };
+        return Ok(AdmittedFlow::new(now, None, &forecast));
     }
     let service = desk.spec.borrow().name.to_string();
     let address = doer_of(traffic, &Duty::Place(service));
@@ -71,11 +123,8 @@
         None => Some(admit_here(traffic, desk, &need)),
         Some(placer) => {
             let request = WorkRequest::Admit(admit_ask(traffic, desk, &need));
-            match call_peer(traffic, placer, &request, PLACE_LIMIT).await {
-                Some(WorkReply::Admitted(Some(ticket), _)) => Some(Ok(ticket)),
-                Some(WorkReply::Admitted(None, late)) => Some(Err(Duration::from_millis(late))),
-                _ => None,
-            }
+            let reply = call_peer(traffic, placer, &request, PLACE_LIMIT).await;
+            reply.and_then(admit_answer)
         }
     };
     let Some(answer) = answer else {
@@ -87,9 +136,29 @@
         desk: desk.clone(),
         address,
     };
-    answer.map(|ticket| AdmittedFlow {
-        admitted: Some((placer, ticket)),
-    })
+    answer.map(|(ticket, forecast)| AdmittedFlow::new(now, Some((placer, ticket)), &forecast))
+}
+
+fn admit_answer(reply: WorkReply) -> Option<Result<(FlowTicket, FlowForecast), FlowRefusal>> {
+    let span = |millis: u32| Duration::from_millis(u64::from(millis));
+    match reply {
+        WorkReply::Admitted(ticket, ends) => Some(Ok((ticket, told_forecast(&ends)))),
+        WorkReply::NotAdmitted { late_ms, back_ms } => Some(Err(FlowRefusal {
+            late: span(late_ms),
+            back_after: span(back_ms),
+        })),
+        _ => None,
+    }
+}
+
+/// Returns a forecast as another node told it.
+pub(crate) fn told_forecast(ends: &[u32]) -> FlowForecast {
+    let ends = ends.iter();
+    FlowForecast {
+        ends: ends
+            .map(|end| Duration::from_millis(u64::from(*end)))
+            .collect(),
+    }
 }
 
 /// Admits by the queues that this node knows.
@@ -97,19 +166,23 @@
     traffic: &Traffic,
     record: &RequestRecord,
     limit: Duration,
-) -> Result<AdmittedFlow, Duration> {
-    let expected = expected_span(traffic, record);
-    if expected > limit {
-        return Err(expected - limit);
+) -> Result<AdmittedFlow, FlowRefusal> {
+    let forecast = forecast_alone(traffic, record, |_| true);
+    let late = forecast.end().saturating_sub(limit);
+    if late.is_zero() {
+        return Ok(AdmittedFlow::new(traffic.shared.now(), None, &forecast));
     }
-    Ok(AdmittedFlow { admitted: None })
+    Err(FlowRefusal {
+        late,
+        back_after: late,
+    })
 }
 
 fn admit_here(
     traffic: &Traffic,
     desk: &ServiceDesk,
     need: &FlowNeed,
-) -> Result<FlowTicket, Duration> {
+) -> Result<(FlowTicket, FlowForecast), FlowRefusal> {
     let now = traffic.shared.now();
     let rate_of = |service: &str| traffic.desk(service)?.stage_rate(now);
     desk.flow.borrow_mut().admit(now, need, rate_of)
@@ -120,8 +193,9 @@
 fn stage_limit(traffic: &Traffic, record: &RequestRecord) -> Duration {
     let last = record.last_span.get();
     let latest = record.left().saturating_sub(last);
-    let prompt = record.route.goal.saturating_sub(last).min(latest);
-    if least_span(traffic, record) <= prompt {
+    let due = record.begun + record.route.goal;
+    let prompt = due.saturating_sub(traffic.shared.now() + last).min(latest);
+    if least_span(traffic, record, |_| true) <= prompt {
         prompt
     } else {
         latest
@@ -183,10 +257,45 @@
         deadline: traffic.shared.now() + Duration::from_millis(ask.left_ms),
     };
     match admit_here(traffic, &desk, &need) {
-        Ok(ticket) => WorkReply::Admitted(Some(ticket), 0),
-        Err(late) => {
-            let late = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
-            WorkReply::Admitted(None, late)
-        }
+        Ok((ticket, forecast)) => WorkReply::Admitted(ticket, encode_forecast(&forecast)),
+        Err(refusal) => WorkReply::NotAdmitted {
+            late_ms: short_millis(refusal.late),
+            back_ms: short_millis(refusal.back_after),
+        },
     }
 }
+
+/// Answers a request for a forecast.
+pub(crate) fn answer_forecast(
+    traffic: &Rc<Traffic>,
+    service: &str,
+    ticket: FlowTicket,
+    is_late: bool,
+) -> WorkReply {
+    let Some(desk) = traffic.desk(service) else {
+        return WorkReply::Refused;
+    };
+    let forecast = forecast_here(traffic, &desk, ticket, is_late);
+    WorkReply::Forecast(forecast.as_ref().map(encode_forecast))
+}
+
+/// Forecasts what is left of the stages of a request that this node admitted.
+pub(crate) fn forecast_here(
+    traffic: &Traffic,
+    desk: &ServiceDesk,
+    ticket: FlowTicket,
+    is_late: bool,
+) -> Option<FlowForecast> {
+    let now = traffic.shared.now();
+    let rate_of = |service: &str| traffic.desk(service)?.stage_rate(now);
+    desk.flow.borrow().forecast(ticket, is_late, rate_of)
+}
+
+fn encode_forecast(forecast: &FlowForecast) -> Vec<u32> {
+    let ends = forecast.ends.iter();
+    ends.map(|end| short_millis(*end)).collect()
+}
+
+fn short_millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- a/packages/turnford-serve/src/desk.rs
+++ b/packages/turnford-serve/src/desk.rs
@@ -92,7 +92,9 @@
         let board = self.board.borrow();
         let open = board.open_targets();
         let awake = open.filter(|target| !board.is_paused(now, &target.id));
-        let calls = awake.count() * batch.slots.max(1);
+        // Pauses are short: where all targets have one, some will soon be back.
+        let least = board.open_count().min(1);
+        let calls = awake.count().max(least) * batch.slots.max(1);
         let pieces = u32::try_from(batch.piece_limit.max(1)).unwrap_or(u32::MAX);
         let span = batch.call_span + batch.piece_span * pieces;
         let nominal = calls as f64 * f64::from(pieces) / span.as_secs_f64().max(0.001);
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -15,6 +15,7 @@
 mod inputs;
 mod metrics;
 mod node;
+mod outlook;
 mod pieces;
 mod placement;
 mod record;
--- /dev/null
+++ b/packages/turnford-serve/src/outlook.rs
@@ -0,0 +1,95 @@
+//! Whether a request whose stages run can still be served.
+//!
+//! A request is admitted with a forecast of each stage's end. Where a stage is not done by then,
+//! something that the forecast depended on has changed: a target is lost, more urgent requests have
+//! come, a result was gone. The forecast is renewed, and a request that can't be served within its
+//! deadline is refused then, instead of being held until its time is over.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+
+use turnford_policy::FlowForecast;
+use turnford_wire::WorkReply;
+use turnford_wire::WorkRequest;
+
+use crate::admission::forecast_here;
+use crate::admission::told_forecast;
+use crate::admission::AdmittedFlow;
+use crate::placement::PLACE_LIMIT;
+use crate::record::RequestRecord;
+use crate::stages::forecast_alone;
+use crate::stages::least_span;
+use crate::stages::StageFault;
+use crate::traffic::Traffic;
+use crate::work::call_peer;
+
+/// Time by which a stage may outlast its forecast before that is renewed. News of what others did
+/// takes some 50 ms to the node that forecasts.
+const RENEW_SLACK: Duration = Duration::from_millis(100);
+
+/// Waits until a request can't be served within its deadline any more, and tells when to come back.
+pub(crate) async fn watch_outlook(
+    traffic: &Rc<Traffic>,
+    record: &RequestRecord,
+    flow: &AdmittedFlow,
+) -> StageFault {
+    loop {
+        wait_overdue(traffic, flow).await;
+        let forecast = renew(traffic, record, flow).await;
+        let now = traffic.shared.now();
+        let last = record.last_span.get();
+        if now + forecast.end() + last > record.deadline {
+            let end = forecast.end().as_millis();
+            record.note(format_args!("stages would take {end}ms more"));
+            let room = record.route.goal.saturating_sub(last);
+            // Those that are refused together do not come back together.
+            let spread = 1.0 + traffic.draw();
+            let back_after = forecast.end().saturating_sub(room).mul_f64(spread);
+            return StageFault::Hopeless { back_after };
+        }
+        flow.expect(now, &forecast);
+    }
+}
+
+/// Waits until a stage is not done though it was expected to be.
+async fn wait_overdue(traffic: &Traffic, flow: &AdmittedFlow) {
+    loop {
+        let Some(end) = flow.next_end() else {
+            // All stages are done; their request goes on.
+            return std::future::pending().await;
+        };
+        let now = traffic.shared.now();
+        if end + RENEW_SLACK <= now {
+            return;
+        }
+        Timer::after(end + RENEW_SLACK - now).await;
+    }
+}
+
+/// Forecasts the stages that are not done, by the node that admitted the request or, where it gives no
+/// answer, by what this one knows.
+async fn renew(traffic: &Rc<Traffic>, record: &RequestRecord, flow: &AdmittedFlow) -> FlowForecast {
+    let is_open = |stage: usize| flow.is_open(stage);
+    let least = least_span(traffic, record, is_open) + record.last_span.get();
+    let is_late = traffic.shared.now() + least > record.begun + record.route.goal;
+    let mut forecast = None;
+    if let Some((placer, ticket)) = &flow.admitted {
+        forecast = match placer.address {
+            None => forecast_here(traffic, &placer.desk, *ticket, is_late),
+            Some(address) => {
+                let request = WorkRequest::Forecast {
+                    service: placer.desk.spec.borrow().name.to_string(),
+                    ticket: *ticket,
+                    is_late,
+                };
+                match call_peer(traffic, address, &request, PLACE_LIMIT).await {
+                    Some(WorkReply::Forecast(ends)) => ends.as_deref().map(told_forecast),
+                    _ => None,
+                }
+            }
+        };
+    }
+    forecast.unwrap_or_else(|| forecast_alone(traffic, record, is_open))
+}
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -38,8 +38,6 @@
     pub(crate) last_span: Cell<Duration>,
     /// When its own call began.
     last_begun: Cell<Moment>,
-    /// Whether nothing but its last stages is left to be done before its own call.
-    pub(crate) is_finishing: Cell<bool>,
     story: RefCell<String>,
     /// Time until the first byte of the answer.
     head: Cell<Option<Duration>>,
@@ -75,7 +73,6 @@
             version,
             last_span: Cell::new(Duration::ZERO),
             last_begun: Cell::new(begun),
-            is_finishing: Cell::new(false),
             story: RefCell::new(String::new()),
             head: Cell::new(None),
             last_event: Cell::new(None),
@@ -161,16 +158,16 @@
         let story = if is_plain { "" } else { story.as_str() };
         log::log!(
             level,
-            "request={} route={} account={} rank={} config={} code={} end={} head_ms={} pause_ms={} ms={}{}{}{}",
+            "request={} route={} account={} rank={} config={} pause_ms={} code={} end={} head_ms={} ms={}{}{}{}",
             self.facts.attempt,
             self.route.name,
             account,
             self.rank,
             self.version,
+            self.longest_pause().as_millis(),
             code.number(),
             code.name(),
             head.map_or(-1, |head| head.as_millis() as i64),
-            self.longest_pause().as_millis(),
             time.as_millis(),
             if reason.is_empty() { "" } else { " reason=" },
             reason,
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -16,7 +16,7 @@
 
 use turnford_adapter::decode_call;
 use turnford_policy::CallFacts;
-use turnford_policy::Moment;
+use turnford_policy::FlowRefusal;
 use turnford_policy::ResultCode;
 use turnford_policy::RouteSpec;
 
@@ -28,6 +28,7 @@
 use crate::forward::ForwardEnd;
 use crate::forward::ForwardJob;
 use crate::forward::RETRY_AFTER;
+use crate::outlook::watch_outlook;
 use crate::placement::plan_hall;
 use crate::record::RequestRecord;
 use crate::shared::RouteView;
@@ -36,10 +37,7 @@
 use crate::traffic::Traffic;
 
 /// Times that the stages of a request run when their results are gone before they are used.
-const STAGE_ROUNDS: u32 = 2;
-
-/// Part of a request's time in which its stages must be done.
-const STAGE_PART: f64 = 0.47;
+const STAGE_ROUNDS: u32 = 5;
 
 /// Time to come back from a node that stops: another one takes the request at once.
 const MOVE_SPAN: Duration = Duration::from_millis(20);
@@ -199,30 +197,37 @@
     let service = record.route.draw_service(traffic.draw());
     let desk = service.and_then(|service| traffic.desk(service));
     let Some(desk) = desk else {
-        return refuse_admitted(record, ResultCode::NoTarget, "the service is not known");
+        let reason = "the service is not known";
+        return refuse_admitted(record, ResultCode::NoTarget, reason, RETRY_AFTER);
     };
     record
         .last_span
         .set(desk.last_span(record.facts.own_tokens()));
-    let admitted = admit_flow(traffic, record, &desk).await;
-    let flow = match admitted {
-        Ok(flow) => flow,
-        Err(late) => return refuse_late(record, late),
-    };
     *record.planned_hall.borrow_mut() = plan_hall(&desk, &record.facts.parts);
     for _ in 0..STAGE_ROUNDS {
+        let flow = match admit_flow(traffic, record, &desk).await {
+            Ok(flow) => flow,
+            Err(refusal) => return refuse_late(record, &refusal),
+        };
         let stages = run_stages(traffic, record, &flow);
-        let given_up = async { Err(give_stages_up(traffic, record).await) };
-        let results = match stages.or(given_up).await {
+        let given_up = async { Err(watch_outlook(traffic, record, &flow).await) };
+        let stopped = async { Err(wait_ending(traffic).await) };
+        let results = match stages.or(given_up).or(stopped).await {
             Ok(results) => results,
             Err(StageFault::InputGone) => {
                 record.note(format_args!("a result was gone"));
                 continue;
             }
             Err(StageFault::Failed(reason)) => {
-                return refuse_admitted(record, ResultCode::Shed, reason);
+                return refuse_admitted(record, ResultCode::Shed, reason, RETRY_AFTER);
+            }
+            Err(StageFault::Hopeless { back_after }) => {
+                let reason = "its stages can't be done within its deadline";
+                let back_after = back_after.max(RETRY_AFTER);
+                return refuse_admitted(record, ResultCode::Shed, reason, back_after);
             }
         };
+        drop(flow);
         let job = ForwardJob {
             record,
             desk: &desk,
@@ -235,56 +240,33 @@
             ForwardEnd::InputGone => record.note(format_args!("a result was gone")),
         }
     }
-    refuse_admitted(record, ResultCode::Shed, "results of stages were gone")
+    let reason = "results of stages were gone";
+    refuse_admitted(record, ResultCode::Shed, reason, RETRY_AFTER)
 }
 
-/// Waits until the stages of a request are given up, and returns why.
-async fn give_stages_up(traffic: &Traffic, record: &RequestRecord) -> StageFault {
-    let late = async {
-        let now = || traffic.shared.now();
-        Timer::after(stage_deadline(record).saturating_sub(now())).await;
-        if record.is_finishing.get() {
-            Timer::after(finish_deadline(record).saturating_sub(now())).await;
-        }
-        StageFault::Failed("the stages took too long")
-    };
-    let stopped = async {
-        // Nothing is ever sent; the channel's end is the word.
-        let _ = traffic.ending.recv().await;
-        StageFault::Failed("the node stops")
-    };
-    late.or(stopped).await
+/// Waits until the node is about to end.
+async fn wait_ending(traffic: &Traffic) -> StageFault {
+    // Nothing is ever sent; the channel's end is the word.
+    let _ = traffic.ending.recv().await;
+    StageFault::Failed("the node stops")
 }
 
-/// Refuses a request whose stages would be late by so much.
-fn refuse_late(record: &RequestRecord, late: Duration) -> Response<AnswerBody> {
+/// Refuses a request whose stages would be late.
+fn refuse_late(record: &RequestRecord, refusal: &FlowRefusal) -> Response<AnswerBody> {
+    record.note(format_args!("late by {}ms", refusal.late.as_millis()));
     let reason = "the queues of its stages are too long";
-    record.note(format_args!("late by {}ms", late.as_millis()));
-    record.end(ResultCode::DeadlineTooShort, reason);
-    own_answer(
-        &record.facts.attempt,
-        ResultCode::DeadlineTooShort,
-        RanState::No,
-        reason,
-        Some(late.max(RETRY_AFTER)),
-    )
-}
-
-/// Returns when the stages of a request must be done. A request that has used up half of its time
-/// by then is better off with a second try, elsewhere or later, than with a late refusal.
-fn stage_deadline(record: &RequestRecord) -> Moment {
-    let patience = record.deadline.saturating_sub(record.begun);
-    record.begun + patience.mul_f64(STAGE_PART)
-}
-
-/// Returns when the last stages of a request must be done for it to be in time.
-fn finish_deadline(record: &RequestRecord) -> Moment {
-    record.begun + record.route.goal.saturating_sub(record.last_span.get())
+    let back_after = refusal.back_after.max(RETRY_AFTER);
+    refuse_admitted(record, ResultCode::DeadlineTooShort, reason, back_after)
 }
 
 /// Refuses a request that has not run and never will.
-fn refuse_admitted(record: &RequestRecord, code: ResultCode, reason: &str) -> Response<AnswerBody> {
+fn refuse_admitted(
+    record: &RequestRecord,
+    code: ResultCode,
+    reason: &str,
+    back_after: Duration,
+) -> Response<AnswerBody> {
     record.end(code, reason);
     let attempt = &record.facts.attempt;
-    own_answer(attempt, code, RanState::No, reason, Some(RETRY_AFTER))
+    own_answer(attempt, code, RanState::No, reason, Some(back_after))
 }
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -8,6 +8,7 @@
 use async_channel::Sender;
 use async_executor::Task;
 
+use turnford_policy::FlowForecast;
 use turnford_policy::StageGraph;
 
 use crate::admission::AdmittedFlow;
@@ -31,6 +32,11 @@
     InputGone,
     /// A piece was not made.
     Failed(&'static str),
+    /// The request can't be served within its deadline any more.
+    Hopeless {
+        /// Time to come back.
+        back_after: Duration,
+    },
 }
 
 type StageEnd = (usize, Result<StageMade, StageFault>);
@@ -73,7 +79,6 @@
         }
         record.note(format_args!("stage {stage} done"));
         flow.note_stage(stage);
-        record.is_finishing.set(is_finishing(&graph, &done));
         give_up_used(&graph, &done, &mut held);
     }
     Ok(StageResults {
@@ -83,32 +88,41 @@
     })
 }
 
-/// Returns the time that all stages of a request would take, as far as is known of the queues.
-pub(crate) fn expected_span(traffic: &Traffic, record: &RequestRecord) -> Duration {
+/// Forecasts those stages of a request that are open by the queues that this node was told of.
+pub(crate) fn forecast_alone(
+    traffic: &Traffic,
+    record: &RequestRecord,
+    is_open: impl Fn(usize) -> bool,
+) -> FlowForecast {
     let graph = record.stage_graph();
-    longest_path(&graph, |stage| {
-        stage_span(traffic, record, &graph, stage) + stage_wait(traffic, record, stage)
+    add_spans(&graph, |stage| {
+        let span = stage_span(traffic, record, &graph, stage);
+        is_open(stage).then(|| span + stage_wait(traffic, record, stage))
     })
 }
 
-/// Returns the time that all stages of a request take at least.
-pub(crate) fn least_span(traffic: &Traffic, record: &RequestRecord) -> Duration {
+/// Returns the time that the open stages of a request take at least.
+pub(crate) fn least_span(
+    traffic: &Traffic,
+    record: &RequestRecord,
+    is_open: impl Fn(usize) -> bool,
+) -> Duration {
     let graph = record.stage_graph();
-    longest_path(&graph, |stage| stage_span(traffic, record, &graph, stage))
+    let forecast = add_spans(&graph, |stage| {
+        is_open(stage).then(|| stage_span(traffic, record, &graph, stage))
+    });
+    forecast.end()
 }
 
-/// Returns the span from the first stage's begin to the last one's end, stages that need others
-/// beginning once these are done.
-fn longest_path(graph: &StageGraph, span_of: impl Fn(usize) -> Duration) -> Duration {
+/// Adds up when stages end, those that need others beginning once these are done.
+fn add_spans(graph: &StageGraph, span_of: impl Fn(usize) -> Option<Duration>) -> FlowForecast {
     let mut ends = vec![Duration::ZERO; graph.len()];
-    let mut last = Duration::ZERO;
     for stage in (0..graph.len()).filter(|&stage| graph.count(stage) > 0) {
         let inputs = graph.inputs(stage).iter().map(|&before| ends[before]);
         let begin = inputs.max().unwrap_or(Duration::ZERO);
-        ends[stage] = begin + span_of(stage);
-        last = last.max(ends[stage]);
+        ends[stage] = span_of(stage).map_or(Duration::ZERO, |span| begin + span);
     }
-    last
+    FlowForecast { ends }
 }
 
 /// Returns the time of a call with the pieces of a stage.
@@ -141,13 +155,6 @@
     waits.min().unwrap_or(Duration::ZERO)
 }
 
-/// Tells whether only last stages are left to be done.
-fn is_finishing(graph: &StageGraph, done: &[bool]) -> bool {
-    let is_left = |stage: &usize| graph.count(*stage) > 0 && !done[*stage];
-    let mut left = (0..graph.len()).filter(is_left);
-    left.all(|stage| graph.last().contains(&stage))
-}
-
 /// Gives up the results that every stage that needs them has used.
 fn give_up_used(graph: &StageGraph, done: &[bool], held: &mut HeldResults) {
     for stage in 0..graph.len() {
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -26,6 +26,7 @@
 use turnford_wire::WorkRequest;
 
 use crate::admission::answer_admit;
+use crate::admission::answer_forecast;
 use crate::gather::answer_pieces;
 use crate::gather::answer_release;
 use crate::placement::answer_place;
@@ -195,6 +196,11 @@
         }
         WorkRequest::Pieces(ask) => answer_pieces(&traffic, ask).await,
         WorkRequest::Admit(ask) => answer_admit(&traffic, ask),
+        WorkRequest::Forecast {
+            service,
+            ticket,
+            is_late,
+        } => answer_forecast(&traffic, &service, ticket, is_late),
         WorkRequest::Place(ask) => answer_place(&traffic, ask),
         WorkRequest::Progress { service, news } => {
             answer_progress(&traffic, &service, &news);
--- /dev/null
+++ b/packages/turnford-serve/tests/hopeless_requests.rs
@@ -0,0 +1,89 @@
+//! A request that can't be served within its deadline is refused once that is known; one that can
+//! is held and served, however long it takes.
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use common::text;
+use common::wait_until;
+use common::Ask;
+use common::RouteSite;
+use common::ENGINE;
+use common::STAGED;
+use turnford_standin::TargetRole;
+
+/// The stage before the one that is lost takes long enough for the loss to be known.
+const FIRST: TargetRole = TargetRole::Stage {
+    call: Duration::from_millis(800),
+    piece: Duration::from_millis(1),
+};
+
+/// Time from the end of that stage in which a hopeless request is refused, on a busy machine.
+const SOON: Duration = Duration::from_millis(1500);
+
+fn staged(attempt: &str) -> Ask<'_> {
+    let mut ask = Ask::new(attempt, "/chat/");
+    ask.headers = STAGED;
+    ask
+}
+
+#[test]
+fn stage_lost() {
+    // All targets of a later stage leave while the first one is at work.
+    let mut site = RouteSite::new();
+    site.target("k1", "kort", FIRST);
+    let later = site.target("e1", "ejer", common::STAGE);
+    site.target("s1", "sprog", ENGINE);
+    let nodes = [site.node("one"), site.node("two")];
+    site.settle();
+    let site = &site;
+    for node in nodes {
+        later.list("ready");
+        wait_until("the stage has a target", || {
+            site.metrics(node).contains("turnford_targets 3\n")
+        });
+        let attempt = format!("a{node}");
+        let begun = Instant::now();
+        let answer = std::thread::scope(|scope| {
+            let call = scope.spawn(|| site.call(node, staged(&attempt)));
+            std::thread::sleep(Duration::from_millis(150));
+            later.unlist();
+            call.join().expect("no panic").expect("an answer")
+        });
+        let took = begun.elapsed();
+        assert_eq!(answer.status, 503, "{}", text(&answer));
+        assert!(text(&answer).contains(r#""ran":"no""#));
+        assert!(answer.header("retry-after").is_some());
+        assert!(took < Duration::from_millis(800) + SOON, "after {took:?}");
+    }
+}
+
+#[test]
+fn refused_first() {
+    // Nothing is begun for a request whose later stage has no target.
+    let mut site = RouteSite::new();
+    site.target("k1", "kort", FIRST);
+    site.target("s1", "sprog", ENGINE);
+    let node = site.node("one");
+    let answer = site.call(node, staged("a1")).expect("an answer");
+    assert_eq!(answer.status, 503, "{}", text(&answer));
+    assert_eq!(site.journal.of("a1"), []);
+}
+
+#[test]
+fn slow_served() {
+    // The stages take forty times as long as the configuration says, and much longer than the goal.
+    let mut site = RouteSite::new();
+    let slow = TargetRole::Stage {
+        call: Duration::from_millis(2000),
+        piece: Duration::from_millis(1),
+    };
+    site.target("k1", "kort", slow.clone());
+    site.target("e1", "ejer", slow);
+    site.target("s1", "sprog", ENGINE);
+    let node = site.node("one");
+    let answer = site.call(node, staged("a1")).expect("an answer");
+    assert_eq!(answer.status, 200, "{}", text(&answer));
+}
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -261,6 +261,15 @@
     Pieces(PieceAsk),
     /// May this request begin its stages?
     Admit(AdmitAsk),
+    /// When will what is left of this request's stages be done?
+    Forecast {
+        /// Service whose placer admitted it.
+        service: String,
+        /// Number of the admitted request.
+        ticket: u64,
+        /// Whether it will be late in any case.
+        is_late: bool,
+    },
     /// Which engine should take this request?
     Place(PlaceAsk),
     /// What became of placed requests.
@@ -293,8 +302,18 @@
         /// Whether the results that only they needed were given up.
         gave_up: bool,
     },
-    /// To a request to admit: its number, or `None` and the milliseconds by which it would be late.
-    Admitted(Option<u64>, u64),
+    /// To a request to admit: its number, and the milliseconds until each of its stages is done.
+    Admitted(u64, Vec<u32>),
+    /// To a request to admit that would be late.
+    NotAdmitted {
+        /// Milliseconds by which it would be late.
+        late_ms: u32,
+        /// Milliseconds after which it should come back.
+        back_ms: u32,
+    },
+    /// To a forecast: the milliseconds until each of its stages is done, `None` where the request is
+    /// not known.
+    Forecast(Option<Vec<u32>>),
     /// To a request to place: the engine and the number of the placement.
     Placed(Option<(String, u64)>),
     /// The call was not understood, or the node can't do it.
