Reckon with more urgent arrivals in forecasts, and with when clients and the node leave

A stream's client leaves after a time of its own that is shorter than the deadline, and a stopping node ends before it. Change: the rate that is left for a request is less what more urgent ones bring by measured arrivals; what must be done is forecast against the moment that client or node leaves. A request that only this node can't finish is sent on at once.

--- a/packages/turnford-policy/src/route/config.rs
+++ b/packages/turnford-policy/src/route/config.rs
@@ -59,6 +59,8 @@
     pub goal: Duration,
     /// Longest pause between the events of a stream that is still in time.
     pub pause_goal: Option<Duration>,
+    /// Time after which clients leave a stream that has no event yet.
+    pub first_patience: Option<Duration>,
     /// Rank of its requests; 0 goes first.
     pub rank: ClassRank,
     /// Services that share its requests, by weight.
--- a/packages/turnford-policy/src/route/flow.rs
+++ b/packages/turnford-policy/src/route/flow.rs
@@ -14,6 +14,10 @@
 /// Number of an admitted request.
 pub type FlowTicket = u64;
 
+/// Least part of a service's rate that is thought to be left by more urgent requests: less can't be
+/// told from none by what some calls measure.
+const LEAST_LEFT: f64 = 0.05;
+
 /// Wait for a service that has no target: longer than any request's time.
 const NEVER: Duration = Duration::from_secs(3600);
 
@@ -146,8 +150,11 @@
     went: BTreeMap<Ranks, u64>,
     /// Measured results a second, `None` before the first window.
     rate: Option<f64>,
+    /// Measured pieces that come in a second, by the ranks of their requests.
+    arrivals: BTreeMap<Ranks, f64>,
     window_begin: Moment,
     window_done: u64,
+    window_came: BTreeMap<Ranks, u64>,
     /// When the next request that is refused may come back.
     next_return: Moment,
     /// Whether there was enough to do ever since the window began.
@@ -155,6 +162,27 @@
 }
 
 impl FlowService {
+    fn measure_arrivals(&mut self, span: Duration) {
+        let came = std::mem::take(&mut self.window_came);
+        for ranks in came.keys() {
+            self.arrivals.entry(*ranks).or_default();
+        }
+        for (ranks, arrivals) in &mut self.arrivals {
+            let count = came.get(ranks).copied().unwrap_or(0);
+            let sample = count as f64 / span.as_secs_f64();
+            *arrivals += RATE_WEIGHT * (sample - *arrivals);
+        }
+    }
+
+    /// Returns the results a second that are left for what is ahead of a request while more urgent
+    /// pieces go on coming. Without them the least urgent requests were admitted, starved and refused
+    /// after seconds.
+    fn rate_left(&self, nominal: f64, ranks: Ranks) -> f64 {
+        let rate = self.rate(nominal).max(LEAST_RATE);
+        let urgent: f64 = self.arrivals.range(..ranks).map(|(_, rate)| rate).sum();
+        (rate - urgent).max(rate * LEAST_LEFT)
+    }
+
     fn marks(&self, ranks: Ranks) -> (u64, u64) {
         let came = self.came.range(..ranks).map(|(_, count)| count).sum();
         let went = self.went.range(..=ranks).map(|(_, count)| count).sum();
@@ -195,6 +223,7 @@
             (nominal, CALM_WEIGHT)
         };
         self.rate = Some(old + weight * (sample - old));
+        self.measure_arrivals(span);
         self.window_begin = now;
         self.window_done = 0;
         self.is_busy = true;
@@ -206,6 +235,7 @@
         stage.before = self.ahead(ranks);
         stage.marks = self.marks(ranks);
         *self.came.entry(ranks).or_default() += pieces;
+        *self.window_came.entry(ranks).or_default() += pieces;
         *self.backlog.entry(ranks).or_default() += pieces;
         if stage.inputs.is_empty() {
             self.ready += pieces;
@@ -288,7 +318,7 @@
         let stages = need.stages.iter().map(|stage| {
             let rate = rate_of(&stage.service).filter(|_| stage.pieces > 0)?;
             let ahead = |service: &FlowService| service.ahead(need.ranks);
-            let wait = self.wait(&stage.service, &rate, ahead);
+            let wait = self.wait(&stage.service, &rate, need.ranks, ahead);
             Some((wait, rate.span(stage.pieces), &stage.inputs[..]))
         });
         forecast_stages(stages)
@@ -313,7 +343,7 @@
                     service.ahead_of(run.ranks, stage)
                 }
             };
-            let wait = self.wait(&stage.service, &rate, ahead);
+            let wait = self.wait(&stage.service, &rate, run.ranks, ahead);
             Some((wait, rate.span(stage.pieces), &stage.inputs[..]))
         });
         Some(forecast_stages(stages))
@@ -324,6 +354,7 @@
         &self,
         service: &str,
         rate: &StageRate,
+        ranks: Ranks,
         ahead: impl Fn(&FlowService) -> u64,
     ) -> Duration {
         if rate.nominal <= 0.0 {
@@ -332,7 +363,7 @@
         let Some(service) = self.services.get(service) else {
             return Duration::ZERO;
         };
-        let per_second = service.rate(rate.nominal).max(LEAST_RATE);
+        let per_second = service.rate_left(rate.nominal, ranks);
         Duration::from_secs_f64(ahead(service) as f64 / per_second)
     }
 
--- a/packages/turnford-policy/tests/route_table.rs
+++ b/packages/turnford-policy/tests/route_table.rs
@@ -21,6 +21,7 @@
         timeout: Duration::from_secs(1),
         goal: Duration::from_secs(1),
         pause_goal: None,
+        first_patience: None,
         rank: 0,
         shares: vec![ServiceShare {
             service: Arc::from("s"),
--- a/packages/turnford-serve/src/admission.rs
+++ b/packages/turnford-serve/src/admission.rs
@@ -192,9 +192,10 @@
 /// queues are would be late again after a refusal, too, and is served within its deadline.
 fn stage_limit(traffic: &Traffic, record: &RequestRecord) -> Duration {
     let last = record.last_span.get();
-    let latest = record.left().saturating_sub(last);
+    let now = traffic.shared.now();
+    let latest = record.serve_by().saturating_sub(now + last);
     let due = record.begun + record.route.goal;
-    let prompt = due.saturating_sub(traffic.shared.now() + last).min(latest);
+    let prompt = due.saturating_sub(now + last).min(latest);
     if least_span(traffic, record, |_| true) <= prompt {
         prompt
     } else {
--- a/packages/turnford-serve/src/outlook.rs
+++ b/packages/turnford-serve/src/outlook.rs
@@ -17,8 +17,10 @@
 use crate::admission::forecast_here;
 use crate::admission::told_forecast;
 use crate::admission::AdmittedFlow;
+use crate::forward::RETRY_AFTER;
 use crate::placement::PLACE_LIMIT;
 use crate::record::RequestRecord;
+use crate::request::MOVE_SPAN;
 use crate::stages::forecast_alone;
 use crate::stages::least_span;
 use crate::stages::StageFault;
@@ -29,7 +31,8 @@
 /// takes some 50 ms to the node that forecasts.
 const RENEW_SLACK: Duration = Duration::from_millis(100);
 
-/// Waits until a request can't be served within its deadline any more, and tells when to come back.
+/// Waits until a request can't be served any more before its client or this node leaves, and tells
+/// when to come back.
 pub(crate) async fn watch_outlook(
     traffic: &Rc<Traffic>,
     record: &RequestRecord,
@@ -40,13 +43,20 @@
         let forecast = renew(traffic, record, flow).await;
         let now = traffic.shared.now();
         let last = record.last_span.get();
-        if now + forecast.end() + last > record.deadline {
-            let end = forecast.end().as_millis();
-            record.note(format_args!("stages would take {end}ms more"));
-            let room = record.route.goal.saturating_sub(last);
-            // Those that are refused together do not come back together.
-            let spread = 1.0 + traffic.draw();
-            let back_after = forecast.end().saturating_sub(room).mul_f64(spread);
+        let end = now + forecast.end() + last;
+        if end > record.serve_by() {
+            let more = forecast.end().as_millis();
+            record.note(format_args!("stages would take {more}ms more"));
+            let is_other = traffic.shared.end_at().is_some_and(|stop| end > stop);
+            let back_after = if is_other {
+                MOVE_SPAN
+            } else {
+                // Those that are refused together do not come back together.
+                let room = record.route.goal.saturating_sub(last);
+                let spread = 1.0 + traffic.draw();
+                let back = forecast.end().saturating_sub(room).mul_f64(spread);
+                back.max(RETRY_AFTER)
+            };
             return StageFault::Hopeless { back_after };
         }
         flow.expect(now, &forecast);
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -86,6 +86,16 @@
         StageGraph::new(&self.route.stages, |stage| self.facts.piece_count(stage))
     }
 
+    /// Returns when its first answer must come for the client to be there still, and for this node to
+    /// be running.
+    pub(crate) fn serve_by(&self) -> Moment {
+        let patience = self.route.first_patience;
+        let client = patience.map(|patience| self.begun + patience);
+        let ends = [client, self.shared.end_at()];
+        let ends = ends.into_iter().flatten();
+        ends.fold(self.deadline, Moment::min)
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_sub(self.shared.now())
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -40,7 +40,7 @@
 const STAGE_ROUNDS: u32 = 5;
 
 /// Time to come back from a node that stops: another one takes the request at once.
-const MOVE_SPAN: Duration = Duration::from_millis(20);
+pub(crate) const MOVE_SPAN: Duration = Duration::from_millis(20);
 
 /// Time to come back to a node that has no configuration yet.
 const NOT_READY_SPAN: Duration = Duration::from_millis(500);
@@ -222,8 +222,7 @@
                 return refuse_admitted(record, ResultCode::Shed, reason, RETRY_AFTER);
             }
             Err(StageFault::Hopeless { back_after }) => {
-                let reason = "its stages can't be done within its deadline";
-                let back_after = back_after.max(RETRY_AFTER);
+                let reason = "its stages can't be done while its client waits";
                 return refuse_admitted(record, ResultCode::Shed, reason, back_after);
             }
         };
