Count only the urgent pieces that come meanwhile, and drop the cost of pauses

Change: what is ahead takes longer by the urgent pieces that come while it is made, twice as long at most. QUIET_READ and PAUSE_COST are gone.

--- a/packages/turnford-policy/src/route/engine.rs
+++ b/packages/turnford-policy/src/route/engine.rs
@@ -39,14 +39,6 @@
 /// shared parts anew is priced at.
 const LATE_COST: f64 = 1.0;
 
-/// Reading in one go by which the pauses of the streams that run beside it stay in time. Events hold
-/// a few tokens, and each token waits for a chunk of the prompt; measured, three full chunks are
-/// too much for pauses of half a second.
-const QUIET_READ: f64 = 0.22;
-
-/// Cost of reading beyond that, for each second and each stream that runs beside it.
-const PAUSE_COST: f64 = 1.0;
-
 /// Price of reading a token of a shared part anew, in seconds, beside the time that it takes.
 const SHARED_PRICE: f64 = 2.0 / 32_000.0;
 
@@ -237,8 +229,6 @@
         let (shared, own) = engine.missing(need);
         let span = self.first_span(now, engine, shared + own, slowness);
         let read = span.as_secs_f64();
-        let streams = (engine.runs - engine.reading.len()) as f64;
-        let pauses = (read - QUIET_READ).max(0.0) * streams * PAUSE_COST;
         let price = shared as f64 * SHARED_PRICE;
         let late = self.late_chance(now + span, need.due) * LATE_COST;
         let all: u64 = need.inputs.iter().map(|(_, bytes)| bytes).sum();
@@ -253,7 +243,7 @@
         } else {
             AWAY_COST
         };
-        read + late + price + pauses + moving + memory + away + engine.runs as f64 * RUN_COST
+        read + late + price + moving + memory + away + engine.runs as f64 * RUN_COST
     }
 
     /// Returns the span until the first event of a request that has so many tokens to be read at an
--- a/packages/turnford-policy/src/route/flow.rs
+++ b/packages/turnford-policy/src/route/flow.rs
@@ -14,10 +14,6 @@
 /// Number of an admitted request.
 pub type FlowTicket = u64;
 
-/// Least part of a service's rate that is thought to be left by more urgent requests: less can't be
-/// told from none by what some calls measure.
-const LEAST_LEFT: f64 = 0.05;
-
 /// Wait for a service that has no target: longer than any request's time.
 const NEVER: Duration = Duration::from_secs(3600);
 
@@ -174,13 +170,13 @@
         }
     }
 
-    /// Returns the results a second that are left for what is ahead of a request while more urgent
-    /// pieces go on coming. Without them the least urgent requests were admitted, starved and refused
-    /// after seconds.
-    fn rate_left(&self, nominal: f64, ranks: Ranks) -> f64 {
+    /// Returns the time until so many pieces that go before those of a request are made, with the more
+    /// urgent ones that come meanwhile.
+    fn wait(&self, nominal: f64, ranks: Ranks, ahead: u64) -> Duration {
         let rate = self.rate(nominal).max(LEAST_RATE);
         let urgent: f64 = self.arrivals.range(..ranks).map(|(_, rate)| rate).sum();
-        (rate - urgent).max(rate * LEAST_LEFT)
+        let meanwhile = (urgent / rate).min(1.0);
+        Duration::from_secs_f64(ahead as f64 / rate * (1.0 + meanwhile))
     }
 
     fn marks(&self, ranks: Ranks) -> (u64, u64) {
@@ -363,8 +359,7 @@
         let Some(service) = self.services.get(service) else {
             return Duration::ZERO;
         };
-        let per_second = service.rate_left(rate.nominal, ranks);
-        Duration::from_secs_f64(ahead(service) as f64 / per_second)
+        service.wait(rate.nominal, ranks, ahead(service))
     }
 
     /// Chooses when a request that is refused should come back: when it would not be late, and not
--- a/packages/turnford-policy/src/route/list.rs
+++ b/packages/turnford-policy/src/route/list.rs
@@ -11,7 +11,7 @@
 use super::TargetSpec;
 
 /// Time after the store's return in which targets whose entries lapsed meanwhile write them anew.
-/// From the users' letter: about two seconds.
+/// The platform's targets do so within about two seconds.
 const RETURN_SPAN: Duration = Duration::from_millis(2200);
 
 /// Least time that the store is away for entries to lapse: three missed heartbeats make one lapse,
--- a/packages/turnford-policy/src/route/reading.rs
+++ b/packages/turnford-policy/src/route/reading.rs
@@ -36,11 +36,6 @@
 }
 
 impl ReadQueue {
-    /// Returns the number of prompts.
-    pub(crate) fn len(&self) -> usize {
-        self.waiting.len()
-    }
-
     pub(crate) fn push(&mut self, now: Moment, ticket: RunTicket, tokens: u64) {
         self.waiting.push_back(QueuedRead {
             ticket,
--- a/packages/turnford-policy/tests/flow_board.rs
+++ b/packages/turnford-policy/tests/flow_board.rs
@@ -89,6 +89,29 @@
     assert_eq!(board.forecast(tickets[10], false, rate_of), None);
 }
 
+#[test]
+fn urgent_arrivals() {
+    // More urgent requests that keep coming take half of the service: what is ahead of a less urgent one
+    // takes longer, at most twice as long; nothing changes for the urgent ones.
+    let mut board = FlowBoard::default();
+    for window in 0..20_u64 {
+        let now = Duration::from_millis(900) * u32::try_from(window).expect("small");
+        for ticket in admit_all(&mut board, now, (0, 1), 4) {
+            board.note_ended(ticket);
+        }
+    }
+    let now = Duration::from_secs(18);
+    let tickets = admit_all(&mut board, now, (1, 1), 8);
+    let end = |ticket| board.forecast(ticket, false, rate_of).map(|end| end.end());
+    let last = end(tickets[7]).expect("a forecast");
+    let alone = Duration::from_millis(800);
+    assert!(last > alone + alone / 4, "{last:?}");
+    assert!(last < alone * 2, "{last:?}");
+    let urgent = admit(&mut board, now, (0, 1)).expect("a ticket");
+    let urgent = board.forecast(urgent, false, rate_of).expect("a forecast");
+    assert_eq!(urgent.end(), Duration::from_millis(200));
+}
+
 #[test]
 fn no_targets() {
     // What no target can make is refused at once, and known to be hopeless.
