--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -91,6 +91,7 @@
 pub use route::TargetList;
 pub use route::TargetNews;
 pub use route::TargetSpec;
+pub use route::LONGEST_RETURN;
 pub use route::RANK_COUNT;
 pub use routing::RoutingPolicy;
 pub use target::LoadReport;
--- a/packages/turnford-policy/src/route/engine.rs
+++ b/packages/turnford-policy/src/route/engine.rs
@@ -227,7 +227,7 @@
         let unknown = EngineState::default();
         let engine = self.engines.get(&target.id).unwrap_or(&unknown);
         let (shared, own) = engine.missing(need);
-        let span = self.first_span(now, engine, shared + own, slowness);
+        let span = first_span(now, &self.read_line, engine, shared + own, slowness);
         let read = span.as_secs_f64();
         let price = shared as f64 * SHARED_PRICE;
         let late = self.late_chance(now + span, need.due) * LATE_COST;
@@ -246,19 +246,6 @@
         read + late + price + moving + memory + away + engine.runs as f64 * RUN_COST
     }
 
-    /// Returns the span until the first event of a request that has so many tokens to be read at an
-    /// engine.
-    fn first_span(
-        &self,
-        now: Moment,
-        engine: &EngineState,
-        tokens: u64,
-        slowness: f64,
-    ) -> Duration {
-        let wait = engine.reading.wait(now, &self.read_line, slowness);
-        wait + self.read_line.span(tokens as f64).mul_f64(slowness)
-    }
-
     /// Returns the chance that a first event which is expected at a moment comes after it is due, from
     /// 0 to 1.
     fn late_chance(&self, expected: Moment, due: Moment) -> f64 {
@@ -277,8 +264,7 @@
         let engine = self.engines.entry(target.clone()).or_default();
         let (shared, own) = engine.missing(need);
         let tokens = shared + own;
-        let wait = engine.reading.wait(now, &self.read_line, slowness);
-        let read = self.read_line.span(tokens as f64).mul_f64(slowness);
+        let span = first_span(now, &self.read_line, engine, tokens, slowness);
         engine.reading.push(now, self.next_ticket, tokens);
         engine.runs += 1;
         engine.memory += need.memory();
@@ -291,7 +277,7 @@
             memory: need.memory(),
             has_begun: false,
             placed: now,
-            expected: now + wait + read,
+            expected: now + span,
             forget_at: need.deadline + FORGET_SPAN,
         };
         self.runs.insert(self.next_ticket, run);
@@ -349,3 +335,15 @@
         }
     }
 }
+
+/// Returns the span until the first event of a request that has so many tokens to be read at an engine.
+fn first_span(
+    now: Moment,
+    line: &SpanLine,
+    engine: &EngineState,
+    tokens: u64,
+    slowness: f64,
+) -> Duration {
+    let wait = engine.reading.wait(now, line, slowness);
+    wait + line.span(tokens as f64).mul_f64(slowness)
+}
--- a/packages/turnford-serve/src/outlook.rs
+++ b/packages/turnford-serve/src/outlook.rs
@@ -11,6 +11,7 @@
 use async_io::Timer;
 
 use turnford_policy::FlowForecast;
+use turnford_policy::LONGEST_RETURN;
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
@@ -55,7 +56,7 @@
                 let room = record.route.goal.saturating_sub(last);
                 let spread = 1.0 + traffic.draw();
                 let back = forecast.end().saturating_sub(room).mul_f64(spread);
-                back.max(RETRY_AFTER)
+                back.clamp(RETRY_AFTER, LONGEST_RETURN)
             };
             return StageFault::Hopeless { back_after };
         }
--- a/packages/turnford-serve/tests/hopeless_requests.rs
+++ b/packages/turnford-serve/tests/hopeless_requests.rs
@@ -55,7 +55,9 @@
         let took = begun.elapsed();
         assert_eq!(answer.status, 503, "{}", text(&answer));
         assert!(text(&answer).contains(r#""ran":"no""#));
-        assert!(answer.header("retry-after").is_some());
+        let back = answer.header("retry-after").expect("a time to come back");
+        let back: f64 = back.parse().expect("seconds");
+        assert!((0.01..=10.0).contains(&back), "{back}");
         assert!(took < Duration::from_millis(800) + SOON, "after {took:?}");
     }
 }
