Give tests of faults seconds in place of 250 to 700 ms

Cause: unknown_end let its target die 350 ms after a call that took 348 ms, broken_stream broke its engine 250 ms after the start of a stream of some 800 ms, and the faults of refused_call and swapped_answers could be over before a busy machine had sent the call. Change: calls and streams take seconds, faults last for 3 or 60 s. What is asserted stays.

--- a/packages/turnford/tests/claimed_once.rs
+++ b/packages/turnford/tests/claimed_once.rs
@@ -122,7 +122,7 @@
 fn refused_call() {
     // The target refuses before it starts: the id is free for the caller's next try.
     let site = TestSite::start(1);
-    site.fault(FaultKind::Leave, "booking", Duration::from_millis(400), 1.0);
+    site.fault(FaultKind::Leave, "booking", Duration::from_secs(60), 1.0);
     let refused = async_io::block_on(site.post(0, "reserve", "mark:f hold", with_id("c")));
     assert!(matches!(refused.code(), 122 | 123), "{refused:?}");
     assert!(site.runs("booking", "mark:f").is_empty());
@@ -133,9 +133,10 @@
 fn unknown_end() {
     // The target dies while it runs the call: nobody knows, and the id stays used.
     let site = TestSite::start(1);
-    site.fault(FaultKind::Slow, "booking", Duration::from_secs(60), 60.0);
+    // The call takes some two seconds.
+    site.fault(FaultKind::Slow, "booking", Duration::from_secs(60), 400.0);
     let killed = async {
-        async_io::Timer::after(Duration::from_millis(350)).await;
+        async_io::Timer::after(Duration::from_millis(1000)).await;
         site.fault(FaultKind::Die, "booking", Duration::from_secs(60), 1.0);
     };
     let post = site.post(0, "reserve", "mark:u hold", with_id("d"));
--- a/packages/turnford/tests/golden_sessions.rs
+++ b/packages/turnford/tests/golden_sessions.rs
@@ -108,9 +108,10 @@
 fn broken_stream() {
     // Both engines break off in the middle, so there is nowhere to resume.
     let site = TestSite::start(1);
-    site.fault(FaultKind::Slow, "sprog", Duration::from_secs(60), 20.0);
+    // The stream takes some seconds.
+    site.fault(FaultKind::Slow, "sprog", Duration::from_secs(60), 60.0);
     let broken = async {
-        async_io::Timer::after(Duration::from_millis(250)).await;
+        async_io::Timer::after(Duration::from_millis(800)).await;
         site.fault(FaultKind::Error, "sprog", Duration::from_secs(60), 1.0);
     };
     let stream = site.stream(0, "chat", "mark:broken hello");
--- a/packages/turnford/tests/live_changes.rs
+++ b/packages/turnford/tests/live_changes.rs
@@ -20,6 +20,9 @@
 
 const KEY: &str = "config/account/one";
 
+/// Time for which calls go wrong: long enough for one on a busy machine.
+const FAULT_SPAN: Duration = Duration::from_secs(3);
+
 fn change(text: Option<String>, expected: Option<u64>) -> ChangeRequest<'static> {
     ChangeRequest {
         key: KEY,
@@ -230,7 +233,7 @@
         (FaultKind::Swap, "mark:swap"),
         (FaultKind::Truncate, "mark:cut"),
     ] {
-        site.fault(kind, "booking", Duration::from_millis(700), 1.0);
+        site.fault(kind, "booking", FAULT_SPAN, 1.0);
         let text = format!("{mark} hold");
         let answer = async_io::block_on(site.post(0, "reserve", &text, Extras::default()));
         assert_eq!(
@@ -244,7 +247,7 @@
             1,
             "a call that may have run was repeated"
         );
-        std::thread::sleep(Duration::from_millis(800));
+        std::thread::sleep(FAULT_SPAN);
     }
     // The connections are sound afterwards.
     let text = "mark:y hold";
