Tell how much of an answer had come when it was given up

Change: the faults of late calls to the store and to peers carry the bytes received, their lines show received=, and turnford_abandoned_bytes counts them. The soak's proxy moves to the stand-ins and learns a rate of bytes.

--- a/packages/turnford-serve/src/control/context.rs
+++ b/packages/turnford-serve/src/control/context.rs
@@ -192,6 +192,11 @@
         (pause, state.note_failure(self.now(), pause))
     }
 
+    /// Counts the bytes of an answer that was given up before its end.
+    pub(super) fn note_abandoned(&self, bytes: usize) {
+        self.shared.metrics.abandoned_bytes.inc_by(bytes as u64);
+    }
+
     /// Notes that there is something to tell the others.
     pub(super) fn note_learned(&self) {
         // A full channel holds a wake-up already.
--- a/packages/turnford-serve/src/control/follow.rs
+++ b/packages/turnford-serve/src/control/follow.rs
@@ -93,6 +93,9 @@
                 state.revision.set(None);
             }
             Err(fault) => {
+                if let StoreFault::Late(received) = fault {
+                    context.note_abandoned(received);
+                }
                 let (pause, answered_before) = context.note_failure(state);
                 if answered_before {
                     log::warn!("store lost: kind={kind} reason={fault}");
--- a/packages/turnford-serve/src/control/news.rs
+++ b/packages/turnford-serve/src/control/news.rs
@@ -124,7 +124,11 @@
         wait_ms: to_millis(wait),
     };
     let limit = wait + PULL_LIMIT;
-    match context.peers.call(peer, &request, limit).await? {
+    let reply = context.peers.call(peer, &request, limit).await;
+    if let Err(PeerFault::Late(received)) = reply {
+        context.note_abandoned(received);
+    }
+    match reply? {
         RouteReply::View(news) => Ok(take_view(context, peer, news)),
         _ => Err(PeerFault::Broken),
     }
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -91,6 +91,8 @@
     pub(crate) targets: Gauge<u64, AtomicU64>,
     pub(crate) members: Gauge<u64, AtomicU64>,
     pub(crate) store_calls: Gauge<u64, AtomicU64>,
+    /// Bytes of answers of the store and of other nodes that were given up before their end.
+    pub(crate) abandoned_bytes: Counter,
     pub(crate) log_drops: Gauge<u64, AtomicU64>,
 }
 
@@ -107,6 +109,7 @@
             targets: Gauge::default(),
             members: Gauge::default(),
             store_calls: Gauge::default(),
+            abandoned_bytes: Counter::default(),
             log_drops: Gauge::default(),
         };
         metrics.register();
@@ -148,6 +151,11 @@
             "Calls to the store",
             self.store_calls.clone(),
         );
+        registry.register(
+            "abandoned_bytes",
+            "Bytes of answers of the store and of other nodes given up before their end",
+            self.abandoned_bytes.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines that the full queue dropped",
--- a/packages/turnford-serve/tests/common/mod.rs
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -137,7 +137,11 @@
 
     /// Reads a node's metrics.
     pub(crate) fn metrics(&self, node: usize) -> String {
-        let to = self.nodes[node].settings.metrics;
+        self.metrics_at(self.nodes[node].settings.metrics)
+    }
+
+    /// Reads the metrics at an address.
+    pub(crate) fn metrics_at(&self, to: SocketAddr) -> String {
         let request = HttpClient::request(Method::GET, to, "/metrics").expect("a path");
         let answer = async_io::block_on(self.client.send(to, request, LIMIT));
         String::from_utf8(answer.expect("metrics").body).expect("text")
--- a/packages/turnford/tests/soak/proxy.rs
+++ b/packages/turnford-standin/src/proxy.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use async_net::TcpListener;
@@ -13,7 +14,8 @@
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
-use turnford_standin::SharedExecutor;
+
+use crate::SharedExecutor;
 
 /// Pause between looks whether a harmed link is whole again.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
@@ -23,11 +25,13 @@
 
 /// How a link is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum LinkState {
+pub enum LinkState {
     /// Bytes pass.
     Open,
     /// Bytes pass later.
     Delayed(Duration),
+    /// So many bytes a second pass in each direction, over all connections together.
+    Slow(u32),
     /// Connections are closed at once, open ones too.
     Reset,
     /// No byte passes in either direction; what waits passes later.
@@ -40,9 +44,12 @@
 
 /// A proxy before one server.
 #[derive(Clone)]
-pub(crate) struct LinkProxy {
-    pub(crate) address: SocketAddr,
+pub struct LinkProxy {
+    /// Where callers connect.
+    pub address: SocketAddr,
     state: Arc<Mutex<LinkState>>,
+    /// When the last byte that was taken will have passed, towards the server and from it.
+    free_at: Arc<Mutex<[Option<Instant>; 2]>>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -53,11 +60,16 @@
 
 impl LinkProxy {
     /// Starts a proxy before a server.
-    pub(crate) fn start(executor: &SharedExecutor, server: SocketAddr) -> io::Result<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if no port can be bound.
+    pub fn start(executor: &SharedExecutor, server: SocketAddr) -> io::Result<Self> {
         let listener = async_io::block_on(TcpListener::bind("127.0.0.1:0"))?;
         let proxy = Self {
             address: listener.local_addr()?,
             state: Arc::new(Mutex::new(LinkState::Open)),
+            free_at: Arc::default(),
         };
         let accepting = proxy.clone();
         let spawner = executor.clone();
@@ -73,7 +85,7 @@
     }
 
     /// Sets how the link is from now on.
-    pub(crate) fn set(&self, state: LinkState) {
+    pub fn set(&self, state: LinkState) {
         *self.state.lock().unwrap_or_else(PoisonError::into_inner) = state;
     }
 
@@ -99,21 +111,37 @@
     async fn pump(&self, mut from: TcpStream, mut to: TcpStream, direction: Direction) {
         let mut bytes = vec![0; CHUNK];
         while let Ok(count @ 1..) = from.read(&mut bytes).await {
-            self.wait_open(direction).await;
+            self.wait_open(direction, count).await;
             if to.write_all(&bytes[..count]).await.is_err() {
                 return;
             }
         }
-        self.wait_open(direction).await;
+        self.wait_open(direction, 0).await;
+    }
+
+    /// Returns when so many more bytes will have passed at a rate.
+    fn reserve(&self, direction: Direction, bytes: usize, rate: u32) -> Instant {
+        let mut slots = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let slot = &mut slots[direction as usize];
+        let now = Instant::now();
+        let begin = slot.map_or(now, |free| free.max(now));
+        let end = begin + Duration::from_secs_f64(bytes as f64 / f64::from(rate));
+        *slot = Some(end);
+        end
     }
 
-    async fn wait_open(&self, direction: Direction) {
+    /// Waits until bytes may pass.
+    async fn wait_open(&self, direction: Direction, bytes: usize) {
         loop {
             match self.state() {
                 LinkState::Delayed(span) => {
                     Timer::after(span).await;
                     return;
                 }
+                LinkState::Slow(rate) => {
+                    Timer::at(self.reserve(direction, bytes, rate)).await;
+                    return;
+                }
                 LinkState::Silent => {}
                 LinkState::CutTo if direction == Direction::To => {}
                 LinkState::CutFrom if direction == Direction::From => {}
--- a/packages/turnford-wire/src/client.rs
+++ b/packages/turnford-wire/src/client.rs
@@ -1,5 +1,6 @@
 //! The calling side: one `h2` connection to each peer.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
@@ -29,8 +30,8 @@
 pub enum PeerFault {
     /// No connection, or it broke.
     Broken,
-    /// No answer in time.
-    Late,
+    /// No whole answer in time, but so many bytes of it.
+    Late(usize),
     /// The message or its answer was not understood.
     Frame(FrameFault),
 }
@@ -39,7 +40,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             PeerFault::Broken => f.write_str("connection broken"),
-            PeerFault::Late => f.write_str("no answer in time"),
+            PeerFault::Late(received) => write!(f, "no answer in time, received={received}"),
             PeerFault::Frame(fault) => write!(f, "{fault}"),
         }
     }
@@ -82,13 +83,14 @@
     ) -> Result<R, PeerFault> {
         let frame = encode_frame(request).map_err(PeerFault::Frame)?;
         *self.sent_bytes.borrow_mut() += frame.len() as u64;
-        let exchange = self.exchange(to, frame);
+        let received = Cell::new(0);
+        let exchange = self.exchange(to, frame, &received);
         let late = async {
             Timer::after(limit).await;
-            Err(PeerFault::Late)
+            Err(PeerFault::Late(received.get()))
         };
         let answer = exchange.or(late).await;
-        if matches!(answer, Err(PeerFault::Broken | PeerFault::Late)) {
+        if matches!(answer, Err(PeerFault::Broken | PeerFault::Late(_))) {
             // A connection that failed once is made anew for the next call.
             self.connections.borrow_mut().remove(&to);
         }
@@ -97,7 +99,13 @@
         decode_frame(&answer).map_err(PeerFault::Frame)
     }
 
-    async fn exchange(&self, to: SocketAddr, frame: Vec<u8>) -> Result<Vec<u8>, PeerFault> {
+    /// Makes an exchange, and counts the bytes of its answer as they come.
+    async fn exchange(
+        &self,
+        to: SocketAddr,
+        frame: Vec<u8>,
+        received: &Cell<usize>,
+    ) -> Result<Vec<u8>, PeerFault> {
         let mut sender = self.ready_connection(to).await?;
         let request = Request::builder().method(Method::POST).uri("http://peer/");
         let request = request.body(()).map_err(|_| PeerFault::Broken)?;
@@ -108,7 +116,7 @@
         body.send_data(Bytes::from(frame), true)
             .map_err(|_| PeerFault::Broken)?;
         let response = response.await.map_err(|_| PeerFault::Broken)?;
-        read_body(response.into_body())
+        read_body(response.into_body(), received)
             .await
             .ok_or(PeerFault::Broken)
     }
--- a/packages/turnford-wire/src/server.rs
+++ b/packages/turnford-wire/src/server.rs
@@ -1,5 +1,6 @@
 //! The answering side.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -111,7 +112,7 @@
     F: Fn(Q) -> Fut,
     Fut: Future<Output = R>,
 {
-    let Some(frame) = read_body(body).await else {
+    let Some(frame) = read_body(body, &Cell::new(0)).await else {
         return;
     };
     // A frame that is not understood is refused; the connection goes on.
@@ -148,12 +149,14 @@
     let _ = stream.send_data(Bytes::from(frame), true);
 }
 
-/// Reads a body of bounded size; `None` if it breaks or is too large.
-pub(crate) async fn read_body(mut body: RecvStream) -> Option<Vec<u8>> {
+/// Reads a body of bounded size, and counts its bytes as they come; `None` if it breaks or is too
+/// large.
+pub(crate) async fn read_body(mut body: RecvStream, received: &Cell<usize>) -> Option<Vec<u8>> {
     let mut bytes = Vec::new();
     while let Some(chunk) = body.data().await {
         let chunk = chunk.ok()?;
         bytes.extend_from_slice(&chunk);
+        received.set(bytes.len());
         if bytes.len() > FRAME_LIMIT {
             return None;
         }
--- a/packages/turnford/tests/soak/client.rs
+++ b/packages/turnford/tests/soak/client.rs
@@ -14,10 +14,10 @@
 use rand::Rng;
 use turnford_http::HttpClient;
 use turnford_http::HttpFault;
+use turnford_standin::LinkProxy;
 use turnford_standin::RouteCall;
 
 use crate::plan::NODES;
-use crate::proxy::LinkProxy;
 
 /// Longest time that a client waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(8);
--- a/packages/turnford/tests/soak/main.rs
+++ b/packages/turnford/tests/soak/main.rs
@@ -8,7 +8,6 @@
 mod client;
 mod plan;
 mod process;
-mod proxy;
 mod run;
 
 use run::play;
--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -5,10 +5,9 @@
 use rand::rngs::StdRng;
 use rand::Rng;
 use rand::SeedableRng;
+use turnford_standin::LinkState;
 use turnford_standin::TargetFault;
 
-use crate::proxy::LinkState;
-
 /// Nodes of a run.
 pub(crate) const NODES: usize = 5;
 
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -13,6 +13,8 @@
 use serde_json::Value;
 use turnford_http::HttpClient;
 use turnford_standin::start_threads;
+use turnford_standin::LinkProxy;
+use turnford_standin::LinkState;
 use turnford_standin::RouteSite;
 use turnford_standin::RunKind;
 use turnford_standin::SharedExecutor;
@@ -29,8 +31,6 @@
 use crate::plan::NODES;
 use crate::process::NodeProcess;
 use crate::process::GRACE_S;
-use crate::proxy::LinkProxy;
-use crate::proxy::LinkState;
 
 /// Clients of a run.
 const CLIENTS: usize = 24;
