Bring about a large configuration on a slow link; the tests fail

Cause: whole answers have limits shorter than a large one takes: 1.8 s or 0.8 s for a watch, 1.5 s for a page of a list, 0.3 s beyond its wait for a peer.

--- /dev/null
+++ b/packages/turnford-serve/tests/large_config.rs
@@ -0,0 +1,88 @@
+//! A configuration is in force soon however large it is and however slow the link.
+//!
+//! Symptom: for up to ten seconds after a change was confirmed, single nodes answered 404 on the routes that it
+//! added. Sequence: the configuration had grown to 0.85 MB; links carried 10 Mbit/s, so that a whole
+//! one took 0.7 s alone. A node's watch had to end 0.8 s after its wait, whatever had come of its answer; the watch
+//! was given up, and from then on the node asked without a wait, with 0.8 s for each answer, while
+//! it also asked peers, with 0.3 s for each. Cause: limits on whole answers, shorter than a large
+//! answer takes; each try began anew and took the link from the others, so none ended. What settled it: two
+//! nodes received 1,060 KB a second, all that their links carry, for ten seconds, 9.2 and
+//! 8.5 MB for a configuration of 0.85 MB, with `no answer in time` every 0.3 to 0.5 s.
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use common::config;
+use common::settings;
+use common::wait_until;
+use common::RouteSite;
+use common::QUICK;
+use serde_json::json;
+use serde_json::Value;
+use turnford_serve::ServeNode;
+use turnford_standin::LinkProxy;
+use turnford_standin::LinkState;
+
+/// Routes of a large configuration; it has some 300 KB.
+const ROUTES: usize = 1400;
+
+/// What the slow link carries, in bytes a second: a large configuration takes 3 s.
+const RATE: u32 = 100_000;
+
+/// Time in which a configuration that takes 3 s to arrive has to be in force.
+const BOUND: Duration = Duration::from_secs(6);
+
+/// Returns a configuration with many routes.
+fn large_config(version: u64) -> Value {
+    let mut config = config(version);
+    let template = config["routes"][0].clone();
+    let routes = config["routes"].as_array_mut().expect("routes");
+    for number in 0..ROUTES {
+        let mut route = template.clone();
+        route["name"] = json!(format!("added-{number}"));
+        route["path_prefix"] = json!(format!("/added-{number}/"));
+        routes.push(route);
+    }
+    config
+}
+
+fn has_version(node: &ServeNode, site: &RouteSite, version: u64) -> bool {
+    let line = format!("turnford_config_version {version}\n");
+    site.metrics_at(node.settings().metrics).contains(&line)
+}
+
+#[test]
+fn slow_link() {
+    let site = RouteSite::new();
+    let _target = site.target("b1", "booking", QUICK);
+    let (_, store) = site.store.open_door(&site.executor).expect("a free port");
+    let link = LinkProxy::start(&site.executor, store).expect("a free port");
+    let node = ServeNode::start(settings("one", link.address, Vec::new())).expect("free ports");
+    wait_until("the node is ready", || node.is_ready());
+    link.set(LinkState::Slow(RATE));
+    let begun = Instant::now();
+    site.store.put("config", "main", large_config(2));
+    wait_until("the large configuration is in force", || {
+        has_version(&node, &site, 2)
+    });
+    let taken = begun.elapsed();
+    assert!(taken < BOUND, "in force after {taken:?}");
+}
+
+#[test]
+fn slow_start() {
+    // A node that starts reads it in a list.
+    let site = RouteSite::new();
+    let _target = site.target("b1", "booking", QUICK);
+    site.store.put("config", "main", large_config(2));
+    let (_, store) = site.store.open_door(&site.executor).expect("a free port");
+    let link = LinkProxy::start(&site.executor, store).expect("a free port");
+    link.set(LinkState::Slow(RATE));
+    let begun = Instant::now();
+    let node = ServeNode::start(settings("one", link.address, Vec::new())).expect("free ports");
+    wait_until("the node is ready", || node.is_ready());
+    let taken = begun.elapsed();
+    assert!(taken < BOUND, "ready after {taken:?}");
+}
