Find silent connections out, list anew after many large changes, and fetch large lists alike

A watch whose changes gathered while an answer arrived returns them all, each with the whole configuration; lists of the own interface had 2 s for the whole answer; and an open connection that falls silent without a reset held its request until the deadline, or one wait for each kept connection to the store. Change: a watch of more than 1.2 MB is not read, the kind is listed anew. The limits of answers move to turnford-http and serve the own interface's platform client too (HttpClient::fetch).

--- a/packages/turnford-policy/src/arrival.rs
+++ b/packages/turnford-http/src/arrival.rs
@@ -3,6 +3,10 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+
 /// Longest pause within an answer that is arriving. A lost packet is sent again within some 200 ms, three in a
 /// row within this; a connection that fell silent has to be found out before a change must be
 /// in force, which is two seconds.
@@ -38,6 +42,57 @@
     }
 }
 
+/// Why an answer that had begun did not come whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ArrivalFault<E> {
+    /// It stopped coming after so many bytes.
+    Stalled(usize),
+    /// It is larger than its reader takes.
+    TooLarge,
+    /// It broke off.
+    Broken(E),
+}
+
+/// Reads the parts of an answer that has begun, of at most `bound` bytes, for as long as they come.
+/// `next` gives the next part, and `None` at the end.
+///
+/// # Errors
+///
+/// Returns why the answer did not come whole.
+pub async fn read_parts<E>(
+    limit: &AnswerLimit,
+    bound: usize,
+    mut next: impl AsyncFnMut() -> Option<Result<Bytes, E>>,
+) -> Result<Vec<u8>, ArrivalFault<E>> {
+    let received = Cell::new(0);
+    let read = async {
+        let mut bytes = Vec::new();
+        loop {
+            let stalled = async {
+                Timer::after(limit.pause).await;
+                Some(Err(ArrivalFault::Stalled(received.get())))
+            };
+            let part = async {
+                let part = next().await?;
+                Some(part.map_err(ArrivalFault::Broken))
+            };
+            let Some(part) = part.or(stalled).await else {
+                return Ok(bytes);
+            };
+            bytes.extend_from_slice(&part?);
+            received.set(bytes.len());
+            if bytes.len() > bound {
+                return Err(ArrivalFault::TooLarge);
+            }
+        }
+    };
+    let over = async {
+        Timer::after(limit.whole).await;
+        Err(ArrivalFault::Stalled(received.get()))
+    };
+    read.or(over).await
+}
+
 /// Counts the answers that are arriving at a client.
 #[derive(Debug, Default)]
 pub struct ArrivalCount {
--- a/packages/turnford-http/src/client.rs
+++ b/packages/turnford-http/src/client.rs
@@ -1,5 +1,5 @@
 //! The calling side of the product's own interfaces: kept connections by address, bounded bodies,
-//! one time limit per exchange.
+//! one time limit per exchange, or limits for an answer that may be large.
 
 use std::collections::HashMap;
 use std::future::Future;
@@ -28,9 +28,14 @@
 use hyper::client::conn::http1::SendRequest;
 use smol_hyper::rt::FuturesIo;
 
+use crate::open_stream;
+use crate::read_parts;
+use crate::AnswerLimit;
+use crate::ArrivalFault;
 use crate::HttpFault;
 use crate::HttpRequest;
 use crate::DEFAULT_BODY_LIMIT;
+use crate::LARGE_ANSWER_LIMIT;
 
 /// Most idle connections kept to one address.
 const IDLE_LIMIT: usize = 64;
@@ -55,11 +60,8 @@
 
 impl DrivenLink {
     async fn open(to: SocketAddr) -> Result<Self, HttpFault> {
-        let stream = TcpStream::connect(to).await;
+        let stream = open_stream(to).await;
         let stream = stream.map_err(|_| HttpFault::NotConnected)?;
-        stream
-            .set_nodelay(true)
-            .map_err(|_| HttpFault::NotConnected)?;
         let shaken = http1::handshake(FuturesIo::new(stream.clone())).await;
         let (sender, driver) = shaken.map_err(|_| HttpFault::NotConnected)?;
         Ok(Self {
@@ -184,14 +186,29 @@
         let mut open = self.open(to, request, limit).await?;
         let left = limit.saturating_sub(started.elapsed());
         let body = within(left, HttpFault::LateAfterSend, open.read_body()).await?;
-        let headers = open.headers();
-        let status = open.status;
-        open.keep();
-        Ok(HttpAnswer {
-            status,
-            body,
-            headers,
-        })
+        Ok(open.finish(body))
+    }
+
+    /// Sends a request and reads an answer of up to [`LARGE_ANSWER_LIMIT`] for as long as it comes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault, which tells whether the call can have been seen.
+    pub async fn fetch(
+        &self,
+        to: SocketAddr,
+        request: HttpRequest,
+        limit: &AnswerLimit,
+    ) -> Result<HttpAnswer, HttpFault> {
+        let mut open = self.open(to, request, limit.begin).await?;
+        let next = async || open.next_chunk().await.transpose();
+        let body = read_parts(limit, LARGE_ANSWER_LIMIT, next).await;
+        let body = body.map_err(|fault| match fault {
+            ArrivalFault::Stalled(_) => HttpFault::LateAfterSend,
+            ArrivalFault::TooLarge => HttpFault::TooLarge,
+            ArrivalFault::Broken(fault) => fault,
+        })?;
+        Ok(open.finish(body))
     }
 
     /// Sends a request and reads an answer of up to 512 MiB, for tools.
@@ -208,13 +225,7 @@
         let mut open = self.open(to, request, limit).await?;
         let read = open.read_bounded(LARGE_BODY_LIMIT);
         let body = within(limit, HttpFault::LateAfterSend, read).await?;
-        let headers = open.headers();
-        let status = open.status;
-        Ok(HttpAnswer {
-            status,
-            body,
-            headers,
-        })
+        Ok(open.finish(body))
     }
 
     /// Sends a request and returns once the head of the answer is there.
@@ -361,6 +372,18 @@
         }
     }
 
+    /// Returns the answer with its whole body, and gives the connection back.
+    fn finish(self, body: Vec<u8>) -> HttpAnswer {
+        let headers = self.headers();
+        let status = self.status;
+        self.keep();
+        HttpAnswer {
+            status,
+            body,
+            headers,
+        }
+    }
+
     /// Gives the connection back for reuse. To be called only after the body's end was read.
     pub fn keep(self) {
         let connection = self.parts.headers.get(http::header::CONNECTION);
--- a/packages/turnford-http/src/lib.rs
+++ b/packages/turnford-http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 as every outside interface uses it: kept connections on the calling side, a bounded
 //! serving loop on the other. The protocol itself comes from `hyper`, over `async-io`.
 
+mod arrival;
 mod client;
 mod fault;
 mod link;
@@ -8,7 +9,13 @@
 mod message;
 mod server;
 mod shelf;
+mod stream;
 
+pub use arrival::read_parts;
+pub use arrival::AnswerLimit;
+pub use arrival::ArrivalCount;
+pub use arrival::ArrivalFault;
+pub use arrival::ArrivalGuard;
 pub use client::HttpAnswer;
 pub use client::HttpClient;
 pub use client::HttpStream;
@@ -22,7 +29,13 @@
 pub use server::serve_connection;
 pub use server::HttpCall;
 pub use shelf::LinkShelf;
+pub use stream::open_stream;
+pub use stream::watch_stream;
 
 /// Largest head plus body that a client or server of this package accepts unless told otherwise,
 /// in bytes. The platform's values are bounded by a megabyte; the rest leaves room for framing.
 pub const DEFAULT_BODY_LIMIT: usize = 1_200_000;
+
+/// Largest answer of the platform that holds several values, in bytes: eight of the largest, a twentieth of
+/// a VM's memory.
+pub const LARGE_ANSWER_LIMIT: usize = 8 * 1024 * 1024;
--- a/packages/turnford-http/src/link.rs
+++ b/packages/turnford-http/src/link.rs
@@ -5,7 +5,6 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use async_net::TcpStream;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::Request;
@@ -16,6 +15,7 @@
 use hyper::client::conn::http1::SendRequest;
 use smol_hyper::rt::FuturesIo;
 
+use crate::open_stream;
 use crate::HttpFault;
 
 /// A connection that takes one request at a time.
@@ -36,15 +36,12 @@
         address: SocketAddr,
         limit: Duration,
     ) -> Result<Self, HttpFault> {
-        let connect = async { TcpStream::connect(address).await.ok() };
+        let connect = async { open_stream(address).await.ok() };
         let late = async {
             Timer::after(limit).await;
             None
         };
         let stream = connect.or(late).await.ok_or(HttpFault::NotConnected)?;
-        stream
-            .set_nodelay(true)
-            .map_err(|_| HttpFault::NotConnected)?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(LINK_BUFFER);
         let (sender, connection) = builder
--- /dev/null
+++ b/packages/turnford-http/tests/silent_connections.rs
@@ -0,0 +1,34 @@
+//! Connections ask whether the other side is there.
+//!
+//! A peer on loopback always answers such questions, so the test looks at what the system was told.
+
+use std::time::Duration;
+
+use async_net::TcpListener;
+use rustix::net::sockopt::socket_keepalive;
+use rustix::net::sockopt::tcp_keepidle;
+use rustix::net::sockopt::tcp_user_timeout;
+use turnford_http::open_stream;
+use turnford_http::watch_stream;
+
+/// Time in which a silent connection has to be found out.
+const BOUND: Duration = Duration::from_secs(5);
+
+#[test]
+fn both_sides() {
+    async_io::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let opened = open_stream(address).await.expect("a connection");
+        let (accepted, _) = listener.accept().await.expect("a connection");
+        watch_stream(&accepted).expect("a sound connection");
+        for stream in [&opened, &accepted] {
+            assert!(stream.nodelay().expect("an option"));
+            assert!(socket_keepalive(stream).expect("an option"));
+            assert!(tcp_keepidle(stream).expect("an option") < BOUND);
+            let silence = tcp_user_timeout(stream).expect("an option");
+            let silence = Duration::from_millis(u64::from(silence));
+            assert!(!silence.is_zero() && silence < BOUND, "{silence:?}");
+        }
+    });
+}
--- a/packages/turnford-platform/src/link.rs
+++ b/packages/turnford-platform/src/link.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::Method;
+use turnford_http::AnswerLimit;
 use turnford_http::HttpAnswer;
 use turnford_http::HttpClient;
 use turnford_http::HttpRequest;
@@ -45,12 +46,13 @@
         Ok(HttpClient::request(method, self.address, path)?)
     }
 
-    /// Makes a call.
+    /// Makes a call whose answer has to begin within `limit`.
     pub(crate) async fn send(
         &self,
         request: HttpRequest,
         limit: Duration,
     ) -> Result<HttpAnswer, PlatformFault> {
-        Ok(self.http.send(self.address, request, limit).await?)
+        let limit = AnswerLimit::new(limit);
+        Ok(self.http.fetch(self.address, request, &limit).await?)
     }
 }
--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -5,7 +5,6 @@
 //! [`Moment`], the span since an arbitrary start, so that tests and sweeps run in virtual time.
 
 mod admission;
-mod arrival;
 mod attempt;
 mod budget;
 mod clock;
@@ -29,9 +28,6 @@
 pub use admission::AdmissionPlan;
 pub use admission::ProbeGate;
 pub use admission::StageDemand;
-pub use arrival::AnswerLimit;
-pub use arrival::ArrivalCount;
-pub use arrival::ArrivalGuard;
 pub use attempt::AttemptId;
 pub use attempt::AttemptSource;
 pub use budget::DeadlineBudget;
--- a/packages/turnford-serve/src/control/follow.rs
+++ b/packages/turnford-serve/src/control/follow.rs
@@ -88,8 +88,9 @@
                     }
                 }
             }
-            Err(StoreFault::HistoryGone) => {
-                log::info!("store history gone: kind={kind}, listing anew");
+            // A list holds only the newest of each object; a watch, each change since.
+            Err(fault @ (StoreFault::HistoryGone | StoreFault::TooLarge)) if from.is_some() => {
+                log::info!("listing anew: kind={kind} reason={fault}");
                 state.revision.set(None);
             }
             Err(fault) => {
--- a/packages/turnford-serve/tests/large_config.rs
+++ b/packages/turnford-serve/tests/large_config.rs
@@ -112,3 +112,20 @@
     let taken = begun.elapsed();
     assert!(taken < BOUND, "in force after {taken:?}");
 }
+
+#[test]
+fn many_versions() {
+    // Seven versions gather while the first is read; all of them would take 18 s, the newest 3 s.
+    let site = RouteSite::new();
+    let _target = site.target("b1", "booking", QUICK);
+    let (node, link) = linked_node(&site, "one", Vec::new());
+    link.set(LinkState::Slow(RATE));
+    let begun = Instant::now();
+    for version in 2..9 {
+        site.store.put("config", "main", large_config(version));
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    wait_until("the newest is in force", || has_version(&node, &site, 8));
+    let taken = begun.elapsed();
+    assert!(taken < 2 * BOUND, "in force after {taken:?}");
+}
--- a/packages/turnford-wire/src/body.rs
+++ b/packages/turnford-wire/src/body.rs
@@ -1,11 +1,9 @@
 //! Bodies of calls and answers.
 
-use std::cell::Cell;
-
-use async_io::Timer;
-use futures_lite::FutureExt;
 use h2::RecvStream;
-use turnford_policy::AnswerLimit;
+use turnford_http::read_parts;
+use turnford_http::AnswerLimit;
+use turnford_http::ArrivalFault;
 
 use crate::FrameFault;
 use crate::PeerFault;
@@ -16,34 +14,18 @@
     mut body: RecvStream,
     limit: &AnswerLimit,
 ) -> Result<Vec<u8>, PeerFault> {
-    let received = Cell::new(0);
-    let read = async {
-        let mut bytes = Vec::new();
-        loop {
-            let stalled = async {
-                Timer::after(limit.pause).await;
-                Some(Err(PeerFault::Stalled(received.get())))
-            };
-            let chunk = async {
-                let chunk = body.data().await?;
-                Some(chunk.map_err(|_| PeerFault::Broken))
-            };
-            let Some(chunk) = chunk.or(stalled).await else {
-                return Ok(bytes);
-            };
-            let chunk = chunk?;
-            bytes.extend_from_slice(&chunk);
-            received.set(bytes.len());
-            if bytes.len() > FRAME_LIMIT {
-                return Err(PeerFault::Frame(FrameFault::TooLarge));
-            }
-            let taken = body.flow_control().release_capacity(chunk.len());
-            taken.map_err(|_| PeerFault::Broken)?;
-        }
-    };
-    let over = async {
-        Timer::after(limit.whole).await;
-        Err(PeerFault::Stalled(received.get()))
+    let next = async || {
+        let chunk = body.data().await?;
+        let taken = chunk.and_then(|chunk| {
+            let released = body.flow_control().release_capacity(chunk.len());
+            released.map(|()| chunk)
+        });
+        Some(taken)
     };
-    read.or(over).await
+    let read = read_parts(limit, FRAME_LIMIT, next).await;
+    read.map_err(|fault| match fault {
+        ArrivalFault::Stalled(received) => PeerFault::Stalled(received),
+        ArrivalFault::TooLarge => PeerFault::Frame(FrameFault::TooLarge),
+        ArrivalFault::Broken(_) => PeerFault::Broken,
+    })
 }
--- a/packages/turnford-wire/src/client.rs
+++ b/packages/turnford-wire/src/client.rs
@@ -9,7 +9,6 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use async_net::TcpStream;
 use bincode::Decode;
 use bincode::Encode;
 use bytes::Bytes;
@@ -20,8 +19,9 @@
 use http::Request;
 use http::Response;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
-use turnford_policy::AnswerLimit;
-use turnford_policy::ArrivalCount;
+use turnford_http::open_stream;
+use turnford_http::AnswerLimit;
+use turnford_http::ArrivalCount;
 
 use crate::body::read_body;
 use crate::decode_frame;
@@ -157,10 +157,7 @@
     }
 
     async fn connect(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerFault> {
-        let stream = TcpStream::connect(to)
-            .await
-            .map_err(|_| PeerFault::Broken)?;
-        stream.set_nodelay(true).map_err(|_| PeerFault::Broken)?;
+        let stream = open_stream(to).await.map_err(|_| PeerFault::Broken)?;
         let shaken = h2::client::handshake(stream.compat()).await;
         let (sender, connection) = shaken.map_err(|_| PeerFault::Broken)?;
         let drive = async move {
--- a/packages/turnford-wire/src/server.rs
+++ b/packages/turnford-wire/src/server.rs
@@ -17,7 +17,8 @@
 use h2::RecvStream;
 use http::Response;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
-use turnford_policy::AnswerLimit;
+use turnford_http::watch_stream;
+use turnford_http::AnswerLimit;
 
 use crate::body::read_body;
 use crate::decode_frame;
@@ -63,7 +64,7 @@
                 continue;
             }
         };
-        if let Err(error) = stream.set_nodelay(true) {
+        if let Err(error) = watch_stream(&stream) {
             log::debug!("a connection of a node can't be set up: {error}");
             continue;
         }
