Say not ready while the thread that serves clients is stuck, and mute open connections in tests

Cause: the control thread answers the readiness question whatever becomes of the traffic thread; after a panic or a hang there, the node would be ready and take no connection. And silent open connections had no stand-in. LinkProxy::mute_open; muted_links.

--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -22,6 +22,7 @@
 mod route;
 mod routing;
 mod target;
+mod turn;
 mod work;
 
 pub use admission::plan_admission;
@@ -97,6 +98,7 @@
 pub use target::LoadReport;
 pub use target::TargetFacts;
 pub use target::TargetView;
+pub use turn::TurnMark;
 pub use work::HoldVerdict;
 pub use work::PoolOffer;
 pub use work::PoolSettings;
--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -53,6 +53,7 @@
         listeners.ready,
         HEAD_LIMIT,
         closing.clone(),
+        || (),
         answer,
     );
     executor.spawn(probes).detach();
@@ -65,6 +66,7 @@
         listeners.metrics,
         HEAD_LIMIT,
         closing,
+        || (),
         answer,
     );
     executor.spawn(readers).detach();
--- a/packages/turnford-serve/src/entry.rs
+++ b/packages/turnford-serve/src/entry.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use async_net::TcpListener;
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use http::header::HeaderValue;
 use http::header::CONNECTION;
 use http::Request;
@@ -27,12 +28,17 @@
 /// Pause after a connection could not be taken, for example for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Takes connections until `closing` ends, and serves each in a task.
+/// Longest pause between two turns.
+const TURN_PAUSE: Duration = Duration::from_millis(400);
+
+/// Takes connections until `closing` ends, and serves each in a task. `turn` is called each time that
+/// connections are taken, or could be if there were one.
 pub(crate) async fn accept_links<F, Fut>(
     executor: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
     head_limit: usize,
     closing: Receiver<()>,
+    turn: impl Fn(),
     handler: F,
 ) where
     F: Fn(Request<Incoming>) -> Fut + 'static,
@@ -40,9 +46,21 @@
 {
     let handler = Rc::new(handler);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
+        let over = async {
+            Timer::after(TURN_PAUSE).await;
+            None
+        };
+        let accepted = async { Some(listener.accept().await) };
+        let stream = match accepted.or(over).await {
+            None => {
+                turn();
+                continue;
+            }
+            Some(Ok((stream, _))) => {
+                turn();
+                stream
+            }
+            Some(Err(error)) => {
                 log::warn!("a connection can't be taken: {error}");
                 Timer::after(ACCEPT_PAUSE).await;
                 continue;
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -23,6 +23,7 @@
 use turnford_http::bind_listener;
 use turnford_policy::ClientLimits;
 use turnford_policy::SystemClock;
+use turnford_policy::TurnMark;
 
 use crate::control::run_control;
 use crate::control::ControlListeners;
@@ -86,6 +87,7 @@
             changes,
             draining: AtomicBool::new(false),
             stop_begun: AtomicU64::new(0),
+            turns: TurnMark::default(),
             running: AtomicU64::new(0),
             metrics: ServeMetrics::new(),
         });
@@ -232,9 +234,18 @@
         .detach();
     let listener = listeners.listener;
     let head_limit = ClientLimits::default().head_bytes;
+    let turning = traffic.shared.clone();
+    let turn = move || turning.turns.note(turning.now());
     let handler = move |request| handle_client(traffic.clone(), request);
     let closing = signals.closing;
-    let accept = accept_links(executor.clone(), listener, head_limit, closing, handler);
+    let accept = accept_links(
+        executor.clone(),
+        listener,
+        head_limit,
+        closing,
+        turn,
+        handler,
+    );
     executor.spawn(accept).detach();
     async_io::block_on(executor.run(stop));
 }
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -20,6 +20,7 @@
 use turnford_policy::RouteTable;
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
+use turnford_policy::TurnMark;
 
 use crate::metrics::ServeMetrics;
 
@@ -83,6 +84,8 @@
     pub(crate) draining: AtomicBool,
     /// When the stop began, in milliseconds of the node's clock; 0 before.
     pub(crate) stop_begun: AtomicU64,
+    /// Turns of the thread that takes clients' connections.
+    pub(crate) turns: TurnMark,
     /// Requests under way.
     pub(crate) running: AtomicU64,
     pub(crate) metrics: ServeMetrics,
@@ -152,7 +155,7 @@
 
     /// Tells whether new connections should come to this node.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.view.load().is_complete()
+        !self.is_draining() && self.view.load().is_complete() && self.turns.is_fresh(self.now())
     }
 
     /// Puts a new view into force.
--- /dev/null
+++ b/packages/turnford-serve/tests/muted_links.rs
@@ -0,0 +1,38 @@
+//! Open connections that fall silent without a reset are found out, and new ones taken.
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use common::config;
+use common::settings;
+use common::wait_until;
+use common::RouteSite;
+use common::QUICK;
+use turnford_serve::ServeNode;
+use turnford_standin::LinkProxy;
+
+/// Time in which a change has to be in force: the longest watch, its margin, and the next call.
+const BOUND: Duration = Duration::from_secs(6);
+
+#[test]
+fn store_muted() {
+    let site = RouteSite::new();
+    let _target = site.target("b1", "booking", QUICK);
+    let (_, store) = site.store.open_door(&site.executor).expect("a free port");
+    let link = LinkProxy::start(&site.executor, store).expect("a free port");
+    let node = ServeNode::start(settings("one", link.address, Vec::new())).expect("free ports");
+    wait_until("the node is ready", || node.is_ready());
+    for version in 2..5 {
+        link.mute_open();
+        let begun = Instant::now();
+        site.store.put("config", "main", config(version));
+        let line = format!("turnford_config_version {version}\n");
+        wait_until("the change is in force", || {
+            site.metrics_at(node.settings().metrics).contains(&line)
+        });
+        let taken = begun.elapsed();
+        assert!(taken < BOUND, "in force after {taken:?}");
+    }
+}
--- a/packages/turnford-standin/src/proxy.rs
+++ b/packages/turnford-standin/src/proxy.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -50,6 +52,8 @@
     state: Arc<Mutex<LinkState>>,
     /// When the last byte that was taken will have passed, towards the server and from it.
     free_at: Arc<Mutex<[Option<Instant>; 2]>>,
+    /// How often open connections were muted.
+    mutes: Arc<AtomicU32>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -70,6 +74,7 @@
             address: listener.local_addr()?,
             state: Arc::new(Mutex::new(LinkState::Open)),
             free_at: Arc::default(),
+            mutes: Arc::default(),
         };
         let accepting = proxy.clone();
         let spawner = executor.clone();
@@ -89,16 +94,22 @@
         *self.state.lock().unwrap_or_else(PoisonError::into_inner) = state;
     }
 
+    /// Has no byte pass any more on the connections that are open now; new ones work.
+    pub fn mute_open(&self) {
+        self.mutes.fetch_add(1, Ordering::SeqCst);
+    }
+
     fn state(&self) -> LinkState {
         *self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn pass(self, client: TcpStream, server: SocketAddr) {
+        let born = self.mutes.load(Ordering::SeqCst);
         let Ok(server) = TcpStream::connect(server).await else {
             return;
         };
-        let to = self.pump(client.clone(), server.clone(), Direction::To);
-        let from = self.pump(server, client, Direction::From);
+        let to = self.pump(client.clone(), server.clone(), Direction::To, born);
+        let from = self.pump(server, client, Direction::From, born);
         let broken = async {
             while self.state() != LinkState::Reset {
                 Timer::after(LOOK_PAUSE).await;
@@ -108,10 +119,13 @@
         to.or(from).or(broken).await;
     }
 
-    async fn pump(&self, mut from: TcpStream, mut to: TcpStream, direction: Direction) {
+    async fn pump(&self, mut from: TcpStream, mut to: TcpStream, direction: Direction, born: u32) {
         let mut bytes = vec![0; CHUNK];
         while let Ok(count @ 1..) = from.read(&mut bytes).await {
             self.wait_open(direction, count).await;
+            if self.mutes.load(Ordering::SeqCst) > born {
+                continue;
+            }
             if to.write_all(&bytes[..count]).await.is_err() {
                 return;
             }
