--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -142,6 +142,11 @@
         &self.state.id
     }
 
+    /// Returns how many calls of pieces came so far.
+    pub fn piece_calls(&self) -> u64 {
+        self.state.calls.load(Ordering::SeqCst)
+    }
+
     /// Returns its address.
     pub fn address(&self) -> SocketAddr {
         let address = self.state.address.lock();
--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -23,6 +23,13 @@
 /// Faults of one run.
 const FAULTS: usize = 14;
 
+/// Faults of one run that have to do with large configurations and silent connections.
+const LINK_FAULTS: usize = 4;
+
+/// What a slow link to the store carries, in bytes a second: the largest configuration of a run takes
+/// two seconds.
+const SLOW_RATE: u32 = 200_000;
+
 /// Fault of one moment.
 #[derive(Clone, Debug)]
 pub(crate) enum Fault {
@@ -44,6 +51,10 @@
     Leave(usize),
     /// A configuration with a higher version is written.
     Config,
+    /// A configuration with many more routes is written.
+    LargeConfig,
+    /// The open connections of a node to the store fall silent; new ones work.
+    StoreMute(usize),
     /// The store forgets its history.
     Compact,
 }
@@ -63,6 +74,12 @@
             let at = LEAD + FAULT_SPAN.mul_f64(rng.random());
             steps.push((at, draw_fault(&mut rng)));
         }
+        // Drawn apart, so that what a seed meant before these were added stays.
+        let mut rng = StdRng::seed_from_u64(!seed);
+        for _ in 0..LINK_FAULTS {
+            let at = LEAD + FAULT_SPAN.mul_f64(rng.random());
+            steps.push((at, draw_link_fault(&mut rng)));
+        }
         steps.sort_by_key(|(at, _)| *at);
         Self { steps }
     }
@@ -92,6 +109,16 @@
     }
 }
 
+fn draw_link_fault(rng: &mut StdRng) -> Fault {
+    let node = rng.random_range(0..NODES);
+    let span = Duration::from_millis(rng.random_range(1000..5000));
+    match rng.random_range(0..4) {
+        0 => Fault::StoreMute(node),
+        1 => Fault::StoreLink(Some(node), LinkState::Slow(SLOW_RATE), span),
+        _ => Fault::LargeConfig,
+    }
+}
+
 fn draw_link(rng: &mut StdRng) -> LinkState {
     let delay = Duration::from_millis(rng.random_range(20..400));
     let states = [
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -56,6 +56,13 @@
 /// Time after all faults in which requests must be served.
 const LAST_SPAN: Duration = Duration::from_secs(4);
 
+/// Time in which a node finds out that its connections to the store are silent: its longest watch
+/// and the margin of that.
+const MUTE_SPAN: Duration = Duration::from_secs(4);
+
+/// Routes that a large change adds; they have some 200 KB.
+const ADDED_ROUTES: usize = 800;
+
 /// Number of runs that this process has begun, for addresses of their own.
 static RUNS: AtomicU16 = AtomicU16::new(0);
 
@@ -218,16 +225,41 @@
                 );
                 self.after(RETURN_PAUSE, Later::Return(target));
             }
-            Fault::Config => {
-                self.version += 3;
-                self.config["version"] = Value::from(self.version);
-                self.site.store.put("config", "main", self.config.clone());
-                self.after(IN_FORCE, Later::InForce(self.version));
+            Fault::Config => self.write_config(),
+            Fault::LargeConfig => {
+                self.add_routes();
+                self.write_config();
+            }
+            Fault::StoreMute(node) => {
+                self.harm(node, MUTE_SPAN + CONTACT_SPAN);
+                self.stores[node].mute_open();
             }
             Fault::Compact => self.site.store.forget_history(),
         }
     }
 
+    /// Writes the configuration with a higher version.
+    fn write_config(&mut self) {
+        self.version += 3;
+        self.config["version"] = Value::from(self.version);
+        self.site.store.put("config", "main", self.config.clone());
+        self.after(IN_FORCE, Later::InForce(self.version));
+    }
+
+    /// Adds routes that no client asks for.
+    fn add_routes(&mut self) {
+        let Some(routes) = self.config["routes"].as_array_mut() else {
+            return;
+        };
+        let template = routes[0].clone();
+        for number in routes.len()..routes.len() + ADDED_ROUTES {
+            let mut route = template.clone();
+            route["name"] = Value::from(format!("added-{number}"));
+            route["path_prefix"] = Value::from(format!("/added-{number}/"));
+            routes.push(route);
+        }
+    }
+
     fn kill(&mut self, node: usize) {
         self.harm(node, RESTART_PAUSE + CONTACT_SPAN);
         self.nodes[node].signal(Signal::KILL);
