--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -8,6 +8,7 @@
 mod peers;
 mod source;
 mod targets;
+mod view;
 
 use std::future::Future;
 use std::sync::Arc;
--- a/packages/turnford-serve/src/control/news.rs
+++ b/packages/turnford-serve/src/control/news.rs
@@ -9,26 +9,13 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use futures_lite::FutureExt;
-use serde_json::Value;
 
-use turnford_policy::ListedTarget;
-use turnford_policy::Moment;
-use turnford_policy::TargetNews;
-use turnford_policy::TargetSpec;
-use turnford_wire::PackedText;
-use turnford_wire::PeerFault;
 use turnford_wire::RouteReply;
 use turnford_wire::RouteRequest;
-use turnford_wire::TargetEntry;
-use turnford_wire::ViewCursor;
 use turnford_wire::ViewMark;
-use turnford_wire::ViewNews;
 
-use super::config::take_spec;
-use super::config::HeldConfig;
 use super::context::ControlContext;
-use super::targets::publish;
+use super::view::pull_view;
 
 /// Nodes that each node tells of something new; in a few rounds all know.
 const NEWS_FANOUT: usize = 3;
@@ -42,15 +29,9 @@
 /// Pause between looks whether an answer is still arriving.
 const ARRIVAL_PAUSE: Duration = Duration::from_millis(50);
 
-/// Longest wait until a peer's answer begins, beyond the time that it was asked to wait.
-const PULL_LIMIT: Duration = Duration::from_millis(300);
-
 /// Longest wait for a peer to note news.
 const NEWS_LIMIT: Duration = Duration::from_millis(500);
 
-/// Longest time that a node waits for something new to answer with.
-const LONGEST_WAIT: Duration = Duration::from_secs(2);
-
 /// Tells a few peers when this node has learned something from the store.
 pub(super) async fn spread_news(context: Rc<ControlContext>) {
     let mut told = ViewMark::default();
@@ -108,172 +89,3 @@
     }
     context.is_pulling.set(false);
 }
-
-/// What a peer told.
-pub(super) struct PulledView {
-    /// Time since the store said that what the peer knows is all.
-    pub(super) age: Duration,
-    /// Whether the peer knows less of the targets than this node.
-    pub(super) is_behind: bool,
-}
-
-/// Asks a peer for what it knows more, waiting for something new for so long.
-///
-/// # Errors
-///
-/// Returns the fault; a peer that takes no such call counts as broken.
-pub(super) async fn pull_view(
-    context: &Rc<ControlContext>,
-    peer: SocketAddr,
-    wait: Duration,
-) -> Result<PulledView, PeerFault> {
-    let request = RouteRequest::ViewPull {
-        config: context.shared.view.load().config.version,
-        cursor: context.cursors.borrow().get(&peer).copied(),
-        wait_ms: to_millis(wait),
-    };
-    let limit = wait + PULL_LIMIT;
-    let reply = context.peers.call(peer, &request, limit).await;
-    if let Err(PeerFault::Stalled(received)) = reply {
-        context.note_abandoned(received);
-    }
-    match reply? {
-        RouteReply::View(news) => Ok(take_view(context, peer, news)),
-        _ => Err(PeerFault::Broken),
-    }
-}
-
-fn take_view(context: &ControlContext, peer: SocketAddr, news: ViewNews) -> PulledView {
-    if let Some(packed) = &news.config {
-        take_config(context, peer, packed);
-    }
-    let now = context.now();
-    let (revision, cursor) = (news.target_revision, news.cursor);
-    let age = Duration::from_millis(u64::from(news.age_ms));
-    let config_revision = news.config_revision;
-    let config_state = &context.config_state;
-    let own = config_state.revision.get().unwrap_or(0);
-    config_state.revision.set(Some(own.max(config_revision)));
-    let news = target_news(now, news);
-    let is_behind = !context.targets.borrow_mut().adopt(revision, news);
-    if !is_behind {
-        context.cursors.borrow_mut().insert(peer, cursor);
-        context.target_state.revision.set(Some(revision));
-        publish(context);
-    }
-    // This node knows at least what the store said by then.
-    let confirmed = now.saturating_sub(age);
-    for state in [config_state, &context.target_state] {
-        let before = state.confirmed_at.get();
-        state.confirmed_at.set(confirmed.max(before));
-    }
-    PulledView { age, is_behind }
-}
-
-/// Puts a peer's configuration into force if it is newer.
-fn take_config(context: &ControlContext, peer: SocketAddr, packed: &PackedText) {
-    let spec = packed
-        .unpack()
-        .map_err(|fault| fault.to_string())
-        .and_then(|text| serde_json::from_str(&text).map_err(|error| error.to_string()));
-    let spec: Value = match spec {
-        Ok(spec) => spec,
-        Err(reason) => {
-            log::error!("configuration of peer {peer} refused: {reason}");
-            return;
-        }
-    };
-    let source = format!("peer {peer} packed={}", packed.size());
-    let hold = || HeldConfig::Packed(packed.clone());
-    take_spec(context, &spec, &source, hold);
-}
-
-/// Answers a view pull, at once if there is something new.
-pub(super) async fn answer_view(
-    context: Rc<ControlContext>,
-    config: u64,
-    cursor: Option<ViewCursor>,
-    wait: Duration,
-) -> RouteReply {
-    let after = cursor.filter(|cursor| cursor.process == context.shared.started);
-    let after = after.map(|cursor| cursor.change);
-    let until = context.now() + wait.min(LONGEST_WAIT);
-    loop {
-        let changed = context.view_changed.listen();
-        if context.shared.is_draining() {
-            return RouteReply::Refused;
-        }
-        let has_config = context.shared.view.load().config.version > config;
-        let has_targets = after != Some(context.targets.borrow().newest_change());
-        let left = until.saturating_sub(context.now());
-        if has_config || has_targets || left.is_zero() {
-            return RouteReply::View(view_news(&context, config, after));
-        }
-        let over = async {
-            Timer::after(left).await;
-        };
-        changed.or(over).await;
-    }
-}
-
-fn view_news(context: &ControlContext, config: u64, after: Option<u64>) -> ViewNews {
-    let is_newer = context.shared.view.load().config.version > config;
-    let mut held = context.held_config.borrow_mut();
-    let packed = if is_newer { held.packed() } else { None };
-    let list = context.targets.borrow();
-    let news = list.news_since(after);
-    let now = context.now();
-    let targets = news.listed.iter().map(|listed| target_entry(now, listed));
-    let gone = news.gone.iter().map(ToString::to_string);
-    ViewNews {
-        config: packed.cloned(),
-        config_revision: context.config_state.revision.get().unwrap_or(0),
-        is_whole: news.is_whole,
-        targets: targets.collect(),
-        gone: gone.collect(),
-        target_revision: list.revision(),
-        cursor: ViewCursor {
-            process: context.shared.started,
-            change: list.newest_change(),
-        },
-        age_ms: to_millis(context.view_age()),
-    }
-}
-
-fn to_millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
-
-fn target_entry(now: Moment, listed: &ListedTarget) -> TargetEntry {
-    let target = &listed.spec;
-    TargetEntry {
-        id: target.id.to_string(),
-        service: target.service.to_string(),
-        address: target.address,
-        hall: target.hall.to_string(),
-        slots: target.slots,
-        leaving: target.leaving,
-        gone_in_ms: listed.gone_at.map(|at| to_millis(at.saturating_sub(now))),
-    }
-}
-
-fn target_news(now: Moment, news: ViewNews) -> TargetNews {
-    let listed = news.targets.into_iter().map(|entry| ListedTarget {
-        spec: TargetSpec {
-            id: entry.id.into(),
-            service: entry.service.into(),
-            address: entry.address,
-            hall: entry.hall.into(),
-            slots: entry.slots,
-            leaving: entry.leaving,
-        },
-        gone_at: entry
-            .gone_in_ms
-            .map(|left| now + Duration::from_millis(u64::from(left))),
-    });
-    TargetNews {
-        is_whole: news.is_whole,
-        listed: listed.collect(),
-        gone: news.gone.into_iter().map(Into::into).collect(),
-    }
-}
--- a/packages/turnford-serve/src/control/peers.rs
+++ b/packages/turnford-serve/src/control/peers.rs
@@ -13,6 +13,7 @@
 use super::context::ControlContext;
 use super::members;
 use super::news;
+use super::view;
 
 /// Serves the inner protocol for as long as the node runs.
 pub(super) async fn serve_peers(context: Rc<ControlContext>, listener: TcpListener) {
@@ -42,7 +43,7 @@
             wait_ms,
         } => {
             let wait = Duration::from_millis(u64::from(wait_ms));
-            news::answer_view(context, config, cursor, wait).await
+            view::answer_view(context, config, cursor, wait).await
         }
     }
 }
--- a/packages/turnford-serve/src/control/source.rs
+++ b/packages/turnford-serve/src/control/source.rs
@@ -14,8 +14,8 @@
 
 use super::config::follow_config;
 use super::context::ControlContext;
-use super::news::pull_view;
 use super::targets::follow_targets;
+use super::view::pull_view;
 use crate::shared::RouteView;
 
 /// Longest wait of a watch at the store that only this node depends on. A watch whose answer was lost
