Count the way of a peer's answer in the age of what it tells

Cause: read in the code: an answer may now be on its way for seconds, in which a watcher's knowledge grows old; its follower took it for as new as when the answer began. Change: the answer tells how long its node waited for news; what is left of the exchange is its way, and counts in the age. Not brought about by a test of its own: the tests' links between nodes have no rate.

--- a/packages/turnford-serve/src/control/config.rs
+++ b/packages/turnford-serve/src/control/config.rs
@@ -31,8 +31,7 @@
 }
 
 impl HeldConfig {
-    /// Returns it as peers are told. It is packed at the first question: few nodes are asked, and the
-    /// packed form has a fourteenth of the size of the text, and less than that of the tree.
+    /// Returns it as peers are told. It is packed at the first question, since few nodes are asked.
     pub(super) fn packed(&mut self) -> Option<&PackedText> {
         if let HeldConfig::Read(spec) = self {
             *self = HeldConfig::Packed(PackedText::pack(&spec.to_string()));
--- a/packages/turnford-serve/src/control/view.rs
+++ b/packages/turnford-serve/src/control/view.rs
@@ -33,7 +33,7 @@
 
 /// What a peer told.
 pub(super) struct PulledView {
-    /// Time since the store said that what the peer knows is all.
+    /// Time since the store said that what the peer told is all.
     pub(super) age: Duration,
     /// Whether the peer knows less of the targets than this node.
     pub(super) is_behind: bool,
@@ -55,22 +55,32 @@
         wait_ms: to_millis(wait),
     };
     let limit = wait + PULL_LIMIT;
+    let begun = context.now();
     let reply = context.peers.call(peer, &request, limit).await;
     if let Err(PeerFault::Stalled(received)) = reply {
         context.note_abandoned(received);
     }
     match reply? {
-        RouteReply::View(news) => Ok(take_view(context, peer, news)),
+        RouteReply::View(news) => Ok(take_view(context, peer, begun, news)),
         _ => Err(PeerFault::Broken),
     }
 }
 
-fn take_view(context: &ControlContext, peer: SocketAddr, news: ViewNews) -> PulledView {
+/// Takes what a peer answered to a question that began at `begun`.
+fn take_view(
+    context: &ControlContext,
+    peer: SocketAddr,
+    begun: Moment,
+    news: ViewNews,
+) -> PulledView {
+    let now = context.now();
     let packed = news.config.as_ref();
     let is_understood = packed.is_none_or(|packed| take_config(context, peer, packed));
-    let now = context.now();
     let (revision, cursor) = (news.target_revision, news.cursor);
-    let age = Duration::from_millis(u64::from(news.age_ms));
+    // A large answer is on its way for some time, in which what it tells grows old.
+    let waited = from_millis(news.waited_ms);
+    let on_way = now.saturating_sub(begun + waited);
+    let age = from_millis(news.age_ms) + on_way;
     let config_revision = news.config_revision;
     let config_state = &context.config_state;
     // A configuration that made no sense is still to come from the store.
@@ -122,7 +132,8 @@
 ) -> RouteReply {
     let after = cursor.filter(|cursor| cursor.process == context.shared.started);
     let after = after.map(|cursor| cursor.change);
-    let until = context.now() + wait.min(LONGEST_WAIT);
+    let begun = context.now();
+    let until = begun + wait.min(LONGEST_WAIT);
     loop {
         let changed = context.view_changed.listen();
         if context.shared.is_draining() {
@@ -132,7 +143,7 @@
         let has_targets = after != Some(context.targets.borrow().newest_change());
         let left = until.saturating_sub(context.now());
         if has_config || has_targets || left.is_zero() {
-            return RouteReply::View(view_news(&context, config, after));
+            return RouteReply::View(view_news(&context, config, after, begun));
         }
         let over = async {
             Timer::after(left).await;
@@ -141,7 +152,8 @@
     }
 }
 
-fn view_news(context: &ControlContext, config: u64, after: Option<u64>) -> ViewNews {
+/// Returns what is new for one that asked at `begun`.
+fn view_news(context: &ControlContext, config: u64, after: Option<u64>, begun: Moment) -> ViewNews {
     let is_newer = context.shared.view.load().config.version > config;
     let mut held = context.held_config.borrow_mut();
     let packed = if is_newer { held.packed() } else { None };
@@ -162,9 +174,14 @@
             change: list.newest_change(),
         },
         age_ms: to_millis(context.view_age()),
+        waited_ms: to_millis(now.saturating_sub(begun)),
     }
 }
 
+fn from_millis(millis: u32) -> Duration {
+    Duration::from_millis(u64::from(millis))
+}
+
 fn to_millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
@@ -192,9 +209,7 @@
             slots: entry.slots,
             leaving: entry.leaving,
         },
-        gone_at: entry
-            .gone_in_ms
-            .map(|left| now + Duration::from_millis(u64::from(left))),
+        gone_at: entry.gone_in_ms.map(|left| now + from_millis(left)),
     });
     TargetNews {
         is_whole: news.is_whole,
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -97,8 +97,10 @@
     pub target_revision: u64,
     /// Place from which to ask on.
     pub cursor: ViewCursor,
-    /// Milliseconds since the store last said that this is all.
+    /// Milliseconds since the store last said that this is all, when the answer began.
     pub age_ms: u32,
+    /// Milliseconds that the node waited for something new before it answered.
+    pub waited_ms: u32,
 }
 
 /// Answer of a control thread.
