--- a/packages/turnford-http/src/lib.rs
+++ b/packages/turnford-http/src/lib.rs
@@ -36,6 +36,6 @@
 /// in bytes. The platform's values are bounded by a megabyte; the rest leaves room for framing.
 pub const DEFAULT_BODY_LIMIT: usize = 1_200_000;
 
-/// Largest answer of the platform that holds several values, in bytes: eight of the largest, a twentieth of
-/// a VM's memory.
+/// Largest answer of the platform that holds several values, in bytes: eight of the largest, a
+/// twentieth of a VM's memory.
 pub const LARGE_ANSWER_LIMIT: usize = 8 * 1024 * 1024;
--- a/packages/turnford-http/src/stream.rs
+++ b/packages/turnford-http/src/stream.rs
@@ -20,9 +20,9 @@
 /// Questions without an answer after which a connection counts as broken.
 const PROBE_COUNT: u32 = 4;
 
-/// Longest time for which bytes that were sent, or questions, may stay without an answer. A link that
-/// is cut for less than this heals without a loss; a connection that fell silent for good would
-/// otherwise hold its request until the deadline.
+/// Longest time for which bytes that were sent, or questions, may stay without an answer. A link
+/// that is cut for less than this heals without a loss; a connection that fell silent for good
+/// would otherwise hold its request until the deadline.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 
 /// Opens a connection that ends if the other side falls silent.
--- a/packages/turnford-policy/src/turn.rs
+++ b/packages/turnford-policy/src/turn.rs
@@ -6,15 +6,15 @@
 
 use crate::Moment;
 
-/// Age of the last turn from which a thread counts as stuck. A turn comes several times a second; the
-/// rest is for a VM that is slow or was frozen. The platform takes a node out after two
+/// Age of the last turn from which a thread counts as stuck. A turn comes several times a second;
+/// the rest is for a VM that is slow or was frozen. The platform takes a node out after two
 /// answers, which come every second.
 const STUCK_AGE: Duration = Duration::from_secs(2);
 
 /// When a thread last came round to taking connections.
 ///
-/// Another thread answers the platform's question whether a node is ready. Without this mark a node whose
-/// serving thread has ended or hangs would be sent connections that nobody takes.
+/// Another thread answers the platform's question whether a node is ready. Without this mark a node
+/// whose serving thread has ended or hangs would be sent connections that nobody takes.
 #[derive(Debug, Default)]
 pub struct TurnMark {
     /// Milliseconds of the node's clock.
--- a/packages/turnford-serve/src/control/follow.rs
+++ b/packages/turnford-serve/src/control/follow.rs
@@ -17,8 +17,8 @@
 /// Longest time for a list.
 const LIST_LIMIT: Duration = Duration::from_millis(1500);
 
-/// Time in which further changes gather after one, so that many in a row don't cost a call each. Well
-/// below the seconds in which a change must be in force.
+/// Time in which further changes gather after one, so that many in a row don't cost a call each.
+/// Well below the seconds in which a change must be in force.
 const GATHER_PAUSE: Duration = Duration::from_millis(150);
 
 /// What a follower hears.
--- a/packages/turnford-serve/src/control/news.rs
+++ b/packages/turnford-serve/src/control/news.rs
@@ -1,8 +1,8 @@
 //! News between nodes: who knows a newer configuration or newer targets, and how to get them.
 //!
-//! A few nodes of each hall watch the store; the others ask them. Beside that, each node that learns
-//! something from the store tells a few others, and probes compare what both know, so that a node
-//! that neither the store nor its hall's watchers answer learns it too.
+//! A few nodes of each hall watch the store; the others ask them. Beside that, each node that
+//! learns something from the store tells a few others, and probes compare what both know, so that a
+//! node that neither the store nor its hall's watchers answer learns it too.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/packages/turnford-serve/src/control/source.rs
+++ b/packages/turnford-serve/src/control/source.rs
@@ -18,13 +18,13 @@
 use super::view::pull_view;
 use crate::shared::RouteView;
 
-/// Longest wait of a watch at the store that only this node depends on. A watch whose answer was lost
-/// is found out by its end, so it is well below the time in which a change must be in force after a
-/// cut.
+/// Longest wait of a watch at the store that only this node depends on. A watch whose answer was
+/// lost is found out by its end, so it is well below the time in which a change must be in force
+/// after a cut.
 const OWN_WATCH_SPAN: Duration = Duration::from_secs(3);
 
-/// The same where other nodes depend on it: they are in touch while this one may be cut off, so they
-/// must find that out well before a change has to be in force, which is two seconds.
+/// The same where other nodes depend on it: they are in touch while this one may be cut off, so
+/// they must find that out well before a change has to be in force, which is two seconds.
 const SHARED_WATCH_SPAN: Duration = Duration::from_millis(1000);
 
 /// Time that a watcher waits for something new before it says that there is nothing. Its silence is
@@ -48,8 +48,8 @@
 /// Pause before a watcher is asked again that knows less than this node: its own watch ends soon.
 const BEHIND_PAUSE: Duration = Duration::from_millis(200);
 
-/// Time after the start of a process in which it takes other nodes to depend on it, since it does not
-/// know them yet.
+/// Time after the start of a process in which it takes other nodes to depend on it, since it does
+/// not know them yet.
 const START_SPAN: Duration = Duration::from_secs(10);
 
 /// Time in which a starting node waits for word of the other nodes before it goes on by itself.
@@ -138,8 +138,8 @@
     }
 }
 
-/// Ends when there is a watcher to follow. An answer of the store that is arriving is awaited first: a
-/// large one would begin anew elsewhere.
+/// Ends when there is a watcher to follow. An answer of the store that is arriving is awaited
+/// first: a large one would begin anew elsewhere.
 async fn find_peer(context: &ControlContext) {
     while context.store.is_receiving() || matches!(choose_source(context), ViewSource::Store) {
         Timer::after(LOOK_PAUSE).await;
--- a/packages/turnford-serve/src/entry.rs
+++ b/packages/turnford-serve/src/entry.rs
@@ -31,8 +31,8 @@
 /// Longest pause between two turns.
 const TURN_PAUSE: Duration = Duration::from_millis(400);
 
-/// Takes connections until `closing` ends, and serves each in a task. `turn` is called each time that
-/// connections are taken, or could be if there were one.
+/// Takes connections until `closing` ends, and serves each in a task. `turn` is called each time
+/// that connections are taken, or could be if there were one.
 pub(crate) async fn accept_links<F, Fut>(
     executor: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -44,8 +44,8 @@
 /// Part of the grace time that is left for the last bytes and the process's own end.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 
-/// Time that most streams take with their stages. A stream that comes when less is left of the grace
-/// time goes to another node.
+/// Time that most streams take with their stages. A stream that comes when less is left of the
+/// grace time goes to another node.
 const LONG_SPAN: Duration = Duration::from_millis(4500);
 
 /// What the control thread knows, as the traffic thread reads it.
--- a/packages/turnford-serve/tests/large_config.rs
+++ b/packages/turnford-serve/tests/large_config.rs
@@ -1,13 +1,14 @@
 //! A configuration is in force soon however large it is and however slow the link.
 //!
-//! Symptom: for up to ten seconds after a change was confirmed, single nodes answered 404 on the routes that it
-//! added. Sequence: the configuration had grown to 0.85 MB; links carried 10 Mbit/s, so that a whole
-//! one took 0.7 s alone. A node's watch had to end 0.8 s after its wait, whatever had come of its answer; the watch
-//! was given up, and from then on the node asked without a wait, with 0.8 s for each answer, while
-//! it also asked peers, with 0.3 s for each. Cause: limits on whole answers, shorter than a large
-//! answer takes; each try began anew and took the link from the others, so none ended. What settled it: two
-//! nodes received 1,060 KB a second, all that their links carry, for ten seconds, 9.2 and
-//! 8.5 MB for a configuration of 0.85 MB, with `no answer in time` every 0.3 to 0.5 s.
+//! Symptom: for up to ten seconds after a change was confirmed, single nodes answered 404 on the
+//! routes that it added. Sequence: the configuration had grown to 0.85 MB; links carried 10 Mbit/s,
+//! so that a whole one took 0.7 s alone. A node's watch had to end 0.8 s after its wait, whatever
+//! had come of its answer; the watch was given up, and from then on the node asked without a wait,
+//! with 0.8 s for each answer, while it also asked peers, with 0.3 s for each. Cause: limits on
+//! whole answers, shorter than a large answer takes; each try began anew and took the link from the
+//! others, so none ended. What settled it: two nodes received 1,060 KB a second, all that their
+//! links carry, for ten seconds, 9.2 and 8.5 MB for a configuration of 0.85 MB, with `no answer in
+//! time` every 0.3 to 0.5 s; and, once it was logged, `store lost: … received=851893`.
 
 mod common;
 
--- a/packages/turnford-wire/src/client.rs
+++ b/packages/turnford-wire/src/client.rs
@@ -85,8 +85,8 @@
         self.arrivals.is_any()
     }
 
-    /// Makes a call whose answer has to begin within `limit`; then it is read for as long as it keeps
-    /// coming.
+    /// Makes a call whose answer has to begin within `limit`; then it is read for as long as it
+    /// keeps coming.
     ///
     /// # Errors
     ///
@@ -142,8 +142,8 @@
         response.await.map_err(|_| PeerFault::Broken)
     }
 
-    /// Returns a connection that takes a call now. A kept one that has ended meanwhile, as with a peer
-    /// that was restarted, is made anew: nothing was sent on it.
+    /// Returns a connection that takes a call now. A kept one that has ended meanwhile, as with a
+    /// peer that was restarted, is made anew: nothing was sent on it.
     async fn ready_connection(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerFault> {
         let kept = self.connections.borrow().get(&to).cloned();
         if let Some(sender) = kept {
--- a/packages/turnford-wire/src/packed.rs
+++ b/packages/turnford-wire/src/packed.rs
@@ -15,8 +15,8 @@
 
 /// A text, compressed.
 ///
-/// A configuration of 4,200 routes has 1.07 MB and packs to 0.07 MB, so that a node with a link of 10 Mbit/s
-/// tells sixteen others within a second in place of fourteen.
+/// A configuration of 4,251 routes has 0.86 MB and packs to 0.07 MB, so that a node with a link of
+/// 10 Mbit/s tells sixteen others within a second in place of eleven.
 #[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
 pub struct PackedText(Vec<u8>);
 
@@ -35,8 +35,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`FrameFault::TooLarge`] for a text over the bound, [`FrameFault::Damaged`] for bytes
-    /// that hold none.
+    /// Returns [`FrameFault::TooLarge`] for a text over the bound, [`FrameFault::Damaged`] for
+    /// bytes that hold none.
     pub fn unpack(&self) -> Result<String, FrameFault> {
         let mut text = String::new();
         let mut decoder = DeflateDecoder::new(self.0.as_slice()).take(TEXT_LIMIT + 1);
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -315,8 +315,8 @@
         /// Milliseconds after which it should come back.
         back_ms: u32,
     },
-    /// To a forecast: the milliseconds until each of its stages is done, `None` where the request is
-    /// not known.
+    /// To a forecast: the milliseconds until each of its stages is done, `None` where the request
+    /// is not known.
     Forecast(Option<Vec<u32>>),
     /// To a request to place: the engine and the number of the placement.
     Placed(Option<(String, u64)>),
--- a/packages/turnford-wire/tests/slow_answers.rs
+++ b/packages/turnford-wire/tests/slow_answers.rs
@@ -1,10 +1,10 @@
 //! A peer's answer is read for as long as it keeps coming, and given up where it stops.
 //!
-//! Symptom: nodes logged `peer … knows more but gives no answer` for ten seconds in a row. Sequence: each
-//! question gave the whole answer 0.3 s beyond its wait; the answer held a configuration of 0.85 MB,
-//! which takes 0.7 s on a free link of 10 Mbit/s. Cause: the limit took an answer that was arriving for
-//! none. What settled it: of 500 answers given up in one run, 487 had begun to arrive; together 48 MB
-//! of them had.
+//! Symptom: nodes logged `peer … knows more but gives no answer` for ten seconds in a row.
+//! Sequence: each question gave the whole answer 0.3 s beyond its wait; the answer held a
+//! configuration of 0.85 MB, which takes 0.7 s on a free link of 10 Mbit/s. Cause: the limit took
+//! an answer that was arriving for none. What settled it: of 500 answers given up in one run, 487
+//! had begun to arrive; together 48 MB of them had.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/packages/turnford/tests/soak/main.rs
+++ b/packages/turnford/tests/soak/main.rs
@@ -1,8 +1,8 @@
 //! Randomised runs of the real program as separate processes, with faults from outside them.
 //!
-//! The site (store, targets, clients) is in this process; each node is a process of its own, and its
-//! links to the store and to clients pass through proxies. A plan is drawn from a seed; what happens
-//! in between differs from run to run as timing does.
+//! The site (store, targets, clients) is in this process; each node is a process of its own, and
+//! its links to the store and to clients pass through proxies. A plan is drawn from a seed; what
+//! happens in between differs from run to run as timing does.
 
 mod check;
 mod client;
--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -26,8 +26,8 @@
 /// Faults of one run that have to do with large configurations and silent connections.
 const LINK_FAULTS: usize = 4;
 
-/// What a slow link to the store carries, in bytes a second: the largest configuration of a run takes
-/// two seconds.
+/// What a slow link to the store carries, in bytes a second: the largest configuration of a run
+/// takes two seconds.
 const SLOW_RATE: u32 = 200_000;
 
 /// Fault of one moment.
