--- a/packages/turnford/tests/soak/process.rs
+++ b/packages/turnford/tests/soak/process.rs
@@ -8,6 +8,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
+use std::time::Duration;
+use std::time::Instant;
 
 use rustix::process::kill_process;
 use rustix::process::Pid;
@@ -30,6 +32,7 @@
     settings: PathBuf,
     log: PathBuf,
     starts: usize,
+    started: Option<Instant>,
     child: Option<Child>,
 }
 
@@ -60,6 +63,7 @@
             settings,
             log,
             starts: 0,
+            started: None,
             child: None,
         }
     }
@@ -81,6 +85,11 @@
         self.starts
     }
 
+    /// Returns the time since the process was started.
+    pub(crate) fn age(&self) -> Duration {
+        self.started.map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
     /// Starts the process; its log goes on in the same file.
     pub(crate) fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log);
@@ -95,6 +104,7 @@
             .spawn();
         self.child = Some(child.expect("the built program"));
         self.starts += 1;
+        self.started = Some(Instant::now());
     }
 
     pub(crate) fn is_running(&self) -> bool {
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -60,6 +60,9 @@
 /// and the margin of that.
 const MUTE_SPAN: Duration = Duration::from_secs(4);
 
+/// Time in which a process that was started has a configuration.
+const START_SPAN: Duration = Duration::from_secs(2);
+
 /// Routes that a large change adds; they have some 200 KB.
 const ADDED_ROUTES: usize = 800;
 
@@ -326,6 +329,11 @@
                 continue;
             }
             let told = self.read_version(node);
+            if told == Some(0) && self.nodes[node].age() < START_SPAN {
+                // It serves nobody yet; what it serves from soon is looked at then.
+                self.after(START_SPAN, Later::InForce(version));
+                continue;
+            }
             if told.is_some_and(|told| told < version) && self.is_calm(node) {
                 let name = &self.nodes[node].name;
                 let line = format!("{name} is at configuration {told:?}, {version} was written");
