Say in a request's line what it asks for

Cause: a request that comes again has a new id, so the lines could not tell whether engines end under one request that is sent again or under many.

--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -11,6 +11,7 @@
 use turnford_policy::AccountId;
 use turnford_policy::CallFacts;
 use turnford_policy::Moment;
+use turnford_policy::RequestDigest;
 use turnford_policy::ResultCode;
 use turnford_policy::RouteSpec;
 use turnford_policy::StageGraph;
@@ -34,6 +35,8 @@
     /// Hall of the target that the request will probably run at.
     pub(crate) planned_hall: RefCell<Option<Arc<str>>>,
     version: u64,
+    /// Mark of what it asks for, once its body is read.
+    pub(crate) digest: Cell<RequestDigest>,
     /// Span that its own call takes until the first answer, as known when the request came.
     pub(crate) last_span: Cell<Duration>,
     /// When its own call began.
@@ -71,6 +74,7 @@
             deadline,
             planned_hall: RefCell::default(),
             version,
+            digest: Cell::default(),
             last_span: Cell::new(Duration::ZERO),
             last_begun: Cell::new(begun),
             story: RefCell::new(String::new()),
@@ -168,8 +172,9 @@
         let story = if is_plain { "" } else { story.as_str() };
         log::log!(
             level,
-            "request={} route={} account={} rank={} config={} pause_ms={} code={} end={} head_ms={} ms={}{}{}{}",
+            "request={} asks={} route={} account={} rank={} config={} pause_ms={} code={} end={} head_ms={} ms={}{}{}{}",
             self.facts.attempt,
+            self.digest.get(),
             self.route.name,
             account,
             self.rank,
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -17,6 +17,7 @@
 use turnford_adapter::decode_call;
 use turnford_policy::CallFacts;
 use turnford_policy::FlowRefusal;
+use turnford_policy::RequestDigest;
 use turnford_policy::ResultCode;
 use turnford_policy::RouteSpec;
 
@@ -81,6 +82,7 @@
             return own_answer(&record.facts.attempt, code, RanState::No, reason, None);
         }
     };
+    record.digest.set(digest_of(&record, &parts, &body));
     run_request(&traffic, &record, &parts, &body).await
 }
 
@@ -128,10 +130,7 @@
 }
 
 fn find_route(view: &RouteView, parts: &Parts) -> Result<std::sync::Arc<RouteSpec>, EarlyRefusal> {
-    let named = parts.headers.get(http::header::HOST);
-    let named = named.and_then(|host| host.to_str().ok());
-    let host = parts.uri.host().or(named);
-    let Some(host) = host else {
+    let Some(host) = host_of(parts) else {
         return Err(EarlyRefusal::new(ResultCode::BadRequest, "no host"));
     };
     let route = view.table.find(host, parts.uri.path());
@@ -140,6 +139,21 @@
         .ok_or_else(|| EarlyRefusal::new(ResultCode::UnknownTemplate, "no such route"))
 }
 
+/// Returns the host that a request names.
+fn host_of(parts: &Parts) -> Option<&str> {
+    let named = parts.headers.get(http::header::HOST);
+    let named = named.and_then(|host| host.to_str().ok());
+    parts.uri.host().or(named)
+}
+
+fn digest_of(record: &RequestRecord, parts: &Parts, body: &Bytes) -> RequestDigest {
+    let account = record.account.as_deref().unwrap_or("");
+    let host = host_of(parts).unwrap_or("").to_ascii_lowercase();
+    let path = parts.uri.path_and_query();
+    let path = path.map_or("/", |path| path.as_str());
+    RequestDigest::new(account, &host, path, body)
+}
+
 fn refuse(traffic: &Traffic, parts: &Parts, refusal: &EarlyRefusal) -> Response<AnswerBody> {
     let attempt = decode_call(parts).map(|facts| facts.attempt);
     let attempt = attempt.unwrap_or_default();
