Take a target that starts again for a new one

Cause: its entry tells of another start under the same id, which nothing looked at. Change: what was learned of its speed, its prompts, its results, calls under way and kept connections is dropped when its start changes; ends of calls to the old process count for that.

--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -13,6 +13,7 @@
 
 use super::room::RoomLedger;
 use super::BatchSpec;
+use super::TargetBirth;
 use super::TargetBoard;
 use super::TargetSpec;
 
@@ -113,6 +114,10 @@
 /// Calls of one target that are under way.
 #[derive(Clone, Debug, Default)]
 struct TargetCalls {
+    /// Start of the target's process, once it was looked up.
+    born: Option<TargetBirth>,
+    /// Calls under way at its process of before, whose ends are still to come.
+    stale: usize,
     /// Ends that the calls are expected to have, in the order of their start.
     ends: Vec<Moment>,
     paused_until: Moment,
@@ -208,6 +213,7 @@
         let mut unknown = Vec::new();
         for target in targets.iter().filter(|target| !target.leaving) {
             let calls = self.calls.entry(target.id.clone()).or_default();
+            calls.born.get_or_insert(target.born);
             let is_due = !calls.is_known(now) && calls.paused_until <= now;
             if is_due && !std::mem::replace(&mut calls.is_asked, true) {
                 unknown.push(target.clone());
@@ -350,7 +356,9 @@
         results: impl Iterator<Item = (&'a str, u64)>,
     ) {
         if let Some(calls) = self.calls.get_mut(target) {
-            if !calls.ends.is_empty() {
+            if calls.stale > 0 {
+                calls.stale -= 1;
+            } else if !calls.ends.is_empty() {
                 calls.ends.remove(0);
             }
         }
@@ -378,8 +386,23 @@
         }
     }
 
-    /// Forgets targets that are gone and have no call under way.
+    /// Forgets targets that are gone and have no call under way, and what those held that started
+    /// again.
     pub fn forget_gone(&mut self, board: &TargetBoard) {
+        for (id, calls) in &mut self.calls {
+            let Some(listed) = board.get(id) else {
+                continue;
+            };
+            let old = calls.born.replace(listed.born);
+            if old.is_some_and(|old| old != listed.born) {
+                self.room.forget_target(id);
+                *calls = TargetCalls {
+                    born: calls.born,
+                    stale: calls.stale + calls.ends.len(),
+                    ..TargetCalls::default()
+                };
+            }
+        }
         self.calls
             .retain(|id, calls| !calls.ends.is_empty() || board.get(id).is_some());
     }
@@ -461,6 +484,7 @@
         }
         let end = now + self.call_span(taken.len());
         let calls = self.calls.entry(target.id.clone()).or_default();
+        calls.born.get_or_insert(target.born);
         calls.ends.push(end);
         calls.known_until = Some(end + KNOWN_SPAN);
         let plan = BatchPlan {
--- a/packages/turnford-policy/src/route/board.rs
+++ b/packages/turnford-policy/src/route/board.rs
@@ -93,13 +93,14 @@
 }
 
 impl TargetBoard {
-    /// Takes a new list of targets. What was learned of those that stay is kept.
+    /// Takes a new list of targets. What was learned of those that stay is kept; one that started again
+    /// is another target, whatever its id.
     pub fn set_targets<'a>(&mut self, specs: impl Iterator<Item = &'a TargetSpec>) {
         let mut old = std::mem::take(&mut self.entries);
         for spec in specs {
-            let mut entry = old
-                .remove(&spec.id)
-                .unwrap_or_else(|| BoardEntry::new(spec.clone()));
+            let known = old.remove(&spec.id);
+            let known = known.filter(|entry| entry.spec.born == spec.born);
+            let mut entry = known.unwrap_or_else(|| BoardEntry::new(spec.clone()));
             entry.spec = spec.clone();
             self.entries.insert(spec.id.clone(), entry);
         }
--- a/packages/turnford-policy/src/route/engine.rs
+++ b/packages/turnford-policy/src/route/engine.rs
@@ -13,6 +13,7 @@
 use super::PromptHome;
 use super::PromptPart;
 use super::SpanLine;
+use super::TargetBirth;
 use super::TargetBoard;
 use super::TargetSpec;
 
@@ -91,6 +92,8 @@
 #[derive(Clone, Debug)]
 struct EngineRun {
     target: TargetId,
+    /// Start of the target's process.
+    born: TargetBirth,
     memory: u64,
     has_begun: bool,
     placed: Moment,
@@ -109,6 +112,8 @@
 /// One engine.
 #[derive(Clone, Debug, Default)]
 struct EngineState {
+    /// Start of its process.
+    born: TargetBirth,
     reading: ReadQueue,
     /// Requests that it reads or runs.
     runs: usize,
@@ -191,9 +196,13 @@
         self.capacity = tokens;
     }
 
-    /// Forgets engines that are gone.
+    /// Forgets engines that are gone or started again.
     pub fn keep_only(&mut self, board: &TargetBoard) {
-        self.engines.retain(|id, _| board.get(id).is_some());
+        let is_same = |id: &TargetId, engine: &EngineState| {
+            let listed = board.get(id);
+            listed.is_some_and(|listed| listed.born == engine.born)
+        };
+        self.engines.retain(|id, engine| is_same(id, engine));
     }
 
     /// Places a request, and notes that it runs there.
@@ -211,7 +220,7 @@
         };
         let chosen = board.choose(now, &need.tried, cost)?;
         let slowness = board.slowness(now, &chosen.id);
-        let ticket = self.start(now, &chosen.id, need, slowness);
+        let ticket = self.start(now, &chosen, need, slowness);
         Some((chosen, ticket))
     }
 
@@ -256,12 +265,18 @@
     fn start(
         &mut self,
         now: Moment,
-        target: &TargetId,
+        target: &TargetSpec,
         need: &PlaceNeed,
         slowness: f64,
     ) -> RunTicket {
         self.next_ticket += 1;
-        let engine = self.engines.entry(target.clone()).or_default();
+        let engine = self.engines.entry(target.id.clone()).or_default();
+        if engine.born != target.born {
+            *engine = EngineState {
+                born: target.born,
+                ..EngineState::default()
+            };
+        }
         let (shared, own) = engine.missing(need);
         let tokens = shared + own;
         let span = first_span(now, &self.read_line, engine, tokens, slowness);
@@ -273,7 +288,8 @@
         }
         engine.evict(self.capacity);
         let run = EngineRun {
-            target: target.clone(),
+            target: target.id.clone(),
+            born: target.born,
             memory: need.memory(),
             has_begun: false,
             placed: now,
@@ -319,7 +335,8 @@
         let Some(run) = self.runs.remove(&ticket) else {
             return;
         };
-        if let Some(engine) = self.engines.get_mut(&run.target) {
+        let engine = self.engines.get_mut(&run.target);
+        if let Some(engine) = engine.filter(|engine| engine.born == run.born) {
             engine.reading.remove(ticket);
             engine.runs = engine.runs.saturating_sub(1);
             engine.memory = engine.memory.saturating_sub(run.memory);
--- a/packages/turnford-policy/src/route/room.rs
+++ b/packages/turnford-policy/src/route/room.rs
@@ -60,6 +60,13 @@
         }
     }
 
+    /// Forgets everything that a target held.
+    pub(crate) fn forget_target(&mut self, target: &TargetId) {
+        self.reserved.remove(target);
+        self.kept.retain(|_, result| result.target != *target);
+        self.foreign.remove(target);
+    }
+
     /// Notes a result.
     pub(crate) fn keep(&mut self, handle: &str, target: &TargetId, bytes: u64, until: Moment) {
         let result = KeptResult {
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -123,7 +123,7 @@
     attempt: Option<&str>,
     limit: Duration,
 ) -> Result<TargetAnswer, CallFault> {
-    let flight = FlightGuard::new(desk, &target.id);
+    let flight = FlightGuard::new(desk, target);
     let mut link = open_link(traffic, desk, target).await?;
     if !desk.is_open(&target.id) {
         return Err(CallFault::NotSent("the target is leaving"));
--- a/packages/turnford-serve/src/desk.rs
+++ b/packages/turnford-serve/src/desk.rs
@@ -17,6 +17,7 @@
 use turnford_policy::ServiceSpec;
 use turnford_policy::SpanLine;
 use turnford_policy::StageRate;
+use turnford_policy::TargetBirth;
 use turnford_policy::TargetBoard;
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
@@ -195,21 +196,28 @@
 pub(crate) struct FlightGuard {
     desk: Rc<ServiceDesk>,
     target: TargetId,
+    /// Start of the target's process.
+    born: TargetBirth,
 }
 
 impl FlightGuard {
     /// Notes a call.
-    pub(crate) fn new(desk: &Rc<ServiceDesk>, target: &TargetId) -> Self {
-        desk.board.borrow_mut().note_sent(target);
+    pub(crate) fn new(desk: &Rc<ServiceDesk>, target: &TargetSpec) -> Self {
+        desk.board.borrow_mut().note_sent(&target.id);
         Self {
             desk: desk.clone(),
-            target: target.clone(),
+            target: target.id.clone(),
+            born: target.born,
         }
     }
 }
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
-        self.desk.board.borrow_mut().note_ended(&self.target);
+        let mut board = self.desk.board.borrow_mut();
+        let listed = board.get(&self.target);
+        if listed.is_some_and(|listed| listed.born == self.born) {
+            board.note_ended(&self.target);
+        }
     }
 }
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -122,11 +122,13 @@
         let before: Vec<_> = board.all_targets().cloned().collect();
         board.set_targets(own);
         for target in before {
-            if board.get(&target.id).is_none() {
-                self.shelf.borrow_mut().forget(target.address);
-                if target.leaving {
-                    self.crashes.note_left(&target);
-                }
+            let listed = board.get(&target.id);
+            if listed.is_some_and(|listed| listed.born == target.born) {
+                continue;
+            }
+            self.shelf.borrow_mut().forget(target.address);
+            if listed.is_none() && target.leaving {
+                self.crashes.note_left(&target);
             }
         }
         let mut engines = desk.engines.borrow_mut();
