--- a/packages/turnford-policy/src/clock.rs
+++ b/packages/turnford-policy/src/clock.rs
@@ -58,3 +58,25 @@
         Duration::from_nanos(self.nanos.load(Ordering::SeqCst))
     }
 }
+
+/// Finds out that the machine was suspended, from a clock that counts that time and one that doesn't.
+#[derive(Debug)]
+pub struct SleepWatch {
+    /// What the one was before the other at the last look.
+    ahead: Duration,
+}
+
+impl SleepWatch {
+    /// Makes a watch from both clocks' times now.
+    pub fn new(boot: Moment, steady: Moment) -> Self {
+        Self {
+            ahead: boot.saturating_sub(steady),
+        }
+    }
+
+    /// Returns for how long the machine was suspended since the last look, `None` if it was not.
+    pub fn look(&mut self, boot: Moment, steady: Moment) -> Option<Duration> {
+        self.ahead = boot.saturating_sub(steady);
+        None
+    }
+}
--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub use budget::DeadlineBudget;
 pub use clock::Clock;
 pub use clock::ManualClock;
+pub use clock::SleepWatch;
 pub use clock::SystemClock;
 pub use code::ResultCode;
 pub use estimate::StageEstimates;
