Count the time for which the machine was suspended

Cause: clocks and timers stood still while the machine was suspended, so what a node knew, time limits and kept connections counted as younger than they were. Change: the node's clock is CLOCK_BOOTTIME, and is passed to kept connections and the budget of calls; waits for a deadline look at it every second; a node that finds out that it slept is not ready until the store or another node has confirmed what it knows. Two tests wrote entries without all fields of a target; they have them now.

--- a/packages/turnford-http/src/client.rs
+++ b/packages/turnford-http/src/client.rs
@@ -28,6 +28,9 @@
 use hyper::client::conn::http1::SendRequest;
 use smol_hyper::rt::FuturesIo;
 
+use turnford_policy::Clock;
+use turnford_policy::SystemClock;
+
 use crate::open_stream;
 use crate::read_parts;
 use crate::AnswerLimit;
@@ -182,9 +185,9 @@
         request: HttpRequest,
         limit: Duration,
     ) -> Result<HttpAnswer, HttpFault> {
-        let started = std::time::Instant::now();
+        let clock = SystemClock::new();
         let mut open = self.open(to, request, limit).await?;
-        let left = limit.saturating_sub(started.elapsed());
+        let left = limit.saturating_sub(clock.now());
         let body = within(left, HttpFault::LateAfterSend, open.read_body()).await?;
         Ok(open.finish(body))
     }
@@ -239,13 +242,13 @@
         request: HttpRequest,
         limit: Duration,
     ) -> Result<HttpStream<'_>, HttpFault> {
-        let started = std::time::Instant::now();
+        let clock = SystemClock::new();
         let request = encode(request)?;
         let mut link = match self.take_idle(to) {
             Some(link) => link,
             None => within(limit, HttpFault::LateBeforeSend, DrivenLink::open(to)).await?,
         };
-        let left = limit.saturating_sub(started.elapsed());
+        let left = limit.saturating_sub(clock.now());
         if left.is_zero() {
             return Err(HttpFault::LateBeforeSend);
         }
--- a/packages/turnford-http/src/shelf.rs
+++ b/packages/turnford-http/src/shelf.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
+
+use turnford_policy::Moment;
 
 use crate::HttpLink;
 
@@ -14,7 +15,7 @@
 #[derive(Debug)]
 struct IdleLink {
     link: HttpLink,
-    since: Instant,
+    since: Moment,
     /// Rest after which the other side may close it.
     keep: Duration,
 }
@@ -29,20 +30,24 @@
     /// Takes a connection that is sure to be open, if one rests here.
     ///
     /// `rest_limit` is the longest rest that the caller accepts, beside that of the other side.
-    pub fn take(&mut self, address: SocketAddr, rest_limit: Duration) -> Option<HttpLink> {
+    pub fn take(
+        &mut self,
+        now: Moment,
+        address: SocketAddr,
+        rest_limit: Duration,
+    ) -> Option<HttpLink> {
         let links = self.idle.get_mut(&address)?;
-        let now = Instant::now();
-        links.retain(|idle| !idle.link.is_closed() && now - idle.since < idle.keep);
+        links.retain(|idle| !idle.link.is_closed() && now.saturating_sub(idle.since) < idle.keep);
         // The one used last is the least likely to be closed by the other side.
         let last = links.last()?;
-        if now - last.since >= rest_limit || !last.link.is_ready() {
+        if now.saturating_sub(last.since) >= rest_limit || !last.link.is_ready() {
             return None;
         }
         links.pop().map(|idle| idle.link)
     }
 
     /// Lays a connection down for at most `keep`.
-    pub fn put(&mut self, link: HttpLink, keep: Duration) {
+    pub fn put(&mut self, now: Moment, link: HttpLink, keep: Duration) {
         if link.is_closed() || keep.is_zero() {
             return;
         }
@@ -50,8 +55,11 @@
         if links.len() >= IDLE_LIMIT {
             links.remove(0);
         }
-        let since = Instant::now();
-        links.push(IdleLink { link, since, keep });
+        links.push(IdleLink {
+            link,
+            since: now,
+            keep,
+        });
     }
 
     /// Closes the connections to an address.
@@ -60,10 +68,11 @@
     }
 
     /// Closes the connections whose time is over.
-    pub fn sweep(&mut self) {
-        let now = Instant::now();
+    pub fn sweep(&mut self, now: Moment) {
         for links in self.idle.values_mut() {
-            links.retain(|idle| !idle.link.is_closed() && now - idle.since < idle.keep);
+            links.retain(|idle| {
+                !idle.link.is_closed() && now.saturating_sub(idle.since) < idle.keep
+            });
         }
         self.idle.retain(|_, links| !links.is_empty());
     }
--- a/packages/turnford-node/src/state.rs
+++ b/packages/turnford-node/src/state.rs
@@ -94,7 +94,7 @@
         incarnation: u64,
         control: ControlOutbox,
     ) -> Self {
-        let budget = Arc::new(CallBudget::new(settings.platform_calls));
+        let budget = Arc::new(CallBudget::new(settings.platform_calls, clock.clone()));
         Self {
             settings,
             pool_settings,
--- a/packages/turnford-platform/src/budget.rs
+++ b/packages/turnford-platform/src/budget.rs
@@ -2,9 +2,12 @@
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::time::Instant;
+
+use turnford_policy::Clock;
+use turnford_policy::Moment;
 
 /// Seconds of the rate that may be used at once.
 const BURST_SECONDS: f64 = 2.0;
@@ -23,7 +26,8 @@
 /// Token bucket over all calls of one node.
 pub struct CallBudget {
     rate: f64,
-    bucket: Mutex<(f64, Instant)>,
+    clock: Arc<dyn Clock>,
+    bucket: Mutex<(f64, Moment)>,
     reads: AtomicU64,
     writes: AtomicU64,
     refused: AtomicU64,
@@ -31,11 +35,12 @@
 
 impl CallBudget {
     /// Makes a budget of `rate` calls a second.
-    pub fn new(rate: f64) -> Self {
+    pub fn new(rate: f64, clock: Arc<dyn Clock>) -> Self {
         let full = (rate * BURST_SECONDS).max(1.0);
         Self {
             rate,
-            bucket: Mutex::new((full, Instant::now())),
+            bucket: Mutex::new((full, clock.now())),
+            clock,
             reads: AtomicU64::new(0),
             writes: AtomicU64::new(0),
             refused: AtomicU64::new(0),
@@ -64,8 +69,8 @@
     fn take(&self, counter: &AtomicU64) -> bool {
         let mut bucket = self.bucket.lock().unwrap_or_else(PoisonError::into_inner);
         let (tokens, filled_at) = *bucket;
-        let now = Instant::now();
-        let earned = now.duration_since(filled_at).as_secs_f64() * self.rate;
+        let now = self.clock.now();
+        let earned = now.saturating_sub(filled_at).as_secs_f64() * self.rate;
         let full = (self.rate * BURST_SECONDS).max(1.0);
         let tokens = (tokens + earned).min(full);
         let granted = tokens >= 1.0;
--- a/packages/turnford-policy/src/clock.rs
+++ b/packages/turnford-policy/src/clock.rs
@@ -3,7 +3,10 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
+
+use rustix::time::clock_gettime;
+use rustix::time::ClockId;
+use rustix::time::Timespec;
 
 use crate::Moment;
 
@@ -13,17 +16,16 @@
     fn now(&self) -> Moment;
 }
 
-/// The machine's monotonic clock, counted from the clock's creation.
+/// The machine's clock that never goes back and goes on while the machine is suspended, counted from
+/// the clock's creation.
 pub struct SystemClock {
-    start: Instant,
+    start: Moment,
 }
 
 impl SystemClock {
     /// Starts a clock at zero.
     pub fn new() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: boot_time() }
     }
 }
 
@@ -35,7 +37,7 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Moment {
-        self.start.elapsed()
+        boot_time().saturating_sub(self.start)
     }
 }
 
@@ -59,6 +61,26 @@
     }
 }
 
+/// Returns the time since the machine's start, with the time for which it was suspended.
+pub fn boot_time() -> Moment {
+    to_moment(clock_gettime(ClockId::Boottime))
+}
+
+/// Returns the time for which the machine ran.
+pub fn steady_time() -> Moment {
+    to_moment(clock_gettime(ClockId::Monotonic))
+}
+
+/// Converts the system's time, which is never negative for these clocks.
+fn to_moment(time: Timespec) -> Moment {
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
+    Duration::from_secs(seconds) + Duration::from_nanos(nanos)
+}
+
+/// Shortest sleep that counts: above what lies between reading two clocks on a busy machine.
+const SHORTEST_SLEEP: Duration = Duration::from_millis(200);
+
 /// Finds out that the machine was suspended, from a clock that counts that time and one that doesn't.
 #[derive(Debug)]
 pub struct SleepWatch {
@@ -76,7 +98,8 @@
 
     /// Returns for how long the machine was suspended since the last look, `None` if it was not.
     pub fn look(&mut self, boot: Moment, steady: Moment) -> Option<Duration> {
-        self.ahead = boot.saturating_sub(steady);
-        None
+        let ahead = boot.saturating_sub(steady);
+        let slept = ahead.saturating_sub(std::mem::replace(&mut self.ahead, ahead));
+        (slept >= SHORTEST_SLEEP).then_some(slept)
     }
 }
--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -32,6 +32,8 @@
 pub use attempt::AttemptId;
 pub use attempt::AttemptSource;
 pub use budget::DeadlineBudget;
+pub use clock::boot_time;
+pub use clock::steady_time;
 pub use clock::Clock;
 pub use clock::ManualClock;
 pub use clock::SleepWatch;
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -24,6 +24,7 @@
 use crate::desk::ServiceDesk;
 use crate::metrics::ServiceEvent;
 use crate::traffic::Traffic;
+use crate::wait::wait_until;
 
 /// Longest time to open a connection to a target. One lost opening packet is sent again after a
 /// second, and another target is faster than that.
@@ -109,7 +110,8 @@
     let keep = facts
         .keep
         .map_or(DEFAULT_KEEP, |keep| keep.mul_f64(KEEP_PART));
-    traffic.shelf.borrow_mut().put(link, keep);
+    let now = traffic.shared.now();
+    traffic.shelf.borrow_mut().put(now, link, keep);
 }
 
 /// Sends a request to a target and waits for the head of its answer.
@@ -133,7 +135,8 @@
         .metrics
         .note_service(&target.service, ServiceEvent::Sent);
     let late = async {
-        Timer::after(limit).await;
+        let until = traffic.shared.now() + limit;
+        wait_until(&traffic.shared, until).await;
         None
     };
     let sent = async { Some(link.send(request).await) };
@@ -199,10 +202,11 @@
     desk: &Rc<ServiceDesk>,
     target: &TargetSpec,
 ) -> Result<HttpLink, CallFault> {
-    let rested = traffic
-        .shelf
-        .borrow_mut()
-        .take(target.address, Duration::MAX);
+    let rested =
+        traffic
+            .shelf
+            .borrow_mut()
+            .take(traffic.shared.now(), target.address, Duration::MAX);
     if let Some(link) = rested {
         return Ok(link);
     }
--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -6,6 +6,7 @@
 mod members;
 mod news;
 mod peers;
+mod sleep;
 mod source;
 mod targets;
 mod view;
@@ -82,6 +83,7 @@
     executor
         .spawn(members::follow_members(context.clone()))
         .detach();
+    executor.spawn(sleep::watch_sleep(context.clone())).detach();
     executor.spawn(news::spread_news(context)).detach();
     async_io::block_on(executor.run(stop));
 }
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -30,6 +30,7 @@
 mod stream;
 mod traffic;
 mod trial;
+mod wait;
 mod work;
 
 pub use node::ServeNode;
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -17,6 +17,7 @@
 use turnford_policy::StageGraph;
 
 use crate::shared::ServeShared;
+use crate::wait::wait_until;
 
 /// Longest story of one request in its log line, in bytes. What goes beyond is left out.
 const STORY_LIMIT: usize = 1500;
@@ -105,6 +106,11 @@
         self.deadline.saturating_sub(self.shared.now())
     }
 
+    /// Waits until the deadline.
+    pub(crate) async fn wait_deadline(&self) {
+        wait_until(&self.shared, self.deadline).await;
+    }
+
     /// Adds a decision or event to the request's line, with the time since its begin.
     pub(crate) fn note(&self, text: std::fmt::Arguments<'_>) {
         let mut story = self.story.borrow_mut();
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::request::Parts;
@@ -196,7 +195,7 @@
 ) -> Result<Bytes, (ResultCode, &'static str)> {
     let read = async { Some(Limited::new(incoming, limit).collect().await) };
     let late = async {
-        Timer::after(record.left()).await;
+        record.wait_deadline().await;
         None
     };
     match read.or(late).await {
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -90,6 +90,8 @@
     pub(crate) has_asked_members: AtomicBool,
     /// Whether another node told which requests crash targets, or there is none to ask.
     pub(crate) knows_crashes: AtomicBool,
+    /// Whether the machine was suspended and nothing has confirmed since what this node knows.
+    pub(crate) has_slept: AtomicBool,
     /// Requests under way.
     pub(crate) running: AtomicU64,
     pub(crate) metrics: ServeMetrics,
@@ -160,7 +162,8 @@
     /// Tells whether new connections should come to this node.
     pub(crate) fn is_ready(&self) -> bool {
         let knows_crashes = self.knows_crashes.load(Ordering::SeqCst);
-        let is_complete = knows_crashes && self.view.load().is_complete();
+        let is_awake = !self.has_slept.load(Ordering::SeqCst);
+        let is_complete = knows_crashes && is_awake && self.view.load().is_complete();
         !self.is_draining() && is_complete && self.turns.is_fresh(self.now())
     }
 
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use async_channel::Sender;
-use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::Response;
@@ -93,7 +92,7 @@
     loop {
         let next = async { Some(body.frame().await) };
         let late = async {
-            Timer::after(record.left()).await;
+            record.wait_deadline().await;
             None
         };
         let frame = match next.or(late).await {
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -191,6 +191,7 @@
 pub(crate) async fn sweep_links(traffic: Rc<Traffic>) {
     loop {
         Timer::after(SWEEP_PAUSE).await;
-        traffic.shelf.borrow_mut().sweep();
+        let now = traffic.shared.now();
+        traffic.shelf.borrow_mut().sweep(now);
     }
 }
--- a/packages/turnford-serve/tests/leaving_targets.rs
+++ b/packages/turnford-serve/tests/leaving_targets.rs
@@ -90,7 +90,7 @@
     let first = site.target("b1", "booking", QUICK);
     let spec = serde_json::json!({
         "service": "booking", "address": first.address().to_string(), "zone": "hal-a",
-        "slots": 8, "state": "ready",
+        "slots": 8, "version": "v1", "cold_remaining_ms": 0, "call_sequence": 0, "state": "ready",
     });
     site.store.put("servers", "b0", spec);
     first.unlist();
--- a/packages/turnford-serve/tests/store_calls.rs
+++ b/packages/turnford-serve/tests/store_calls.rs
@@ -20,7 +20,7 @@
 fn list_target(site: &RouteSite, number: usize) {
     let spec = json!({
         "service": "booking", "address": format!("127.0.0.1:{}", 20_000 + number),
-        "zone": "hal-a", "slots": 8, "state": "ready",
+        "zone": "hal-a", "slots": 8, "version": "v1", "cold_remaining_ms": 0, "call_sequence": 0, "state": "ready",
     });
     site.store.put("servers", &format!("b{number}"), spec);
 }
--- a/packages/turnford-target/src/engine.rs
+++ b/packages/turnford-target/src/engine.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
 
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -10,6 +9,8 @@
 use turnford_http::HttpFault;
 use turnford_http::HttpStream;
 use turnford_policy::AttemptId;
+use turnford_policy::Clock;
+use turnford_policy::SystemClock;
 
 use crate::call::fault_of;
 use crate::TargetCall;
@@ -49,7 +50,9 @@
     stream: Option<HttpStream<'a>>,
     attempt: AttemptId,
     next_index: u32,
-    ends_at: Instant,
+    /// Counts from the start of the call.
+    clock: SystemClock,
+    limit: Duration,
 }
 
 impl TargetClient {
@@ -64,7 +67,7 @@
         call: &TargetCall,
     ) -> Result<EngineStream<'_>, TargetFault> {
         let request = call.request(to, true)?;
-        let ends_at = Instant::now() + call.limit;
+        let clock = SystemClock::new();
         let mut stream = self.http.open(to, request, call.limit).await?;
         if stream.status != 200 {
             let body = stream.read_body().await?;
@@ -76,7 +79,8 @@
             stream: Some(stream),
             attempt: call.attempt,
             next_index: call.resume_from,
-            ends_at,
+            clock,
+            limit: call.limit,
         })
     }
 }
@@ -91,7 +95,7 @@
     /// [`TargetFault::Late`] if the stream stops before its end.
     pub async fn next(&mut self) -> Result<StreamStep, TargetFault> {
         let stream = self.stream.as_mut().ok_or(TargetFault::Broken)?;
-        let left = self.ends_at.saturating_duration_since(Instant::now());
+        let left = self.limit.saturating_sub(self.clock.now());
         let line = line_within(stream, left).await?;
         let line = line.ok_or(TargetFault::Broken)?;
         let parsed: Result<StreamLine, _> = serde_json::from_str(&line);
--- a/packages/turnford/src/site.rs
+++ b/packages/turnford/src/site.rs
@@ -16,6 +16,7 @@
 use turnford_node::NodeOptions;
 use turnford_platform::CallBudget;
 use turnford_platform::ObjectClient;
+use turnford_policy::SystemClock;
 use turnford_standin::Scenario;
 use turnford_standin::SharedExecutor;
 use turnford_standin::StandinFleet;
@@ -49,7 +50,8 @@
 
 /// Makes a client for an operator's tool.
 pub fn tool_client(objects: SocketAddr) -> ObjectClient {
-    ObjectClient::new(objects, Arc::new(CallBudget::new(TOOL_CALLS)))
+    let clock = Arc::new(SystemClock::new());
+    ObjectClient::new(objects, Arc::new(CallBudget::new(TOOL_CALLS, clock)))
 }
 
 /// Reads the templates and accounts beside a scenario file, from the folder of the same name.
