--- a/packages/turnford-serve/tests/crashing_requests.rs
+++ b/packages/turnford-serve/tests/crashing_requests.rs
@@ -16,6 +16,9 @@
 use common::Ask;
 use common::RouteSite;
 use common::QUICK;
+use common::STAGE;
+use common::STAGED;
+use turnford_standin::DoorState;
 use turnford_standin::RouteTarget;
 use turnford_standin::TargetRole;
 
@@ -48,13 +51,18 @@
     };
     let targets = (0..ENGINES).map(start).collect();
     // The site has one target of a plain service beside these.
-    let line = format!("turnford_targets {}\n", ENGINES + 1);
+    wait_targets(site, ENGINES + 1);
+    targets
+}
+
+/// Waits until all nodes know so many targets.
+fn wait_targets(site: &RouteSite, count: usize) {
+    let line = format!("turnford_targets {count}\n");
     for node in 0..site.nodes.len() {
         wait_until("the nodes know the targets", || {
             site.metrics(node).contains(&line)
         });
     }
-    targets
 }
 
 /// Sends the crashing request so often, to each node in turn; returns how often it reached targets.
@@ -226,3 +234,77 @@
         assert!(site.journal.requests(&attempt).is_empty());
     }
 }
+
+/// Sends the crashing request to a node; tells whether it refused it at once.
+fn is_refused(site: &RouteSite, node: usize, attempt: &str) -> bool {
+    let ask = Ask {
+        body: CRASHING,
+        ..Ask::new(attempt, "/draft/1")
+    };
+    let answer = site.call(node, ask);
+    answer.is_ok_and(|answer| text(&answer).contains("crashes-targets"))
+}
+
+#[test]
+fn node_lost() {
+    // The node that saw the crashes is gone, and so is the store: the others know.
+    let mut site = start_site();
+    fragile_targets(&site, "sprog", &LASTING);
+    wait_until("the node refuses it", || is_refused(&site, 0, "bad-first"));
+    for number in 0..site.nodes.len() {
+        site.store
+            .set_door(site.nodes[number].door, DoorState::Refusing);
+    }
+    let first = site.nodes[0].node.take();
+    first.expect("a node").stop();
+    for node in 1..site.nodes.len() {
+        assert!(is_refused(&site, node, "bad-later"), "node {node}");
+    }
+}
+
+#[test]
+fn node_started() {
+    // A node that starts asks the others before it says that it is ready.
+    let mut site = start_site();
+    fragile_targets(&site, "sprog", &LASTING);
+    wait_until("the node refuses it", || is_refused(&site, 0, "bad-first"));
+    let started = site.node("four");
+    assert!(is_refused(&site, started, "bad-later"));
+    assert!(site.metrics(started).contains("turnford_suspect_requests"));
+}
+
+#[test]
+fn few_stages() {
+    // Its pieces crash the targets of a stage, whose calls hold pieces of others, too.
+    let site = start_site();
+    let targets = fragile_targets(&site, "kort", &STAGE);
+    site.target("e1", "ejer", STAGE);
+    site.target("s1", "sprog", LASTING);
+    wait_targets(&site, ENGINES + 3);
+    let bad: Vec<(&str, &str)> = STAGED
+        .iter()
+        .map(|(name, value)| match *name {
+            "x-turnford-piece-key" => (*name, CRASHING),
+            _ => (*name, *value),
+        })
+        .collect();
+    for number in 0..ARRIVALS {
+        let attempt = format!("bad-{number}");
+        let ask = Ask {
+            body: CRASHING,
+            headers: &bad,
+            ..Ask::new(&attempt, "/chat/")
+        };
+        // Whatever the end is: it can't be served.
+        let _ = site.call(number % site.nodes.len(), ask);
+    }
+    let crashes: u64 = targets.iter().map(RouteTarget::crashes).sum();
+    assert!(crashes <= REACH_LIMIT as u64, "{crashes} targets crashed");
+    let ask = Ask {
+        headers: STAGED,
+        body: "another",
+        ..Ask::new("good", "/chat/")
+    };
+    let answer = site.call(0, ask).expect("an answer");
+    assert_eq!(answer.status, 200, "{}", text(&answer));
+}
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -171,7 +171,8 @@
         self.state.list(state);
     }
 
-    /// Has the target crash each time that it runs a request with this body, whoever sends it.
+    /// Has the target crash each time that it runs a request with this body, or pieces with this key,
+    /// whoever sends them.
     pub fn crash_under(&self, body: &str) {
         *lock(&self.state.crash_body) = Some(body.to_owned());
     }
@@ -346,7 +347,7 @@
         }
     }
 
-    async fn run_pieces(&self, call: &HttpCall) -> Option<HttpResponse> {
+    async fn run_pieces(self: &Arc<Self>, call: &HttpCall) -> Option<HttpResponse> {
         let TargetRole::Stage {
             call: call_span,
             piece: piece_span,
@@ -365,6 +366,12 @@
             return None;
         }
         let turn = TurnGuard { turns: &self.turns };
+        if self.crashes_under_piece(&items) {
+            self.note_lost(call, &items, number);
+            self.crash_soon();
+            Timer::after(SILENCE).await;
+            return None;
+        }
         let count = u32::try_from(items.len()).unwrap_or(u32::MAX);
         Timer::after(call_span + piece_span * count).await;
         drop(turn);
@@ -381,6 +388,31 @@
         }
     }
 
+    /// Notes the pieces of a call under which the target crashes.
+    fn note_lost(&self, call: &HttpCall, items: &[Value], number: u64) {
+        for item in items {
+            let kind = RunKind::Piece {
+                stage: item["stage"].as_u64().unwrap_or(0),
+                piece: item["piece"].as_u64().unwrap_or(0),
+                call: number,
+            };
+            let attempt = item["id"].as_str().unwrap_or("").to_owned();
+            self.journal.add(RouteRun {
+                is_spoiled: true,
+                ..self.run(call, attempt, kind)
+            });
+        }
+    }
+
+    fn crashes_under_piece(&self, items: &[Value]) -> bool {
+        let body = lock(&self.crash_body);
+        let Some(body) = &*body else {
+            return false;
+        };
+        let mut keys = items.iter().map(|item| item["private_key"].as_str());
+        keys.any(|key| key == Some(body.as_str()))
+    }
+
     fn run_piece(&self, call: &HttpCall, item: &Value, number: u64) -> Value {
         let attempt = item["id"].as_str().unwrap_or("").to_owned();
         let stage = item["stage"].as_u64().unwrap_or(0);
