--- a/packages/turnford-fleet/src/crash.rs
+++ b/packages/turnford-fleet/src/crash.rs
@@ -280,7 +280,10 @@
         let (mut count, mut points, mut last) = (0, 0, Moment::ZERO);
         for crash in own {
             count += 1;
-            if crash.part.is_trial() && !self.is_wide(crash) && !self.is_disputed(digest, crash) {
+            if crash.part.is_trial()
+                && !self.is_wide(digest, crash)
+                && !self.is_disputed(digest, crash)
+            {
                 points += crash.part.points();
             }
             last = last.max(crash.at);
@@ -328,12 +331,18 @@
         crashes.any(|other| other.start == crash.start && other.part.is_trial())
     }
 
-    /// Tells whether a target crashed together with others.
-    fn is_wide(&self, crash: &CrashRecord) -> bool {
-        let all = self.entries.values().flat_map(|entry| &entry.crashes);
-        let near = all.filter(|other| other.at.abs_diff(crash.at) <= WIDE_SPAN);
-        let starts: BTreeSet<&TargetStart> = near.map(|other| &other.start).collect();
-        starts.len() > WIDE_COUNT
+    /// Tells whether a target crashed together with others, where the request was not on trial: trials
+    /// follow each other within milliseconds.
+    fn is_wide(&self, digest: &RequestDigest, crash: &CrashRecord) -> bool {
+        let near = self.entries.iter().flat_map(|(other, entry)| {
+            let crashes = entry.crashes.iter();
+            let near = crashes.filter(|near| near.at.abs_diff(crash.at) <= WIDE_SPAN);
+            near.filter(move |near| other != digest || !near.part.is_trial())
+        });
+        let starts = near.map(|near| &near.start);
+        let others: BTreeSet<&TargetStart> =
+            starts.filter(|start| **start != crash.start).collect();
+        others.len() >= WIDE_COUNT
     }
 
     /// Returns the starts of targets that crashed under a request, with the time since.
--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -13,6 +13,7 @@
 
 use super::room::RoomLedger;
 use super::BatchSpec;
+use super::RequestDigest;
 use super::TargetBirth;
 use super::TargetBoard;
 use super::TargetSpec;
@@ -54,6 +55,10 @@
 /// A piece to run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PieceWork {
+    /// Mark of the request.
+    pub digest: RequestDigest,
+    /// Whether targets crashed while they ran such a request; its pieces share a call with no other's.
+    pub is_suspect: bool,
     /// Id of the request's try.
     pub attempt: Arc<str>,
     /// Stage of the request.
@@ -84,6 +89,12 @@
         is_crowded || self.is_near(hall) || self.hall.is_none() || self.hall_until <= now
     }
 
+    /// Tells whether it may share a call with another piece.
+    fn may_share(&self, other: &PieceWork) -> bool {
+        let is_sound = !self.is_suspect && !other.is_suspect;
+        is_sound || self.digest == other.digest
+    }
+
     fn is_near(&self, hall: &str) -> bool {
         self.hall.as_deref() == Some(hall)
     }
@@ -461,14 +472,16 @@
         let used = self.room.used(now, &target.id);
         let all = (self.spec.result_room as f64 * ROOM_PART) as u64;
         let mut room = all.saturating_sub(used);
-        let mut taken = Vec::new();
+        let mut taken: Vec<(PieceTicket, PieceWork)> = Vec::new();
         let mut left = Vec::new();
         for piece in std::mem::take(&mut self.waiting) {
             let bytes = piece.work.result_bytes;
             // A result larger than all the room is tried where there is nothing else.
             let fits = bytes <= room || (used == 0 && taken.is_empty());
             let has_place = taken.len() < self.spec.piece_limit.max(1);
-            if has_place && fits && piece.work.suits(now, hall, is_crowded) {
+            let first = taken.first();
+            let shares = first.is_none_or(|(_, first)| piece.work.may_share(first));
+            if has_place && fits && shares && piece.work.suits(now, hall, is_crowded) {
                 room = room.saturating_sub(bytes);
                 taken.push((piece.ticket, piece.work));
             } else {
--- a/packages/turnford-policy/tests/batch_board.rs
+++ b/packages/turnford-policy/tests/batch_board.rs
@@ -6,6 +6,7 @@
 use turnford_policy::BatchBoard;
 use turnford_policy::BatchSpec;
 use turnford_policy::PieceWork;
+use turnford_policy::RequestDigest;
 use turnford_policy::TargetBoard;
 use turnford_policy::TargetSpec;
 
@@ -48,6 +49,8 @@
 
 fn work(attempt: &str, due: u32, rank: u8) -> PieceWork {
     PieceWork {
+        digest: RequestDigest::default(),
+        is_suspect: false,
         attempt: Arc::from(attempt),
         stage: 0,
         piece: 0,
--- a/packages/turnford-policy/tests/born_again.rs
+++ b/packages/turnford-policy/tests/born_again.rs
@@ -9,6 +9,7 @@
 use turnford_policy::PieceWork;
 use turnford_policy::PlaceNeed;
 use turnford_policy::PromptPart;
+use turnford_policy::RequestDigest;
 use turnford_policy::TargetBirth;
 use turnford_policy::TargetBoard;
 use turnford_policy::TargetSpec;
@@ -105,6 +106,8 @@
         result_span: 4000 * MS,
     };
     let work = |name: &str| PieceWork {
+        digest: RequestDigest::default(),
+        is_suspect: false,
         attempt: Arc::from(name),
         stage: 0,
         piece: 0,
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -18,6 +18,7 @@
 
 use crate::call::call_target;
 use crate::call::CallFault;
+use crate::crash::check_pieces;
 use crate::metrics::ServiceEvent;
 use crate::pieces::PieceCell;
 
@@ -128,7 +129,7 @@
         }
         let waited = if reads { FETCH_SPAN } else { Duration::ZERO };
         watch_call(cell, target, &plan, span, waited).await;
-        Err(CallFault::Unknown("the target is silent"))
+        Err(CallFault::Broke("the target is silent"))
     };
     let ended = call.or(meanwhile);
     match ended.await {
@@ -145,6 +146,10 @@
             made
         }
         Err(fault) => {
+            if matches!(fault, CallFault::Broke(_)) {
+                // Before its pieces go to another target, it has to be known whether they crash it.
+                check_pieces(traffic, &cell.desk, target, &plan).await;
+            }
             note_fault(cell, target, plan, &fault);
             Vec::new()
         }
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -49,7 +49,7 @@
     NotSent(&'static str),
     /// The target says that it did not run the request.
     NotRun(StatusCode),
-    /// The request was handed over, and its connection ended.
+    /// The request was handed over, and its connection ended or its target fell silent.
     Broke(&'static str),
     /// The request was handed over, and what became of it is not known.
     Unknown(&'static str),
--- a/packages/turnford-serve/src/crash.rs
+++ b/packages/turnford-serve/src/crash.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -14,6 +15,7 @@
 use turnford_fleet::CrashVerdict;
 use turnford_http::probe_port;
 use turnford_http::PortState;
+use turnford_policy::BatchPlan;
 use turnford_policy::Moment;
 use turnford_policy::RequestDigest;
 use turnford_policy::TargetBirth;
@@ -93,6 +95,15 @@
         self.running.borrow().contains_key(digest)
     }
 
+    /// Keeps a broken call until it shows whether its target crashed.
+    fn keep_break(&self, call: BrokenCall) {
+        let mut breaks = self.breaks.borrow_mut();
+        if breaks.len() >= BREAK_LIMIT {
+            breaks.pop_front();
+        }
+        breaks.push_back(call);
+    }
+
     /// Forgets broken calls whose targets did not turn out to have crashed, and returns those that
     /// did.
     fn take_crashed(
@@ -148,29 +159,59 @@
     call: BrokenCall,
     place: P,
 ) {
+    check_breaks(&traffic, &desk, vec![call]).await;
+    drop(place);
+}
+
+/// Finds out whether a target crashed under a call with the pieces of some requests.
+pub(crate) async fn check_pieces(
+    traffic: &Rc<Traffic>,
+    desk: &Rc<ServiceDesk>,
+    target: &TargetSpec,
+    plan: &BatchPlan,
+) {
+    let pieces = plan.pieces.iter();
+    let digests: BTreeSet<RequestDigest> = pieces.map(|(_, work)| work.digest).collect();
+    let is_suspect = plan.pieces.iter().any(|(_, work)| work.is_suspect);
+    let is_alone = is_suspect && digests.len() == 1;
+    let at = traffic.shared.now();
+    let calls = digests.into_iter().map(|digest| BrokenCall {
+        digest,
+        target: target.clone(),
+        is_alone,
+        has_begun: true,
+        at,
+    });
+    check_breaks(traffic, desk, calls.collect()).await;
+}
+
+/// Finds out whether a target crashed under some requests, and notes it.
+async fn check_breaks(traffic: &Rc<Traffic>, desk: &Rc<ServiceDesk>, calls: Vec<BrokenCall>) {
+    let Some(target) = calls.first().map(|call| call.target.clone()) else {
+        return;
+    };
     // A target that leaves ends as planned, and cuts what it still runs.
     let is_leaving = {
         let board = desk.board.borrow();
-        board.get(&call.target.id).is_some_and(|spec| spec.leaving)
+        board.get(&target.id).is_some_and(|spec| spec.leaving)
     };
-    if is_leaving || traffic.crashes.has_left(&call.target) {
+    if is_leaving || traffic.crashes.has_left(&target) {
         return;
     }
-    let port = probe_port(call.target.address, PORT_LIMIT).await;
+    let port = probe_port(target.address, PORT_LIMIT).await;
     let now = traffic.shared.now();
     if port == PortState::Refused {
-        desk.board.borrow_mut().note_refused(now, &call.target.id);
-        note_crash(&traffic, &call, "no connection is taken");
-    } else if is_other_start(&desk, &call.target) {
-        note_crash(&traffic, &call, "it started again");
-    } else {
-        let mut breaks = traffic.crashes.breaks.borrow_mut();
-        if breaks.len() >= BREAK_LIMIT {
-            breaks.pop_front();
+        desk.board.borrow_mut().note_refused(now, &target.id);
+    }
+    for call in calls {
+        if port == PortState::Refused {
+            note_crash(traffic, &call, "no connection is taken");
+        } else if is_other_start(desk, &target) {
+            note_crash(traffic, &call, "it started again");
+        } else {
+            traffic.crashes.keep_break(call);
         }
-        breaks.push_back(call);
     }
-    drop(place);
 }
 
 /// Notes crashes that a service's new list of targets shows.
--- a/packages/turnford-serve/src/gather.rs
+++ b/packages/turnford-serve/src/gather.rs
@@ -13,6 +13,7 @@
 use turnford_fleet::Duty;
 use turnford_policy::Moment;
 use turnford_policy::PieceWork;
+use turnford_policy::RequestDigest;
 use turnford_policy::RANK_COUNT;
 use turnford_wire::InputEntry;
 use turnford_wire::PeerFault;
@@ -176,6 +177,7 @@
         service: place.desk.spec.borrow().name.to_string(),
         cell: u32::try_from(place.number).unwrap_or(u32::MAX),
         attempt: first.attempt.to_string(),
+        digest: first.digest.0,
         stage: u32::try_from(first.stage).unwrap_or(u32::MAX),
         pieces: works.iter().map(|work| work.piece).collect(),
         key: first.key.as_deref().map(str::to_owned),
@@ -321,6 +323,8 @@
 
 fn asked_works(ask: &PieceAsk, now: Moment) -> Vec<PieceWork> {
     let first = PieceWork {
+        digest: RequestDigest(ask.digest),
+        is_suspect: false,
         attempt: ask.attempt.as_str().into(),
         stage: ask.stage as usize,
         piece: 0,
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -10,6 +10,7 @@
 use async_io::Timer;
 
 use turnford_adapter::PieceEnd;
+use turnford_fleet::CrashVerdict;
 use turnford_policy::BatchBoard;
 use turnford_policy::BatchPlan;
 use turnford_policy::BatchSpec;
@@ -26,6 +27,9 @@
 use crate::release::PieceResult;
 use crate::traffic::Traffic;
 
+/// Why a piece of a request that crashes targets is not made.
+const CRASHES: &str = "targets crash when they run it";
+
 /// How a piece ended for the request that needs it.
 #[derive(Clone, Debug)]
 pub(crate) enum PieceOutcome {
@@ -128,7 +132,9 @@
     /// Puts pieces into the queue.
     pub(crate) fn submit(&self, works: Vec<PieceWork>, inputs: &Rc<InputHold>) -> Vec<PieceWait> {
         let mut waits = Vec::with_capacity(works.len());
-        for work in works {
+        for mut work in works {
+            let verdict = self.verdict(&work);
+            work.is_suspect = verdict != CrashVerdict::Sound;
             let (sender, outcome) = async_channel::bounded(1);
             let ticket = self.pieces.board.borrow_mut().push(work);
             let taker = PieceTaker {
@@ -137,6 +143,10 @@
                 has_read: false,
             };
             self.pieces.takers.borrow_mut().insert(ticket, taker);
+            if matches!(verdict, CrashVerdict::Refused(_)) {
+                // The taker is there and waits.
+                let _ = self.pieces.tell(ticket, PieceOutcome::Failed(CRASHES));
+            }
             waits.push(PieceWait {
                 cell: self.clone(),
                 ticket,
@@ -147,6 +157,12 @@
         waits
     }
 
+    /// Returns what is known of a piece's request.
+    fn verdict(&self, work: &PieceWork) -> CrashVerdict {
+        let now = self.traffic.shared.now();
+        self.traffic.crashes.verdict(now, &work.digest)
+    }
+
     /// Gives all waiting pieces back to the nodes that asked for them.
     pub(crate) fn hand_back(&self) {
         let tickets = self.pieces.board.borrow_mut().take_all();
@@ -282,7 +298,14 @@
     /// needs room in the allowance of repeats.
     pub(crate) fn give_back(&self, plan: BatchPlan, reason: &'static str, may_have_run: bool) {
         let now = self.traffic.shared.now();
-        for (ticket, work) in plan.pieces {
+        for (ticket, mut work) in plan.pieces {
+            let verdict = self.verdict(&work);
+            work.is_suspect = verdict != CrashVerdict::Sound;
+            if matches!(verdict, CrashVerdict::Refused(_)) {
+                // A request that left needs no word.
+                let _ = self.pieces.tell(ticket, PieceOutcome::Failed(CRASHES));
+                continue;
+            }
             if !self.pieces.has_inputs(ticket) {
                 // A request that left needs no word.
                 let _ = self.pieces.tell(ticket, PieceOutcome::InputGone);
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -242,6 +242,10 @@
             Err(StageFault::Failed(reason)) => {
                 return refuse_admitted(record, ResultCode::Shed, reason, RETRY_AFTER);
             }
+            Err(StageFault::CrashesTargets(back_after)) => {
+                let refusal = SuspectRefusal::crashes_targets(back_after);
+                return refuse_suspect(record, &refusal);
+            }
             Err(StageFault::Hopeless { back_after }) => {
                 let reason = "its stages can't be done while its client waits";
                 return refuse_admitted(record, ResultCode::Shed, reason, back_after);
--- a/packages/turnford-serve/src/stage.rs
+++ b/packages/turnford-serve/src/stage.rs
@@ -6,6 +6,7 @@
 
 use async_io::Timer;
 
+use turnford_fleet::CrashVerdict;
 use turnford_policy::cell_of_hall;
 use turnford_policy::Moment;
 use turnford_policy::PieceWork;
@@ -117,6 +118,10 @@
             Timer::after(MOVE_PAUSE).await;
             continue;
         }
+        let now = traffic.shared.now();
+        if let CrashVerdict::Refused(until) = traffic.crashes.verdict(now, &record.digest.get()) {
+            return Err(StageFault::CrashesTargets(until.saturating_sub(now)));
+        }
         failures += 1;
         if failures > PIECE_TRIES || !may_repeat(&traffic, &record, &place, offered) {
             return Err(StageFault::Failed("a piece was not made"));
@@ -186,6 +191,8 @@
     let key = record.facts.piece_key.as_deref().filter(|_| is_first);
     let now = traffic.shared.now();
     PieceWork {
+        digest: record.digest.get(),
+        is_suspect: false,
         attempt: Arc::from(record.facts.attempt.as_str()),
         stage: needs.stage,
         piece,
--- a/packages/turnford-serve/src/stages.rs
+++ b/packages/turnford-serve/src/stages.rs
@@ -32,6 +32,8 @@
     InputGone,
     /// A piece was not made.
     Failed(&'static str),
+    /// Targets crash when they run its pieces; it is refused for so long.
+    CrashesTargets(Duration),
     /// The request can't be served within its deadline any more.
     Hopeless {
         /// Time to come back.
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -153,6 +153,8 @@
     pub cell: u32,
     /// Id of the request's try.
     pub attempt: String,
+    /// Mark of what the request asks for.
+    pub digest: [u8; DIGEST_BYTES],
     /// Stage of the request.
     pub stage: u32,
     /// Pieces of the stage.
