Soak requests that crash targets, and as many nodes as the machine bears

Change: in half of the runs a client sends such a request to whichever node while other faults begin, and its bound is checked where not all nodes were killed together; TURNFORD_SOAK_NODES names the nodes of a long run. What a crash broke off counts as broken off by the target, and one that leaves still leaves after it.

--- a/packages/turnford-standin/src/route/run.rs
+++ b/packages/turnford-standin/src/route/run.rs
@@ -66,6 +66,15 @@
         }
     }
 
+    /// Notes that all runs under way at a target broke off.
+    pub(crate) fn spoil(&self, target: &str) {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let broken = runs
+            .iter_mut()
+            .filter(|run| run.target == target && !run.is_whole);
+        broken.for_each(|run| run.is_spoiled = true);
+    }
+
     /// Returns all runs.
     pub fn runs(&self) -> Vec<RouteRun> {
         let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -92,6 +92,8 @@
     born: AtomicU64,
     /// Body of the requests under which it crashes.
     crash_body: Mutex<Option<String>>,
+    /// What its entry said of it last, `ready` or `draining`.
+    listed: Mutex<String>,
     /// How often it crashed.
     crashes: AtomicU64,
     role: TargetRole,
@@ -137,6 +139,7 @@
             address: Mutex::new(None),
             born: AtomicU64::new(time_of_day()),
             crash_body: Mutex::default(),
+            listed: Mutex::default(),
             crashes: AtomicU64::new(0),
             role,
             journal: journal.clone(),
@@ -243,6 +246,7 @@
     }
 
     fn list(&self, state: &str) {
+        state.clone_into(&mut lock(&self.listed));
         let spec = json!({
             "service": self.service,
             "address": self.address().to_string(),
@@ -259,12 +263,16 @@
 
     fn crash(self: &Arc<Self>) {
         self.crashes.fetch_add(1, Ordering::SeqCst);
+        self.journal.spoil(&self.id);
         let state = self.clone();
         let restart = async move {
             Timer::after(RESTART_SPAN).await;
             state.born.store(time_of_day(), Ordering::SeqCst);
             match state.open() {
-                Ok(()) => state.list("ready"),
+                Ok(()) => {
+                    let listed = lock(&state.listed).clone();
+                    state.list(&listed);
+                }
                 Err(error) => log::error!("target {} stays away: {error}", state.id),
             }
         };
--- a/packages/turnford/tests/soak/check.rs
+++ b/packages/turnford/tests/soak/check.rs
@@ -22,6 +22,12 @@
 /// Part of the requests after all faults that must be served.
 const LEAST_SERVED: f64 = 0.97;
 
+/// Time after a fault from which nodes are held to it.
+const IN_TOUCH: Duration = Duration::from_secs(3);
+
+/// Targets that a request may reach after that, once it has crashed three.
+const MORE_LIMIT: usize = 3;
+
 /// A span of a node's life in which a rule holds or is harmed.
 #[derive(Clone, Debug)]
 pub(crate) struct NodeSpan {
@@ -70,6 +76,25 @@
     broken
 }
 
+/// Returns a line if a request that crashes targets reached more of them than it may: three, as long
+/// after it crashed the third as nodes take to be in touch.
+pub(crate) fn check_crashing(records: &[CallRecord], runs: &[RouteRun]) -> Option<String> {
+    let reached = records.iter().filter(|record| {
+        let mut own = runs.iter().filter(|run| run.attempt == record.attempt);
+        own.any(|run| run.kind == RunKind::Request)
+    });
+    let reached: Vec<&CallRecord> = reached.collect();
+    let third = reached.get(2)?.ended;
+    let late = reached
+        .iter()
+        .filter(|record| record.sent > third + IN_TOUCH);
+    let late = late.count();
+    (late > MORE_LIMIT).then(|| {
+        let all = reached.len();
+        format!("a request that crashes targets reached {late} later, {all} in all")
+    })
+}
+
 fn is_own_answer(record: &CallRecord, stamp: &str, body: &str) -> bool {
     if stamp != format!("stamp-{}", record.attempt) {
         return false;
--- a/packages/turnford/tests/soak/client.rs
+++ b/packages/turnford/tests/soak/client.rs
@@ -17,7 +17,7 @@
 use turnford_standin::LinkProxy;
 use turnford_standin::RouteCall;
 
-use crate::plan::NODES;
+use crate::plan::node_count;
 
 /// Longest time that a client waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(8);
@@ -28,6 +28,15 @@
 /// Pause of a client that finds no node.
 const NO_NODE_PAUSE: Duration = Duration::from_millis(200);
 
+/// Body of the request that crashes targets.
+pub(crate) const CRASHING: &str = "what no target survives";
+
+/// Route of that request.
+const CRASHING_ROUTE: &str = "reply";
+
+/// Pause between two copies of it.
+const CRASHING_PAUSE: Duration = Duration::from_millis(120);
+
 /// How a request ended for its client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum CallEnd {
@@ -54,7 +63,9 @@
     /// Whether the platform would send new connections to a node.
     pub(crate) ready: Vec<AtomicBool>,
     pub(crate) calls: Vec<RouteCall>,
-    pub(crate) records: Mutex<Vec<CallRecord>>,
+    records: Mutex<Vec<CallRecord>>,
+    /// Requests that crash targets.
+    crashing: Mutex<Vec<CallRecord>>,
     pub(crate) is_over: AtomicBool,
     numbers: AtomicU64,
 }
@@ -63,9 +74,10 @@
     pub(crate) fn new(links: Vec<LinkProxy>, calls: Vec<RouteCall>) -> Arc<Self> {
         Arc::new(Self {
             links,
-            ready: (0..NODES).map(|_| AtomicBool::new(false)).collect(),
+            ready: (0..node_count()).map(|_| AtomicBool::new(false)).collect(),
             calls,
             records: Mutex::default(),
+            crashing: Mutex::default(),
             is_over: AtomicBool::new(false),
             numbers: AtomicU64::new(1),
         })
@@ -85,8 +97,14 @@
         records.push(record);
     }
 
+    /// Returns the requests that crash targets, in their order.
+    pub(crate) fn crashing(&self) -> Vec<CallRecord> {
+        let records = self.crashing.lock();
+        records.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     fn choose_node(&self) -> Option<usize> {
-        let ready = (0..NODES).filter(|&node| self.ready[node].load(Ordering::SeqCst));
+        let ready = (0..node_count()).filter(|&node| self.ready[node].load(Ordering::SeqCst));
         let ready: Vec<usize> = ready.collect();
         if ready.is_empty() {
             return None;
@@ -109,7 +127,8 @@
                 }
             },
         };
-        let record = send_one(&room, node, &client).await;
+        let call = &room.calls[rand::rng().random_range(0..room.calls.len())];
+        let record = send_one(&room, node, &client, call, "").await;
         let is_kept = matches!(record.end, CallEnd::Answer(..));
         room.add(record);
         if is_kept {
@@ -120,13 +139,34 @@
     }
 }
 
-async fn send_one(room: &ClientRoom, node: usize, client: &HttpClient) -> CallRecord {
+/// Sends a request that crashes targets, again and again to whichever node, until a moment.
+pub(crate) async fn run_crashing(room: Arc<ClientRoom>, until: Instant) {
+    let call = room.calls.iter().find(|call| call.name == CRASHING_ROUTE);
+    let call = call.expect("a route with streams").clone();
+    while Instant::now() < until {
+        Timer::after(CRASHING_PAUSE).await;
+        let Some(node) = room.choose_node() else {
+            continue;
+        };
+        let record = send_one(&room, node, &HttpClient::new(), &call, CRASHING).await;
+        let mut records = room.crashing.lock().unwrap_or_else(PoisonError::into_inner);
+        records.push(record);
+    }
+}
+
+async fn send_one(
+    room: &ClientRoom,
+    node: usize,
+    client: &HttpClient,
+    call: &RouteCall,
+    body: &'static str,
+) -> CallRecord {
     let number = room.numbers.fetch_add(1, Ordering::SeqCst);
     let attempt = format!("{number:016x}");
-    let call = &room.calls[rand::rng().random_range(0..room.calls.len())];
     let to = room.links[node].address;
     let sent = Instant::now();
-    let request = call.request(to, &attempt).expect("a path");
+    let mut request = call.request(to, &attempt).expect("a path");
+    request.set_body(body);
     let end = match client.send(to, request, PATIENCE).await {
         Ok(answer) => {
             let stamp = answer.header("x-turnford-server-stamp").unwrap_or("");
--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -8,8 +8,14 @@
 use turnford_standin::LinkState;
 use turnford_standin::TargetFault;
 
-/// Nodes of a run.
-pub(crate) const NODES: usize = 5;
+/// Nodes of a run, if nothing else is said.
+const NODES: usize = 5;
+
+/// Variable that names the nodes of a long run, up to what the machine bears.
+const NODES_VARIABLE: &str = "TURNFORD_SOAK_NODES";
+
+/// Part of the runs in which a client sends a request that crashes the targets that run it.
+const CRASHING_PART: f64 = 0.5;
 
 /// Targets of a run's site: two of each of five services.
 pub(crate) const TARGETS: usize = 10;
@@ -59,9 +65,17 @@
     Compact,
 }
 
+/// Returns the number of nodes of each run.
+pub(crate) fn node_count() -> usize {
+    let named = std::env::var(NODES_VARIABLE).ok();
+    named.map_or(NODES, |text| text.parse().expect("a number of nodes"))
+}
+
 /// The faults of a run in the order of their times.
 #[derive(Clone, Debug)]
 pub(crate) struct FaultPlan {
+    /// Whether a client sends a request that crashes targets while faults begin.
+    pub(crate) has_crashing: bool,
     pub(crate) steps: Vec<(Duration, Fault)>,
 }
 
@@ -81,7 +95,23 @@
             steps.push((at, draw_link_fault(&mut rng)));
         }
         steps.sort_by_key(|(at, _)| *at);
-        Self { steps }
+        // Drawn apart, too.
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(17));
+        Self {
+            has_crashing: rng.random_bool(CRASHING_PART),
+            steps,
+        }
+    }
+
+    /// Returns the time in which faults begin.
+    pub(crate) fn fault_span() -> (Duration, Duration) {
+        (LEAD, LEAD + FAULT_SPAN)
+    }
+
+    /// Tells whether all nodes are killed together, after which none knows anything of before.
+    pub(crate) fn kills_all(&self) -> bool {
+        let mut faults = self.steps.iter().map(|(_, fault)| fault);
+        faults.any(|fault| matches!(fault, Fault::KillAll))
     }
 
     /// Returns when the last fault is over, with what nodes need to find back.
@@ -91,7 +121,7 @@
 }
 
 fn draw_fault(rng: &mut StdRng) -> Fault {
-    let node = rng.random_range(0..NODES);
+    let node = rng.random_range(0..node_count());
     let target = rng.random_range(0..TARGETS);
     let span = Duration::from_millis(rng.random_range(300..3500));
     match rng.random_range(0..22) {
@@ -110,7 +140,7 @@
 }
 
 fn draw_link_fault(rng: &mut StdRng) -> Fault {
-    let node = rng.random_range(0..NODES);
+    let node = rng.random_range(0..node_count());
     let span = Duration::from_millis(rng.random_range(1000..5000));
     match rng.random_range(0..4) {
         0 => Fault::StoreMute(node),
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_io::Timer;
 use http::Method;
 use rustix::process::Signal;
 use serde_json::Value;
@@ -20,15 +21,18 @@
 use turnford_standin::SharedExecutor;
 
 use crate::check::check_calls;
+use crate::check::check_crashing;
 use crate::check::check_recovery;
 use crate::check::check_stops;
 use crate::check::NodeSpan;
 use crate::check::IN_FORCE;
 use crate::client::run_client;
+use crate::client::run_crashing;
 use crate::client::ClientRoom;
+use crate::client::CRASHING;
+use crate::plan::node_count;
 use crate::plan::Fault;
 use crate::plan::FaultPlan;
-use crate::plan::NODES;
 use crate::process::NodeProcess;
 use crate::process::GRACE_S;
 
@@ -110,6 +114,10 @@
     let plan = FaultPlan::new(seed);
     let begun = Instant::now();
     let settled = begun + FaultPlan::settled_at();
+    if plan.has_crashing {
+        run.start_crashing(begun);
+    }
+    let forgets = plan.kills_all();
     let mut steps = plan.steps.into_iter().peekable();
     let mut ask_at = begun;
     while Instant::now() < settled + LAST_SPAN {
@@ -126,7 +134,7 @@
         }
         std::thread::sleep(TICK);
     }
-    run.finish(settled);
+    run.finish(settled, forgets);
     (run.broken.clone(), run.folder.clone())
 }
 
@@ -144,7 +152,7 @@
         let mut nodes = Vec::new();
         let mut stores = Vec::new();
         let mut links = Vec::new();
-        for node in 0..NODES {
+        for node in 0..node_count() {
             let store = LinkProxy::start(&executor, site.address).expect("a free port");
             let mut process = NodeProcess::new(&folder, run, node, store.address);
             links.push(LinkProxy::start(&executor, process.listen()).expect("a free port"));
@@ -189,6 +197,20 @@
         });
     }
 
+    /// Has a client send a request that crashes targets while faults begin.
+    fn start_crashing(&self, begun: Instant) {
+        for target in &self.site.targets {
+            target.crash_under(CRASHING);
+        }
+        let (lead, end) = FaultPlan::fault_span();
+        let room = self.room.clone();
+        let send = async move {
+            Timer::after(lead).await;
+            run_crashing(room, begun + end).await;
+        };
+        self.executor.spawn(send).detach();
+    }
+
     fn apply(&mut self, fault: Fault) {
         match fault {
             Fault::Stop(node) => {
@@ -199,14 +221,14 @@
                 }
             }
             Fault::Kill(node) => self.kill(node),
-            Fault::KillAll => (0..NODES).for_each(|node| self.kill(node)),
+            Fault::KillAll => (0..node_count()).for_each(|node| self.kill(node)),
             Fault::Pause(node, span) => {
                 self.harm(node, span + CONTACT_SPAN);
                 self.nodes[node].signal(Signal::STOP);
                 self.after(span, Later::Wake(node));
             }
             Fault::StoreLink(node, state, span) => {
-                for node in node.map_or(0..NODES, |node| node..node + 1) {
+                for node in node.map_or(0..node_count(), |node| node..node + 1) {
                     self.harm(node, span + CONTACT_SPAN);
                     self.stores[node].set(state);
                 }
@@ -285,7 +307,7 @@
             Later::Start(node) => self.nodes[node].start(),
             Later::Wake(node) => self.nodes[node].signal(Signal::CONT),
             Later::StoreLink(node) => {
-                for node in node.map_or(0..NODES, |node| node..node + 1) {
+                for node in node.map_or(0..node_count(), |node| node..node + 1) {
                     self.stores[node].set(LinkState::Open);
                 }
             }
@@ -306,7 +328,7 @@
 
     /// Checks that a target that leaves got nothing in the last moments, where all nodes are calm.
     fn check_left(&mut self, target: usize, before: usize) {
-        if !(0..NODES).all(|node| self.is_calm(node)) {
+        if !(0..node_count()).all(|node| self.is_calm(node)) {
             return;
         }
         let id = self.site.targets[target].id().to_owned();
@@ -324,7 +346,7 @@
     }
 
     fn check_version(&mut self, version: u64) {
-        for node in 0..NODES {
+        for node in 0..node_count() {
             if !self.is_calm(node) {
                 continue;
             }
@@ -358,7 +380,7 @@
 
     /// Takes processes that ended, and has them started again.
     fn watch_ends(&mut self) {
-        for node in 0..NODES {
+        for node in 0..node_count() {
             let Some(status) = self.nodes[node].ended() else {
                 continue;
             };
@@ -395,7 +417,7 @@
 
     /// Asks nodes whether they are ready, as the platform does, and which configuration they have.
     fn ask_nodes(&mut self) {
-        for node in 0..NODES {
+        for node in 0..node_count() {
             let answer = self.ask(self.nodes[node].ready(), "/v1/readiness");
             let is_ready = answer.is_some_and(|(status, _)| status == 200);
             self.room.ready[node].store(is_ready, Ordering::SeqCst);
@@ -413,10 +435,14 @@
     }
 
     /// Ends the clients and checks what they saw.
-    fn finish(&mut self, settled: Instant) {
+    fn finish(&mut self, settled: Instant, forgets: bool) {
         self.room.is_over.store(true, Ordering::SeqCst);
         std::thread::sleep(Duration::from_secs(2));
         let records = self.room.ended();
+        if !forgets {
+            let crashing = check_crashing(&self.room.crashing(), &self.site.journal.runs());
+            self.broken.extend(crashing);
+        }
         // A request that is still under way has no record, and may run.
         let runs = self.site.journal.runs();
         let known = runs
