--- a/packages/turnford-fleet/src/crash.rs
+++ b/packages/turnford-fleet/src/crash.rs
@@ -51,13 +51,13 @@
 const MEMORY_SPAN: Duration = Duration::from_secs(2 * 3600);
 
 /// Requests that are remembered. When a further one comes, the one with the fewest crashes goes, of
-/// these the one whose last crash is the longest ago: about 2 MB at most.
-const ENTRY_LIMIT: usize = 4096;
+/// these the one whose last crash is the longest ago: about 1.5 MB at most.
+const ENTRY_LIMIT: usize = 1024;
 
 /// Crashes that are kept of a request: enough for the longest refusal.
 const CRASHES_KEPT: usize = 6;
 
-/// News in the answer to a node that knows other crashes than this one: about 100 KB at most. What is
+/// News in the answer to a node that knows other crashes than this one: about 50 KB at most. What is
 /// left out is what would be forgotten first.
 const SNAPSHOT_LIMIT: usize = 1024;
 
--- a/packages/turnford-serve/src/crash_news.rs
+++ b/packages/turnford-serve/src/crash_news.rs
@@ -39,7 +39,7 @@
 /// seconds, for a hundred bytes a second.
 const COMPARE_PAUSE: Duration = Duration::from_secs(1);
 
-/// Crashes that a node lists for others a second, but for those that start: some 2 KB, where nodes
+/// Crashes that a node lists for others a second, but for those that start: some 1 KB, where nodes
 /// keep disagreeing.
 const LIST_RATE: f64 = 25.0;
 
