--- a/packages/turnford-fleet/examples/crash_cost.rs
+++ b/packages/turnford-fleet/examples/crash_cost.rs
@@ -1,4 +1,4 @@
-//! What remembering requests that crash targets costs: time of a request's mark and of the look-up,
+//! What remembering requests that crash targets costs: time of a request's digest and of the look-up,
 //! memory of a full table.
 
 use std::time::Duration;
@@ -62,7 +62,7 @@
 fn main() {
     for size in [0, 800, 64 * 1024, 4 * 1024 * 1024] {
         let body = vec![7; size];
-        measure(&format!("mark of a body of {size} bytes"), || {
+        measure(&format!("digest of a body of {size} bytes"), || {
             std::hint::black_box(RequestDigest::new("account", "host", "/path/", &body));
         });
     }
--- a/packages/turnford-fleet/src/crash.rs
+++ b/packages/turnford-fleet/src/crash.rs
@@ -1,7 +1,7 @@
 //! Requests under which targets crashed, as the whole fleet knows them.
 //!
 //! A request that crashes the targets which run it comes again at any node, under another id. Each
-//! crash is therefore told to all nodes, by the mark of what the request asks for. A request that ran
+//! crash is therefore told to all nodes, by the digest of what the request asks for. A request that ran
 //! at a target when it crashed is a suspect, as are its neighbours there, and suspects run one at a
 //! time ([`TrialLedger`](crate::TrialLedger)): only so does a crash tell which of them it was. One
 //! that ends well is cleared; one whose targets crash while it is on trial is refused.
@@ -67,7 +67,7 @@
 /// What one node tells another about a request.
 #[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
 pub struct CrashNews {
-    /// Mark of what the request asks for.
+    /// Digest of what the request asks for.
     pub digest: [u8; DIGEST_BYTES],
     /// What happened.
     pub event: CrashEvent,
--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -55,7 +55,7 @@
 /// A piece to run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PieceWork {
-    /// Mark of the request.
+    /// Digest of the request.
     pub digest: RequestDigest,
     /// Whether targets crashed while they ran such a request; its pieces share a call with no other's.
     pub is_suspect: bool,
--- a/packages/turnford-policy/src/route/digest.rs
+++ b/packages/turnford-policy/src/route/digest.rs
@@ -1,4 +1,4 @@
-//! A mark of what a request asks for, the same on each of its tries and at each node.
+//! A digest of what a request asks for, the same on each of its tries and at each node.
 
 use std::fmt;
 
@@ -9,16 +9,16 @@
 /// requests, and nobody can make one that is another's.
 pub const DIGEST_BYTES: usize = 16;
 
-/// Bytes that a log line shows of a mark.
+/// Bytes that a log line shows of a digest.
 const SHOWN_BYTES: usize = 6;
 
-/// The mark of a request: what it asks for, and who asks. Its id is no part of it, since each try has
+/// The digest of a request: what it asks for, and who asks. Its id is no part of it, since each try has
 /// another.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestDigest(pub [u8; DIGEST_BYTES]);
 
 impl RequestDigest {
-    /// Returns the mark of a request by its account, host, path with query, and body.
+    /// Returns the digest of a request by its account, host, path with query, and body.
     pub fn new(account: &str, host: &str, path: &str, body: &[u8]) -> Self {
         let mut hash = Sha256::new();
         for part in [account.as_bytes(), host.as_bytes(), path.as_bytes()] {
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -36,7 +36,7 @@
     /// Hall of the target that the request will probably run at.
     pub(crate) planned_hall: RefCell<Option<Arc<str>>>,
     version: u64,
-    /// Mark of what it asks for, once its body is read.
+    /// Digest of what it asks for, once its body is read.
     pub(crate) digest: Cell<RequestDigest>,
     /// Span that its own call takes until the first answer, as known when the request came.
     pub(crate) last_span: Cell<Duration>,
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -153,7 +153,7 @@
     pub cell: u32,
     /// Id of the request's try.
     pub attempt: String,
-    /// Mark of what the request asks for.
+    /// Digest of what the request asks for.
     pub digest: [u8; DIGEST_BYTES],
     /// Stage of the request.
     pub stage: u32,
@@ -205,7 +205,7 @@
 pub struct PlaceAsk {
     /// Service with the targets.
     pub service: String,
-    /// Mark of what it asks for.
+    /// Digest of what it asks for.
     pub digest: [u8; DIGEST_BYTES],
     /// Parts of the prompt with their lengths in tokens, the most shared one first.
     pub parts: Vec<(u64, u64)>,
