Split placements' news and the look for crashes into files of their own

Cause: placement.rs had grown to 443 lines, crash.rs held knowledge and evidence. Change: progress.rs and crash_check.rs; code moved, not changed.

--- a/packages/turnford-policy/src/route/digest.rs
+++ b/packages/turnford-policy/src/route/digest.rs
@@ -5,7 +5,7 @@
 use sha2::Digest;
 use sha2::Sha256;
 
-/// Bytes of a mark: two requests that ask for different things share one by chance once in 2^64
+/// Bytes of a digest: two requests that ask for different things share one by chance once in 2^64
 /// requests, and nobody can make one that is another's.
 pub const DIGEST_BYTES: usize = 16;
 
--- a/packages/turnford-serve/src/admission.rs
+++ b/packages/turnford-serve/src/admission.rs
@@ -22,8 +22,8 @@
 use turnford_wire::WorkRequest;
 
 use crate::desk::ServiceDesk;
-use crate::placement::PlacerLink;
 use crate::placement::PLACE_LIMIT;
+use crate::progress::PlacerLink;
 use crate::record::RequestRecord;
 use crate::stages::forecast_alone;
 use crate::stages::least_span;
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -18,7 +18,7 @@
 
 use crate::call::call_target;
 use crate::call::CallFault;
-use crate::crash::check_pieces;
+use crate::crash_check::check_pieces;
 use crate::metrics::ServiceEvent;
 use crate::pieces::PieceCell;
 
--- a/packages/turnford-serve/src/crash.rs
+++ b/packages/turnford-serve/src/crash.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -13,9 +12,6 @@
 use turnford_fleet::CrashPart;
 use turnford_fleet::CrashTable;
 use turnford_fleet::CrashVerdict;
-use turnford_http::probe_port;
-use turnford_http::PortState;
-use turnford_policy::BatchPlan;
 use turnford_policy::Moment;
 use turnford_policy::RequestDigest;
 use turnford_policy::TargetBirth;
@@ -23,13 +19,8 @@
 use turnford_policy::TargetSpec;
 
 use crate::crash_news::tell_crashes;
-use crate::desk::ServiceDesk;
 use crate::traffic::Traffic;
 
-/// Longest wait for a target's machine to say that nobody takes connections there. One that ended
-/// says so within a round trip; one that lost power says nothing.
-const PORT_LIMIT: Duration = Duration::from_millis(400);
-
 /// Time after a call broke in which another start of its target, or the end of its entry, tells that
 /// it crashed: three missed heartbeats, and as long again for the store.
 const BREAK_SPAN: Duration = Duration::from_secs(7);
@@ -84,7 +75,8 @@
         left.push_back((target.id.clone(), target.born));
     }
 
-    fn has_left(&self, target: &TargetSpec) -> bool {
+    /// Tells whether a target left as planned.
+    pub(crate) fn has_left(&self, target: &TargetSpec) -> bool {
         let left = self.left.borrow();
         let mut left = left.iter();
         left.any(|(id, born)| *id == target.id && *born == target.born)
@@ -96,7 +88,7 @@
     }
 
     /// Keeps a broken call until it shows whether its target crashed.
-    fn keep_break(&self, call: BrokenCall) {
+    pub(crate) fn keep_break(&self, call: BrokenCall) {
         let mut breaks = self.breaks.borrow_mut();
         if breaks.len() >= BREAK_LIMIT {
             breaks.pop_front();
@@ -106,7 +98,7 @@
 
     /// Forgets broken calls whose targets did not turn out to have crashed, and returns those that
     /// did.
-    fn take_crashed(
+    pub(crate) fn take_crashed(
         &self,
         now: Moment,
         has_ended: impl Fn(&TargetSpec) -> bool,
@@ -151,89 +143,9 @@
     }
 }
 
-/// Finds out whether a target crashed under a call that broke, and notes it. `place` is held until
-/// then, so that no other copy is placed before the crash is known.
-pub(crate) async fn check_break<P>(
-    traffic: Rc<Traffic>,
-    desk: Rc<ServiceDesk>,
-    call: BrokenCall,
-    place: P,
-) {
-    check_breaks(&traffic, &desk, vec![call]).await;
-    drop(place);
-}
-
-/// Finds out whether a target crashed under a call with the pieces of some requests.
-pub(crate) async fn check_pieces(
-    traffic: &Rc<Traffic>,
-    desk: &Rc<ServiceDesk>,
-    target: &TargetSpec,
-    plan: &BatchPlan,
-) {
-    let pieces = plan.pieces.iter();
-    let digests: BTreeSet<RequestDigest> = pieces.map(|(_, work)| work.digest).collect();
-    let is_suspect = plan.pieces.iter().any(|(_, work)| work.is_suspect);
-    let is_alone = is_suspect && digests.len() == 1;
-    let at = traffic.shared.now();
-    let calls = digests.into_iter().map(|digest| BrokenCall {
-        digest,
-        target: target.clone(),
-        is_alone,
-        has_begun: true,
-        at,
-    });
-    check_breaks(traffic, desk, calls.collect()).await;
-}
-
-/// Finds out whether a target crashed under some requests, and notes it.
-async fn check_breaks(traffic: &Rc<Traffic>, desk: &Rc<ServiceDesk>, calls: Vec<BrokenCall>) {
-    let Some(target) = calls.first().map(|call| call.target.clone()) else {
-        return;
-    };
-    // A target that leaves ends as planned, and cuts what it still runs.
-    let is_leaving = {
-        let board = desk.board.borrow();
-        board.get(&target.id).is_some_and(|spec| spec.leaving)
-    };
-    if is_leaving || traffic.crashes.has_left(&target) {
-        return;
-    }
-    let port = probe_port(target.address, PORT_LIMIT).await;
-    let now = traffic.shared.now();
-    if port == PortState::Refused {
-        desk.board.borrow_mut().note_refused(now, &target.id);
-    }
-    for call in calls {
-        if port == PortState::Refused {
-            note_crash(traffic, &call, "no connection is taken");
-        } else if is_other_start(desk, &target) {
-            note_crash(traffic, &call, "it started again");
-        } else {
-            traffic.crashes.keep_break(call);
-        }
-    }
-}
-
-/// Notes crashes that a service's new list of targets shows.
-pub(crate) fn check_starts(traffic: &Rc<Traffic>, desk: &ServiceDesk) {
-    let now = traffic.shared.now();
-    let service = desk.spec.borrow().name.clone();
-    let has_ended = |target: &TargetSpec| target.service == service && is_other_start(desk, target);
-    for call in traffic.crashes.take_crashed(now, has_ended) {
-        note_crash(traffic, &call, "its entry went or tells of another start");
-    }
-}
-
-/// Tells whether a target's process is known to have ended since a call was made, unplanned.
-fn is_other_start(desk: &ServiceDesk, target: &TargetSpec) -> bool {
-    let board = desk.board.borrow();
-    let listed = board.get(&target.id);
-    listed.is_none_or(|listed| listed.born != target.born && !target.leaving)
-}
-
 /// Notes that a target crashed under a call, and tells the others. A call that had not begun to run,
 /// and was not alone for that, is innocent.
-fn note_crash(traffic: &Rc<Traffic>, call: &BrokenCall, evidence: &str) {
+pub(crate) fn note_crash(traffic: &Rc<Traffic>, call: &BrokenCall, evidence: &str) {
     traffic.shared.metrics.target_crashes.inc();
     let (digest, target) = (&call.digest, &call.target);
     log::warn!(
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -4,8 +4,6 @@
 //! then is it known what each engine still has to read and which prompts it keeps. A node that gets
 //! no answer from it places the request by what it knows itself.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,7 +19,6 @@
 use turnford_policy::PromptPart;
 use turnford_policy::RequestDigest;
 use turnford_policy::RunTicket;
-use turnford_policy::ServiceId;
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
 use turnford_wire::PlaceAsk;
@@ -31,6 +28,7 @@
 use turnford_wire::WorkRequest;
 
 use crate::desk::ServiceDesk;
+use crate::progress::PlacerLink;
 use crate::record::RequestRecord;
 use crate::traffic::Traffic;
 use crate::trial::place_checked;
@@ -45,12 +43,6 @@
 /// what a request can spare.
 pub(crate) const PLACE_LIMIT: Duration = Duration::from_millis(120);
 
-/// Time in which news of placed requests is gathered.
-const NEWS_PAUSE: Duration = Duration::from_millis(40);
-
-/// Longest wait for news to be noted.
-const NEWS_LIMIT: Duration = Duration::from_millis(500);
-
 /// Cost of a target in another hall against one request more in its queue.
 const HALL_COST: f64 = 0.002;
 
@@ -73,14 +65,6 @@
     placed: Moment,
 }
 
-/// The node that admits and places a service's requests, to be told what became of one.
-pub(crate) struct PlacerLink {
-    pub(crate) traffic: Rc<Traffic>,
-    pub(crate) desk: Rc<ServiceDesk>,
-    /// Its address, `None` for this node.
-    pub(crate) address: Option<SocketAddr>,
-}
-
 impl PlacedRun {
     /// Notes that the first event came.
     pub(crate) fn note_begun(&self) {
@@ -100,30 +84,12 @@
     }
 }
 
-impl PlacerLink {
-    pub(crate) fn tell(&self, news: RunNews) {
-        match self.address {
-            Some(placer) => {
-                let service = self.desk.spec.borrow().name.clone();
-                tell_progress(&self.traffic, placer, service, news);
-            }
-            None => note_news(&self.traffic, &self.desk, news),
-        }
-    }
-}
-
 impl Drop for NotedRun {
     fn drop(&mut self) {
         self.placer.tell(RunNews::Ended(self.ticket));
     }
 }
 
-/// News of placed requests that is not told yet.
-#[derive(Default)]
-pub(crate) struct ProgressQueue {
-    waiting: RefCell<HashMap<(SocketAddr, ServiceId), Vec<RunNews>>>,
-}
-
 /// Returns the hall that a request's last target will probably be in.
 pub(crate) fn plan_hall(desk: &ServiceDesk, parts: &[PromptPart]) -> Option<Arc<str>> {
     let board = desk.board.borrow();
@@ -381,63 +347,3 @@
         deadline: now + Duration::from_millis(ask.left_ms),
     }
 }
-
-/// Answers news of placed requests.
-pub(crate) fn answer_progress(traffic: &Traffic, service: &str, news: &[RunNews]) {
-    if let Some(desk) = traffic.desk(service) {
-        for news in news {
-            note_news(traffic, &desk, *news);
-        }
-    }
-}
-
-fn note_news(traffic: &Traffic, desk: &ServiceDesk, news: RunNews) {
-    let now = traffic.shared.now();
-    let mut engines = desk.engines.borrow_mut();
-    match news {
-        RunNews::Begun(ticket, span) => {
-            let span = Duration::from_millis(u64::from(span));
-            let slowness = engines.note_begun(ticket, span);
-            if let (Some(slowness), Some(target)) = (slowness, engines.target_of(ticket)) {
-                let mut board = desk.board.borrow_mut();
-                board.note_slowness(now, target, slowness);
-            }
-        }
-        RunNews::Refused(ticket) => {
-            if let Some(target) = engines.target_of(ticket) {
-                desk.board.borrow_mut().note_refused(now, target);
-            }
-        }
-        RunNews::Ended(ticket) => {
-            engines.note_ended(ticket);
-            desk.trials.borrow_mut().end(ticket);
-        }
-        RunNews::StageDone(ticket, stage) => {
-            desk.flow.borrow_mut().note_stage(ticket, stage as usize);
-        }
-        RunNews::StagesEnded(ticket) => desk.flow.borrow_mut().note_ended(ticket),
-    }
-}
-
-/// Tells the node that placed a request what became of it, soon.
-fn tell_progress(traffic: &Rc<Traffic>, placer: SocketAddr, service: ServiceId, news: RunNews) {
-    let place = (placer, service);
-    let mut waiting = traffic.progress.waiting.borrow_mut();
-    let queue = waiting.entry(place.clone()).or_default();
-    queue.push(news);
-    if queue.len() == 1 {
-        let send = send_progress(traffic.clone(), place);
-        traffic.executor.spawn(send).detach();
-    }
-}
-
-async fn send_progress(traffic: Rc<Traffic>, place: (SocketAddr, ServiceId)) {
-    Timer::after(NEWS_PAUSE).await;
-    let news = traffic.progress.waiting.borrow_mut().remove(&place);
-    let request = WorkRequest::Progress {
-        service: place.1.to_string(),
-        news: news.unwrap_or_default(),
-    };
-    // A node that does not hear it forgets the requests after their deadline.
-    call_peer(&traffic, place.0, &request, NEWS_LIMIT).await;
-}
--- /dev/null
+++ b/packages/turnford-serve/src/progress.rs
@@ -0,0 +1,109 @@
+//! What became of placed requests, told to the node that placed them.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+
+use turnford_policy::ServiceId;
+use turnford_wire::RunNews;
+use turnford_wire::WorkRequest;
+
+use crate::desk::ServiceDesk;
+use crate::traffic::Traffic;
+use crate::work::call_peer;
+
+/// Time in which news of placed requests is gathered.
+const NEWS_PAUSE: Duration = Duration::from_millis(40);
+
+/// Longest wait for news to be noted.
+const NEWS_LIMIT: Duration = Duration::from_millis(500);
+
+/// The node that admits and places a service's requests, to be told what became of one.
+pub(crate) struct PlacerLink {
+    pub(crate) traffic: Rc<Traffic>,
+    pub(crate) desk: Rc<ServiceDesk>,
+    /// Its address, `None` for this node.
+    pub(crate) address: Option<SocketAddr>,
+}
+
+impl PlacerLink {
+    pub(crate) fn tell(&self, news: RunNews) {
+        match self.address {
+            Some(placer) => {
+                let service = self.desk.spec.borrow().name.clone();
+                tell_progress(&self.traffic, placer, service, news);
+            }
+            None => note_news(&self.traffic, &self.desk, news),
+        }
+    }
+}
+
+/// News of placed requests that is not told yet.
+#[derive(Default)]
+pub(crate) struct ProgressQueue {
+    waiting: RefCell<HashMap<(SocketAddr, ServiceId), Vec<RunNews>>>,
+}
+
+/// Answers news of placed requests.
+pub(crate) fn answer_progress(traffic: &Traffic, service: &str, news: &[RunNews]) {
+    if let Some(desk) = traffic.desk(service) {
+        for news in news {
+            note_news(traffic, &desk, *news);
+        }
+    }
+}
+
+fn note_news(traffic: &Traffic, desk: &ServiceDesk, news: RunNews) {
+    let now = traffic.shared.now();
+    let mut engines = desk.engines.borrow_mut();
+    match news {
+        RunNews::Begun(ticket, span) => {
+            let span = Duration::from_millis(u64::from(span));
+            let slowness = engines.note_begun(ticket, span);
+            if let (Some(slowness), Some(target)) = (slowness, engines.target_of(ticket)) {
+                let mut board = desk.board.borrow_mut();
+                board.note_slowness(now, target, slowness);
+            }
+        }
+        RunNews::Refused(ticket) => {
+            if let Some(target) = engines.target_of(ticket) {
+                desk.board.borrow_mut().note_refused(now, target);
+            }
+        }
+        RunNews::Ended(ticket) => {
+            engines.note_ended(ticket);
+            desk.trials.borrow_mut().end(ticket);
+        }
+        RunNews::StageDone(ticket, stage) => {
+            desk.flow.borrow_mut().note_stage(ticket, stage as usize);
+        }
+        RunNews::StagesEnded(ticket) => desk.flow.borrow_mut().note_ended(ticket),
+    }
+}
+
+/// Tells the node that placed a request what became of it, soon.
+fn tell_progress(traffic: &Rc<Traffic>, placer: SocketAddr, service: ServiceId, news: RunNews) {
+    let place = (placer, service);
+    let mut waiting = traffic.progress.waiting.borrow_mut();
+    let queue = waiting.entry(place.clone()).or_default();
+    queue.push(news);
+    if queue.len() == 1 {
+        let send = send_progress(traffic.clone(), place);
+        traffic.executor.spawn(send).detach();
+    }
+}
+
+async fn send_progress(traffic: Rc<Traffic>, place: (SocketAddr, ServiceId)) {
+    Timer::after(NEWS_PAUSE).await;
+    let news = traffic.progress.waiting.borrow_mut().remove(&place);
+    let request = WorkRequest::Progress {
+        service: place.1.to_string(),
+        news: news.unwrap_or_default(),
+    };
+    // A node that does not hear it forgets the requests after their deadline.
+    call_peer(&traffic, place.0, &request, NEWS_LIMIT).await;
+}
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -18,11 +18,11 @@
 use turnford_policy::ServiceId;
 use turnford_policy::ServiceSpec;
 
-use crate::crash::check_starts;
 use crate::crash::CrashDesk;
+use crate::crash_check::check_starts;
 use crate::desk::ServiceDesk;
 use crate::pieces::PieceCell;
-use crate::placement::ProgressQueue;
+use crate::progress::ProgressQueue;
 use crate::release::ResultReleaser;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -32,7 +32,7 @@
 use crate::gather::answer_pieces;
 use crate::gather::answer_release;
 use crate::placement::answer_place;
-use crate::placement::answer_progress;
+use crate::progress::answer_progress;
 use crate::traffic::Traffic;
 
 /// Silence of a node with work of ours after which it is asked whether it is there.
