--- a/packages/turnford-serve/src/crash_check.rs
+++ b/packages/turnford-serve/src/crash_check.rs
@@ -22,6 +22,9 @@
 /// says so within a round trip; one that lost power says nothing.
 const PORT_LIMIT: Duration = Duration::from_millis(400);
 
+/// What an entry tells of a crash.
+const OTHER_START: &str = "its entry went or tells of another start";
+
 /// Finds out whether a target crashed under a call that broke, and notes it. `place` is held until
 /// then, so that no other copy is placed before the crash is known.
 pub(crate) async fn check_break<P>(
@@ -78,7 +81,7 @@
         if port == PortState::Refused {
             note_crash(traffic, &call, "no connection is taken");
         } else if is_other_start(desk, &target) {
-            note_crash(traffic, &call, "it started again");
+            note_crash(traffic, &call, OTHER_START);
         } else {
             traffic.crashes.keep_break(call);
         }
@@ -91,7 +94,7 @@
     let service = desk.spec.borrow().name.clone();
     let has_ended = |target: &TargetSpec| target.service == service && is_other_start(desk, target);
     for call in traffic.crashes.take_crashed(now, has_ended) {
-        note_crash(traffic, &call, "its entry went or tells of another start");
+        note_crash(traffic, &call, OTHER_START);
     }
 }
 
