Log what targets say of themselves in their answers, and who placed a request

Cause: no line told that a target had said that it leaves, for how long one had asked for rest, or which node chose a place.

--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 
 use turnford_adapter::decode_answer;
+use turnford_adapter::decode_word;
 use turnford_adapter::AnswerFacts;
 use turnford_http::HttpFault;
 use turnford_http::HttpLink;
@@ -149,6 +150,7 @@
         None => return Err(CallFault::Unknown("no answer in time")),
     };
     let (parts, body) = answer.into_parts();
+    hear_word(traffic, target, &parts, attempt);
     let facts = decode_answer(&parts).map_err(|problem| {
         log::warn!("target={} answer refused: {problem}", target.id);
         CallFault::Unknown("the answer's head makes no sense")
@@ -182,6 +184,33 @@
     })
 }
 
+/// Hears what a target says of itself, whatever becomes of its answer.
+fn hear_word(traffic: &Traffic, target: &TargetSpec, parts: &Parts, attempt: Option<&str>) {
+    let word = decode_word(parts, attempt).unwrap_or_else(|(word, problem)| {
+        log::warn!("target={} asks for rest: {problem}", target.id);
+        word
+    });
+    let metrics = &traffic.shared.metrics;
+    if word.leaves {
+        metrics.note_service(&target.service, ServiceEvent::SaidLeaving);
+        log::info!(
+            "target={} says that it leaves: born={} request={}",
+            target.id,
+            target.born,
+            attempt.unwrap_or("-")
+        );
+    }
+    if let Some(rest) = word.rest {
+        metrics.note_service(&target.service, ServiceEvent::AskedForRest);
+        log::info!(
+            "target={} asks for rest of {}ms: request={}",
+            target.id,
+            rest.as_millis(),
+            attempt.unwrap_or("-")
+        );
+    }
+}
+
 /// Notes an answer that belongs to another request; its connection is spoiled.
 fn other_attempt(traffic: &Traffic, target: &TargetSpec, facts: &AnswerFacts) -> CallFault {
     log::warn!(
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -62,6 +62,10 @@
     Connected,
     /// A call of pieces was made.
     Batch,
+    /// A target said in an answer that it leaves.
+    SaidLeaving,
+    /// A target turned a call away and asked for rest.
+    AskedForRest,
 }
 
 impl ServiceEvent {
@@ -75,6 +79,8 @@
             ServiceEvent::OtherAttempt => "other-attempt",
             ServiceEvent::Connected => "connected",
             ServiceEvent::Batch => "batch",
+            ServiceEvent::SaidLeaving => "said-leaving",
+            ServiceEvent::AskedForRest => "asked-for-rest",
         }
     }
 }
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -174,6 +174,7 @@
     let placer = doer_of(traffic, &Duty::Place(service));
     if let Some(placer) = placer {
         if let Some(found) = ask_placer(traffic, desk, digest, need, placer).await {
+            record.note(format_args!("placed by {placer}"));
             return found;
         }
         record.note(format_args!("placed here: {placer} gave no place"));
