--- /dev/null
+++ b/packages/turnford-serve/tests/resting_targets.rs
@@ -0,0 +1,257 @@
+//! Targets that turn a request away and ask for rest.
+//!
+//! A plain target that shed load answered 503 with 3 s of rest, and got four requests more from the same
+//! node within them, where two that cross are allowed. The node did not read the time: it paused the
+//! target for 250 ms, let any good answer end the pause, and asked it all the same where no other
+//! target was left.
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use common::text;
+use common::wait_until;
+use common::Ask;
+use common::RouteSite;
+use common::ENGINE;
+use common::QUICK;
+use common::STAGE;
+use common::STAGED;
+use turnford_standin::RouteTarget;
+use turnford_standin::TargetFault;
+use turnford_standin::TargetRole;
+
+/// Longest time until a refusal that needs nothing but what the node knows.
+const AT_ONCE: Duration = Duration::from_millis(200);
+
+/// Sends a request to a node; returns its status.
+fn send(site: &RouteSite, node: usize, attempt: &str, path: &str) -> u16 {
+    let answer = site.call(node, Ask::new(attempt, path));
+    answer.expect("an answer").status
+}
+
+fn broken_rests(target: &RouteTarget) -> usize {
+    let arrivals = target.arrivals().into_iter();
+    arrivals.filter(|call| call.breaks_rest).count()
+}
+
+/// Sends a request each few milliseconds for so long; returns the statuses.
+fn send_for(site: &RouteSite, span: Duration, path: &str) -> Vec<u16> {
+    let begun = Instant::now();
+    let mut statuses = Vec::new();
+    while begun.elapsed() < span {
+        let attempt = format!("a{}", statuses.len());
+        statuses.push(send(site, 0, &attempt, path));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    statuses
+}
+
+#[test]
+fn others_serve() {
+    let mut site = RouteSite::new();
+    let first = site.target("b1", "booking", QUICK);
+    site.target("b2", "booking", QUICK);
+    site.node("one");
+    first.rest_for(Duration::from_secs(3));
+    let statuses = send_for(&site, Duration::from_secs(3), "/pay/1");
+    assert_eq!(broken_rests(&first), 0);
+    assert!(statuses.iter().all(|status| *status == 200));
+    wait_until("it is used again", || {
+        send(&site, 0, "later", "/pay/1");
+        let last = first.arrivals().last().map(|call| call.attempt.clone());
+        last.as_deref() == Some("later")
+    });
+}
+
+#[test]
+fn good_end_beside() {
+    // A call that was under way ends well after the target has asked for rest.
+    let mut site = RouteSite::new();
+    let slow = TargetRole::Plain(Duration::from_millis(400));
+    let first = site.target("b1", "booking", slow);
+    site.node("one");
+    std::thread::scope(|scope| {
+        let under_way = scope.spawn(|| send(&site, 0, "before", "/hold/1"));
+        wait_until("it runs", || !site.journal.of("before").is_empty());
+        first.rest_for(Duration::from_millis(2500));
+        let ask = Ask {
+            headers: &[("x-turnford-deadline-ms", "500")],
+            ..Ask::new("told", "/hold/1")
+        };
+        assert_eq!(site.call(0, ask).expect("an answer").status, 503);
+        assert_eq!(under_way.join().expect("an end"), 200);
+    });
+    for number in 0..10 {
+        let attempt = format!("a{number}");
+        let ask = Ask {
+            headers: &[("x-turnford-deadline-ms", "300")],
+            ..Ask::new(&attempt, "/hold/1")
+        };
+        assert_eq!(site.call(0, ask).expect("an answer").status, 503);
+        std::thread::sleep(Duration::from_millis(120));
+    }
+    assert_eq!(broken_rests(&first), 0);
+}
+
+#[test]
+fn shorter_word() {
+    // The second of two refusals asks for less; the first one's time holds.
+    let mut site = RouteSite::new();
+    let first = site.target("b1", "booking", QUICK);
+    site.node("one");
+    first.fail_next([TargetFault::Rest("2.5"), TargetFault::Rest("0.1")]);
+    let begun = Instant::now();
+    std::thread::scope(|scope| {
+        for number in 0..2 {
+            let site = &site;
+            scope.spawn(move || send(site, 0, &format!("told-{number}"), "/hold/1"));
+        }
+    });
+    let told = first.arrivals().len();
+    assert_eq!(send(&site, 0, "after", "/hold/1"), 200);
+    assert!(begun.elapsed() >= Duration::from_millis(2500));
+    assert!(first.arrivals().len() > told);
+}
+
+#[test]
+fn all_rest() {
+    // Whoever can wait for the end of the rest is served after it; the others are told when at once.
+    let mut site = RouteSite::new();
+    let first = site.target("b1", "booking", QUICK);
+    site.node("one");
+    first.rest_for(Duration::from_millis(1500));
+    let told = Instant::now();
+    // Its route lets it go to one target only.
+    assert_eq!(send(&site, 0, "told", "/hold/1"), 503);
+    assert_eq!(send(&site, 0, "waits", "/hold/1"), 200);
+    assert!(told.elapsed() >= Duration::from_millis(1500));
+    assert_eq!(first.arrivals().len(), 2);
+
+    first.rest_for(Duration::from_secs(3));
+    let hasty = |attempt| {
+        let ask = Ask {
+            headers: &[("x-turnford-deadline-ms", "1000")],
+            ..Ask::new(attempt, "/hold/1")
+        };
+        site.call(0, ask).expect("an answer")
+    };
+    assert_eq!(hasty("told-again").status, 503);
+    let begun = Instant::now();
+    let answer = hasty("refused");
+    assert_eq!(answer.status, 503, "{}", text(&answer));
+    assert!(begun.elapsed() < AT_ONCE, "{:?}", begun.elapsed());
+    let back = answer.header("retry-after").expect("a time to come back");
+    let back: f64 = back.parse().expect("seconds");
+    assert!((2.0..4.5).contains(&back), "{back}");
+    assert_eq!(broken_rests(&first), 0);
+}
+
+#[test]
+fn by_degrees() {
+    // Forty wait for the end of a rest; the target that just came back is not sent all at once.
+    let mut site = RouteSite::new();
+    let slow = TargetRole::Plain(Duration::from_millis(30));
+    let first = site.target("b1", "booking", slow);
+    site.node("one");
+    first.rest_for(Duration::from_secs(1));
+    assert_eq!(send(&site, 0, "told", "/hold/1"), 503);
+    std::thread::scope(|scope| {
+        for number in 0..40 {
+            let site = &site;
+            scope.spawn(move || {
+                let status = send(site, 0, &format!("w{number}"), "/hold/1");
+                assert_eq!(status, 200);
+            });
+        }
+    });
+    let arrivals = first.arrivals();
+    let later = &arrivals[1..];
+    let soon = later[0].at + Duration::from_millis(20);
+    let first_round = later.iter().filter(|call| call.at < soon).count();
+    assert_eq!(later.len(), 40);
+    assert!(first_round <= 2, "{first_round} came in the first round");
+    assert_eq!(broken_rests(&first), 0);
+}
+
+#[test]
+fn placer_knows() {
+    // One node is asked for rest by an engine, whichever node places: it is sent to the other engine.
+    for node in 0..2 {
+        let mut site = RouteSite::new();
+        let engines = ["e1", "e2"].map(|id| site.target(id, "sprog", ENGINE));
+        site.node("one");
+        site.node("two");
+        site.settle();
+        engines[0].fail_next([TargetFault::Rest("3")]);
+        let mut number = 0;
+        wait_until("the engine asks for rest", || {
+            number += 1;
+            send(&site, node, &format!("hear-{number}"), "/draft/1");
+            !engines[0].arrivals().is_empty()
+        });
+        let told = engines[0].arrivals().len();
+        for number in 0..20 {
+            assert_eq!(send(&site, node, &format!("a{number}"), "/draft/1"), 200);
+        }
+        assert_eq!(engines[0].arrivals().len(), told);
+    }
+}
+
+#[test]
+fn pieces_rest() {
+    // A target of a stage that rests gets no pieces, no question for a report and no release.
+    let mut site = RouteSite::new();
+    let stages = ["k1", "k2"].map(|id| site.target(id, "kort", STAGE));
+    site.target("e1", "ejer", STAGE);
+    site.target("s1", "sprog", ENGINE);
+    site.node("one");
+    stages[0].rest_for(Duration::from_secs(3));
+    let begun = Instant::now();
+    let mut number = 0;
+    while begun.elapsed() < Duration::from_secs(3) {
+        let attempt = format!("a{number}");
+        let ask = Ask {
+            headers: STAGED,
+            ..Ask::new(&attempt, "/chat/1")
+        };
+        let answer = site.call(0, ask).expect("an answer");
+        assert_eq!(answer.status, 200, "{}", text(&answer));
+        number += 1;
+    }
+    assert!(!stages[0].arrivals().is_empty());
+    assert_eq!(broken_rests(&stages[0]), 0);
+}
+
+#[test]
+fn odd_words() {
+    // A time that makes no sense is no rest; the usual pause holds, and the target is used again soon.
+    for odd in ["soon", "-3", "Fri, 04 Dec 2026 07:28:00 GMT", "inf"] {
+        let mut site = RouteSite::new();
+        let first = site.target("b1", "booking", QUICK);
+        site.node("one");
+        first.fail_next([TargetFault::Rest(odd)]);
+        send(&site, 0, "told", "/hold/1");
+        let begun = Instant::now();
+        wait_until("it is used again", || {
+            send(&site, 0, "later", "/hold/1") == 200
+        });
+        assert!(begun.elapsed() < Duration::from_secs(1), "{odd}");
+    }
+}
+
+#[test]
+fn started_again() {
+    // A very long rest ends with the process that asked for it.
+    let mut site = RouteSite::new();
+    let first = site.target("b1", "booking", QUICK);
+    site.node("one");
+    first.fail_next([TargetFault::Rest("100000")]);
+    assert_eq!(send(&site, 0, "told", "/hold/1"), 503);
+    assert_eq!(send(&site, 0, "refused", "/hold/1"), 503);
+    first.bear_again();
+    wait_until("it is used again", || {
+        send(&site, 0, "later", "/hold/1") == 200
+    });
+}
--- a/packages/turnford-standin/src/route.rs
+++ b/packages/turnford-standin/src/route.rs
@@ -4,9 +4,11 @@
 
 mod door;
 mod meta;
+mod piece;
 mod run;
 mod site;
 mod target;
+mod word;
 
 pub use meta::DoorState;
 pub use meta::MetaStore;
@@ -18,3 +20,4 @@
 pub use target::RouteTarget;
 pub use target::TargetFault;
 pub use target::TargetRole;
+pub use word::TargetArrival;
--- /dev/null
+++ b/packages/turnford-standin/src/route/word.rs
@@ -0,0 +1,94 @@
+//! What a target says of itself in its answers, and what reaches it meanwhile.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use turnford_http::HttpCall;
+use turnford_http::HttpResponse;
+
+use super::target::lock;
+
+/// Time after a target asked a caller for rest in which calls that cross may still come, from the
+/// platform's rules.
+const CROSSING_SPAN: Duration = Duration::from_millis(500);
+
+/// A call that reached a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetArrival {
+    /// When it came.
+    pub at: Instant,
+    /// Its path.
+    pub path: String,
+    /// Id of the client's try; empty for calls that belong to none.
+    pub attempt: String,
+    /// Whether it came while the target rested, not counting calls that cross its first word.
+    pub breaks_rest: bool,
+}
+
+/// A rest that a target asks for.
+#[derive(Clone, Copy, Debug)]
+struct RestWish {
+    until: Instant,
+    /// When the first caller was told.
+    told: Option<Instant>,
+}
+
+/// What one target says of itself.
+#[derive(Default)]
+pub(super) struct TargetWords {
+    leaves: AtomicBool,
+    rest: Mutex<Option<RestWish>>,
+    arrivals: Mutex<Vec<TargetArrival>>,
+}
+
+impl TargetWords {
+    pub(super) fn say_leaving(&self, leaves: bool) {
+        self.leaves.store(leaves, Ordering::SeqCst);
+    }
+
+    pub(super) fn leaves(&self) -> bool {
+        self.leaves.load(Ordering::SeqCst)
+    }
+
+    pub(super) fn rest_for(&self, span: Duration) {
+        *lock(&self.rest) = Some(RestWish {
+            until: Instant::now() + span,
+            told: None,
+        });
+    }
+
+    /// Notes a call; returns the time of rest to turn it away with, if the target rests.
+    pub(super) fn note_arrival(&self, call: &HttpCall) -> Option<String> {
+        let now = Instant::now();
+        let mut rest = lock(&self.rest);
+        let left = rest.map(|rest| rest.until.saturating_duration_since(now));
+        let left = left.filter(|left| !left.is_zero());
+        let told = rest.and_then(|rest| rest.told);
+        let breaks_rest = left.is_some() && told.is_some_and(|told| now > told + CROSSING_SPAN);
+        if let Some(rest) = rest.as_mut() {
+            rest.told.get_or_insert(now);
+        }
+        let attempt = call.header("x-turnford-attempt-id").unwrap_or("");
+        lock(&self.arrivals).push(TargetArrival {
+            at: now,
+            path: call.path.clone(),
+            attempt: attempt.to_owned(),
+            breaks_rest,
+        });
+        left.map(|left| format!("{:.3}", left.as_secs_f64()))
+    }
+
+    pub(super) fn arrivals(&self) -> Vec<TargetArrival> {
+        lock(&self.arrivals).clone()
+    }
+
+    /// Adds what the target says to an answer.
+    pub(super) fn add_to(&self, answer: &mut HttpResponse) {
+        if self.leaves() {
+            answer.insert_header("server-leaving", "1");
+        }
+    }
+}
