Give targets the rest that they ask for

Cause: the time of rest in a refusal was not read; a pause of 250 ms took its place, which any good answer ended and which did not hold where no other target was left. Change: a rest holds between this node and the target's process, for pieces, questions and releases too; a shorter word does not shorten it. After it calls come back one, two, four at a time. Who places for engines is told with each question which targets rest. Where all rest, requests that can wait do, the most urgent first; the others are refused at once, before their stages, with the time at which they can be served. Nodes that admit are told of stage targets' rests and forecast by their ends.

--- a/packages/turnford-policy/src/route/board.rs
+++ b/packages/turnford-policy/src/route/board.rs
@@ -7,7 +7,8 @@
 use crate::TargetId;
 
 use super::config::TargetBirth;
-use super::gate::TargetGate;
+use super::entry::BoardEntry;
+use super::entry::LoadMark;
 use super::TargetSpec;
 
 /// Weight of the newest sample in averages of failures and times.
@@ -19,9 +20,6 @@
 /// Time after which half of a measured slowness no longer counts.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(3);
 
-/// Time after which half of what a target told of its load no longer counts.
-const LOAD_HALF_LIFE: Duration = Duration::from_millis(400);
-
 /// First pause of a target that failed; it doubles with each further failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 
@@ -34,74 +32,6 @@
 /// Cost of a target that fails all its calls, in the unit of times.
 const FAILURE_COST: Duration = Duration::from_secs(2);
 
-/// Load that a target told with an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadMark {
-    /// Requests at work.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that it works on at a time.
-    pub slots: u32,
-}
-
-/// A target with what this node learned of it.
-#[derive(Clone, Debug)]
-struct BoardEntry {
-    /// The target; it is leaving, too, where it said so itself.
-    spec: TargetSpec,
-    /// Whether its entry says that it leaves.
-    is_listed_leaving: bool,
-    /// What it said in its answers.
-    gate: TargetGate,
-    /// Calls of this node under way.
-    in_flight: u32,
-    /// Last load told, with the calls of this node that were under way then.
-    mark: Option<(Moment, LoadMark, u32)>,
-    failure: f64,
-    /// Average time of a call against what was expected of it, and when it was last measured.
-    slowness: Option<(f64, Moment)>,
-    failures_in_row: u32,
-    paused_until: Moment,
-}
-
-impl BoardEntry {
-    fn new(spec: TargetSpec) -> Self {
-        Self {
-            is_listed_leaving: spec.leaving,
-            spec,
-            gate: TargetGate::default(),
-            in_flight: 0,
-            mark: None,
-            failure: 0.0,
-            slowness: None,
-            failures_in_row: 0,
-            paused_until: Moment::ZERO,
-        }
-    }
-
-    /// Takes what the target's entry says now. Its own word that it leaves holds against that.
-    fn take_spec(&mut self, spec: &TargetSpec) {
-        self.spec = spec.clone();
-        self.is_listed_leaving = spec.leaving;
-        self.spec.leaving |= self.gate.leaves();
-    }
-
-    /// Returns the calls of other nodes that the target still works on, as last told and aged.
-    fn foreign_load(&self, now: Moment) -> f64 {
-        let Some((at, mark, own)) = self.mark else {
-            return 0.0;
-        };
-        let told = f64::from(mark.running + mark.waiting) - f64::from(own);
-        let age = now.saturating_sub(at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
-        told.max(0.0) * 0.5_f64.powf(age)
-    }
-
-    fn load(&self, now: Moment) -> f64 {
-        f64::from(self.in_flight) + self.foreign_load(now)
-    }
-}
-
 /// The targets of one service.
 #[derive(Clone, Debug, Default)]
 pub struct TargetBoard {
@@ -164,6 +94,83 @@
         }
     }
 
+    /// Notes that a target's process wants nothing of this node for so long.
+    pub fn note_rest(&mut self, now: Moment, id: &str, born: TargetBirth, span: Duration) {
+        let entry = self.entries.get_mut(id);
+        if let Some(entry) = entry.filter(|entry| entry.spec.born == born) {
+            entry.gate.note_rest(now, span);
+        }
+    }
+
+    /// Notes that a target's process wants nothing for so long of the node that gathers for it.
+    pub fn note_told_rest(&mut self, now: Moment, id: &str, born: TargetBirth, span: Duration) {
+        let entry = self.entries.get_mut(id);
+        if let Some(entry) = entry.filter(|entry| entry.spec.born == born) {
+            entry.gate.note_told_rest(now, span);
+        }
+    }
+
+    /// Tells until when a target wants nothing of this node, `None` if it takes calls.
+    pub fn rests_until(&self, now: Moment, id: &str) -> Option<Moment> {
+        let entry = self.entries.get(id)?;
+        entry.gate.rests(now).then(|| entry.gate.rests_until())
+    }
+
+    /// Tells whether a target takes the calls of this node that are under way there, those that are about
+    /// to be sent among them.
+    pub fn has_room(&self, now: Moment, id: &str) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| entry.gate.has_room(now, entry.in_flight))
+    }
+
+    /// Tells whether a target takes one more call of this node.
+    pub fn is_open(&self, now: Moment, id: &str) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| entry.is_open(now))
+    }
+
+    /// Tells whether any target beside these takes one more call of this node.
+    pub fn has_open(&self, now: Moment, tried: &[TargetId]) -> bool {
+        let mut left = self.untried(tried);
+        left.any(|entry| entry.is_open(now))
+    }
+
+    /// Returns the targets that take no further call of this node now, though they don't leave.
+    pub fn closed_targets(&self, now: Moment) -> Vec<TargetId> {
+        let left = self.untried(&[]);
+        let closed = left.filter(|entry| !entry.is_open(now));
+        closed.map(|entry| entry.spec.id.clone()).collect()
+    }
+
+    /// Returns when the first target beside these takes calls of this node, at the earliest now; `None`
+    /// if there is none that doesn't leave.
+    pub fn opens_at(&self, now: Moment, tried: &[TargetId]) -> Option<Moment> {
+        let ends = self.untried(tried).map(|entry| entry.gate.rests_until());
+        ends.min().map(|end| end.max(now))
+    }
+
+    /// Returns when the first target takes calls of the node that gathers for it, at the earliest now.
+    pub fn serves_at(&self, now: Moment) -> Option<Moment> {
+        let ends = self.untried(&[]).map(|entry| entry.gate.any_rest_until());
+        ends.min().map(|end| end.max(now))
+    }
+
+    /// Tells whether a target rests towards the node that gathers for it.
+    pub fn rests_anywhere(&self, now: Moment, id: &str) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| now < entry.gate.any_rest_until())
+    }
+
+    /// Returns the requests that the targets beside these work on at a time.
+    pub fn places(&self, tried: &[TargetId]) -> u32 {
+        self.untried(tried).map(|entry| entry.spec.slots).sum()
+    }
+
+    fn untried<'a>(&'a self, tried: &'a [TargetId]) -> impl Iterator<Item = &'a BoardEntry> {
+        let open = self.entries.values().filter(|entry| !entry.spec.leaving);
+        open.filter(|entry| !tried.contains(&entry.spec.id))
+    }
+
     /// Returns the targets to be asked whether they stay, each once in a while: they said that they
     /// leave, and their entries still say that they are ready.
     pub fn take_due_asks(&mut self, now: Moment) -> Vec<TargetSpec> {
@@ -202,10 +209,7 @@
         tried: &[TargetId],
         cost_of: impl Fn(&TargetSpec, f64) -> f64,
     ) -> Option<TargetSpec> {
-        let open = self.entries.values().filter(|entry| !entry.spec.leaving);
-        let left: Vec<&BoardEntry> = open
-            .filter(|entry| !tried.contains(&entry.spec.id))
-            .collect();
+        let left: Vec<&BoardEntry> = self.untried(tried).collect();
         let awake = left.iter().filter(|entry| entry.paused_until <= now);
         let sound = awake.clone().filter(|entry| entry.failure < BAD_FAILURE);
         let cost = |entry: &&BoardEntry| {
@@ -260,10 +264,11 @@
     }
 
     /// Notes a call that went well.
-    pub fn note_success(&mut self, id: &str) {
+    pub fn note_success(&mut self, now: Moment, id: &str) {
         let Some(entry) = self.entries.get_mut(id) else {
             return;
         };
+        entry.gate.note_success(now, entry.spec.slots);
         entry.failure *= 1.0 - SAMPLE_WEIGHT;
         entry.failures_in_row = 0;
         entry.paused_until = Moment::ZERO;
--- a/packages/turnford-policy/src/route/flow.rs
+++ b/packages/turnford-policy/src/route/flow.rs
@@ -192,9 +192,9 @@
             return NEVER;
         }
         let Some(service) = self.services.get(service) else {
-            return Duration::ZERO;
+            return rate.opens_in;
         };
-        service.wait(rate.nominal, ranks, ahead(service))
+        rate.opens_in + service.wait(rate.nominal, ranks, ahead(service))
     }
 
     /// Chooses when a request that is refused should come back: when it would not be late, and not
--- a/packages/turnford-policy/src/route/flow_service.rs
+++ b/packages/turnford-policy/src/route/flow_service.rs
@@ -37,6 +37,8 @@
     pub piece_span: Duration,
     /// Most pieces of a call.
     pub piece_limit: u32,
+    /// Time until its first target takes calls, where all want rest.
+    pub opens_in: Duration,
 }
 
 impl StageRate {
--- a/packages/turnford-policy/src/route/gate.rs
+++ b/packages/turnford-policy/src/route/gate.rs
@@ -9,11 +9,21 @@
 /// what is left may have changed its mind.
 const ASK_PAUSE: Duration = Duration::from_secs(15);
 
+/// Calls that a target may have under way when its rest is over. Each good answer lets in one more, so
+/// that they double with each round: all that waited at once would bring the next rest.
+const FIRST_CALLS: u32 = 1;
+
 /// What a target said of itself, and what follows for the calls of this node.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TargetGate {
     /// When it said last that it leaves, or was asked in vain whether it stays.
     left_at: Option<Moment>,
+    /// Until when it wants nothing of this node.
+    rests_until: Moment,
+    /// Until when it wants nothing of the node that gathers for it, as that one told.
+    told_until: Moment,
+    /// Calls that it may have under way since its rest ended; `None` for any number.
+    call_limit: Option<u32>,
 }
 
 impl TargetGate {
@@ -34,7 +44,47 @@
 
     /// Tells whether it is time to ask it whether it stays.
     pub(super) fn is_ask_due(&self, now: Moment) -> bool {
-        self.left_at
-            .is_some_and(|at| now.saturating_sub(at) >= ASK_PAUSE)
+        let left_at = self.left_at.filter(|_| !self.rests(now));
+        left_at.is_some_and(|at| now.saturating_sub(at) >= ASK_PAUSE)
+    }
+
+    /// Notes that it wants nothing of this node for so long. A shorter word does not shorten the rest.
+    pub(super) fn note_rest(&mut self, now: Moment, span: Duration) {
+        self.rests_until = self.rests_until.max(now.saturating_add(span));
+        self.call_limit = Some(FIRST_CALLS);
+    }
+
+    /// Notes that it wants nothing of the node that gathers for it for so long.
+    pub(super) fn note_told_rest(&mut self, now: Moment, span: Duration) {
+        self.told_until = self.told_until.max(now.saturating_add(span));
+    }
+
+    /// Returns until when it rests towards this node, or the one that gathers for it.
+    pub(super) fn any_rest_until(&self) -> Moment {
+        self.rests_until.max(self.told_until)
+    }
+
+    /// Tells whether it rests.
+    pub(super) fn rests(&self, now: Moment) -> bool {
+        now < self.rests_until
+    }
+
+    /// Returns when its rest ends, a moment that is past if it has.
+    pub(super) fn rests_until(&self) -> Moment {
+        self.rests_until
+    }
+
+    /// Tells whether it takes so many calls at once.
+    pub(super) fn has_room(&self, now: Moment, calls: u32) -> bool {
+        !self.rests(now) && self.call_limit.is_none_or(|limit| calls <= limit)
+    }
+
+    /// Notes a good answer of a target with so many places.
+    pub(super) fn note_success(&mut self, now: Moment, slots: u32) {
+        if self.rests(now) {
+            return;
+        }
+        let limit = self.call_limit.map(|limit| limit.saturating_add(1));
+        self.call_limit = limit.filter(|limit| *limit <= slots);
     }
 }
--- a/packages/turnford-policy/tests/flow_board.rs
+++ b/packages/turnford-policy/tests/flow_board.rs
@@ -23,6 +23,7 @@
         call_span: Duration::from_millis(100),
         piece_span: Duration::ZERO,
         piece_limit: 10,
+        opens_in: Duration::ZERO,
     })
 }
 
--- a/packages/turnford-policy/tests/target_board.rs
+++ b/packages/turnford-policy/tests/target_board.rs
@@ -69,7 +69,7 @@
     assert!(!board.is_paused(300 * MS, "b1"));
     board.note_refused(300 * MS, "b1");
     assert!(board.is_paused(700 * MS, "b1"));
-    board.note_success("b1");
+    board.note_success(300 * MS, "b1");
     assert!(!board.is_paused(700 * MS, "b1"));
 }
 
--- a/packages/turnford-policy/tests/target_words.rs
+++ b/packages/turnford-policy/tests/target_words.rs
@@ -111,6 +111,79 @@
     assert_eq!(board.open_count(), 0);
 }
 
+#[test]
+fn rest_holds() {
+    let mut board = board(&target(7, 0, false));
+    board.note_sent("b1");
+    board.note_rest(SECOND, "b1", 7, 3 * SECOND);
+    // The call that was under way ends well, and a second one is told less.
+    board.note_success(SECOND, "b1");
+    board.note_ended("b1");
+    board.note_rest(SECOND, "b1", 7, SECOND / 10);
+    board.set_targets([&target(7, 1, false)].into_iter());
+    assert!(!board.has_open(3 * SECOND, &[]));
+    assert_eq!(board.opens_at(2 * SECOND, &[]), Some(4 * SECOND));
+    assert_eq!(board.rests_until(2 * SECOND, "b1"), Some(4 * SECOND));
+    assert!(board.has_open(4 * SECOND, &[]));
+    assert_eq!(board.rests_until(4 * SECOND, "b1"), None);
+}
+
+#[test]
+fn back_by_degrees() {
+    // One call, then twice as many with each round of good answers, until all its places are used.
+    let mut board = board(&target(7, 0, false));
+    board.note_rest(Duration::ZERO, "b1", 7, SECOND);
+    let mut now = SECOND;
+    let mut rounds = Vec::new();
+    for _ in 0..4 {
+        let mut sent = 0;
+        while board.is_open(now, "b1") && sent < 20 {
+            board.note_sent("b1");
+            sent += 1;
+        }
+        rounds.push(sent);
+        now += SECOND / 10;
+        for _ in 0..sent {
+            board.note_success(now, "b1");
+            board.note_ended("b1");
+        }
+    }
+    assert_eq!(rounds, [1, 2, 4, 20]);
+}
+
+#[test]
+fn rest_again() {
+    // The next rest begins anew with one call.
+    let mut board = board(&target(7, 0, false));
+    board.note_rest(Duration::ZERO, "b1", 7, SECOND);
+    board.note_success(SECOND, "b1");
+    board.note_rest(SECOND, "b1", 7, SECOND);
+    board.note_sent("b1");
+    assert!(!board.is_open(2 * SECOND, "b1"));
+}
+
+#[test]
+fn endless_rest() {
+    // It is kept whatever its length, and ends with the process.
+    let mut board = board(&target(7, 0, false));
+    board.note_rest(SECOND, "b1", 7, Duration::MAX);
+    assert!(!board.has_open(1_000_000 * SECOND, &[]));
+    board.set_targets([&target(8, 0, false)].into_iter());
+    assert!(board.has_open(SECOND, &[]));
+}
+
+#[test]
+fn leaving_never_opens() {
+    let mut board = board(&target(7, 0, false));
+    board.note_rest(SECOND, "b1", 7, SECOND);
+    board.note_leaving(SECOND, "b1", 7);
+    assert_eq!(board.opens_at(SECOND, &[]), None);
+    // It is not asked whether it stays while it rests.
+    board.note_rest(SECOND, "b1", 7, 3 * ASKED_WITHIN);
+    assert!(board.take_due_asks(SECOND + 2 * ASKED_WITHIN).is_empty());
+    assert_eq!(board.take_due_asks(SECOND + 3 * ASKED_WITHIN).len(), 1);
+}
+
 /// Something that happens to a board.
 #[derive(Clone, Debug)]
 enum Step {
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -137,7 +137,7 @@
     match ended.await {
         Ok(ends) => {
             let took = traffic.shared.now().saturating_sub(begun);
-            cell.desk.board.borrow_mut().note_success(&target.id);
+            cell.desk.note_success(traffic.shared.now(), &target.id);
             note_speed(cell, target, took, span);
             let made = made_results(&plan, &ends);
             if made.is_empty() && ends.contains(&PieceEnd::NoRoom) {
@@ -194,6 +194,17 @@
 
 /// Asks a target whether it is there.
 async fn is_silent(cell: &PieceCell, target: &TargetSpec) -> bool {
+    let now = cell.traffic.shared.now();
+    if cell
+        .desk
+        .board
+        .borrow()
+        .rests_until(now, &target.id)
+        .is_some()
+    {
+        // It wants no question either; the call goes on.
+        return false;
+    }
     let report = read_report(cell, target, ALIVE_LIMIT).await;
     if let Err(reason) = &report {
         log::info!("target={} is overdue and silent: {reason}", target.id);
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -26,6 +26,7 @@
 use crate::desk::ServiceDesk;
 use crate::leaving::hear_leaving;
 use crate::metrics::ServiceEvent;
+use crate::resting::hear_rest;
 use crate::traffic::Traffic;
 use crate::wait::wait_until;
 
@@ -154,8 +155,9 @@
     let flight = FlightGuard::new(desk, target);
     let mut link = open_link(traffic, desk, target).await?;
     // The last moment before it is sent: it may have waited, and another node may have chosen its place.
-    if purpose != CallPurpose::Upkeep && !desk.is_open(&target.id) {
-        return Err(CallFault::Closed("the target is leaving"));
+    let now = traffic.shared.now();
+    if let Some(reason) = desk.closed_reason(now, &target.id, purpose) {
+        return Err(CallFault::Closed(reason));
     }
     traffic
         .shared
@@ -236,6 +238,7 @@
             rest.as_millis(),
             attempt.unwrap_or("-")
         );
+        hear_rest(traffic, desk, target, rest);
     }
     word
 }
--- a/packages/turnford-serve/src/desk.rs
+++ b/packages/turnford-serve/src/desk.rs
@@ -23,6 +23,8 @@
 use turnford_policy::TargetSpec;
 use turnford_policy::RANK_COUNT;
 
+use crate::call::CallPurpose;
+use crate::line::WaitLine;
 use crate::pieces::PieceDesk;
 
 /// Time after which half of a told wait no longer counts: queues change within a call or two.
@@ -51,6 +53,8 @@
     next_trial: Cell<TrialTicket>,
     /// Span of this node's own calls until their first answer, by the tokens that only the request has.
     last_line: RefCell<SpanLine>,
+    /// Requests that wait until a target takes calls.
+    pub(crate) line: Rc<WaitLine>,
     /// Cells of the targets, where the service runs pieces of stages.
     pub(crate) cells: RefCell<Vec<Rc<PieceDesk>>>,
     /// Waits that the gathering nodes told, by cell.
@@ -74,6 +78,7 @@
             trials: RefCell::default(),
             next_trial: Cell::new(0),
             last_line: RefCell::new(SpanLine::new(START_LAST.0, START_TOKENS, START_LAST.1)),
+            line: Rc::default(),
             cells: RefCell::default(),
             waits: RefCell::default(),
         })
@@ -95,10 +100,32 @@
         self.next_trial.get()
     }
 
-    /// Tells whether a target still takes new work.
-    pub(crate) fn is_open(&self, target: &str) -> bool {
+    /// Returns why a target takes no such call of this node now, `None` if it takes it. The call counts
+    /// as under way already.
+    pub(crate) fn closed_reason(
+        &self,
+        now: Moment,
+        target: &str,
+        purpose: CallPurpose<'_>,
+    ) -> Option<&'static str> {
         let board = self.board.borrow();
-        board.get(target).is_some_and(|spec| !spec.leaving)
+        let Some(spec) = board.get(target) else {
+            return Some("the target is gone");
+        };
+        if spec.leaving && purpose != CallPurpose::Upkeep {
+            return Some("the target is leaving");
+        }
+        if board.rests_until(now, target).is_some() {
+            return Some("the target wants rest");
+        }
+        let has_room = purpose == CallPurpose::Upkeep || board.has_room(now, target);
+        (!has_room).then_some("the target comes back from its rest")
+    }
+
+    /// Notes a good answer of a target; it may let in those that wait.
+    pub(crate) fn note_success(&self, now: Moment, target: &str) {
+        self.board.borrow_mut().note_success(now, target);
+        self.line.wake_first();
     }
 
     /// Returns what the service can do as a stage, `None` if it is none.
@@ -107,9 +134,13 @@
         let batch = spec.batch.as_ref()?;
         let board = self.board.borrow();
         let open = board.open_targets();
-        let awake = open.filter(|target| !board.is_paused(now, &target.id));
+        let is_awake = |target: &&TargetSpec| {
+            !board.is_paused(now, &target.id) && !board.rests_anywhere(now, &target.id)
+        };
+        let awake = open.filter(is_awake);
         // Pauses are short: where all targets have one, some will soon be back.
         let least = board.open_count().min(1);
+        let opens_in = board.serves_at(now).unwrap_or(now).saturating_sub(now);
         let calls = awake.count().max(least) * batch.slots.max(1);
         let pieces = u32::try_from(batch.piece_limit.max(1)).unwrap_or(u32::MAX);
         let span = batch.call_span + batch.piece_span * pieces;
@@ -119,6 +150,7 @@
             call_span: batch.call_span,
             piece_span: batch.piece_span,
             piece_limit: pieces,
+            opens_in,
         })
     }
 
@@ -186,7 +218,12 @@
         let board = self.board.borrow();
         let targets = pieces.targets.borrow();
         let waiting = pieces.board.borrow();
-        waiting.expected_waits(now, &board, &targets)
+        let mut waits = waiting.expected_waits(now, &board, &awake_targets(now, &board, &targets));
+        let opening = next_opening(now, &board, &targets).unwrap_or(now);
+        for wait in &mut waits {
+            *wait = (*wait).max(opening.saturating_sub(now));
+        }
+        waits
     }
 
     /// Returns a cell by its number.
@@ -197,6 +234,32 @@
     }
 }
 
+/// Returns those of a cell's targets that take a further call of this node.
+pub(crate) fn awake_targets(
+    now: Moment,
+    board: &TargetBoard,
+    targets: &[TargetSpec],
+) -> Vec<TargetSpec> {
+    let awake = targets
+        .iter()
+        .filter(|target| board.is_open(now, &target.id));
+    awake.cloned().collect()
+}
+
+/// Returns when the first target of a cell takes calls of this node, `None` if one does now or there is
+/// none.
+pub(crate) fn next_opening(
+    now: Moment,
+    board: &TargetBoard,
+    targets: &[TargetSpec],
+) -> Option<Moment> {
+    let ends = targets
+        .iter()
+        .map(|target| board.rests_until(now, &target.id));
+    let ends: Option<Vec<Moment>> = ends.collect();
+    ends?.into_iter().min()
+}
+
 /// A call under way at a target; its end is noted when this is dropped.
 pub(crate) struct FlightGuard {
     desk: Rc<ServiceDesk>,
@@ -224,5 +287,7 @@
         if listed.is_some_and(|listed| listed.born == self.born) {
             board.note_ended(&self.target);
         }
+        drop(board);
+        self.desk.line.wake_first();
     }
 }
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -29,11 +29,14 @@
 use crate::crash::BrokenCall;
 use crate::crash_check::check_break;
 use crate::desk::ServiceDesk;
+use crate::line::LinePlace;
 use crate::metrics::ServiceEvent;
+use crate::opening::return_span;
 use crate::placement::place_request;
 use crate::placement::PlaceEnd;
 use crate::placement::PlacedRun;
 use crate::record::RequestRecord;
+use crate::request::refuse_admitted;
 use crate::request::refuse_suspect;
 use crate::results::StageResults;
 use crate::stream::relay_stream;
@@ -106,7 +109,7 @@
             &log.tried,
         )
         .await;
-        let placed = match placed {
+        let mut placed = match placed {
             PlaceEnd::Placed(placed) => placed,
             PlaceEnd::Suspect(refusal) if !log.may_have_run => {
                 return ForwardEnd::Answer(refuse_suspect(job.record, &refusal));
@@ -115,16 +118,23 @@
                 job.record.note(format_args!("{}", refusal.reason()));
                 break;
             }
-            PlaceEnd::Nowhere => break,
+            PlaceEnd::TooLate(back_after) if log.tried.is_empty() => {
+                let reason = "all targets want rest";
+                let refusal = refuse_admitted(job.record, ResultCode::NoTarget, reason, back_after);
+                return ForwardEnd::Answer(refusal);
+            }
+            PlaceEnd::TooLate(_) | PlaceEnd::Nowhere => break,
         };
         let target = placed.target.clone();
         log.tried.push(target.id.clone());
         if log.sent > 0 && !take_repeat(traffic, job, &target) {
             break;
         }
-        match try_target(traffic, job, &target).await {
+        // From its first step on the call counts at its target; then the next that waits may look.
+        let call = try_target(traffic, job, &target, placed.turn.take());
+        match call.await {
             Ok(answer) => {
-                if let Some(end) = take_answer(traffic, job, &mut log, placed, answer).await {
+                if let Some(end) = take_answer(traffic, job, &mut log, *placed, answer).await {
                     return end;
                 }
             }
@@ -147,7 +157,7 @@
                 if matches!(fault, CallFault::Broke(_)) {
                     // An engine that begins to run a request sends the head of its answer.
                     let has_begun = job.desk.spec.borrow().engine.is_none();
-                    note_break(traffic, job, &log, placed, has_begun).await;
+                    note_break(traffic, job, &log, *placed, has_begun).await;
                 }
             }
         }
@@ -183,6 +193,7 @@
     traffic: &Rc<Traffic>,
     job: &ForwardJob<'_>,
     target: &TargetSpec,
+    turn: Option<LinePlace>,
 ) -> Result<TargetAnswer, CallFault> {
     let record = job.record;
     let left = record.left();
@@ -205,6 +216,7 @@
         target.hall,
         left.as_millis()
     ));
+    drop(turn);
     let purpose = CallPurpose::Request(&record.facts.attempt);
     let call = call_target(traffic, job.desk, target, request, purpose, left);
     let fetched = async {
@@ -229,7 +241,7 @@
     record.note(format_args!("answer {status}"));
     let is_stream = record.route.kind == CallKind::Stream && status.is_success();
     if is_stream {
-        job.desk.board.borrow_mut().note_success(&target.id);
+        job.desk.note_success(traffic.shared.now(), &target.id);
         let answer = relay_stream(traffic, job.record, job.desk, placed, answer);
         return Some(ForwardEnd::Answer(answer));
     }
@@ -251,7 +263,7 @@
             return None;
         }
     } else {
-        job.desk.board.borrow_mut().note_success(&target.id);
+        job.desk.note_success(traffic.shared.now(), &target.id);
     }
     record.note_head();
     if status.is_success() {
@@ -355,6 +367,6 @@
         (ResultCode::NoTarget, RanState::No, "no target took it")
     };
     record.end(code, reason);
-    let retry_after = (ran == RanState::No).then_some(RETRY_AFTER);
+    let retry_after = (ran == RanState::No).then(|| return_span(traffic, job.desk));
     own_answer(&record.facts.attempt, code, ran, reason, retry_after)
 }
--- /dev/null
+++ b/packages/turnford-serve/src/line.rs
@@ -0,0 +1,84 @@
+//! Requests that wait until a target of their service takes calls, the most urgent first.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+
+use turnford_policy::ClassRank;
+use turnford_policy::Moment;
+
+/// Place in a line: ranks of the account and the route, when the answer is due, and the order of coming.
+pub(crate) type LineKey = (ClassRank, ClassRank, Moment, u64);
+
+/// The line of one service.
+#[derive(Default)]
+pub(crate) struct WaitLine {
+    waiting: RefCell<BTreeMap<LineKey, Sender<()>>>,
+    next: Cell<u64>,
+}
+
+impl WaitLine {
+    /// Tells whether nobody waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.borrow().is_empty()
+    }
+
+    /// Returns how many would go before a request with these ranks.
+    pub(crate) fn ahead_of(&self, ranks: (ClassRank, ClassRank), due: Moment) -> usize {
+        let key = (ranks.0, ranks.1, due, u64::MAX);
+        self.waiting.borrow().range(..key).count()
+    }
+
+    /// Adds a request; it leaves when what is returned is dropped.
+    pub(crate) fn enter(self: &Rc<Self>, ranks: (ClassRank, ClassRank), due: Moment) -> LinePlace {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let key = (ranks.0, ranks.1, due, number);
+        let (wake, woken) = async_channel::bounded(1);
+        self.waiting.borrow_mut().insert(key, wake);
+        LinePlace {
+            line: self.clone(),
+            key,
+            woken,
+        }
+    }
+
+    /// Has the first request look again.
+    pub(crate) fn wake_first(&self) {
+        if let Some(wake) = self.waiting.borrow().values().next() {
+            // A full channel holds a wake-up already.
+            let _ = wake.try_send(());
+        }
+    }
+}
+
+/// A request's place in a line.
+pub(crate) struct LinePlace {
+    line: Rc<WaitLine>,
+    key: LineKey,
+    woken: Receiver<()>,
+}
+
+impl LinePlace {
+    /// Returns how many go before.
+    pub(crate) fn ahead(&self) -> usize {
+        self.line.waiting.borrow().range(..self.key).count()
+    }
+
+    /// Waits until it may be this request's turn.
+    pub(crate) async fn wait_woken(&self) {
+        // The line keeps the other side for as long as this place is there.
+        let _ = self.woken.recv().await;
+    }
+}
+
+impl Drop for LinePlace {
+    fn drop(&mut self) {
+        self.line.waiting.borrow_mut().remove(&self.key);
+        self.line.wake_first();
+    }
+}
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -21,6 +21,7 @@
 
 use crate::batch::ask_report;
 use crate::batch::run_batch;
+use crate::desk::awake_targets;
 use crate::desk::ServiceDesk;
 use crate::inputs::InputHold;
 use crate::release::release_results;
@@ -180,7 +181,7 @@
             let board = self.desk.board.borrow();
             let targets = self.pieces.targets.borrow();
             let mut pieces = self.pieces.board.borrow_mut();
-            pieces.plan(now, &board, &targets)
+            pieces.plan(now, &board, &awake_targets(now, &board, &targets))
         };
         for ticket in late {
             // A request that left needs no word.
@@ -199,8 +200,9 @@
     fn ask_unknown(&self, now: Moment) {
         let unknown = {
             let targets = self.pieces.targets.borrow();
+            let awake = awake_targets(now, &self.desk.board.borrow(), &targets);
             let mut board = self.pieces.board.borrow_mut();
-            board.take_unknown(now, &targets)
+            board.take_unknown(now, &awake)
         };
         if !unknown.is_empty() {
             let waiting = self.pieces.board.borrow().waiting();
@@ -219,7 +221,7 @@
     /// Looks again when a pause or a deadline ends.
     fn schedule_look(&self, now: Moment) {
         let look = self.pieces.board.borrow_mut().next_look(now);
-        let Some(look) = look else {
+        let Some(look) = look.into_iter().chain(self.rest_end(now)).min() else {
             return;
         };
         let planned = self.pieces.next_look.get().filter(|at| *at > now);
@@ -235,6 +237,18 @@
         self.traffic.executor.spawn(wait).detach();
     }
 
+    /// Returns when the next target's rest ends, where pieces wait.
+    fn rest_end(&self, now: Moment) -> Option<Moment> {
+        if self.pieces.board.borrow().waiting() == 0 {
+            return None;
+        }
+        let board = self.desk.board.borrow();
+        let targets = self.pieces.targets.borrow();
+        let ends = targets.iter();
+        let ends = ends.filter_map(|target| board.rests_until(now, &target.id));
+        ends.min()
+    }
+
     /// Tells the requests how their pieces ended.
     pub(crate) fn end_pieces(&self, target: &TargetSpec, plan: BatchPlan, ends: Vec<PieceEnd>) {
         for ((ticket, work), end) in plan.pieces.into_iter().zip(ends) {
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -28,6 +28,9 @@
 use turnford_wire::WorkRequest;
 
 use crate::desk::ServiceDesk;
+use crate::line::LinePlace;
+use crate::opening::wait_turn;
+use crate::opening::OpeningFault;
 use crate::progress::PlacerLink;
 use crate::record::RequestRecord;
 use crate::traffic::Traffic;
@@ -55,6 +58,8 @@
     pub(crate) target: TargetSpec,
     /// Whether targets crashed while they ran such a request, and it is the only such one there.
     pub(crate) is_alone: bool,
+    /// Its place in the line, where it waited for a target, until it is sent.
+    pub(crate) turn: Option<LinePlace>,
     run: Option<NotedRun>,
 }
 
@@ -101,11 +106,13 @@
 /// Where a request may run.
 pub(crate) enum PlaceEnd {
     /// At a target.
-    Placed(PlacedRun),
+    Placed(Box<PlacedRun>),
     /// No target can take it.
     Nowhere,
     /// Targets crashed under such a request.
     Suspect(SuspectRefusal),
+    /// All want rest for longer than the request has time; when to come back.
+    TooLate(Duration),
 }
 
 /// Finds a place for a request, `inputs` being the bytes of its inputs in each hall. A suspect waits
@@ -117,7 +124,7 @@
     inputs: &[(Arc<str>, u64)],
     tried: &[TargetId],
 ) -> PlaceEnd {
-    let need = PlaceNeed {
+    let mut need = PlaceNeed {
         parts: record.facts.parts.clone(),
         prompt_tokens: record.facts.prompt_tokens,
         answer_tokens: record.facts.answer_tokens,
@@ -128,8 +135,20 @@
     };
     let held_until = traffic.shared.now() + HOLD_SPAN;
     loop {
+        let turn = match wait_turn(traffic, record, desk, tried).await {
+            Ok(turn) => turn,
+            Err(OpeningFault::Nowhere) => return PlaceEnd::Nowhere,
+            Err(OpeningFault::TooLate(back_after)) => return PlaceEnd::TooLate(back_after),
+        };
+        // The node that places does not know which targets want rest of this one.
+        let now = traffic.shared.now();
+        let closed = desk.board.borrow().closed_targets(now);
+        need.tried = [tried, &closed[..]].concat();
         match place_once(traffic, record, desk, &need).await {
-            FoundPlace::Placed(placed) => return PlaceEnd::Placed(placed),
+            FoundPlace::Placed(mut placed) => {
+                placed.turn = turn;
+                return PlaceEnd::Placed(placed);
+            }
             FoundPlace::Nowhere => return PlaceEnd::Nowhere,
             FoundPlace::Refused(span) => {
                 return PlaceEnd::Suspect(SuspectRefusal::crashes_targets(span));
@@ -145,7 +164,7 @@
 
 /// A place as it was found now.
 enum FoundPlace {
-    Placed(PlacedRun),
+    Placed(Box<PlacedRun>),
     Nowhere,
     Held,
     Refused(Duration),
@@ -163,11 +182,12 @@
     if is_sound && desk.spec.borrow().engine.is_none() {
         let target = choose_plain(traffic, desk, &need.tried);
         return target.map_or(FoundPlace::Nowhere, |target| {
-            FoundPlace::Placed(PlacedRun {
+            FoundPlace::Placed(Box::new(PlacedRun {
                 target,
                 is_alone: false,
+                turn: None,
                 run: None,
-            })
+            }))
         });
     }
     let service = desk.spec.borrow().name.to_string();
@@ -216,11 +236,12 @@
             target,
             ticket,
             is_alone,
-        } => FoundPlace::Placed(PlacedRun {
+        } => FoundPlace::Placed(Box::new(PlacedRun {
             target,
             is_alone,
+            turn: None,
             run: Some(note_run(traffic, desk, None, ticket)),
-        }),
+        })),
         CheckedPlace::Nowhere => FoundPlace::Nowhere,
         CheckedPlace::Held => FoundPlace::Held,
         CheckedPlace::Refused(span) => FoundPlace::Refused(span),
@@ -292,11 +313,12 @@
             // The other node may not know yet that the target leaves.
             let target = desk.board.borrow().get(&id).cloned();
             let target = target.filter(|target| !target.leaving)?;
-            Some(FoundPlace::Placed(PlacedRun {
+            Some(FoundPlace::Placed(Box::new(PlacedRun {
                 target,
                 is_alone,
+                turn: None,
                 run: Some(run),
-            }))
+            })))
         }
         PlaceReply::Nowhere => None,
         PlaceReply::Held => Some(FoundPlace::Held),
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -101,6 +101,11 @@
         ends.fold(self.deadline, Moment::min)
     }
 
+    /// Returns when its answer is due.
+    pub(crate) fn due(&self) -> Moment {
+        self.begun + self.route.goal
+    }
+
     /// Returns the time until the deadline.
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_sub(self.shared.now())
--- a/packages/turnford-serve/src/release.rs
+++ b/packages/turnford-serve/src/release.rs
@@ -17,6 +17,7 @@
 use crate::desk::ServiceDesk;
 use crate::gather::release_at_peer;
 use crate::traffic::Traffic;
+use crate::wait::wait_until;
 
 /// Time for which results to give up are gathered. Their room is missed meanwhile.
 const GATHER_SPAN: Duration = Duration::from_millis(15);
@@ -75,6 +76,9 @@
         return;
     };
     let handles: Vec<String> = results.into_iter().map(|result| result.handle).collect();
+    if !wait_rest(&traffic, &desk, &maker, handles.len()).await {
+        return;
+    }
     if let Err(reason) = send_handles(&traffic, &desk, &maker, &handles).await {
         log::debug!(
             "target={} results={} not given up: {reason}",
@@ -86,6 +90,34 @@
     traffic.note_released(&desk, &handles);
 }
 
+/// Waits until a target that wants rest takes calls again; false if its results go by themselves before.
+async fn wait_rest(
+    traffic: &Traffic,
+    desk: &ServiceDesk,
+    maker: &TargetSpec,
+    results: usize,
+) -> bool {
+    let batch = desk.spec.borrow().batch.clone();
+    let kept = batch.map_or(Duration::ZERO, |batch| batch.result_span);
+    let latest = traffic.shared.now() + kept;
+    loop {
+        let now = traffic.shared.now();
+        let rests_until = desk.board.borrow().rests_until(now, &maker.id);
+        let Some(until) = rests_until else {
+            return true;
+        };
+        let left = until.saturating_sub(now).as_millis();
+        log::info!(
+            "target={} rests for {left}ms and keeps results={results}",
+            maker.id
+        );
+        if until > latest {
+            return false;
+        }
+        wait_until(&traffic.shared, until).await;
+    }
+}
+
 async fn send_handles(
     traffic: &Rc<Traffic>,
     desk: &Rc<ServiceDesk>,
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -28,6 +28,8 @@
 use crate::forward::ForwardEnd;
 use crate::forward::ForwardJob;
 use crate::forward::RETRY_AFTER;
+use crate::opening::check_opening;
+use crate::opening::OpeningFault;
 use crate::outlook::watch_outlook;
 use crate::placement::plan_hall;
 use crate::record::RequestRecord;
@@ -221,14 +223,13 @@
         let reason = "the service is not known";
         return refuse_admitted(record, ResultCode::NoTarget, reason, RETRY_AFTER);
     };
-    if desk.board.borrow().open_count() == 0 {
-        // Its stages would run in vain.
-        let reason = "all targets leave";
-        return refuse_admitted(record, ResultCode::NoTarget, reason, RETRY_AFTER);
-    }
     record
         .last_span
         .set(desk.last_span(record.facts.own_tokens()));
+    if let Err(fault) = check_opening(traffic, record, &desk) {
+        // Its stages would run in vain.
+        return refuse_closed(record, fault);
+    }
     *record.planned_hall.borrow_mut() = plan_hall(&desk, &record.facts.parts);
     for _ in 0..STAGE_ROUNDS {
         let flow = match admit_flow(traffic, record, &desk).await {
@@ -296,8 +297,17 @@
     refuse_admitted(record, refusal.code, refusal.reason(), refusal.back_after)
 }
 
+/// Refuses a request that no target takes in time.
+fn refuse_closed(record: &RequestRecord, fault: OpeningFault) -> Response<AnswerBody> {
+    let (reason, back_after) = match fault {
+        OpeningFault::Nowhere => ("no target is left", RETRY_AFTER),
+        OpeningFault::TooLate(back_after) => ("all targets want rest", back_after),
+    };
+    refuse_admitted(record, ResultCode::NoTarget, reason, back_after)
+}
+
 /// Refuses a request that has not run and never will.
-fn refuse_admitted(
+pub(crate) fn refuse_admitted(
     record: &RequestRecord,
     code: ResultCode,
     reason: &str,
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -34,6 +34,7 @@
 use crate::leaving::answer_leaving;
 use crate::placement::answer_place;
 use crate::progress::answer_progress;
+use crate::resting::answer_rest;
 use crate::traffic::Traffic;
 
 /// Silence of a node with work of ours after which it is asked whether it is there.
@@ -208,6 +209,7 @@
         WorkRequest::Crashes(news) => answer_crashes(&traffic, news),
         WorkRequest::CrashSync { sum, is_new } => answer_crash_sync(&traffic, sum, is_new),
         WorkRequest::Leaving(news) => answer_leaving(&traffic, news),
+        WorkRequest::Resting(news) => answer_rest(&traffic, &news),
         WorkRequest::Progress { service, news } => {
             answer_progress(&traffic, &service, &news);
             WorkReply::Noted
--- a/packages/turnford-serve/tests/resting_targets.rs
+++ b/packages/turnford-serve/tests/resting_targets.rs
@@ -224,6 +224,86 @@
     assert_eq!(broken_rests(&stages[0]), 0);
 }
 
+#[test]
+fn stage_rests() {
+    // The only target of a stage rests: who can wait is served after it, who can't is refused before any
+    // of its stages runs.
+    for nodes in 1..=2 {
+        let mut site = RouteSite::new();
+        let stage = site.target("k1", "kort", STAGE);
+        site.target("e1", "ejer", STAGE);
+        site.target("s1", "sprog", ENGINE);
+        for name in ["one", "two"].into_iter().take(nodes) {
+            site.node(name);
+        }
+        site.settle();
+        let staged = |attempt: &str, patience: &'static str| {
+            let headers = [STAGED, &[("x-turnford-deadline-ms", patience)]].concat();
+            let ask = Ask {
+                headers: &headers,
+                ..Ask::new(attempt, "/chat/1")
+            };
+            site.call(0, ask).expect("an answer")
+        };
+        assert_eq!(staged("before", "8000").status, 200);
+        stage.rest_for(Duration::from_secs(3));
+        std::thread::scope(|scope| {
+            let patient = scope.spawn(|| staged("patient", "8000").status);
+            wait_until("the target asks for rest", || {
+                stage.arrivals().iter().any(|call| call.is_turned_away)
+            });
+            // News of it is on its way to the node that admits.
+            std::thread::sleep(Duration::from_millis(50));
+            let begun = Instant::now();
+            let answer = staged("hasty", "1500");
+            assert_eq!(answer.status, 503, "{}", text(&answer));
+            assert!(begun.elapsed() < AT_ONCE, "{:?}", begun.elapsed());
+            assert_eq!(site.journal.of("hasty"), []);
+            assert_eq!(patient.join().expect("an end"), 200);
+        });
+        assert_eq!(broken_rests(&stage), 0);
+    }
+}
+
+#[test]
+fn urgent_first() {
+    // The more urgent one came last, and goes first.
+    let mut site = RouteSite::new();
+    let slow = TargetRole::Plain(Duration::from_millis(100));
+    let first = site.target("b1", "booking", slow);
+    site.node("one");
+    first.rest_for(Duration::from_millis(1500));
+    assert_eq!(send(&site, 0, "told", "/hold/1"), 503);
+    std::thread::scope(|scope| {
+        for (attempt, key) in [("later", "key-skagen"), ("urgent", "key-fyn")] {
+            let site = &site;
+            scope.spawn(move || {
+                let ask = Ask {
+                    key: Some(key),
+                    ..Ask::new(attempt, "/hold/1")
+                };
+                assert_eq!(site.call(0, ask).expect("an answer").status, 200);
+            });
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
+    let attempts = first.arrivals().into_iter().map(|call| call.attempt);
+    assert_eq!(attempts.collect::<Vec<_>>(), ["told", "urgent", "later"]);
+}
+
+#[test]
+fn other_node() {
+    // A rest is between one node and one target: the other node goes on.
+    let mut site = RouteSite::new();
+    let first = site.target("b1", "booking", QUICK);
+    site.node("one");
+    site.node("two");
+    site.settle();
+    first.fail_next([TargetFault::Rest("5")]);
+    assert_eq!(send(&site, 0, "told", "/hold/1"), 503);
+    assert_eq!(send(&site, 1, "other", "/hold/1"), 200);
+}
+
 #[test]
 fn odd_words() {
     // A time that makes no sense is no rest; the usual pause holds, and the target is used again soon.
--- a/packages/turnford-standin/src/route/word.rs
+++ b/packages/turnford-standin/src/route/word.rs
@@ -24,6 +24,8 @@
     pub path: String,
     /// Id of the client's try; empty for calls that belong to none.
     pub attempt: String,
+    /// Whether the target rested and turned it away.
+    pub is_turned_away: bool,
     /// Whether it came while the target rested, not counting calls that cross its first word.
     pub breaks_rest: bool,
 }
@@ -76,6 +78,7 @@
             at: now,
             path: call.path.clone(),
             attempt: attempt.to_owned(),
+            is_turned_away: left.is_some(),
             breaks_rest,
         });
         left.map(|left| format!("{:.3}", left.as_secs_f64()))
--- a/packages/turnford-wire/src/lib.rs
+++ b/packages/turnford-wire/src/lib.rs
@@ -35,6 +35,7 @@
 pub use route::PieceReplyEnd;
 pub use route::PlaceAsk;
 pub use route::PlaceReply;
+pub use route::RestNews;
 pub use route::RouteReply;
 pub use route::RouteRequest;
 pub use route::RunNews;
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -301,6 +301,19 @@
     pub born: u64,
 }
 
+/// A target of a stage that wants nothing for a while of the node that gathers for it.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct RestNews {
+    /// Service that it runs.
+    pub service: String,
+    /// Its id.
+    pub target: String,
+    /// Start of its process, in milliseconds of the time of day; 0 where it does not tell.
+    pub born: u64,
+    /// Milliseconds for which it rests.
+    pub rest_ms: u64,
+}
+
 /// A call from one traffic thread to another.
 #[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
 pub enum WorkRequest {
@@ -332,6 +345,8 @@
     },
     /// These targets said that they leave.
     Leaving(Vec<LeavingNews>),
+    /// This target of a stage wants rest of the sender, who gathers for it.
+    Resting(RestNews),
     /// What became of placed requests.
     Progress {
         /// Service with the engines.
@@ -351,7 +366,7 @@
 /// Answer of a traffic thread.
 #[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
 pub enum WorkReply {
-    /// To the question whether it is there, to crashes, to targets that leave, to progress and to a release.
+    /// To the question whether it is there, to crashes, to targets that leave or rest, to progress and to a release.
     Noted,
     /// To pieces.
     Pieces {
