--- a/packages/turnford-standin/src/lib.rs
+++ b/packages/turnford-standin/src/lib.rs
@@ -35,6 +35,7 @@
 pub use report::AccountReport;
 pub use report::LoadReport;
 pub use route::DoorState;
+pub use route::MetaCopy;
 pub use route::MetaStore;
 pub use route::RouteCall;
 pub use route::RouteJournal;
--- a/packages/turnford-standin/src/route.rs
+++ b/packages/turnford-standin/src/route.rs
@@ -11,6 +11,7 @@
 mod word;
 
 pub use meta::DoorState;
+pub use meta::MetaCopy;
 pub use meta::MetaStore;
 pub use run::RouteJournal;
 pub use run::RouteRun;
--- a/packages/turnford-standin/src/route/meta.rs
+++ b/packages/turnford-standin/src/route/meta.rs
@@ -53,13 +53,21 @@
     is_gone: bool,
 }
 
-#[derive(Debug, Default)]
-struct MetaState {
+/// What a store holds at a moment.
+#[derive(Clone, Debug, Default)]
+pub struct MetaCopy {
     revision: u64,
     objects: BTreeMap<(String, String), MetaObject>,
     changes: Vec<MetaChange>,
     /// Revision up to which history is forgotten.
     forgotten: u64,
+}
+
+#[derive(Debug, Default)]
+struct MetaState {
+    held: MetaCopy,
+    /// How often it came back from a copy.
+    era: u64,
     doors: Vec<DoorState>,
     /// Calls through each door.
     calls: Vec<u64>,
@@ -109,27 +117,44 @@
 
     /// Writes an object; each write is a change.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        let mut state = self.lock();
-        state.put(kind, name, spec);
+        self.lock().held.put(kind, name, spec);
     }
 
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
-        self.lock().remove(kind, name);
+        self.lock().held.remove(kind, name);
     }
 
     /// Returns the names of a kind's objects.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.lock();
-        let names = state.objects.keys().filter(|(other, _)| other == kind);
+        let names = state.held.objects.keys().filter(|(other, _)| other == kind);
         names.map(|(_, name)| name.clone()).collect()
     }
 
     /// Forgets all changes so far.
     pub fn forget_history(&self) {
+        let held = &mut self.lock().held;
+        held.forgotten = held.revision;
+        held.changes.clear();
+    }
+
+    /// Returns a copy of what the store holds.
+    pub fn copy(&self) -> MetaCopy {
+        self.lock().held.clone()
+    }
+
+    /// Has the store come back from a copy: what was written since is gone, and revisions that were given
+    /// out since are given out again.
+    pub fn restore(&self, copy: MetaCopy) {
         let mut state = self.lock();
-        state.forgotten = state.revision;
-        state.changes.clear();
+        state.held = copy;
+        state.era += 1;
+    }
+
+    /// Returns the store's revision.
+    pub fn revision(&self) -> u64 {
+        self.lock().held.revision
     }
 
     fn lock(&self) -> MutexGuard<'_, MetaState> {
@@ -137,6 +162,12 @@
     }
 
     async fn handle(&self, door: usize, call: HttpCall) -> Option<HttpResponse> {
+        let mut answer = self.answer(door, call).await?;
+        answer.insert_header("store-era", self.lock().era.to_string());
+        Some(answer)
+    }
+
+    async fn answer(&self, door: usize, call: HttpCall) -> Option<HttpResponse> {
         let state = {
             let mut state = self.lock();
             state.calls[door] += 1;
@@ -173,8 +204,8 @@
     }
 
     fn list(&self, kind: &str, after: &str) -> HttpResponse {
-        let state = self.lock();
-        let objects = state.objects.iter();
+        let held = &self.lock().held;
+        let objects = held.objects.iter();
         let mut items: Vec<Value> = objects
             .filter(|((other, name), _)| other == kind && name.as_str() > after)
             .map(|((_, name), object)| object_json(name, object))
@@ -182,14 +213,14 @@
         let truncated = items.len() > PAGE_SIZE;
         items.truncate(PAGE_SIZE);
         let body = json!({
-            "items": items, "truncated": truncated, "timestamp": state.revision,
+            "items": items, "truncated": truncated, "timestamp": held.revision,
         });
         json_answer(StatusCode::OK, &body)
     }
 
     fn get(&self, kind: &str, name: &str) -> HttpResponse {
-        let state = self.lock();
-        match state.objects.get(&(kind.to_owned(), name.to_owned())) {
+        let held = &self.lock().held;
+        match held.objects.get(&(kind.to_owned(), name.to_owned())) {
             Some(object) => json_answer(StatusCode::OK, &object_json(name, object)),
             None => HttpResponse::new(StatusCode::NOT_FOUND),
         }
@@ -209,11 +240,11 @@
 
     /// Returns the answer to a watch, `None` while it waits.
     fn changes_since(&self, kind: &str, from: u64, is_over: bool) -> Option<HttpResponse> {
-        let state = self.lock();
-        if from < state.forgotten {
+        let held = &self.lock().held;
+        if from < held.forgotten || from > held.revision {
             return Some(HttpResponse::new(StatusCode::GONE));
         }
-        let changes = state.changes.iter();
+        let changes = held.changes.iter();
         let events: Vec<Value> = changes
             .filter(|change| change.kind == kind && change.revision > from)
             .map(|change| {
@@ -224,7 +255,7 @@
         if events.is_empty() && !is_over {
             return None;
         }
-        let body = json!({ "events": events, "timestamp": state.revision });
+        let body = json!({ "events": events, "timestamp": held.revision });
         Some(json_answer(StatusCode::OK, &body))
     }
 
@@ -235,12 +266,12 @@
         let Some(name) = body["metadata"]["name"].as_str() else {
             return HttpResponse::new(StatusCode::BAD_REQUEST);
         };
-        let mut state = self.lock();
+        let held = &mut self.lock().held;
         let key = (kind.to_owned(), name.to_owned());
-        if state.objects.contains_key(&key) {
+        if held.objects.contains_key(&key) {
             return HttpResponse::new(StatusCode::CONFLICT);
         }
-        state.put(kind, name, body["specification"].clone());
+        held.put(kind, name, body["specification"].clone());
         json_answer(StatusCode::OK, &json!({}))
     }
 
@@ -248,17 +279,17 @@
         let Ok(body) = serde_json::from_slice::<Value>(&call.body) else {
             return HttpResponse::new(StatusCode::BAD_REQUEST);
         };
-        let mut state = self.lock();
+        let held = &mut self.lock().held;
         let key = (kind.to_owned(), name.to_owned());
-        if !state.objects.contains_key(&key) {
+        if !held.objects.contains_key(&key) {
             return HttpResponse::new(StatusCode::NOT_FOUND);
         }
-        state.put(kind, name, body["specification"].clone());
+        held.put(kind, name, body["specification"].clone());
         json_answer(StatusCode::OK, &json!({}))
     }
 }
 
-impl MetaState {
+impl MetaCopy {
     fn put(&mut self, kind: &str, name: &str, spec: Value) {
         let key = (kind.to_owned(), name.to_owned());
         let old = self.objects.get(&key);
