--- a/packages/turnford-serve/src/opening.rs
+++ b/packages/turnford-serve/src/opening.rs
@@ -45,6 +45,10 @@
     record: &RequestRecord,
     desk: &ServiceDesk,
 ) -> Result<(), OpeningFault> {
+    let now = traffic.shared.now();
+    if desk.line.is_empty() && desk.board.borrow().has_open(now, &[]) {
+        return Ok(());
+    }
     let ranks = (record.rank, record.route.rank);
     let ahead = desk.line.ahead_of(ranks, record.due());
     forecast_turn(traffic, record, desk, &[], ahead).map(|_| ())
--- a/packages/turnford-standin/src/lib.rs
+++ b/packages/turnford-standin/src/lib.rs
@@ -46,6 +46,7 @@
 pub use route::TargetArrival;
 pub use route::TargetFault;
 pub use route::TargetRole;
+pub use route::CROSSING_SPAN;
 pub use scenario::Scenario;
 pub use scenario::ServiceSpec;
 pub use store::ObjectStore;
--- a/packages/turnford-standin/src/route.rs
+++ b/packages/turnford-standin/src/route.rs
@@ -22,3 +22,4 @@
 pub use target::TargetFault;
 pub use target::TargetRole;
 pub use word::TargetArrival;
+pub use word::CROSSING_SPAN;
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -187,6 +187,11 @@
     /// Has the target write its entry anew, changed in what does not matter here.
     pub fn relist(&self) {
         self.state.writes.fetch_add(1, Ordering::SeqCst);
+        self.write_again();
+    }
+
+    /// Has the target write its entry again as it is.
+    pub fn write_again(&self) {
         let listed = lock(&self.state.listed).clone();
         self.state.list(&listed);
     }
--- a/packages/turnford-standin/src/route/word.rs
+++ b/packages/turnford-standin/src/route/word.rs
@@ -13,7 +13,7 @@
 
 /// Time after a target asked a caller for rest in which calls that cross may still come, from the
 /// platform's rules.
-const CROSSING_SPAN: Duration = Duration::from_millis(500);
+pub const CROSSING_SPAN: Duration = Duration::from_millis(500);
 
 /// A call that reached a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,8 +24,8 @@
     pub path: String,
     /// Id of the client's try; empty for calls that belong to none.
     pub attempt: String,
-    /// Whether the target rested and turned it away.
-    pub is_turned_away: bool,
+    /// End of the rest for which the target turned it away, `None` if it took it.
+    pub rests_until: Option<Instant>,
     /// Whether it came while the target rested, not counting calls that cross its first word.
     pub breaks_rest: bool,
 }
@@ -78,7 +78,7 @@
             at: now,
             path: call.path.clone(),
             attempt: attempt.to_owned(),
-            is_turned_away: left.is_some(),
+            rests_until: left.and(rest.map(|rest| rest.until)),
             breaks_rest,
         });
         left.map(|left| format!("{:.3}", left.as_secs_f64()))
--- a/packages/turnford/tests/soak/client.rs
+++ b/packages/turnford/tests/soak/client.rs
@@ -55,6 +55,8 @@
     pub(crate) sent: Instant,
     pub(crate) ended: Instant,
     pub(crate) end: CallEnd,
+    /// Whether the answer says that its target leaves.
+    pub(crate) says_leaving: bool,
 }
 
 /// What all clients share.
@@ -167,8 +169,10 @@
     let sent = Instant::now();
     let mut request = call.request(to, &attempt).expect("a path");
     request.set_body(body);
+    let mut says_leaving = false;
     let end = match client.send(to, request, PATIENCE).await {
         Ok(answer) => {
+            says_leaving = answer.header("server-leaving") == Some("1");
             let stamp = answer.header("x-turnford-server-stamp").unwrap_or("");
             let body = String::from_utf8_lossy(&answer.body).into_owned();
             CallEnd::Answer(answer.status, stamp.to_owned(), body)
@@ -182,5 +186,6 @@
         sent,
         ended: Instant::now(),
         end,
+        says_leaving,
     }
 }
--- a/packages/turnford/tests/soak/main.rs
+++ b/packages/turnford/tests/soak/main.rs
@@ -9,6 +9,7 @@
 mod plan;
 mod process;
 mod run;
+mod word;
 
 use run::play;
 
--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -32,6 +32,9 @@
 /// Faults of one run that have to do with large configurations and silent connections.
 const LINK_FAULTS: usize = 4;
 
+/// Faults of one run that have to do with what targets say in their answers, and with the store's copies.
+const WORD_FAULTS: usize = 6;
+
 /// What a slow link to the store carries, in bytes a second: the largest configuration of a run
 /// takes two seconds.
 const SLOW_RATE: u32 = 200_000;
@@ -63,6 +66,12 @@
     StoreMute(usize),
     /// The store forgets its history.
     Compact,
+    /// The target says in its answers that it leaves, while its entry says nothing of it.
+    SayLeaving(usize),
+    /// The target turns everything away for a while, and asks for rest.
+    Rest(usize, Duration),
+    /// The store is away for a moment and comes back from a copy that is so old.
+    Drill(Duration),
 }
 
 /// Returns the number of nodes of each run.
@@ -94,6 +103,12 @@
             let at = LEAD + FAULT_SPAN.mul_f64(rng.random());
             steps.push((at, draw_link_fault(&mut rng)));
         }
+        // Drawn apart, too.
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(31));
+        for _ in 0..WORD_FAULTS {
+            let at = LEAD + FAULT_SPAN.mul_f64(rng.random());
+            steps.push((at, draw_word_fault(&mut rng)));
+        }
         steps.sort_by_key(|(at, _)| *at);
         // Drawn apart, too.
         let mut rng = StdRng::seed_from_u64(seed.rotate_left(17));
@@ -149,6 +164,16 @@
     }
 }
 
+fn draw_word_fault(rng: &mut StdRng) -> Fault {
+    let target = rng.random_range(0..TARGETS);
+    let span = Duration::from_millis(rng.random_range(1000..4000));
+    match rng.random_range(0..6) {
+        0..2 => Fault::SayLeaving(target),
+        2..5 => Fault::Rest(target, span),
+        _ => Fault::Drill(span),
+    }
+}
+
 fn draw_link(rng: &mut StdRng) -> LinkState {
     let delay = Duration::from_millis(rng.random_range(20..400));
     let states = [
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -16,6 +16,7 @@
 use turnford_standin::start_threads;
 use turnford_standin::LinkProxy;
 use turnford_standin::LinkState;
+use turnford_standin::MetaCopy;
 use turnford_standin::RouteSite;
 use turnford_standin::RunKind;
 use turnford_standin::SharedExecutor;
@@ -35,6 +36,8 @@
 use crate::plan::FaultPlan;
 use crate::process::NodeProcess;
 use crate::process::GRACE_S;
+use crate::word::check_leaving;
+use crate::word::check_rests;
 
 /// Clients of a run.
 const CLIENTS: usize = 24;
@@ -70,6 +73,18 @@
 /// Routes that a large change adds; they have some 200 KB.
 const ADDED_ROUTES: usize = 800;
 
+/// Age by which copies of the store are kept, the oldest that a drill takes.
+const COPY_SPAN: Duration = Duration::from_secs(4);
+
+/// Pause between copies of the store.
+const COPY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Time for which the store is away before it comes back from a copy.
+const DRILL_SPAN: Duration = Duration::from_millis(400);
+
+/// Time after that in which the operator and the targets have written again what is missing.
+const REWRITE_SPAN: Duration = Duration::from_millis(1200);
+
 /// Number of runs that this process has begun, for addresses of their own.
 static RUNS: AtomicU16 = AtomicU16::new(0);
 
@@ -80,6 +95,12 @@
     StoreLink(Option<usize>),
     ClientLink(usize),
     Return(usize),
+    /// The target starts again and no longer says that it leaves.
+    Reborn(usize),
+    /// The store comes back from a copy.
+    Restore(Box<MetaCopy>),
+    /// The operator and the targets write again what they wrote.
+    Rewrite,
     /// Check that a target has got nothing since it left.
     Left(usize, usize),
     /// Check that a configuration is in force.
@@ -102,6 +123,12 @@
     /// Faults of nodes and their links.
     harms: Vec<NodeSpan>,
     stopping: HashMap<usize, Instant>,
+    /// Kills and freezes of nodes, after which what they heard before excuses them.
+    interrupts: Vec<NodeSpan>,
+    /// Copies of the store, the newest last.
+    copies: Vec<(Instant, MetaCopy)>,
+    /// Starts of targets under their ids, since the run began.
+    reborn: Vec<(String, Instant)>,
     /// Highest version that a process told, with the process's number.
     told: HashMap<usize, (usize, u64)>,
     broken: Vec<String>,
@@ -126,6 +153,7 @@
             .map(|(_, fault)| run.apply(fault))
             .is_some()
         {}
+        run.keep_copy();
         run.do_due();
         run.watch_ends();
         if Instant::now() >= ask_at {
@@ -178,6 +206,9 @@
             stops: Vec::new(),
             harms: Vec::new(),
             stopping: HashMap::new(),
+            interrupts: Vec::new(),
+            copies: Vec::new(),
+            reborn: Vec::new(),
             told: HashMap::new(),
             broken: Vec::new(),
             folder,
@@ -197,6 +228,15 @@
         });
     }
 
+    fn interrupt(&mut self, node: usize, span: Duration) {
+        let begin = Instant::now();
+        self.interrupts.push(NodeSpan {
+            node,
+            begin,
+            end: begin + span,
+        });
+    }
+
     /// Has a client send a request that crashes targets while faults begin.
     fn start_crashing(&self, begun: Instant) {
         for target in &self.site.targets {
@@ -224,6 +264,7 @@
             Fault::KillAll => (0..node_count()).for_each(|node| self.kill(node)),
             Fault::Pause(node, span) => {
                 self.harm(node, span + CONTACT_SPAN);
+                self.interrupt(node, span);
                 self.nodes[node].signal(Signal::STOP);
                 self.after(span, Later::Wake(node));
             }
@@ -260,6 +301,40 @@
                 self.stores[node].mute_open();
             }
             Fault::Compact => self.site.store.forget_history(),
+            Fault::SayLeaving(target) => {
+                self.site.targets[target].say_leaving(true);
+                self.after(RETURN_PAUSE, Later::Reborn(target));
+            }
+            Fault::Rest(target, span) => self.site.targets[target].rest_for(span),
+            Fault::Drill(age) => self.begin_drill(age),
+        }
+    }
+
+    /// Has the store be away for a moment, and come back from a copy that is so old.
+    fn begin_drill(&mut self, age: Duration) {
+        let taken = Instant::now().checked_sub(age);
+        let copy = self.copies.iter().find(|(at, _)| Some(*at) >= taken);
+        let Some((_, copy)) = copy else {
+            return;
+        };
+        let copy = Box::new(copy.clone());
+        for node in 0..node_count() {
+            self.harm(node, DRILL_SPAN + REWRITE_SPAN + CONTACT_SPAN);
+            self.stores[node].set(LinkState::Reset);
+        }
+        self.after(DRILL_SPAN, Later::Restore(copy));
+        self.after(DRILL_SPAN, Later::StoreLink(None));
+        self.after(DRILL_SPAN + REWRITE_SPAN, Later::Rewrite);
+    }
+
+    /// Keeps copies of the store as old as a drill may need them.
+    fn keep_copy(&mut self) {
+        let now = Instant::now();
+        let is_due = |(at, _): &(Instant, MetaCopy)| now.duration_since(*at) >= COPY_PAUSE;
+        if self.copies.last().is_none_or(is_due) {
+            self.copies
+                .retain(|(at, _)| now.duration_since(*at) <= COPY_SPAN);
+            self.copies.push((now, self.site.store.copy()));
         }
     }
 
@@ -287,6 +362,7 @@
 
     fn kill(&mut self, node: usize) {
         self.harm(node, RESTART_PAUSE + CONTACT_SPAN);
+        self.interrupt(node, RESTART_PAUSE);
         self.nodes[node].signal(Signal::KILL);
     }
 
@@ -313,6 +389,24 @@
             }
             Later::ClientLink(node) => self.room.links[node].set(LinkState::Open),
             Later::Return(target) => self.site.targets[target].list("ready"),
+            Later::Reborn(target) => {
+                let target = &self.site.targets[target];
+                target.say_leaving(false);
+                target.bear_again();
+                self.reborn.push((target.id().to_owned(), Instant::now()));
+            }
+            Later::Restore(copy) => {
+                self.site.store.restore(*copy);
+                // What was copied before is of another history.
+                self.copies.clear();
+            }
+            Later::Rewrite => {
+                self.site.store.put("config", "main", self.config.clone());
+                for target in &self.site.targets {
+                    target.write_again();
+                }
+                self.after(IN_FORCE, Later::InForce(self.version));
+            }
             Later::Left(target, before) => self.check_left(target, before),
             Later::InForce(version) => self.check_version(version),
         }
@@ -438,7 +532,16 @@
     fn finish(&mut self, settled: Instant, forgets: bool) {
         self.room.is_over.store(true, Ordering::SeqCst);
         std::thread::sleep(Duration::from_secs(2));
+        self.check_version(self.version);
         let records = self.room.ended();
+        let interrupts: Vec<NodeSpan> = [&self.interrupts[..], &self.stops[..]].concat();
+        let runs = self.site.journal.runs();
+        self.broken
+            .extend(check_leaving(&records, &runs, &self.reborn, &interrupts));
+        for target in &self.site.targets {
+            let rests = check_rests(target, &records, &interrupts);
+            self.broken.extend(rests);
+        }
         if !forgets {
             let crashing = check_crashing(&self.room.crashing(), &self.site.journal.runs());
             self.broken.extend(crashing);
--- /dev/null
+++ b/packages/turnford/tests/soak/word.rs
@@ -0,0 +1,91 @@
+//! What targets say in their answers, checked for each node that heard it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use turnford_standin::RouteRun;
+use turnford_standin::RouteTarget;
+use turnford_standin::RunKind;
+
+use crate::check::NodeSpan;
+use crate::client::CallRecord;
+
+/// Time after a node has passed on the word that a target leaves from which it sends it nothing, from the
+/// users' bounds.
+const LEFT_SPAN: Duration = Duration::from_secs(2);
+
+/// Requests that a target that rests may get from a node all the same.
+const CROSSING_LIMIT: usize = 2;
+
+/// Tells whether a node was restarted or stood still between two moments.
+fn is_interrupted(interrupts: &[NodeSpan], node: usize, from: Instant, to: Instant) -> bool {
+    let mut own = interrupts.iter().filter(|span| span.node == node);
+    own.any(|span| span.begin <= to && span.end >= from)
+}
+
+/// Returns requests that reached a target from a node long after that had passed on its word that it
+/// leaves. A node that was interrupted since, or a target that started again, is excused.
+pub(crate) fn check_leaving(
+    records: &HashMap<String, CallRecord>,
+    runs: &[RouteRun],
+    reborn: &[(String, Instant)],
+    interrupts: &[NodeSpan],
+) -> Vec<String> {
+    let requests = runs.iter().filter(|run| run.kind == RunKind::Request);
+    let sent = requests.filter_map(|run| Some((records.get(&run.attempt)?, &run.target)));
+    let sent: Vec<(&CallRecord, &String)> = sent.collect();
+    let mut broken = Vec::new();
+    for (told, target) in sent.iter().filter(|(record, _)| record.says_leaving) {
+        let starts = reborn
+            .iter()
+            .filter(|(id, at)| id == *target && *at >= told.ended);
+        let end = starts.map(|(_, at)| *at).min();
+        let late = sent.iter().find(|(record, other)| {
+            let is_same = record.node == told.node && other == target;
+            let is_late = record.sent > told.ended + LEFT_SPAN;
+            let is_before = end.is_none_or(|end| record.sent < end);
+            let is_excused = is_interrupted(interrupts, told.node, told.ended, record.sent);
+            is_same && is_late && is_before && !is_excused
+        });
+        if let Some((record, _)) = late {
+            broken.push(format!(
+                "{target} said that it leaves: {told:?}, and got {record:?}"
+            ));
+        }
+    }
+    broken
+}
+
+/// Returns a line if a node sent more requests to a target than may cross its word, while it rested.
+pub(crate) fn check_rests(
+    target: &RouteTarget,
+    records: &HashMap<String, CallRecord>,
+    interrupts: &[NodeSpan],
+) -> Option<String> {
+    let mut counts: HashMap<(usize, Instant), usize> = HashMap::new();
+    let mut told: HashMap<usize, (Instant, Instant)> = HashMap::new();
+    for call in target.arrivals() {
+        let Some(record) = records.get(&call.attempt) else {
+            continue;
+        };
+        let Some(until) = call.rests_until else {
+            continue;
+        };
+        let (first, rest) = *told.entry(record.node).or_insert((call.at, until));
+        if rest != until {
+            told.insert(record.node, (call.at, until));
+            continue;
+        }
+        let is_crossing = call.at <= first + turnford_standin::CROSSING_SPAN;
+        if !is_crossing && !is_interrupted(interrupts, record.node, first, call.at) {
+            *counts.entry((record.node, until)).or_default() += 1;
+        }
+    }
+    let most = counts.into_iter().max_by_key(|(_, count)| *count);
+    let ((node, _), count) = most.filter(|(_, count)| *count > CROSSING_LIMIT)?;
+    let id = target.id();
+    Some(format!(
+        "node {node} sent {count} requests to {id}, which had asked it for rest"
+    ))
+}
