--- a/packages/turnford-policy/src/route/list.rs
+++ b/packages/turnford-policy/src/route/list.rs
@@ -2,13 +2,17 @@
 //! another node asked last.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::Moment;
 use crate::TargetId;
 
-use super::config::TargetBirth;
+use super::gone::GoneLog;
+use super::target_news::ExpiredTargets;
+use super::target_news::ListedTarget;
+use super::target_news::TargetNews;
 use super::StorePlace;
 use super::TargetSpec;
 
@@ -24,10 +28,6 @@
 /// count: one whose target does not live lapses after three missed heartbeats of some 1.2 s.
 const DOUBT_SPAN: Duration = Duration::from_secs(5);
 
-/// Targets that are gone which are remembered for that: more than go in the seconds by which a copy is
-/// older, at the size of some thousand targets.
-const GONE_LIMIT: usize = 1024;
-
 /// Changes that are remembered for nodes that ask what is new. One that missed more gets the whole
 /// list.
 const CHANGE_LIMIT: usize = 512;
@@ -35,53 +35,6 @@
 /// Number of a change; it rises with each within one process.
 pub type ChangeNumber = u64;
 
-/// A target with what is left of its time where its entry lapsed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ListedTarget {
-    /// The target.
-    pub spec: TargetSpec,
-    /// When it counts as gone unless its entry comes back; `None` while its entry is there.
-    pub gone_at: Option<Moment>,
-    /// Whether its entry was not written since the store came back from a copy, so that it may be older
-    /// than what others know.
-    pub is_copied: bool,
-}
-
-/// What one node tells another of the targets.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct TargetNews {
-    /// Whether these are all targets, or only those that changed.
-    pub is_whole: bool,
-    /// Targets that are new or changed.
-    pub listed: Vec<ListedTarget>,
-    /// Targets that are gone.
-    pub gone: Vec<TargetId>,
-}
-
-/// Targets whose time ran out.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ExpiredTargets {
-    /// Targets that lapsed and did not return.
-    pub gone: Vec<TargetId>,
-    /// Targets that had been gone before the store came back from a copy, and live.
-    pub back: Vec<TargetId>,
-}
-
-/// A target's process that ended.
-#[derive(Clone, Debug)]
-struct GoneProcess {
-    id: TargetId,
-    born: TargetBirth,
-    /// Era of the store that told.
-    era: u64,
-}
-
-impl GoneProcess {
-    fn is_of(&self, target: &TargetSpec) -> bool {
-        self.id == target.id && self.born == target.born
-    }
-}
-
 /// The targets of all services.
 #[derive(Clone, Debug, Default)]
 pub struct TargetList {
@@ -98,8 +51,8 @@
     changed_at: StorePlace,
     /// Entries that were not written since the store came back from a copy, as it has them.
     copied: BTreeMap<TargetId, TargetSpec>,
-    /// Targets that are gone, the newest last.
-    gone: VecDeque<GoneProcess>,
+    /// Processes that ended.
+    gone: GoneLog,
     /// Targets of the store's copy that were gone before, and until when they take no new work for that.
     doubted: BTreeMap<TargetId, Moment>,
     /// Ids of targets in the order of their changes, the newest last.
@@ -148,7 +101,7 @@
     /// Takes a target's entry as it was written now.
     pub fn put(&mut self, target: TargetSpec) {
         self.doubted.remove(&target.id);
-        self.gone.retain(|gone| !gone.is_of(&target));
+        self.gone.forget(&target);
         if self.copied.remove(&target.id).is_some() {
             self.note_change(target.id.clone());
         }
@@ -159,7 +112,7 @@
         let was_lapsed = self.lapsed.remove(&target.id).is_some();
         let old = self.targets.insert(target.id.clone(), target.clone());
         if let Some(old) = old.as_ref().filter(|old| old.born != target.born) {
-            self.note_gone(old.id.clone(), old.born);
+            self.gone.note(old, self.place.era);
         }
         if was_lapsed || old.as_ref() != Some(&target) {
             self.note_change(target.id);
@@ -194,11 +147,9 @@
     /// written again, and what is there may be older than what is known.
     pub fn take_whole(&mut self, now: Moment, place: StorePlace, entries: Vec<TargetSpec>) {
         let is_new_era = self.enter(now, place);
-        let known: Vec<TargetId> = self.targets.keys().cloned().collect();
-        for id in known {
-            if !entries.iter().any(|entry| entry.id == id) {
-                self.remove(now, &id);
-            }
+        let listed: BTreeSet<&TargetId> = entries.iter().map(|entry| &entry.id).collect();
+        for id in self.ids_beside(&listed) {
+            self.remove(now, &id);
         }
         for entry in entries {
             if is_new_era || self.is_older(&entry) {
@@ -209,6 +160,12 @@
         }
     }
 
+    /// Returns the ids of targets that are not listed.
+    fn ids_beside(&self, listed: &BTreeSet<&TargetId>) -> Vec<TargetId> {
+        let known = self.targets.keys();
+        known.filter(|id| !listed.contains(id)).cloned().collect()
+    }
+
     /// Goes on to a place; true if it is of another era.
     fn enter(&mut self, now: Moment, place: StorePlace) -> bool {
         let is_new_era = place.era > self.place.era;
@@ -231,7 +188,7 @@
             self.remove(now, &id);
             return;
         }
-        let is_gone = self.is_gone(&entry);
+        let is_gone = self.gone.has(&entry);
         if self.copied.insert(id.clone(), entry.clone()).is_none() {
             self.note_change(id.clone());
         }
@@ -250,8 +207,7 @@
     fn is_older(&self, entry: &TargetSpec) -> bool {
         let known = self.targets.get(&entry.id);
         let is_replaced = known.is_some_and(|known| known.born > entry.born);
-        let mut gone = self.gone.iter();
-        is_replaced || gone.any(|gone| gone.is_of(entry) && gone.era < self.place.era)
+        is_replaced || self.gone.has_before(entry, self.place.era)
     }
 
     /// Tells whether an entry was not written since the store came back from a copy. What another node told
@@ -268,11 +224,6 @@
         })
     }
 
-    /// Tells whether a target's process is known to have ended.
-    fn is_gone(&self, target: &TargetSpec) -> bool {
-        self.gone.iter().any(|gone| gone.is_of(target))
-    }
-
     /// Returns an entry that may be older than what is known of its process, with that.
     fn keep_words(&self, entry: TargetSpec) -> TargetSpec {
         let known = self.targets.get(&entry.id);
@@ -301,12 +252,11 @@
         }
         let is_new_era = self.enter(now, place);
         if news.is_whole {
-            let known: Vec<TargetId> = self.targets.keys().cloned().collect();
-            for id in known {
-                let is_listed = news.listed.iter().any(|listed| listed.spec.id == id);
-                if !is_listed && is_new_era {
+            let listed = news.listed.iter().map(|listed| &listed.spec.id);
+            for id in self.ids_beside(&listed.collect()) {
+                if is_new_era {
                     self.remove(now, &id);
-                } else if !is_listed {
+                } else {
                     self.drop_target(&id);
                 }
             }
@@ -328,7 +278,7 @@
     fn take_lapsed(&mut self, now: Moment, target: TargetSpec, gone_at: Moment) {
         let known = self.targets.get(&target.id);
         let is_older = known.is_some_and(|known| known.born > target.born);
-        if is_older || self.is_gone(&target) {
+        if is_older || self.gone.has(&target) {
             // What runs under its id since has no entry there either.
             self.remove(now, &target.id);
             return;
@@ -398,19 +348,11 @@
         self.copied.remove(id);
         self.doubted.remove(id);
         if let Some(target) = self.targets.remove(id) {
-            self.note_gone(target.id, target.born);
+            self.gone.note(&target, self.place.era);
             self.note_change(id.clone());
         }
     }
 
-    fn note_gone(&mut self, id: TargetId, born: TargetBirth) {
-        if self.gone.len() >= GONE_LIMIT {
-            self.gone.pop_front();
-        }
-        let era = self.place.era;
-        self.gone.push_back(GoneProcess { id, born, era });
-    }
-
     fn note_change(&mut self, id: TargetId) {
         self.newest += 1;
         self.changed_at = self.place;
