Keep no answer back for a target's rest; split places off

Cause: a request that one target had failed at would have waited for another one's rest with the failure in hand; placement and the news of crashes and of leaving had grown and said the same twice.

--- a/packages/turnford-serve/src/crash.rs
+++ b/packages/turnford-serve/src/crash.rs
@@ -19,6 +19,7 @@
 use turnford_policy::TargetSpec;
 
 use crate::crash_news::tell_crashes;
+use crate::fanout::NewsQueue;
 use crate::traffic::Traffic;
 
 /// Time after a call broke in which another start of its target, or the end of its entry, tells that
@@ -49,7 +50,7 @@
 pub(crate) struct CrashDesk {
     pub(crate) table: RefCell<CrashTable>,
     /// News that is not told yet.
-    pub(crate) untold: RefCell<Vec<CrashNews>>,
+    pub(crate) untold: NewsQueue<CrashNews>,
     /// When a list of all crashes may be sent again.
     pub(crate) list_after: Cell<Moment>,
     /// Broken calls whose targets may be found to have crashed.
--- a/packages/turnford-serve/src/crash_news.rs
+++ b/packages/turnford-serve/src/crash_news.rs
@@ -47,10 +47,7 @@
 
 /// Tells some other nodes soon.
 pub(crate) fn tell_crashes(traffic: &Rc<Traffic>, news: Vec<CrashNews>) {
-    let mut untold = traffic.crashes.untold.borrow_mut();
-    let is_first = untold.is_empty();
-    untold.extend(news);
-    if is_first {
+    if traffic.crashes.untold.add(news) {
         let tell = tell_untold(traffic.clone());
         traffic.executor.spawn(tell).detach();
     }
@@ -58,7 +55,7 @@
 
 async fn tell_untold(traffic: Rc<Traffic>) {
     Timer::after(GATHER_PAUSE).await;
-    let mut news = std::mem::take(&mut *traffic.crashes.untold.borrow_mut());
+    let mut news = traffic.crashes.untold.take();
     news.sort_by_key(|news| match news.event {
         CrashEvent::Crashed { part, .. } => Reverse(Some(part)),
         CrashEvent::EndedWell => Reverse(None),
--- a/packages/turnford-serve/src/fanout.rs
+++ b/packages/turnford-serve/src/fanout.rs
@@ -1,5 +1,6 @@
 //! News between traffic threads: each node tells some others, which tell some others.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +17,34 @@
 /// Longest wait for another node's answer.
 pub(crate) const ANSWER_LIMIT: Duration = Duration::from_millis(300);
 
+/// News that is not told yet.
+pub(crate) struct NewsQueue<T> {
+    news: RefCell<Vec<T>>,
+}
+
+impl<T> Default for NewsQueue<T> {
+    fn default() -> Self {
+        Self {
+            news: RefCell::default(),
+        }
+    }
+}
+
+impl<T> NewsQueue<T> {
+    /// Adds news; true if there was none, so that it is to be told soon.
+    pub(crate) fn add(&self, news: Vec<T>) -> bool {
+        let mut untold = self.news.borrow_mut();
+        let is_first = untold.is_empty();
+        untold.extend(news);
+        is_first
+    }
+
+    /// Takes all news.
+    pub(crate) fn take(&self) -> Vec<T> {
+        self.news.take()
+    }
+}
+
 /// Tells some other nodes.
 pub(crate) fn tell_some(traffic: &Rc<Traffic>, request: &WorkRequest) {
     tell_peers(traffic, sample_peers(traffic, NEWS_FANOUT), request);
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -32,11 +32,12 @@
 use crate::line::LinePlace;
 use crate::metrics::ServiceEvent;
 use crate::opening::return_span;
+use crate::placed_run::PlacedRun;
 use crate::placement::place_request;
 use crate::placement::PlaceEnd;
-use crate::placement::PlacedRun;
+use crate::placement::PlaceWish;
 use crate::record::RequestRecord;
-use crate::request::refuse_admitted;
+use crate::request::refuse_resting;
 use crate::request::refuse_suspect;
 use crate::results::StageResults;
 use crate::stream::relay_stream;
@@ -101,14 +102,13 @@
     job.desk.allowance.borrow_mut().note_first(now);
     job.record.note_last_begun();
     while may_try(traffic, job, &log) {
-        let placed = place_request(
-            traffic,
-            job.record,
-            job.desk,
-            &job.results.halls,
-            &log.tried,
-        )
-        .await;
+        let wish = PlaceWish {
+            inputs: &job.results.halls,
+            tried: &log.tried,
+            // Where a target failed at it, its answer is not held back for another's rest.
+            may_wait: !log.may_have_run,
+        };
+        let placed = place_request(traffic, job.record, job.desk, &wish).await;
         let mut placed = match placed {
             PlaceEnd::Placed(placed) => placed,
             PlaceEnd::Suspect(refusal) if !log.may_have_run => {
@@ -118,10 +118,8 @@
                 job.record.note(format_args!("{}", refusal.reason()));
                 break;
             }
-            PlaceEnd::TooLate(back_after) if log.tried.is_empty() => {
-                let reason = "all targets want rest";
-                let refusal = refuse_admitted(job.record, ResultCode::NoTarget, reason, back_after);
-                return ForwardEnd::Answer(refusal);
+            PlaceEnd::TooLate(back_after) if !log.may_have_run => {
+                return ForwardEnd::Answer(refuse_resting(job.record, back_after));
             }
             PlaceEnd::TooLate(_) | PlaceEnd::Nowhere => break,
         };
@@ -138,17 +136,11 @@
                     return end;
                 }
             }
-            Err(CallFault::Closed(reason)) => {
-                // No try: nothing reached the target.
-                job.record
-                    .note(format_args!("{} not asked: {reason}", target.id));
-                if log.sent > 0 {
-                    let mut allowance = job.desk.allowance.borrow_mut();
-                    allowance.give_back();
-                }
-            }
             Err(fault) => {
-                if !matches!(fault, CallFault::NotRun(StatusCode::CONFLICT)) {
+                if !matches!(
+                    fault,
+                    CallFault::Closed(_) | CallFault::NotRun(StatusCode::CONFLICT)
+                ) {
                     placed.note_refused();
                 }
                 if let Some(end) = note_fault(traffic, job, &mut log, &target, &fault) {
@@ -320,7 +312,15 @@
     let now = traffic.shared.now();
     let mut board = job.desk.board.borrow_mut();
     match fault {
-        CallFault::NotSent(reason) | CallFault::Closed(reason) => {
+        CallFault::Closed(reason) => {
+            // No try: nothing was to reach the target.
+            job.record
+                .note(format_args!("{} not asked: {reason}", target.id));
+            if log.sent > 0 {
+                job.desk.allowance.borrow_mut().give_back();
+            }
+        }
+        CallFault::NotSent(reason) => {
             log.unreached += 1;
             job.record
                 .note(format_args!("{} not reached: {reason}", target.id));
--- a/packages/turnford-serve/src/leaving.rs
+++ b/packages/turnford-serve/src/leaving.rs
@@ -4,7 +4,6 @@
 //! word takes it at once, tells those that place and gather for the service, and some others, which pass
 //! it on. It ends with the target's process, or when the target says that it stays.
 
-use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,13 +24,14 @@
 use crate::desk::ServiceDesk;
 use crate::fanout::tell_peers;
 use crate::fanout::tell_some;
+use crate::fanout::NewsQueue;
 use crate::traffic::Traffic;
 use crate::work::doer_of;
 
 /// Time in which words are gathered: the targets of a rack leave together.
 const GATHER_PAUSE: Duration = Duration::from_millis(5);
 
-/// Most words told at once: some 20 KB.
+/// Most words of one message: some 20 KB.
 const NEWS_LIMIT: usize = 256;
 
 /// Pause between looks for targets to be asked whether they stay.
@@ -44,7 +44,7 @@
 const ANSWER_LIMIT: usize = 16 * 1024;
 
 /// Words of targets that are not told yet.
-pub(crate) type LeavingQueue = RefCell<Vec<LeavingNews>>;
+pub(crate) type LeavingQueue = NewsQueue<LeavingNews>;
 
 /// Notes that a target said in an answer to this node that it leaves, and tells others.
 pub(crate) fn hear_leaving(traffic: &Rc<Traffic>, desk: &Rc<ServiceDesk>, target: &TargetSpec) {
@@ -82,23 +82,18 @@
 }
 
 fn tell_leaving(traffic: &Rc<Traffic>, news: Vec<LeavingNews>) {
-    let mut untold = traffic.leaving.borrow_mut();
-    let is_first = untold.is_empty();
-    untold.extend(news);
-    if is_first {
+    if traffic.leaving.add(news) {
         let tell = tell_untold(traffic.clone());
         traffic.executor.spawn(tell).detach();
     }
 }
 
 async fn tell_untold(traffic: Rc<Traffic>) {
-    while !traffic.leaving.borrow().is_empty() {
-        Timer::after(GATHER_PAUSE).await;
-        let mut news = traffic.leaving.take();
-        let later = news.split_off(news.len().min(NEWS_LIMIT));
-        traffic.leaving.borrow_mut().extend(later);
-        let doers = doers_of(&traffic, &news);
-        let request = WorkRequest::Leaving(news);
+    Timer::after(GATHER_PAUSE).await;
+    let news = traffic.leaving.take();
+    for part in news.chunks(NEWS_LIMIT) {
+        let doers = doers_of(&traffic, part);
+        let request = WorkRequest::Leaving(part.to_vec());
         tell_peers(&traffic, doers, &request);
         tell_some(&traffic, &request);
     }
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -24,6 +24,7 @@
 mod opening;
 mod outlook;
 mod pieces;
+mod placed_run;
 mod placement;
 mod progress;
 mod record;
--- /dev/null
+++ b/packages/turnford-serve/src/placed_run.rs
@@ -0,0 +1,51 @@
+//! A request's place at a target, and what becomes of it there.
+
+use turnford_policy::Moment;
+use turnford_policy::RunTicket;
+use turnford_policy::TargetSpec;
+use turnford_wire::RunNews;
+
+use crate::line::LinePlace;
+use crate::progress::PlacerLink;
+
+/// A place for a request; its end is told when this is dropped.
+pub(crate) struct PlacedRun {
+    pub(crate) target: TargetSpec,
+    /// Whether targets crashed while they ran such a request, and it is the only such one there.
+    pub(crate) is_alone: bool,
+    /// Its place in the line, where it waited for a target, until it is sent.
+    pub(crate) turn: Option<LinePlace>,
+    pub(crate) run: Option<NotedRun>,
+}
+
+/// The placement of a request, where a node noted it.
+pub(crate) struct NotedRun {
+    pub(crate) placer: PlacerLink,
+    pub(crate) ticket: RunTicket,
+    pub(crate) placed: Moment,
+}
+
+impl PlacedRun {
+    /// Notes that the first event came.
+    pub(crate) fn note_begun(&self) {
+        if let Some(run) = &self.run {
+            let now = run.placer.traffic.shared.now();
+            let span = now.saturating_sub(run.placed).as_millis();
+            let span = u32::try_from(span).unwrap_or(u32::MAX);
+            run.placer.tell(RunNews::Begun(run.ticket, span));
+        }
+    }
+
+    /// Notes that the target could not be reached or did not take the request.
+    pub(crate) fn note_refused(&self) {
+        if let Some(run) = &self.run {
+            run.placer.tell(RunNews::Refused(run.ticket));
+        }
+    }
+}
+
+impl Drop for NotedRun {
+    fn drop(&mut self) {
+        self.placer.tell(RunNews::Ended(self.ticket));
+    }
+}
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -23,7 +23,6 @@
 use turnford_policy::TargetSpec;
 use turnford_wire::PlaceAsk;
 use turnford_wire::PlaceReply;
-use turnford_wire::RunNews;
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
@@ -31,6 +30,8 @@
 use crate::line::LinePlace;
 use crate::opening::wait_turn;
 use crate::opening::OpeningFault;
+use crate::placed_run::NotedRun;
+use crate::placed_run::PlacedRun;
 use crate::progress::PlacerLink;
 use crate::record::RequestRecord;
 use crate::traffic::Traffic;
@@ -53,48 +54,6 @@
 /// queue: it is chosen only where all are so.
 const OVER_COST: f64 = 1000.0;
 
-/// A place for a request; its end is told when this is dropped.
-pub(crate) struct PlacedRun {
-    pub(crate) target: TargetSpec,
-    /// Whether targets crashed while they ran such a request, and it is the only such one there.
-    pub(crate) is_alone: bool,
-    /// Its place in the line, where it waited for a target, until it is sent.
-    pub(crate) turn: Option<LinePlace>,
-    run: Option<NotedRun>,
-}
-
-/// The placement of a request, where a node noted it.
-struct NotedRun {
-    placer: PlacerLink,
-    ticket: RunTicket,
-    placed: Moment,
-}
-
-impl PlacedRun {
-    /// Notes that the first event came.
-    pub(crate) fn note_begun(&self) {
-        if let Some(run) = &self.run {
-            let now = run.placer.traffic.shared.now();
-            let span = now.saturating_sub(run.placed).as_millis();
-            let span = u32::try_from(span).unwrap_or(u32::MAX);
-            run.placer.tell(RunNews::Begun(run.ticket, span));
-        }
-    }
-
-    /// Notes that the target could not be reached or did not take the request.
-    pub(crate) fn note_refused(&self) {
-        if let Some(run) = &self.run {
-            run.placer.tell(RunNews::Refused(run.ticket));
-        }
-    }
-}
-
-impl Drop for NotedRun {
-    fn drop(&mut self) {
-        self.placer.tell(RunNews::Ended(self.ticket));
-    }
-}
-
 /// Returns the hall that a request's last target will probably be in.
 pub(crate) fn plan_hall(desk: &ServiceDesk, parts: &[PromptPart]) -> Option<Arc<str>> {
     let board = desk.board.borrow();
@@ -115,27 +74,36 @@
     TooLate(Duration),
 }
 
-/// Finds a place for a request, `inputs` being the bytes of its inputs in each hall. A suspect waits
-/// for a while where another copy of it runs.
+/// What a request wants of its place.
+pub(crate) struct PlaceWish<'a> {
+    /// Bytes of its inputs in each hall.
+    pub(crate) inputs: &'a [(Arc<str>, u64)],
+    /// Targets that it was not served by.
+    pub(crate) tried: &'a [TargetId],
+    /// Whether it may wait until a target's rest is over.
+    pub(crate) may_wait: bool,
+}
+
+/// Finds a place for a request. A suspect waits for a while where another copy of it runs.
 pub(crate) async fn place_request(
     traffic: &Rc<Traffic>,
     record: &RequestRecord,
     desk: &Rc<ServiceDesk>,
-    inputs: &[(Arc<str>, u64)],
-    tried: &[TargetId],
+    wish: &PlaceWish<'_>,
 ) -> PlaceEnd {
+    let tried = wish.tried;
     let mut need = PlaceNeed {
         parts: record.facts.parts.clone(),
         prompt_tokens: record.facts.prompt_tokens,
         answer_tokens: record.facts.answer_tokens,
-        inputs: inputs.to_vec(),
+        inputs: wish.inputs.to_vec(),
         tried: tried.to_vec(),
         due: record.begun + record.route.goal,
         deadline: record.deadline,
     };
     let held_until = traffic.shared.now() + HOLD_SPAN;
     loop {
-        let turn = match wait_turn(traffic, record, desk, tried).await {
+        let turn = match find_turn(traffic, record, desk, wish).await {
             Ok(turn) => turn,
             Err(OpeningFault::Nowhere) => return PlaceEnd::Nowhere,
             Err(OpeningFault::TooLate(back_after)) => return PlaceEnd::TooLate(back_after),
@@ -162,6 +130,21 @@
     }
 }
 
+/// Finds out whether a target takes the request, now or, where it may wait, after a rest.
+async fn find_turn(
+    traffic: &Rc<Traffic>,
+    record: &RequestRecord,
+    desk: &Rc<ServiceDesk>,
+    wish: &PlaceWish<'_>,
+) -> Result<Option<LinePlace>, OpeningFault> {
+    if wish.may_wait {
+        return wait_turn(traffic, record, desk, wish.tried).await;
+    }
+    let now = traffic.shared.now();
+    let has_open = desk.board.borrow().has_open(now, wish.tried);
+    has_open.then_some(None).ok_or(OpeningFault::Nowhere)
+}
+
 /// A place as it was found now.
 enum FoundPlace {
     Placed(Box<PlacedRun>),
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -299,15 +299,23 @@
 
 /// Refuses a request that no target takes in time.
 fn refuse_closed(record: &RequestRecord, fault: OpeningFault) -> Response<AnswerBody> {
-    let (reason, back_after) = match fault {
-        OpeningFault::Nowhere => ("no target is left", RETRY_AFTER),
-        OpeningFault::TooLate(back_after) => ("all targets want rest", back_after),
-    };
+    match fault {
+        OpeningFault::Nowhere => {
+            let reason = "no target is left";
+            refuse_admitted(record, ResultCode::NoTarget, reason, RETRY_AFTER)
+        }
+        OpeningFault::TooLate(back_after) => refuse_resting(record, back_after),
+    }
+}
+
+/// Refuses a request whose targets all want rest for longer than it has time.
+pub(crate) fn refuse_resting(record: &RequestRecord, back_after: Duration) -> Response<AnswerBody> {
+    let reason = "all targets want rest";
     refuse_admitted(record, ResultCode::NoTarget, reason, back_after)
 }
 
 /// Refuses a request that has not run and never will.
-pub(crate) fn refuse_admitted(
+fn refuse_admitted(
     record: &RequestRecord,
     code: ResultCode,
     reason: &str,
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -19,7 +19,7 @@
 use crate::crash::BrokenCall;
 use crate::crash_check::check_break;
 use crate::desk::ServiceDesk;
-use crate::placement::PlacedRun;
+use crate::placed_run::PlacedRun;
 use crate::record::RequestRecord;
 use crate::traffic::Traffic;
 
