--- a/packages/turnford-policy/tests/store_eras.rs
+++ b/packages/turnford-policy/tests/store_eras.rs
@@ -63,7 +63,7 @@
 
 /// Something that one node was sent and may get late or never.
 #[derive(Clone, Debug)]
-enum Letter {
+enum Message {
     List(StorePlace, Vec<TargetSpec>),
     News(StorePlace, TargetNews),
 }
@@ -115,7 +115,7 @@
     runners: BTreeMap<usize, Runner>,
     born: u64,
     lists: Vec<TargetList>,
-    letters: Vec<(usize, Letter)>,
+    messages: Vec<(usize, Message)>,
     /// Words that a node heard in an entry: this process leaves, or has ended.
     heard: Vec<BTreeMap<(TargetId, u64), bool>>,
 }
@@ -125,8 +125,8 @@
         StorePlace::new(self.era, self.held.revision)
     }
 
-    fn whole(&self) -> Letter {
-        Letter::List(self.place(), self.held.entries.values().cloned().collect())
+    fn whole(&self) -> Message {
+        Message::List(self.place(), self.held.entries.values().cloned().collect())
     }
 
     fn rewrite(&mut self) {
@@ -183,24 +183,24 @@
             }
             Step::Rewrite => self.rewrite(),
             Step::List(node) => {
-                let letter = self.whole();
-                self.letters.push((node, letter));
+                let message = self.whole();
+                self.messages.push((node, message));
             }
             Step::Watch(node) => self.watch(node),
             Step::Tell(from, to) => {
                 let news = self.lists[from].news_since(None);
-                let letter = Letter::News(self.lists[from].place(), news);
-                self.letters.push((to, letter));
+                let message = Message::News(self.lists[from].place(), news);
+                self.messages.push((to, message));
             }
             Step::Deliver(number) => {
-                if number < self.letters.len() {
-                    let (node, letter) = self.letters.remove(number);
-                    self.deliver(node, letter);
+                if number < self.messages.len() {
+                    let (node, message) = self.messages.remove(number);
+                    self.deliver(node, message);
                 }
             }
             Step::Lose(number) => {
-                if number < self.letters.len() {
-                    self.letters.remove(number);
+                if number < self.messages.len() {
+                    self.messages.remove(number);
                 }
             }
         }
@@ -214,8 +214,8 @@
     fn watch(&mut self, node: usize) {
         let from = self.lists[node].place();
         if from.era != self.era || from.revision > self.held.revision {
-            let letter = self.whole();
-            self.deliver(node, letter);
+            let message = self.whole();
+            self.deliver(node, message);
             return;
         }
         let place = self.place();
@@ -232,16 +232,16 @@
         self.note_heard(node);
     }
 
-    fn deliver(&mut self, node: usize, letter: Letter) {
+    fn deliver(&mut self, node: usize, message: Message) {
         let list = &mut self.lists[node];
-        match letter {
-            Letter::List(place, entries) => {
+        match message {
+            Message::List(place, entries) => {
                 // A follower drops what is older than its place.
                 if place >= list.place() {
                     list.take_whole(self.now, place, entries);
                 }
             }
-            Letter::News(place, news) => {
+            Message::News(place, news) => {
                 list.adopt(self.now, place, news);
             }
         }
@@ -281,7 +281,7 @@
         world.run(step);
         world.check()?;
     }
-    world.letters.clear();
+    world.messages.clear();
     for node in 0..NODES {
         world.watch(node);
     }
