--- a/packages/turnford-serve/tests/crashing_requests.rs
+++ b/packages/turnford-serve/tests/crashing_requests.rs
@@ -273,6 +273,36 @@
     assert!(site.metrics(started).contains("turnford_suspect_requests"));
 }
 
+#[test]
+fn all_started_again() {
+    // All nodes end together, and none of those that start knows what they knew. Copies that come at all
+    // nodes at once must not begin anew: three more targets are allowed after the first three.
+    let mut site = start_site();
+    fragile_targets(&site, "sprog", &LASTING);
+    wait_until("the node refuses it", || is_refused(&site, 0, "bad-first"));
+    let before = reached(&site);
+    for node in &mut site.nodes {
+        node.node.take().expect("a node").stop();
+    }
+    site.nodes.clear();
+    for name in ["one", "two", "three"] {
+        site.node(name);
+    }
+    site.settle();
+    wait_targets(&site, ENGINES + 1);
+    std::thread::scope(|scope| {
+        for copy in 0..ARRIVALS {
+            let site = &site;
+            scope.spawn(move || {
+                std::thread::sleep(Duration::from_millis(20) * (copy / 3) as u32);
+                is_refused(site, copy % 3, &format!("bad-again-{copy}"));
+            });
+        }
+    });
+    let later = reached(&site) - before;
+    assert!(later <= 3, "{later} more after {before}");
+}
+
 #[test]
 fn few_stages() {
     // Its pieces crash the targets of a stage, whose calls hold pieces of others, too.
