Keep requests that crash targets in the store, for when all nodes end together

Cause: what the fleet knows of them lived in its nodes' memory; after all had started again such a request crashed as many targets anew. Change: from its second crash on a request has an object in the store, which a node that starts reads before it is ready; a good end removes it. A crash on trial that others may have caused is kept as any crash.

--- a/packages/turnford-fleet/src/crash.rs
+++ b/packages/turnford-fleet/src/crash.rs
@@ -65,7 +65,16 @@
 pub type TargetStart = (String, TargetBirth);
 
 /// What one node tells another about a request.
-#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    bincode::Encode,
+    bincode::Decode,
+    serde::Serialize,
+    serde::Deserialize,
+)]
 pub struct CrashNews {
     /// Digest of what the request asks for.
     pub digest: [u8; DIGEST_BYTES],
@@ -76,7 +85,16 @@
 }
 
 /// What happened to a request.
-#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    bincode::Encode,
+    bincode::Decode,
+    serde::Serialize,
+    serde::Deserialize,
+)]
 pub enum CrashEvent {
     /// A target crashed while it ran the request.
     Crashed {
@@ -95,7 +113,18 @@
 
 /// What a request was to a target that crashed while it had it. What tells more is greater.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, bincode::Encode, bincode::Decode,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    bincode::Encode,
+    bincode::Decode,
+    serde::Serialize,
+    serde::Deserialize,
 )]
 pub enum CrashPart {
     /// One of those that it ran.
@@ -356,6 +385,30 @@
         crashes.map(move |crash| (&crash.start, now.saturating_sub(crash.at)))
     }
 
+    /// Returns what is to be known of a request by nodes that know of no other: a crash on trial that others
+    /// may have caused tells no more than any crash.
+    pub fn news_of(&self, now: Moment, digest: &RequestDigest) -> Vec<CrashNews> {
+        let entry = self.entries.get(digest);
+        let crashes = entry.into_iter().flat_map(CrashEntry::open_crashes);
+        let news = crashes.map(|crash| {
+            let is_doubtful = self.is_wide(digest, crash) || self.is_disputed(digest, crash);
+            let part = if is_doubtful {
+                CrashPart::Shared
+            } else {
+                crash.part
+            };
+            crash_news(
+                now,
+                digest,
+                &CrashRecord {
+                    part,
+                    ..crash.clone()
+                },
+            )
+        });
+        news.collect()
+    }
+
     /// Returns the number of requests with as many crashes on trial as have one refused.
     pub fn refused(&self) -> usize {
         let entries = self.entries.values();
@@ -389,16 +442,7 @@
             let crashes = entry.crashes.iter();
             crashes.map(move |crash| (digest, crash))
         });
-        let news = crashes.map(|(digest, crash)| CrashNews {
-            digest: digest.0,
-            event: CrashEvent::Crashed {
-                target: crash.start.0.clone(),
-                born: crash.start.1,
-                part: crash.part,
-                is_cleared: crash.is_cleared,
-            },
-            age_ms: to_millis(now.saturating_sub(crash.at)),
-        });
+        let news = crashes.map(|(digest, crash)| crash_news(now, digest, crash));
         news.take(SNAPSHOT_LIMIT).collect()
     }
 
@@ -421,6 +465,19 @@
     }
 }
 
+fn crash_news(now: Moment, digest: &RequestDigest, crash: &CrashRecord) -> CrashNews {
+    CrashNews {
+        digest: digest.0,
+        event: CrashEvent::Crashed {
+            target: crash.start.0.clone(),
+            born: crash.start.1,
+            part: crash.part,
+            is_cleared: crash.is_cleared,
+        },
+        age_ms: to_millis(now.saturating_sub(crash.at)),
+    }
+}
+
 fn to_millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -8,6 +8,7 @@
 mod peers;
 mod sleep;
 mod source;
+mod suspects;
 mod targets;
 mod view;
 
@@ -84,6 +85,9 @@
     executor
         .spawn(members::follow_members(context.clone()))
         .detach();
+    executor
+        .spawn(suspects::keep_suspects(context.clone()))
+        .detach();
     executor.spawn(sleep::watch_sleep(context.clone())).detach();
     executor.spawn(news::spread_news(context)).detach();
     async_io::block_on(executor.run(stop));
--- a/packages/turnford-serve/src/control/context.rs
+++ b/packages/turnford-serve/src/control/context.rs
@@ -103,6 +103,8 @@
     pub(super) view_changed: Event,
     /// Era of the store that this node's object was written in, `None` while that is to be done.
     pub(super) registered_era: Cell<Option<u64>>,
+    /// Whether the requests that are kept in the store were read.
+    pub(super) knows_suspects: Cell<bool>,
     /// When the member list may be pulled again.
     pub(super) next_pull: Cell<Moment>,
     /// Wakes the task that tells others of news.
@@ -141,6 +143,7 @@
             direct_until: Cell::new(Moment::ZERO),
             view_changed: Event::new(),
             registered_era: Cell::new(None),
+            knows_suspects: Cell::new(false),
             next_pull: Cell::new(Moment::ZERO),
             learned: async_channel::bounded(1),
             rng: RefCell::new(SmallRng::from_os_rng()),
--- a/packages/turnford-serve/src/control/members.rs
+++ b/packages/turnford-serve/src/control/members.rs
@@ -21,6 +21,7 @@
 
 use super::context::ControlContext;
 use super::news::compare_mark;
+use super::suspects::learn_suspects;
 use crate::shared::FleetMember;
 use crate::shared::RouteView;
 
@@ -300,6 +301,10 @@
     for object in &list.objects {
         note_record(context, object);
     }
+    if !context.knows_suspects.get() {
+        learn_suspects(context).await?;
+        context.knows_suspects.set(true);
+    }
     Ok(())
 }
 
--- a/packages/turnford-serve/src/crash.rs
+++ b/packages/turnford-serve/src/crash.rs
@@ -20,6 +20,8 @@
 
 use crate::crash_news::tell_crashes;
 use crate::fanout::NewsQueue;
+use crate::kept::forget_cleared;
+use crate::kept::keep_crashed;
 use crate::traffic::Traffic;
 
 /// Time after a call broke in which another start of its target, or the end of its entry, tells that
@@ -180,13 +182,22 @@
 }
 
 fn note_event(traffic: &Rc<Traffic>, digest: &RequestDigest, event: CrashEvent, age: Duration) {
+    let now = traffic.shared.now();
+    let crashes = traffic.crashes.table.borrow().crashes(now, digest).count();
+    let has_ended_well = event == CrashEvent::EndedWell;
     let news = CrashNews {
         digest: digest.0,
         event,
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
     };
-    if take_crash(traffic, &news) {
-        tell_crashes(traffic, vec![news]);
+    if !take_crash(traffic, &news) {
+        return;
+    }
+    tell_crashes(traffic, vec![news]);
+    if has_ended_well {
+        forget_cleared(traffic, *digest, crashes);
+    } else {
+        keep_crashed(traffic, *digest);
     }
 }
 
--- a/packages/turnford-serve/src/crash_news.rs
+++ b/packages/turnford-serve/src/crash_news.rs
@@ -21,6 +21,7 @@
 use crate::fanout::sample_peers;
 use crate::fanout::tell_some;
 use crate::fanout::ANSWER_LIMIT;
+use crate::kept::take_kept;
 use crate::traffic::Traffic;
 use crate::work::call_peer;
 
@@ -107,6 +108,7 @@
 pub(crate) async fn compare_crashes(traffic: Rc<Traffic>) {
     loop {
         Timer::after(COMPARE_PAUSE).await;
+        take_kept(&traffic);
         note_gauges(&traffic);
         if traffic.crashes.table.borrow().is_empty() {
             // One that knows more asks this node.
@@ -151,6 +153,7 @@
     while !traffic.shared.has_asked_members.load(Ordering::SeqCst) {
         Timer::after(START_PAUSE).await;
     }
+    take_kept(&traffic);
     for peer in sample_peers(&traffic, START_TRIES) {
         if compare_with(&traffic, peer, true).await {
             break;
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -17,6 +17,7 @@
 mod forward;
 mod gather;
 mod inputs;
+mod kept;
 mod leaving;
 mod line;
 mod metrics;
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -31,6 +31,7 @@
 use crate::crash_news::learn_crashes;
 use crate::entry::accept_links;
 use crate::entry::handle_client;
+use crate::kept::KeptSuspects;
 use crate::leaving::ask_leaving;
 use crate::metrics::ServeMetrics;
 use crate::shared::RouteView;
@@ -94,6 +95,7 @@
             has_asked_members: AtomicBool::new(false),
             knows_crashes: AtomicBool::new(false),
             knows_view: AtomicBool::new(false),
+            kept: KeptSuspects::default(),
             has_slept: AtomicBool::new(false),
             running: AtomicU64::new(0),
             metrics: ServeMetrics::new(),
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -22,6 +22,7 @@
 use turnford_policy::TargetSpec;
 use turnford_policy::TurnMark;
 
+use crate::kept::KeptSuspects;
 use crate::metrics::ServeMetrics;
 
 /// Least number of nodes that shares of fleet-wide limits are reckoned with, so that a node that
@@ -95,6 +96,8 @@
     pub(crate) knows_view: AtomicBool,
     /// Whether the machine was suspended and nothing has confirmed since what this node knows.
     pub(crate) has_slept: AtomicBool,
+    /// Requests under which targets crashed, as they are kept in the store.
+    pub(crate) kept: KeptSuspects,
     /// Requests under way.
     pub(crate) running: AtomicU64,
     pub(crate) metrics: ServeMetrics,
