--- a/packages/turnford-serve/src/resting.rs
+++ b/packages/turnford-serve/src/resting.rs
@@ -20,9 +20,11 @@
 use crate::traffic::Traffic;
 use crate::work::doer_of;
 
-/// Part of a rest that a node adds at most, and the longest such time: nodes that were told the same
-/// don't come back in the same moment.
+/// Part of a rest that a node adds at most: nodes that were told the same don't come back in the same
+/// moment.
 const LATER_PART: f64 = 0.1;
+
+/// Longest time that a node adds.
 const LONGEST_LATER: Duration = Duration::from_millis(500);
 
 /// Notes that a target wants nothing of this node for so long.
