Ask targets whether they stay one node after the other; sharpen two tests

Cause: all nodes hear within milliseconds that a target leaves, so all would ask it in the same second, 880 of them at the large size; and with a rest that a good answer ends, or that a later word shortens, good_end_beside and shorter_word passed all the same. Change: a node asks 10 to 16 s after the word, by its own part of that time. In the two tests the good end comes after the crossing time, and both refusals are under way together. Result: asked_in_turn: questions over six seconds and more.

--- a/packages/turnford-policy/src/route/board.rs
+++ b/packages/turnford-policy/src/route/board.rs
@@ -172,10 +172,12 @@
     }
 
     /// Returns the targets to be asked whether they stay, each once in a while: they said that they
-    /// leave, and their entries still say that they are ready.
-    pub fn take_due_asks(&mut self, now: Moment) -> Vec<TargetSpec> {
+    /// leave, and their entries still say that they are ready. `later` is this node's own number from 0 to
+    /// 1, so that nodes ask one after the other.
+    pub fn take_due_asks(&mut self, now: Moment, later: f64) -> Vec<TargetSpec> {
         let entries = self.entries.values_mut();
-        let due = entries.filter(|entry| !entry.is_listed_leaving && entry.gate.is_ask_due(now));
+        let due =
+            entries.filter(|entry| !entry.is_listed_leaving && entry.gate.is_ask_due(now, later));
         let asks = due.map(|entry| {
             entry.gate.note_leaving(now);
             entry.spec.clone()
--- a/packages/turnford-policy/src/route/gate.rs
+++ b/packages/turnford-policy/src/route/gate.rs
@@ -7,7 +7,11 @@
 /// Time after which a target that said that it leaves, and is listed as ready all the same, is asked
 /// whether it stays. One that leaves has its entry say so, or go, within seconds of the store's answers;
 /// what is left may have changed its mind.
-const ASK_PAUSE: Duration = Duration::from_secs(15);
+const ASK_PAUSE: Duration = Duration::from_secs(10);
+
+/// Part of that time by which a node asks later at most, each by its own: all heard of the word within
+/// milliseconds, and 880 questions in one second would take a small target's places.
+const ASK_SPREAD: f64 = 0.6;
 
 /// Calls that a target may have under way when its rest is over. Each good answer lets in one more, so
 /// that they double with each round: all that waited at once would bring the next rest.
@@ -42,10 +46,12 @@
         self.left_at.is_some()
     }
 
-    /// Tells whether it is time to ask it whether it stays.
-    pub(super) fn is_ask_due(&self, now: Moment) -> bool {
+    /// Tells whether it is time to ask it whether it stays; `later` is this node's own part of the time, from
+    /// 0 to 1, by which nodes ask one after the other.
+    pub(super) fn is_ask_due(&self, now: Moment, later: f64) -> bool {
         let left_at = self.left_at.filter(|_| !self.rests(now));
-        left_at.is_some_and(|at| now.saturating_sub(at) >= ASK_PAUSE)
+        left_at
+            .is_some_and(|at| now.saturating_sub(at) >= ASK_PAUSE.mul_f64(1.0 + ASK_SPREAD * later))
     }
 
     /// Notes that it wants nothing of this node for so long. A shorter word does not shorten the rest.
--- a/packages/turnford-policy/tests/target_words.rs
+++ b/packages/turnford-policy/tests/target_words.rs
@@ -92,15 +92,30 @@
 fn asked_in_time() {
     let mut board = board(&target(7, 0, false));
     board.note_leaving(SECOND, "b1", 7);
-    assert!(board.take_due_asks(2 * SECOND).is_empty());
+    assert!(board.take_due_asks(2 * SECOND, 1.0).is_empty());
     let at = SECOND + ASKED_WITHIN;
-    assert_eq!(board.take_due_asks(at).len(), 1);
+    assert_eq!(board.take_due_asks(at, 1.0).len(), 1);
     // It is asked once, and again where it gave no answer.
-    assert!(board.take_due_asks(at + SECOND).is_empty());
-    assert_eq!(board.take_due_asks(at + ASKED_WITHIN).len(), 1);
+    assert!(board.take_due_asks(at + SECOND, 1.0).is_empty());
+    assert_eq!(board.take_due_asks(at + ASKED_WITHIN, 1.0).len(), 1);
     board.note_staying("b1", 7);
     assert_eq!(board.open_count(), 1);
-    assert!(board.take_due_asks(at + 3 * ASKED_WITHIN).is_empty());
+    assert!(board.take_due_asks(at + 3 * ASKED_WITHIN, 1.0).is_empty());
+}
+
+#[test]
+fn asked_in_turn() {
+    // Nodes that heard the word together ask over several seconds, one by one.
+    let asked_at = |later: f64| {
+        let mut board = board(&target(7, 0, false));
+        board.note_leaving(SECOND, "b1", 7);
+        let due = |second: &u32| !board.take_due_asks(*second * SECOND, later).is_empty();
+        (1..60).find(due).expect("a question")
+    };
+    let asks: std::collections::BTreeSet<u32> = (0..20)
+        .map(|node| asked_at(f64::from(node) / 20.0))
+        .collect();
+    assert!(asks.len() >= 6, "{asks:?}");
 }
 
 #[test]
@@ -109,7 +124,7 @@
     let mut board = board(&target(7, 0, false));
     board.note_leaving(SECOND, "b1", 7);
     board.set_targets([&target(7, 1, true)].into_iter());
-    assert!(board.take_due_asks(100 * SECOND).is_empty());
+    assert!(board.take_due_asks(100 * SECOND, 1.0).is_empty());
     board.note_staying("b1", 7);
     assert_eq!(board.open_count(), 0);
 }
@@ -183,8 +198,10 @@
     assert_eq!(board.opens_at(SECOND, &[]), None);
     // It is not asked whether it stays while it rests.
     board.note_rest(SECOND, "b1", 7, 3 * ASKED_WITHIN);
-    assert!(board.take_due_asks(SECOND + 2 * ASKED_WITHIN).is_empty());
-    assert_eq!(board.take_due_asks(SECOND + 3 * ASKED_WITHIN).len(), 1);
+    assert!(board
+        .take_due_asks(SECOND + 2 * ASKED_WITHIN, 1.0)
+        .is_empty());
+    assert_eq!(board.take_due_asks(SECOND + 3 * ASKED_WITHIN, 1.0).len(), 1);
 }
 
 /// Something that happens to a board.
--- a/packages/turnford-serve/src/leaving.rs
+++ b/packages/turnford-serve/src/leaving.rs
@@ -126,11 +126,12 @@
 /// Asks targets that said that they leave, and are still listed as ready long after, whether they stay,
 /// for as long as the node runs.
 pub(crate) async fn ask_leaving(traffic: Rc<Traffic>) {
+    let later = traffic.draw();
     loop {
         Timer::after(ASK_PAUSE).await;
         let now = traffic.shared.now();
         for desk in traffic.all_desks() {
-            let due = desk.board.borrow_mut().take_due_asks(now);
+            let due = desk.board.borrow_mut().take_due_asks(now, later);
             for target in due {
                 let ask = ask_target(traffic.clone(), desk.clone(), target);
                 traffic.executor.spawn(ask).detach();
--- a/packages/turnford-serve/tests/resting_targets.rs
+++ b/packages/turnford-serve/tests/resting_targets.rs
@@ -21,6 +21,7 @@
 use turnford_standin::RouteTarget;
 use turnford_standin::TargetFault;
 use turnford_standin::TargetRole;
+use turnford_standin::CROSSING_SPAN;
 
 /// Longest time until a refusal that needs nothing but what the node knows.
 const AT_ONCE: Duration = Duration::from_millis(200);
@@ -67,9 +68,10 @@
 
 #[test]
 fn good_end_beside() {
-    // A call that was under way ends well after the target has asked for rest.
+    // A call that was under way ends well after the target has asked for rest, and after the time in which
+    // calls may still cross that word.
     let mut site = RouteSite::new();
-    let slow = TargetRole::Plain(Duration::from_millis(400));
+    let slow = TargetRole::Plain(CROSSING_SPAN + Duration::from_millis(400));
     let first = site.target("b1", "booking", slow);
     site.node("one");
     std::thread::scope(|scope| {
@@ -97,7 +99,7 @@
 
 #[test]
 fn shorter_word() {
-    // The second of two refusals asks for less; the first one's time holds.
+    // The second of two refusals, both under way together, asks for less; the first one's time holds.
     let mut site = RouteSite::new();
     let first = site.target("b1", "booking", QUICK);
     site.node("one");
@@ -110,6 +112,7 @@
         }
     });
     let told = first.arrivals().len();
+    assert_eq!(told, 2);
     assert_eq!(send(&site, 0, "after", "/hold/1"), 200);
     assert!(begun.elapsed() >= Duration::from_millis(2500));
     assert!(first.arrivals().len() > told);
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -35,6 +35,9 @@
 /// Longest time that a silent target holds a call.
 pub(super) const SILENCE: Duration = Duration::from_secs(60);
 
+/// Time until a call is turned away with a time of rest: others that were sent with it are under way.
+const REFUSAL_SPAN: Duration = Duration::from_millis(60);
+
 /// Time that a crashed target takes to be back, under its id.
 const RESTART_SPAN: Duration = Duration::from_millis(700);
 
@@ -79,7 +82,7 @@
     Fail,
     /// It takes this much longer.
     Slow(Duration),
-    /// Turned away before it runs, with this time of rest.
+    /// Turned away before it runs, after a little while, with this time of rest.
     Rest(&'static str),
     /// It runs, and its answer tells of a load that makes no sense.
     OddLoad,
@@ -394,6 +397,9 @@
             .to_owned();
         let fault = self.next_fault();
         if let Some(answer) = fault.as_ref().and_then(refusal) {
+            if matches!(fault, Some(TargetFault::Rest(_))) {
+                Timer::after(REFUSAL_SPAN).await;
+            }
             return Some(answer);
         }
         let crashes = self.crashes_under(call);
