Log what targets say of their limits for all nodes together

Cause: no line told that a target named a limit, so that the hypotheses of the incident can't be told apart. Change: the word is decoded in every answer but a 421 or one to another try, counted, and logged where it changes; nothing is decided by it.

--- a/packages/turnford-policy/src/route/board.rs
+++ b/packages/turnford-policy/src/route/board.rs
@@ -9,6 +9,7 @@
 use super::config::TargetBirth;
 use super::entry::BoardEntry;
 use super::entry::LoadMark;
+use super::LimitWord;
 use super::TargetSpec;
 
 /// Weight of the newest sample in averages of failures and times.
@@ -110,6 +111,18 @@
         }
     }
 
+    /// Takes what an answer to this node said of a target's limit; returns what the one before said.
+    pub fn note_limit_word(
+        &mut self,
+        id: &str,
+        born: TargetBirth,
+        word: LimitWord,
+    ) -> Option<LimitWord> {
+        let entry = self.entries.get_mut(id);
+        let entry = entry.filter(|entry| entry.spec.born == born)?;
+        Some(std::mem::replace(&mut entry.limit_word, word))
+    }
+
     /// Tells until when a target wants nothing of this node, `None` if it takes calls.
     pub fn rests_until(&self, now: Moment, id: &str) -> Option<Moment> {
         let entry = self.entries.get(id)?;
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 
 use turnford_adapter::decode_answer;
+use turnford_adapter::decode_limit;
 use turnford_adapter::decode_word;
 use turnford_adapter::AnswerFacts;
 use turnford_adapter::TargetWord;
@@ -240,9 +241,41 @@
         );
         hear_rest(traffic, desk, target, rest);
     }
+    hear_limit(traffic, desk, target, parts, attempt);
     word
 }
 
+/// Hears what a target says of the calls that it takes from all nodes together.
+fn hear_limit(
+    traffic: &Rc<Traffic>,
+    desk: &Rc<ServiceDesk>,
+    target: &TargetSpec,
+    parts: &Parts,
+    attempt: Option<&str>,
+) {
+    let word = match decode_limit(parts, attempt) {
+        Ok(Some(word)) => word,
+        Ok(None) => return,
+        Err(problem) => {
+            log::warn!("target={} names a limit: {problem}", target.id);
+            return;
+        }
+    };
+    if word.rate().is_some() {
+        let metrics = &traffic.shared.metrics;
+        metrics.note_service(&target.service, ServiceEvent::NamedLimit);
+    }
+    let mut board = desk.board.borrow_mut();
+    let before = board.note_limit_word(&target.id, target.born, word);
+    if let Some(before) = before.filter(|before| *before != word) {
+        log::info!(
+            "target={} limit={word} before={before}: request={}",
+            target.id,
+            attempt.unwrap_or("-")
+        );
+    }
+}
+
 /// Notes an answer that belongs to another request; its connection is spoiled.
 fn other_attempt(traffic: &Traffic, target: &TargetSpec, facts: &AnswerFacts) -> CallFault {
     log::warn!(
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -66,6 +66,8 @@
     SaidLeaving,
     /// A target turned a call away and asked for rest.
     AskedForRest,
+    /// A target named in an answer a limit for all nodes together.
+    NamedLimit,
 }
 
 impl ServiceEvent {
@@ -81,6 +83,7 @@
             ServiceEvent::Batch => "batch",
             ServiceEvent::SaidLeaving => "said-leaving",
             ServiceEvent::AskedForRest => "asked-for-rest",
+            ServiceEvent::NamedLimit => "named-limit",
         }
     }
 }
