--- /dev/null
+++ b/packages/turnford-serve/tests/limited_targets.rs
@@ -0,0 +1,485 @@
+//! Targets that name a limit for all nodes together.
+//!
+//! An engine that said in each answer that it takes one request a second from all nodes together got twelve
+//! in 4 s from eight nodes, where eleven may cross. No node read the word, and none knew what the others
+//! sent.
+
+mod common;
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use common::wait_until;
+use common::Ask;
+use common::RouteSite;
+use common::ENGINE;
+use common::QUICK;
+use common::STAGE;
+use common::STAGED;
+use turnford_standin::limit_allowance;
+use turnford_standin::worst_window;
+use turnford_standin::RouteTarget;
+use turnford_standin::LIMIT_NOTICE;
+use turnford_standin::LIMIT_WINDOW;
+
+/// Longest time for which a request may be kept that is not served in the end.
+const HELD_LIMIT: Duration = Duration::from_millis(500);
+
+/// What a busy machine may add to that between a client and a node.
+const WAY_SPAN: Duration = Duration::from_millis(100);
+
+/// Part of the limits that is served at least where all targets have one.
+const USED_PART: f64 = 0.8;
+
+/// A window and what comes before the limits are in force, with a margin.
+const PLAY_SPAN: Duration = Duration::from_millis(9000);
+
+/// One request of a stream of them.
+#[derive(Clone, Debug)]
+struct Sent {
+    at: Instant,
+    held: Duration,
+    status: u16,
+    back: Option<f64>,
+}
+
+/// Requests of many clients.
+#[derive(Clone, Copy)]
+struct Stream<'a> {
+    path: &'a str,
+    key: &'a str,
+    headers: &'a [(&'a str, &'a str)],
+    /// Requests a second, over all nodes.
+    rate: f64,
+    patience_ms: &'a str,
+}
+
+impl<'a> Stream<'a> {
+    fn new(path: &'a str, rate: f64) -> Self {
+        Self {
+            path,
+            key: "key-skagen",
+            headers: &[],
+            rate,
+            patience_ms: "3000",
+        }
+    }
+
+    /// Sends requests to the nodes in turn for so long, whatever becomes of those before.
+    fn send(self, site: &RouteSite, nodes: &[usize], span: Duration) -> Vec<Sent> {
+        let sent = Mutex::new(Vec::new());
+        let begun = Instant::now();
+        std::thread::scope(|scope| {
+            for number in 0.. {
+                let due = Duration::from_secs_f64(f64::from(number) / self.rate);
+                if due >= span {
+                    break;
+                }
+                std::thread::sleep((begun + due).saturating_duration_since(Instant::now()));
+                let node = nodes[number as usize % nodes.len()];
+                let sent = &sent;
+                scope.spawn(move || {
+                    let ended = self.send_one(site, node);
+                    sent.lock().expect("no panic").push(ended);
+                });
+            }
+        });
+        let mut sent = sent.into_inner().expect("no panic");
+        sent.sort_by_key(|sent| sent.at);
+        sent
+    }
+
+    fn send_one(self, site: &RouteSite, node: usize) -> Sent {
+        static TRIES: AtomicU64 = AtomicU64::new(0);
+        let at = Instant::now();
+        let attempt = format!("a{}", TRIES.fetch_add(1, Ordering::SeqCst));
+        let patience = [("x-turnford-deadline-ms", self.patience_ms)];
+        let headers = [self.headers, &patience].concat();
+        let ask = Ask {
+            key: Some(self.key),
+            headers: &headers,
+            ..Ask::new(&attempt, self.path)
+        };
+        let answer = site.call(node, ask);
+        let back = answer.as_ref().ok().and_then(|answer| {
+            let back = answer.header("retry-after")?;
+            back.parse().ok()
+        });
+        Sent {
+            at,
+            held: at.elapsed(),
+            status: answer.map_or(0, |answer| answer.status),
+            back,
+        }
+    }
+}
+
+fn served(sent: &[Sent]) -> usize {
+    sent.iter().filter(|sent| sent.status == 200).count()
+}
+
+/// Has targets name a limit; returns the moment from which it must be kept.
+fn limit_all(targets: &[RouteTarget], limit: &str) -> Instant {
+    for target in targets {
+        target.name_limit(Some(limit));
+    }
+    Instant::now() + LIMIT_NOTICE
+}
+
+/// Asserts that no window holds more than the platform's rules allow.
+fn assert_kept(targets: &[RouteTarget], rate: f64, from: Instant) {
+    for target in targets {
+        let worst = worst_window(&target.arrivals(), from);
+        let allowed = limit_allowance(rate);
+        let id = target.id();
+        assert!(worst <= allowed, "{id} got {worst} of {allowed} in 4 s");
+    }
+}
+
+/// Asserts that those that were not served were told so soon, with a time to come back.
+fn assert_refused_soon(sent: &[Sent], from: Instant) {
+    for sent in sent.iter().filter(|sent| sent.at >= from) {
+        if sent.status != 200 {
+            assert_eq!(sent.status, 503);
+            assert!(sent.held <= HELD_LIMIT + WAY_SPAN, "{:?}", sent.held);
+            assert!(sent.back.is_some_and(|back| back > 0.0));
+        }
+    }
+}
+
+/// Asserts that the limits are used: so many are served of what came between two moments.
+fn assert_used(targets: &[RouteTarget], rate: f64, from: Instant, until: Instant) {
+    let span = (until - from).as_secs_f64();
+    let all: usize = targets
+        .iter()
+        .map(|target| {
+            let calls = target.arrivals();
+            let calls = calls.iter();
+            calls
+                .filter(|call| call.at >= from && call.at < until)
+                .count()
+        })
+        .sum();
+    let least = USED_PART * rate * targets.len() as f64 * span;
+    assert!(
+        all as f64 >= least,
+        "{all} calls in {span} s, {least} at least"
+    );
+}
+
+fn site_with<const N: usize>(
+    nodes: usize,
+    ids: [&str; N],
+    service: &str,
+    role: &turnford_standin::TargetRole,
+) -> (RouteSite, Vec<usize>, Vec<RouteTarget>) {
+    let mut site = RouteSite::new();
+    let targets = ids.map(|id| site.target(id, service, role.clone()));
+    let names = ["one", "two", "three", "four"];
+    let nodes = names[..nodes].iter().map(|name| site.node(name)).collect();
+    site.settle();
+    (site, nodes, targets.into())
+}
+
+/// Waits until all nodes know so many targets.
+fn wait_listed(site: &RouteSite, targets: usize) {
+    let line = format!("turnford_targets {targets}\n");
+    for node in 0..site.nodes.len() {
+        wait_until("the targets are known", || {
+            site.metrics(node).contains(&line)
+        });
+    }
+}
+
+#[test]
+fn others_serve() {
+    let (site, nodes, targets) = site_with(3, ["b1", "b2"], "booking", &QUICK);
+    let from = limit_all(&targets[..1], "1");
+    let sent = Stream::new("/pay/1", 60.0).send(&site, &nodes, PLAY_SPAN);
+    assert_kept(&targets[..1], 1.0, from);
+    assert_eq!(served(&sent), sent.len());
+    let late = sent.iter().filter(|sent| sent.held > HELD_LIMIT).count();
+    assert!(late * 100 <= sent.len(), "{late} of {} waited", sent.len());
+}
+
+#[test]
+fn engines_serve() {
+    let (site, nodes, targets) = site_with(3, ["e1", "e2", "e3"], "sprog", &ENGINE);
+    let from = limit_all(&targets[..2], "1");
+    let sent = Stream::new("/draft/1", 40.0).send(&site, &nodes, PLAY_SPAN);
+    assert_kept(&targets[..2], 1.0, from);
+    assert_eq!(served(&sent), sent.len());
+}
+
+#[test]
+fn plain_used() {
+    let (site, nodes, targets) = site_with(3, ["b1", "b2"], "booking", &QUICK);
+    let from = limit_all(&targets, "8");
+    let until = Instant::now() + PLAY_SPAN;
+    let stream = Stream {
+        patience_ms: "800",
+        ..Stream::new("/hold/1", 60.0)
+    };
+    let sent = stream.send(&site, &nodes, PLAY_SPAN);
+    assert_kept(&targets, 8.0, from);
+    assert_used(&targets, 8.0, from, until);
+    assert_refused_soon(&sent, from);
+}
+
+#[test]
+fn engines_used() {
+    let (site, nodes, targets) = site_with(3, ["e1", "e2"], "sprog", &ENGINE);
+    let from = limit_all(&targets, "5");
+    let until = Instant::now() + PLAY_SPAN;
+    let sent = Stream::new("/draft/1", 40.0).send(&site, &nodes, PLAY_SPAN);
+    assert_kept(&targets, 5.0, from);
+    assert_used(&targets, 5.0, from, until);
+    assert_refused_soon(&sent, from);
+}
+
+#[test]
+fn slow_used() {
+    // A limit below one a second is an amount, too.
+    let (site, nodes, targets) = site_with(2, ["b1"], "booking", &QUICK);
+    let from = limit_all(&targets, "0.5");
+    let until = Instant::now() + PLAY_SPAN;
+    let sent = Stream::new("/hold/1", 10.0).send(&site, &nodes, PLAY_SPAN);
+    assert_kept(&targets, 0.5, from);
+    assert_refused_soon(&sent, from);
+    // Whole calls only: one less than the part may fall into the span.
+    let calls = targets[0].arrivals();
+    let calls = calls.iter().filter(|call| call.at >= from);
+    let least = USED_PART * 0.5 * (until - from).as_secs_f64();
+    assert!(calls.count() as f64 >= least.floor());
+}
+
+#[test]
+fn pieces_used() {
+    // Reports and releases are calls, too; each call takes as many pieces as wait.
+    let (site, nodes, targets) = site_with(3, ["k1", "k2"], "kort", &STAGE);
+    site.target("x1", "ejer", STAGE);
+    site.target("s1", "sprog", ENGINE);
+    wait_listed(&site, 4);
+    let stream = Stream {
+        headers: STAGED,
+        patience_ms: "4000",
+        ..Stream::new("/chat/1", 10.0)
+    };
+    let before = stream.send(&site, &nodes, Duration::from_secs(1));
+    assert_eq!(served(&before), before.len());
+    let from = limit_all(&targets, "3");
+    let sent = stream.send(&site, &nodes, PLAY_SPAN);
+    assert_kept(&targets, 3.0, from);
+    let later: Vec<Sent> = sent.into_iter().filter(|sent| sent.at >= from).collect();
+    // Two targets with three calls a second of eight pieces make 48 a second; 20 are asked for.
+    assert!(
+        served(&later) as f64 >= USED_PART * later.len() as f64,
+        "{} of {} served",
+        served(&later),
+        later.len()
+    );
+}
+
+#[test]
+fn before_stages() {
+    // What can't be served at the rate that is left is refused before its stages run.
+    let (site, nodes, engines) = site_with(2, ["s1"], "sprog", &ENGINE);
+    let first = site.target("k1", "kort", STAGE);
+    site.target("x1", "ejer", STAGE);
+    wait_listed(&site, 3);
+    let from = limit_all(&engines, "1");
+    let stream = Stream {
+        headers: STAGED,
+        patience_ms: "2000",
+        ..Stream::new("/chat/1", 10.0)
+    };
+    let sent = stream.send(&site, &nodes, PLAY_SPAN);
+    assert_kept(&engines, 1.0, from);
+    assert_refused_soon(&sent, from);
+    let later: Vec<&Sent> = sent.iter().filter(|sent| sent.at >= from).collect();
+    let served = later.iter().filter(|sent| sent.status == 200).count();
+    assert!(served >= 3, "{served} of {} served", later.len());
+    let begun = first.arrivals();
+    let begun = begun
+        .iter()
+        .filter(|call| call.at >= from && call.path == "/v1/stage-run");
+    let begun = begun.count();
+    assert!(begun <= 2 * served, "{begun} calls for {served} requests");
+}
+
+#[test]
+fn over_again() {
+    let (site, nodes, targets) = site_with(3, ["b1"], "booking", &QUICK);
+    let from = limit_all(&targets, "2");
+    let (sent, ended) = std::thread::scope(|scope| {
+        let (site, nodes) = (&site, &nodes);
+        let stream = Stream::new("/hold/1", 60.0);
+        let sent = scope.spawn(move || stream.send(site, nodes, Duration::from_secs(14)));
+        std::thread::sleep(Duration::from_secs(8));
+        targets[0].name_limit(None);
+        let ended = Instant::now();
+        (sent.join().expect("an end"), ended)
+    });
+    let calls = targets[0].arrivals();
+    let of_then = |begin: Duration, end: Duration| {
+        let calls = calls.iter();
+        calls
+            .filter(|call| call.at >= ended + begin && call.at < ended + end)
+            .count()
+    };
+    let before: Vec<_> = calls
+        .iter()
+        .filter(|call| call.at < ended)
+        .cloned()
+        .collect();
+    assert!(worst_window(&before, from) <= limit_allowance(2.0));
+    // By degrees, and all of it after some seconds.
+    let first = of_then(Duration::ZERO, Duration::from_secs(1));
+    assert!(first <= 30, "{first} in the first second");
+    let full = ended + Duration::from_secs(5);
+    let later: Vec<Sent> = sent.into_iter().filter(|sent| sent.at >= full).collect();
+    assert_eq!(served(&later), later.len());
+}
+
+#[test]
+fn asked_by_one() {
+    // Where the others take everything, the target is asked now and then whether it is well, by one node.
+    let (site, nodes, targets) = site_with(3, ["b1", "b2"], "booking", &QUICK);
+    let from = limit_all(&targets[..1], "0");
+    std::thread::scope(|scope| {
+        let (site, nodes) = (&site, &nodes);
+        let stream = Stream::new("/pay/1", 30.0);
+        let sent = scope.spawn(move || stream.send(site, nodes, Duration::from_secs(20)));
+        std::thread::sleep(Duration::from_secs(12));
+        let calls = targets[0].arrivals();
+        let asked = calls.iter().filter(|call| call.at >= from).count();
+        assert!(asked >= 1, "nobody asked");
+        assert_kept(&targets[..1], 0.0, from);
+        targets[0].name_limit(None);
+        let ended = Instant::now();
+        let sent = sent.join().expect("an end");
+        assert_eq!(served(&sent), sent.len());
+        let calls = targets[0].arrivals();
+        let last = calls.last().expect("calls").at;
+        assert!(
+            last > ended + Duration::from_secs(6),
+            "it is not used again"
+        );
+    });
+}
+
+#[test]
+fn divider_ends() {
+    // Each node ends in turn, the one that divides among them, and another comes in its place.
+    let (mut site, mut nodes, targets) = site_with(3, ["e1", "e2"], "sprog", &ENGINE);
+    let from = limit_all(&targets, "4");
+    let stream = Stream::new("/draft/1", 30.0);
+    for turn in 0..3 {
+        let span = if turn == 0 { 5 } else { 3 };
+        stream.send(&site, &nodes, Duration::from_secs(span));
+        let ended = nodes.remove(0);
+        if let Some(node) = site.nodes[ended].node.take() {
+            node.stop();
+        }
+        nodes.push(site.node(&format!("later-{turn}")));
+    }
+    let until = Instant::now() + Duration::from_secs(6);
+    stream.send(&site, &nodes, Duration::from_secs(6));
+    assert_kept(&targets, 4.0, from);
+    assert_used(&targets, 4.0, until - Duration::from_secs(3), until);
+}
+
+#[test]
+fn untold_nodes() {
+    // Only one node had an answer that names the limit; the others keep it as well.
+    let (site, nodes, targets) = site_with(4, ["b1"], "booking", &QUICK);
+    limit_all(&targets, "1");
+    let first = Stream::new("/pay/1", 50.0).send(&site, &nodes[..1], Duration::from_millis(200));
+    assert!(served(&first) > 0);
+    std::thread::sleep(LIMIT_NOTICE);
+    let told = targets[0].arrivals().len();
+    Stream::new("/pay/2", 60.0).send(&site, &nodes[1..], LIMIT_WINDOW);
+    let calls = targets[0].arrivals().len() - told;
+    assert!(calls <= limit_allowance(1.0), "{calls} calls");
+}
+
+#[test]
+fn lower_and_higher() {
+    let (site, nodes, targets) = site_with(2, ["b1"], "booking", &QUICK);
+    let stream = Stream::new("/hold/1", 40.0);
+    limit_all(&targets, "10");
+    stream.send(&site, &nodes, Duration::from_secs(3));
+    let from = limit_all(&targets, "2");
+    stream.send(&site, &nodes, PLAY_SPAN);
+    assert_kept(&targets, 2.0, from);
+    let from = limit_all(&targets, "10");
+    let until = Instant::now() + PLAY_SPAN;
+    stream.send(&site, &nodes, PLAY_SPAN);
+    assert_kept(&targets, 10.0, from);
+    assert_used(&targets, 10.0, from, until);
+}
+
+#[test]
+fn odd_words() {
+    // What is no number neither begins nor ends a limit.
+    let (site, nodes, targets) = site_with(2, ["b1"], "booking", &QUICK);
+    let stream = Stream::new("/hold/1", 40.0);
+    targets[0].name_limit(Some("soon"));
+    let sent = stream.send(&site, &nodes, Duration::from_secs(1));
+    assert_eq!(served(&sent), sent.len());
+    let from = limit_all(&targets, "2");
+    stream.send(&site, &nodes, LIMIT_NOTICE);
+    targets[0].name_limit(Some("-5"));
+    stream.send(&site, &nodes, LIMIT_WINDOW * 2);
+    assert_kept(&targets, 2.0, from);
+}
+
+#[test]
+fn started_again() {
+    // A limit ends with the process that named it.
+    let (site, nodes, targets) = site_with(2, ["b1"], "booking", &QUICK);
+    let stream = Stream::new("/hold/1", 40.0);
+    limit_all(&targets, "0");
+    stream.send(&site, &nodes, LIMIT_NOTICE);
+    let held = targets[0].arrivals().len();
+    stream.send(&site, &nodes, LIMIT_WINDOW);
+    assert!(targets[0].arrivals().len() <= held + limit_allowance(0.0));
+    targets[0].name_limit(None);
+    targets[0].bear_again();
+    wait_until("it is used again", || {
+        let sent = stream.send(&site, &nodes, Duration::from_millis(500));
+        served(&sent) == sent.len()
+    });
+}
+
+#[test]
+fn urgent_first() {
+    let (site, nodes, targets) = site_with(3, ["b1"], "booking", &QUICK);
+    let from = limit_all(&targets, "6");
+    let (urgent, other) = std::thread::scope(|scope| {
+        let (site, nodes) = (&site, &nodes);
+        let urgent = Stream {
+            key: "key-fyn",
+            ..Stream::new("/hold/1", 4.0)
+        };
+        let other = Stream::new("/hold/1", 30.0);
+        let urgent = scope.spawn(move || urgent.send(site, nodes, PLAY_SPAN));
+        let other = scope.spawn(move || other.send(site, nodes, PLAY_SPAN));
+        (
+            urgent.join().expect("an end"),
+            other.join().expect("an end"),
+        )
+    });
+    assert_kept(&targets, 6.0, from);
+    let part = |sent: &[Sent]| {
+        let later = sent.iter().filter(|sent| sent.at >= from);
+        let later: Vec<Sent> = later.cloned().collect();
+        served(&later) as f64 / later.len() as f64
+    };
+    assert!(part(&urgent) >= 0.9, "{} of the urgent", part(&urgent));
+    assert!(part(&urgent) > part(&other));
+    assert_refused_soon(&other, from);
+}
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -242,6 +242,11 @@
         self.state.words.rest_for(span);
     }
 
+    /// Has the target name a limit for all nodes together in all its answers, or none.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        self.state.words.name_limit(limit);
+    }
+
     /// Returns all calls that reached it so far, also those that it turned away.
     pub fn arrivals(&self) -> Vec<TargetArrival> {
         self.state.words.arrivals()
--- a/packages/turnford-standin/src/route/word.rs
+++ b/packages/turnford-standin/src/route/word.rs
@@ -15,6 +15,29 @@
 /// platform's rules.
 pub const CROSSING_SPAN: Duration = Duration::from_millis(500);
 
+/// Span of the windows in which a target that names a limit counts its calls, from the platform's rules.
+pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Time after a target first named its limit from which on it must be kept, from the platform's rules.
+pub const LIMIT_NOTICE: Duration = Duration::from_secs(3);
+
+/// Returns the calls that a window may have at a target that takes so many a second, from the platform's
+/// rules.
+pub fn limit_allowance(rate: f64) -> usize {
+    (1.5 * rate * LIMIT_WINDOW.as_secs_f64()) as usize + 5
+}
+
+/// Returns the most calls in one window, of those from a moment on.
+pub fn worst_window(arrivals: &[TargetArrival], from: Instant) -> usize {
+    let times: Vec<Instant> = arrivals.iter().map(|call| call.at).collect();
+    let windows = times.iter().filter(|at| **at >= from).map(|begin| {
+        let end = *begin + LIMIT_WINDOW;
+        let calls = times.iter().filter(|at| *at >= begin && **at < end);
+        calls.count()
+    });
+    windows.max().unwrap_or(0)
+}
+
 /// A call that reached a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetArrival {
@@ -43,6 +66,8 @@
 pub(super) struct TargetWords {
     leaves: AtomicBool,
     rest: Mutex<Option<RestWish>>,
+    /// What it names as its limit.
+    limit: Mutex<Option<String>>,
     arrivals: Mutex<Vec<TargetArrival>>,
 }
 
@@ -62,6 +87,10 @@
         });
     }
 
+    pub(super) fn name_limit(&self, limit: Option<&str>) {
+        *lock(&self.limit) = limit.map(str::to_owned);
+    }
+
     /// Notes a call; returns the time of rest to turn it away with, if the target rests.
     pub(super) fn note_arrival(&self, call: &HttpCall) -> Option<String> {
         let now = Instant::now();
@@ -93,5 +122,8 @@
         if self.leaves() {
             answer.insert_header("server-leaving", "1");
         }
+        if let Some(limit) = lock(&self.limit).as_deref() {
+            answer.insert_header("server-limit", limit);
+        }
     }
 }
