--- /dev/null
+++ b/packages/turnford-fleet/src/limit_division.rs
@@ -0,0 +1,131 @@
+//! Which node divides the limits of a service's targets, as one node knows it.
+//!
+//! No lease and no store: a node that is asked by one that finds the last divider lost, and finds it lost
+//! itself, begins a new term, and gives out a part only until the others know. A node that hears of a later
+//! term stops.
+
+use turnford_policy::LimitState;
+use turnford_policy::TargetBirth;
+use turnford_policy::TargetId;
+
+use crate::DividerId;
+use crate::LimitDivider;
+use crate::LimitTerm;
+use crate::Moment;
+
+/// How a node finds the one that divides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HolderSight {
+    /// It was heard lately.
+    Heard,
+    /// Nothing tells.
+    Unknown,
+    /// It gave no answer lately, or takes no work.
+    Lost,
+}
+
+/// What a node does for one that asks for a permit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DivisionRole {
+    /// It divides.
+    Divides {
+        /// Whether it did not before, so that others have to be told.
+        is_new: bool,
+    },
+    /// Another one divides.
+    Elsewhere(LimitTerm),
+    /// Another one divides that the asking node finds lost; this node has to look first.
+    Doubted(LimitTerm),
+}
+
+/// Who divides.
+#[derive(Clone, Debug)]
+pub struct LimitDivision {
+    own: DividerId,
+    term: Option<LimitTerm>,
+    divider: Option<LimitDivider>,
+}
+
+impl LimitDivision {
+    /// Starts without knowing who divides.
+    pub fn new(own: DividerId) -> Self {
+        Self {
+            own,
+            term: None,
+            divider: None,
+        }
+    }
+
+    /// Returns the latest term known.
+    pub fn term(&self) -> Option<&LimitTerm> {
+        self.term.as_ref()
+    }
+
+    /// Returns the divider if this node divides.
+    pub fn divider(&mut self) -> Option<&mut LimitDivider> {
+        self.divider.as_mut()
+    }
+
+    /// Takes another node's word on who divides; true if it is new. This node stops if it is not the one.
+    pub fn note_term(&mut self, term: &LimitTerm) -> bool {
+        let is_later = self.term.as_ref().is_none_or(|known| known < term);
+        if is_later {
+            self.term = Some(term.clone());
+            if term.holder != self.own {
+                self.divider = None;
+            }
+        }
+        is_later
+    }
+
+    /// Finds out who divides for a node that asks this one, knowing a term; `sight` tells of the process
+    /// that holds it, and `known` is what this node knows of limits.
+    pub fn enter<'a>(
+        &mut self,
+        now: Moment,
+        asked: Option<&LimitTerm>,
+        sight: impl FnOnce(&DividerId) -> HolderSight,
+        known: impl Iterator<Item = (&'a TargetId, TargetBirth, LimitState)>,
+    ) -> DivisionRole {
+        if let Some(asked) = asked {
+            self.note_term(asked);
+        }
+        if self.divider.is_some() {
+            return DivisionRole::Divides { is_new: false };
+        }
+        if let Some(term) = &self.term {
+            // One that ended under its name is lost.
+            let is_own = term.holder.name == self.own.name;
+            let sight = if is_own {
+                HolderSight::Lost
+            } else {
+                sight(&term.holder)
+            };
+            if asked < Some(term) || sight == HolderSight::Heard {
+                return DivisionRole::Elsewhere(term.clone());
+            }
+            if sight == HolderSight::Unknown {
+                return DivisionRole::Doubted(term.clone());
+            }
+        }
+        self.begin(now, known);
+        DivisionRole::Divides { is_new: true }
+    }
+
+    fn begin<'a>(
+        &mut self,
+        now: Moment,
+        known: impl Iterator<Item = (&'a TargetId, TargetBirth, LimitState)>,
+    ) {
+        let number = self.term.as_ref().map_or(0, |term| term.number) + 1;
+        self.term = Some(LimitTerm {
+            number,
+            holder: self.own.clone(),
+        });
+        let mut divider = LimitDivider::new(now);
+        for (target, born, state) in known {
+            divider.adopt(now, target, born, state);
+        }
+        self.divider = Some(divider);
+    }
+}
--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -250,6 +250,22 @@
         self.note_full(now, target);
     }
 
+    /// Goes on without a target's report: it takes so few calls that none is left for a question. What it holds
+    /// of others' it says when it has no room.
+    pub fn assume_known(&mut self, now: Moment, target: &TargetId) {
+        let calls = self.calls.entry(target.clone()).or_default();
+        calls.known_until = Some(now + KNOWN_SPAN);
+    }
+
+    /// Tells whether pieces wait that a target could be sent now.
+    pub fn has_use_for(&self, now: Moment, target: &str) -> bool {
+        let calls = self.calls.get(target);
+        let is_free = calls.is_none_or(|calls| {
+            calls.ends.len() < self.spec.slots.max(1) && calls.paused_until <= now
+        });
+        is_free && !self.waiting.is_empty()
+    }
+
     /// Has a target asked anew before its next call, since it holds more than is known.
     pub fn forget_report(&mut self, target: &str) {
         if let Some(calls) = self.calls.get_mut(target) {
--- a/packages/turnford-policy/src/route/board.rs
+++ b/packages/turnford-policy/src/route/board.rs
@@ -9,7 +9,6 @@
 use super::config::TargetBirth;
 use super::entry::BoardEntry;
 use super::entry::LoadMark;
-use super::LimitWord;
 use super::TargetSpec;
 
 /// Weight of the newest sample in averages of failures and times.
@@ -111,16 +110,10 @@
         }
     }
 
-    /// Takes what an answer to this node said of a target's limit; returns what the one before said.
-    pub fn note_limit_word(
-        &mut self,
-        id: &str,
-        born: TargetBirth,
-        word: LimitWord,
-    ) -> Option<LimitWord> {
-        let entry = self.entries.get_mut(id);
-        let entry = entry.filter(|entry| entry.spec.born == born)?;
-        Some(std::mem::replace(&mut entry.limit_word, word))
+    /// Returns the targets that take new work beside these.
+    pub fn untried_targets(&self, tried: &[TargetId]) -> Vec<TargetId> {
+        let left = self.untried(tried);
+        left.map(|entry| entry.spec.id.clone()).collect()
     }
 
     /// Tells until when a target wants nothing of this node, `None` if it takes calls.
--- a/packages/turnford-policy/src/route/entry.rs
+++ b/packages/turnford-policy/src/route/entry.rs
@@ -5,7 +5,6 @@
 use crate::Moment;
 
 use super::gate::TargetGate;
-use super::LimitWord;
 use super::TargetSpec;
 
 /// Time after which half of what a target told of its load no longer counts.
@@ -31,8 +30,6 @@
     pub(super) is_listed_leaving: bool,
     /// What it said in its answers.
     pub(super) gate: TargetGate,
-    /// What its last answer to this node said of its limit.
-    pub(super) limit_word: LimitWord,
     /// Calls of this node under way.
     pub(super) in_flight: u32,
     /// Last load told, with the calls of this node that were under way then.
@@ -50,7 +47,6 @@
             is_listed_leaving: spec.leaving,
             spec,
             gate: TargetGate::default(),
-            limit_word: LimitWord::Unlimited,
             in_flight: 0,
             mark: None,
             failure: 0.0,
--- a/packages/turnford-policy/src/route/flow.rs
+++ b/packages/turnford-policy/src/route/flow.rs
@@ -255,6 +255,12 @@
         }
     }
 
+    /// Returns how many admitted requests whose stages are not done go before one with such ranks.
+    pub fn admitted_before(&self, ranks: Ranks) -> usize {
+        let runs = self.runs.values();
+        runs.filter(|run| run.ranks <= ranks).count()
+    }
+
     /// Returns the pieces that are still to be made by a service.
     pub fn backlog(&self, service: &str) -> u64 {
         self.services.get(service).map_or(0, FlowService::all)
--- a/packages/turnford-serve/src/admission.rs
+++ b/packages/turnford-serve/src/admission.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use turnford_fleet::Duty;
 use turnford_policy::FlowForecast;
 use turnford_policy::FlowNeed;
 use turnford_policy::FlowRefusal;
@@ -22,6 +21,7 @@
 use turnford_wire::WorkRequest;
 
 use crate::desk::ServiceDesk;
+use crate::limits::placer_of;
 use crate::placement::PLACE_LIMIT;
 use crate::progress::PlacerLink;
 use crate::record::RequestRecord;
@@ -29,7 +29,6 @@
 use crate::stages::least_span;
 use crate::traffic::Traffic;
 use crate::work::call_peer;
-use crate::work::doer_of;
 
 /// An admitted request's stages; their end is told when this is dropped.
 pub(crate) struct AdmittedFlow {
@@ -117,12 +116,14 @@
         let forecast = FlowForecast { ends: Vec::new() };
         return Ok(AdmittedFlow::new(now, None, &forecast));
     }
-    let service = desk.spec.borrow().name.to_string();
-    let address = doer_of(traffic, &Duty::Place(service));
+    let patience = record
+        .serve_by()
+        .saturating_sub(now + record.last_span.get());
+    let address = placer_of(traffic, desk);
     let answer = match address {
-        None => Some(admit_here(traffic, desk, &need)),
+        None => Some(admit_here(traffic, desk, &need, patience)),
         Some(placer) => {
-            let request = WorkRequest::Admit(admit_ask(traffic, desk, &need));
+            let request = WorkRequest::Admit(admit_ask(traffic, desk, &need, patience));
             let reply = call_peer(traffic, placer, &request, PLACE_LIMIT).await;
             reply.and_then(admit_answer)
         }
@@ -182,12 +183,36 @@
     traffic: &Traffic,
     desk: &ServiceDesk,
     need: &FlowNeed,
+    patience: Duration,
 ) -> Result<(FlowTicket, FlowForecast), FlowRefusal> {
     let now = traffic.shared.now();
+    check_limits(desk, now, need, patience)?;
     let rate_of = |service: &str| traffic.desk(service)?.stage_rate(now);
     desk.flow.borrow_mut().admit(now, need, rate_of)
 }
 
+/// Admits a request if the limits of its own targets leave a call for it in time.
+fn check_limits(
+    desk: &ServiceDesk,
+    now: Moment,
+    need: &FlowNeed,
+    patience: Duration,
+) -> Result<(), FlowRefusal> {
+    let targets = desk.board.borrow().untried_targets(&[]);
+    let coming = desk.flow.borrow().admitted_before(need.ranks);
+    let mut division = desk.division.borrow_mut();
+    let Some(divider) = division.divider() else {
+        return Ok(());
+    };
+    let turn = divider.forecast(now, need.ranks, coming, &targets);
+    let late = turn.map_or(Duration::ZERO, |turn| turn.saturating_sub(patience));
+    if late.is_zero() {
+        return Ok(());
+    }
+    let back_after = divider.plan_return(now, late, &targets);
+    Err(FlowRefusal { late, back_after })
+}
+
 /// Returns the time in which a request's stages must be done. One that is late however short the
 /// queues are would be late again after a refusal, too, and is served within its deadline.
 fn stage_limit(traffic: &Traffic, record: &RequestRecord) -> Duration {
@@ -223,7 +248,12 @@
     }
 }
 
-fn admit_ask(traffic: &Traffic, desk: &ServiceDesk, need: &FlowNeed) -> AdmitAsk {
+fn admit_ask(
+    traffic: &Traffic,
+    desk: &ServiceDesk,
+    need: &FlowNeed,
+    patience: Duration,
+) -> AdmitAsk {
     let left = need.deadline.saturating_sub(traffic.shared.now());
     let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
     let number = |value: &usize| u32::try_from(*value).unwrap_or(u32::MAX);
@@ -237,6 +267,7 @@
         stages: stages.collect(),
         ranks: need.ranks,
         limit_ms: millis(need.limit),
+        patience_ms: millis(patience),
         left_ms: millis(left),
     }
 }
@@ -257,7 +288,8 @@
         limit: Duration::from_millis(ask.limit_ms),
         deadline: traffic.shared.now() + Duration::from_millis(ask.left_ms),
     };
-    match admit_here(traffic, &desk, &need) {
+    let patience = Duration::from_millis(ask.patience_ms);
+    match admit_here(traffic, &desk, &need, patience) {
         Ok((ticket, forecast)) => WorkReply::Admitted(ticket, encode_forecast(&forecast)),
         Err(refusal) => WorkReply::NotAdmitted {
             late_ms: short_millis(refusal.late),
@@ -297,6 +329,6 @@
     ends.map(|end| short_millis(*end)).collect()
 }
 
-fn short_millis(span: Duration) -> u32 {
+pub(crate) fn short_millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -195,13 +195,9 @@
 /// Asks a target whether it is there.
 async fn is_silent(cell: &PieceCell, target: &TargetSpec) -> bool {
     let now = cell.traffic.shared.now();
-    if cell
-        .desk
-        .board
-        .borrow()
-        .rests_until(now, &target.id)
-        .is_some()
-    {
+    let rests = cell.desk.board.borrow().rests_until(now, &target.id);
+    let limit = cell.desk.limits.borrow().state(&target.id);
+    if rests.is_some() || limit.needs_permit() {
         // It wants no question either; the call goes on.
         return false;
     }
@@ -263,6 +259,11 @@
         CallFault::NotSent(reason) | CallFault::Closed(reason) => {
             cell.give_back(plan, reason, false);
         }
+        CallFault::Limited => {
+            let metrics = &traffic.shared.metrics;
+            metrics.note_service(&target.service, ServiceEvent::Limited);
+            cell.give_back(plan, "the target's limit is used up", false);
+        }
         CallFault::NotRun(status) => {
             log::debug!("target={} turned {count} pieces away: {status}", target.id);
             cell.pieces.board.borrow_mut().note_full(now, &target.id);
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -21,11 +21,14 @@
 use turnford_adapter::TargetWord;
 use turnford_http::HttpFault;
 use turnford_http::HttpLink;
+use turnford_policy::HeardWord;
+use turnford_policy::Moment;
 use turnford_policy::TargetSpec;
 
 use crate::desk::FlightGuard;
 use crate::desk::ServiceDesk;
 use crate::leaving::hear_leaving;
+use crate::limit_news::hear_limit;
 use crate::metrics::ServiceEvent;
 use crate::resting::hear_rest;
 use crate::traffic::Traffic;
@@ -54,6 +57,8 @@
     NotSent(&'static str),
     /// The same, since the target wants no such call of this node now.
     Closed(&'static str),
+    /// The same, since the target's limit for all nodes lets no further call through.
+    Limited,
     /// The target says that it did not run the request.
     NotRun(StatusCode),
     /// The request was handed over, and its connection ended or its target fell silent.
@@ -157,8 +162,8 @@
     let mut link = open_link(traffic, desk, target).await?;
     // The last moment before it is sent: it may have waited, and another node may have chosen its place.
     let now = traffic.shared.now();
-    if let Some(reason) = desk.closed_reason(now, &target.id, purpose) {
-        return Err(CallFault::Closed(reason));
+    if let Some(fault) = desk.closed_reason(now, &target.id, purpose) {
+        return Err(fault);
     }
     traffic
         .shared
@@ -180,6 +185,7 @@
     };
     let (parts, body) = answer.into_parts();
     let word = hear_word(traffic, desk, target, &parts, attempt);
+    read_limit(traffic, desk, target, &parts, attempt, now);
     let facts = decode_answer(&parts).map_err(|problem| {
         log::warn!("target={} answer refused: {problem}", target.id);
         CallFault::Unknown("the answer's head makes no sense")
@@ -241,17 +247,17 @@
         );
         hear_rest(traffic, desk, target, rest);
     }
-    hear_limit(traffic, desk, target, parts, attempt);
     word
 }
 
 /// Hears what a target says of the calls that it takes from all nodes together.
-fn hear_limit(
+fn read_limit(
     traffic: &Rc<Traffic>,
     desk: &Rc<ServiceDesk>,
     target: &TargetSpec,
     parts: &Parts,
     attempt: Option<&str>,
+    sent: Moment,
 ) {
     let word = match decode_limit(parts, attempt) {
         Ok(Some(word)) => word,
@@ -265,15 +271,12 @@
         let metrics = &traffic.shared.metrics;
         metrics.note_service(&target.service, ServiceEvent::NamedLimit);
     }
-    let mut board = desk.board.borrow_mut();
-    let before = board.note_limit_word(&target.id, target.born, word);
-    if let Some(before) = before.filter(|before| *before != word) {
-        log::info!(
-            "target={} limit={word} before={before}: request={}",
-            target.id,
-            attempt.unwrap_or("-")
-        );
-    }
+    let heard = HeardWord {
+        word,
+        sent,
+        heard: traffic.shared.now(),
+    };
+    hear_limit(traffic, desk, target, heard, attempt.unwrap_or("-"));
 }
 
 /// Notes an answer that belongs to another request; its connection is spoiled.
--- a/packages/turnford-serve/src/control/members.rs
+++ b/packages/turnford-serve/src/control/members.rs
@@ -13,6 +13,7 @@
 use turnford_adapter::StoreFault;
 use turnford_adapter::StoreObject;
 use turnford_adapter::NODE_KIND;
+use turnford_fleet::MemberRecord;
 use turnford_fleet::MemberState;
 use turnford_fleet::MemberUpdate;
 use turnford_fleet::ProbePlan;
@@ -43,6 +44,9 @@
 /// Shortest time between two pulls of the whole member list.
 const PULL_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time for which a member that does not answer may only be cut off from this node.
+const MISSING_SPAN: Duration = Duration::from_secs(30);
+
 /// Members that are told of a planned stop directly; they tell the others.
 const LEAVE_FANOUT: usize = 8;
 
@@ -110,9 +114,16 @@
         .collect();
     live.sort_by(|left, right| left.name.cmp(&right.name));
     let fleet = members.all().count() + 1;
+    let now = context.now();
+    let is_missing = |record: &&MemberRecord| {
+        let is_dead = record.update.state == MemberState::Dead;
+        is_dead && now.saturating_sub(record.since) < MISSING_SPAN
+    };
+    let missing = members.all().filter(is_missing).count();
     let shared = &context.shared;
     let view = shared.view.load();
-    if *view.members == live && view.fleet == fleet {
+    let is_known = *view.members == live && view.fleet == fleet;
+    if is_known && view.missing == missing {
         return;
     }
     shared.metrics.members.set(live.len() as u64);
@@ -120,6 +131,7 @@
     shared.set_view(|view| RouteView {
         members: live.clone(),
         fleet,
+        missing,
         ..view.clone()
     });
 }
--- a/packages/turnford-serve/src/desk.rs
+++ b/packages/turnford-serve/src/desk.rs
@@ -2,16 +2,21 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use turnford_fleet::DividerId;
+use turnford_fleet::LimitDivision;
 use turnford_fleet::TrialLedger;
 use turnford_fleet::TrialTicket;
 use turnford_policy::split_cells;
 use turnford_policy::EngineBoard;
 use turnford_policy::FlowBoard;
+use turnford_policy::LimitBoard;
+use turnford_policy::LimitState;
 use turnford_policy::Moment;
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceSpec;
@@ -23,6 +28,7 @@
 use turnford_policy::TargetSpec;
 use turnford_policy::RANK_COUNT;
 
+use crate::call::CallFault;
 use crate::call::CallPurpose;
 use crate::line::WaitLine;
 use crate::pieces::PieceDesk;
@@ -42,6 +48,14 @@
 pub(crate) struct ServiceDesk {
     pub(crate) spec: RefCell<Arc<ServiceSpec>>,
     pub(crate) board: RefCell<TargetBoard>,
+    /// Limits that targets name for all nodes together.
+    pub(crate) limits: RefCell<LimitBoard>,
+    /// Who divides them.
+    pub(crate) division: RefCell<LimitDivision>,
+    /// Whether that node places for the service, as long as there are limits.
+    pub(crate) is_divided: Cell<bool>,
+    /// Targets whose words are on their way to it.
+    pub(crate) limit_reports: RefCell<BTreeSet<TargetId>>,
     /// What is known of the targets where they are model engines.
     pub(crate) engines: RefCell<EngineBoard>,
     /// What admitted requests for this service still need of their stages.
@@ -68,10 +82,18 @@
 }
 
 impl ServiceDesk {
-    pub(crate) fn new(spec: Arc<ServiceSpec>, allowance: RetryAllowance) -> Rc<Self> {
+    pub(crate) fn new(
+        spec: Arc<ServiceSpec>,
+        allowance: RetryAllowance,
+        own: DividerId,
+    ) -> Rc<Self> {
         Rc::new(Self {
             spec: RefCell::new(spec),
             board: RefCell::default(),
+            limits: RefCell::default(),
+            division: RefCell::new(LimitDivision::new(own)),
+            is_divided: Cell::new(false),
+            limit_reports: RefCell::default(),
             engines: RefCell::default(),
             flow: RefCell::default(),
             allowance: RefCell::new(allowance),
@@ -101,25 +123,39 @@
     }
 
     /// Returns why a target takes no such call of this node now, `None` if it takes it. The call counts
-    /// as under way already.
+    /// as under way already, and uses up a permit where the target has a limit.
     pub(crate) fn closed_reason(
         &self,
         now: Moment,
         target: &str,
         purpose: CallPurpose<'_>,
-    ) -> Option<&'static str> {
+    ) -> Option<CallFault> {
         let board = self.board.borrow();
         let Some(spec) = board.get(target) else {
-            return Some("the target is gone");
+            return Some(CallFault::Closed("the target is gone"));
         };
         if spec.leaving && purpose != CallPurpose::Upkeep {
-            return Some("the target is leaving");
+            return Some(CallFault::Closed("the target is leaving"));
         }
         if board.rests_until(now, target).is_some() {
-            return Some("the target wants rest");
+            return Some(CallFault::Closed("the target wants rest"));
         }
         let has_room = purpose == CallPurpose::Upkeep || board.has_room(now, target);
-        (!has_room).then_some("the target comes back from its rest")
+        if !has_room {
+            return Some(CallFault::Closed("the target comes back from its rest"));
+        }
+        let has_permit = self.limits.borrow_mut().enter(now, target);
+        (!has_permit).then_some(CallFault::Limited)
+    }
+
+    /// Returns those of a cell's targets that take a further call of this node.
+    pub(crate) fn awake_targets(&self, now: Moment, targets: &[TargetSpec]) -> Vec<TargetSpec> {
+        let board = self.board.borrow();
+        let limits = self.limits.borrow();
+        let awake = targets
+            .iter()
+            .filter(|target| board.is_open(now, &target.id) && limits.is_open(now, &target.id));
+        awake.cloned().collect()
     }
 
     /// Notes a good answer of a target; it may let in those that wait.
@@ -137,14 +173,33 @@
         let is_awake = |target: &&TargetSpec| {
             !board.is_paused(now, &target.id) && !board.rests_anywhere(now, &target.id)
         };
-        let awake = open.filter(is_awake);
+        let awake: Vec<&TargetSpec> = open.filter(is_awake).collect();
         // Pauses are short: where all targets have one, some will soon be back.
         let least = board.open_count().min(1);
         let opens_in = board.serves_at(now).unwrap_or(now).saturating_sub(now);
-        let calls = awake.count().max(least) * batch.slots.max(1);
         let pieces = u32::try_from(batch.piece_limit.max(1)).unwrap_or(u32::MAX);
         let span = batch.call_span + batch.piece_span * pieces;
-        let nominal = calls as f64 * f64::from(pieces) / span.as_secs_f64().max(0.001);
+        let full = batch.slots.max(1) as f64 / span.as_secs_f64().max(0.001);
+        let limits = self.limits.borrow();
+        let calls = awake.iter().map(|target| match limits.state(&target.id) {
+            LimitState::Limited(rate) => full.min(rate),
+            LimitState::Free | LimitState::Easing => full,
+        });
+        let calls = if awake.is_empty() {
+            full * least as f64
+        } else {
+            calls.sum()
+        };
+        let nominal = calls * f64::from(pieces);
+        let all_limited = awake
+            .iter()
+            .all(|target| limits.state(&target.id).needs_permit());
+        let opens_in = if all_limited && calls > 0.0 && !awake.is_empty() {
+            // Half of the time between two calls, on the whole.
+            opens_in.max(Duration::from_secs_f64(0.5 / calls))
+        } else {
+            opens_in
+        };
         Some(StageRate {
             nominal,
             call_span: batch.call_span,
@@ -218,7 +273,8 @@
         let board = self.board.borrow();
         let targets = pieces.targets.borrow();
         let waiting = pieces.board.borrow();
-        let mut waits = waiting.expected_waits(now, &board, &awake_targets(now, &board, &targets));
+        let awake = self.awake_targets(now, &targets);
+        let mut waits = waiting.expected_waits(now, &board, &awake);
         let opening = next_opening(now, &board, &targets).unwrap_or(now);
         for wait in &mut waits {
             *wait = (*wait).max(opening.saturating_sub(now));
@@ -234,18 +290,6 @@
     }
 }
 
-/// Returns those of a cell's targets that take a further call of this node.
-pub(crate) fn awake_targets(
-    now: Moment,
-    board: &TargetBoard,
-    targets: &[TargetSpec],
-) -> Vec<TargetSpec> {
-    let awake = targets
-        .iter()
-        .filter(|target| board.is_open(now, &target.id));
-    awake.cloned().collect()
-}
-
 /// Returns when the first target of a cell takes calls of this node, `None` if one does now or there is
 /// none.
 pub(crate) fn next_opening(
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -37,6 +37,7 @@
 use crate::placement::PlaceEnd;
 use crate::placement::PlaceWish;
 use crate::record::RequestRecord;
+use crate::request::refuse_limited;
 use crate::request::refuse_resting;
 use crate::request::refuse_suspect;
 use crate::results::StageResults;
@@ -51,6 +52,9 @@
 /// ordinary times.
 const UNREACHED_LIMIT: usize = 8;
 
+/// Times that a request asks again for a call of a target whose limit was used up when it was to be sent.
+const LIMITED_TRIES: usize = 3;
+
 /// Time after which a target has fetched the inputs of a request that it was sent: it does so before
 /// it reads the prompt, and a few hundred kilobytes take some milliseconds.
 const FETCH_SPAN: Duration = Duration::from_millis(80);
@@ -85,6 +89,8 @@
     may_have_run: bool,
     /// Targets that were not reached.
     unreached: usize,
+    /// Targets whose limits let the request through no more when it was to be sent.
+    limited: usize,
     /// An answer that says that the target failed, kept in case nothing better comes.
     failed: Option<Response<AnswerBody>>,
 }
@@ -96,6 +102,7 @@
         sent: 0,
         may_have_run: false,
         unreached: 0,
+        limited: 0,
         failed: None,
     };
     let now = traffic.shared.now();
@@ -121,7 +128,10 @@
             PlaceEnd::TooLate(back_after) if !log.may_have_run => {
                 return ForwardEnd::Answer(refuse_resting(job.record, back_after));
             }
-            PlaceEnd::TooLate(_) | PlaceEnd::Nowhere => break,
+            PlaceEnd::Full(back_after) if !log.may_have_run => {
+                return ForwardEnd::Answer(refuse_limited(job.record, back_after));
+            }
+            PlaceEnd::TooLate(_) | PlaceEnd::Full(_) | PlaceEnd::Nowhere => break,
         };
         let target = placed.target.clone();
         log.tried.push(target.id.clone());
@@ -139,7 +149,9 @@
             Err(fault) => {
                 if !matches!(
                     fault,
-                    CallFault::Closed(_) | CallFault::NotRun(StatusCode::CONFLICT)
+                    CallFault::Closed(_)
+                        | CallFault::Limited
+                        | CallFault::NotRun(StatusCode::CONFLICT)
                 ) {
                     placed.note_refused();
                 }
@@ -320,6 +332,22 @@
                 job.desk.allowance.borrow_mut().give_back();
             }
         }
+        CallFault::Limited => {
+            // No try either; there may be a permit again for the same target.
+            let metrics = &traffic.shared.metrics;
+            metrics.note_service(&target.service, ServiceEvent::Limited);
+            job.record.note(format_args!(
+                "{} not asked: its limit is used up",
+                target.id
+            ));
+            if log.sent > 0 {
+                job.desk.allowance.borrow_mut().give_back();
+            }
+            log.limited += 1;
+            if log.limited <= LIMITED_TRIES {
+                log.tried.retain(|tried| *tried != target.id);
+            }
+        }
         CallFault::NotSent(reason) => {
             log.unreached += 1;
             job.record
--- a/packages/turnford-serve/src/leaving.rs
+++ b/packages/turnford-serve/src/leaving.rs
@@ -25,6 +25,7 @@
 use crate::fanout::tell_peers;
 use crate::fanout::tell_some;
 use crate::fanout::NewsQueue;
+use crate::limits::wait_permit;
 use crate::traffic::Traffic;
 use crate::work::doer_of;
 
@@ -40,6 +41,9 @@
 /// Longest wait for that answer. It waits for a place at the target, as a request does.
 const ASK_LIMIT: Duration = Duration::from_secs(1);
 
+/// Longest wait for a call where the target has a limit.
+const PERMIT_LIMIT: Duration = Duration::from_secs(5);
+
 /// Longest body of that answer, in bytes.
 const ANSWER_LIMIT: usize = 16 * 1024;
 
@@ -141,6 +145,11 @@
 }
 
 async fn ask_target(traffic: Rc<Traffic>, desk: Rc<ServiceDesk>, target: TargetSpec) {
+    let until = traffic.shared.now() + PERMIT_LIMIT;
+    if !wait_permit(&traffic, &desk, &target, until).await {
+        log::info!("target={} has no call for a question", target.id);
+        return;
+    }
     let stays = read_health(&traffic, &desk, &target).await;
     log::info!("target={} was asked whether it stays: {stays:?}", target.id);
     if stays == Ok(true) {
@@ -152,6 +161,12 @@
 }
 
 /// Asks a target whether it is well and does not leave.
+/// Asks a target how it is, so that it says what it wants said.
+pub(crate) async fn ask_health(traffic: Rc<Traffic>, desk: Rc<ServiceDesk>, target: TargetSpec) {
+    let end = read_health(&traffic, &desk, &target).await;
+    log::info!("target={} was asked how it is: {end:?}", target.id);
+}
+
 async fn read_health(
     traffic: &Rc<Traffic>,
     desk: &Rc<ServiceDesk>,
--- /dev/null
+++ b/packages/turnford-serve/src/limit_place.rs
@@ -0,0 +1,181 @@
+//! Places at targets of which some have limits for all nodes together.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use turnford_fleet::PermitUse;
+use turnford_fleet::TurnAnswer;
+use turnford_fleet::TurnAsk;
+use turnford_policy::Moment;
+use turnford_policy::PlaceNeed;
+use turnford_policy::TargetId;
+use turnford_policy::TargetSpec;
+
+use crate::desk::ServiceDesk;
+use crate::limits::ask_permit;
+use crate::limits::PermitEnd;
+use crate::placement::choose_plain;
+use crate::traffic::Traffic;
+
+/// Pause before a request looks again where this node does not divide.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
+/// Where a request may run, by what this node knows.
+pub(crate) enum LimitedPlace {
+    /// At a target.
+    At {
+        target: TargetSpec,
+        /// Number of the placement.
+        ticket: u64,
+        /// Whether it comes with a permit for one call.
+        has_permit: bool,
+    },
+    /// No target is left.
+    Nowhere,
+    /// All that are left have limits, and it should ask again after this time.
+    Later(Duration),
+    /// All that are left have limits, and its turn does not come in time; when to come back.
+    Full(Duration),
+}
+
+impl LimitedPlace {
+    fn of(placed: Option<(TargetSpec, u64)>) -> Self {
+        placed.map_or(LimitedPlace::Nowhere, |(target, ticket)| LimitedPlace::At {
+            target,
+            ticket,
+            has_permit: false,
+        })
+    }
+}
+
+/// Places a request: at targets with room first, in turn where all have limits.
+pub(crate) fn place_limited(
+    traffic: &Traffic,
+    desk: &ServiceDesk,
+    need: &PlaceNeed,
+    turn: &TurnAsk,
+) -> LimitedPlace {
+    if !desk.limits.borrow().has_limits() {
+        return LimitedPlace::of(place_best(traffic, desk, need));
+    }
+    let now = traffic.shared.now();
+    let left = desk.board.borrow().untried_targets(&need.tried);
+    let mut division = desk.division.borrow_mut();
+    let Some(divider) = division.divider() else {
+        drop(division);
+        return place_beside(traffic, desk, need, &left);
+    };
+    let (limited, free): (Vec<TargetId>, Vec<TargetId>) =
+        left.into_iter().partition(|id| divider.is_limited(now, id));
+    let is_any_awake = {
+        let board = desk.board.borrow();
+        free.iter().any(|id| !board.is_paused(now, id))
+    };
+    if !limited.is_empty() && !is_any_awake {
+        match divider.ask_turn(now, turn, &limited) {
+            TurnAnswer::Now => {}
+            TurnAnswer::Wait(span) => return LimitedPlace::Later(span),
+            TurnAnswer::Never(span) => return LimitedPlace::Full(span),
+        }
+    }
+    let mut need = need.clone();
+    let used_up = limited.iter().filter(|id| !divider.has_room(now, id));
+    need.tried
+        .extend(used_up.cloned().collect::<Vec<TargetId>>());
+    let Some((target, ticket)) = place_best(traffic, desk, &need) else {
+        return LimitedPlace::Nowhere;
+    };
+    let has_permit = limited.contains(&target.id);
+    if let Err(wait) = divider.take(now, &target.id, PermitUse::Work) {
+        desk.engines.borrow_mut().note_ended(ticket);
+        return LimitedPlace::Later(wait);
+    }
+    LimitedPlace::At {
+        target,
+        ticket,
+        has_permit,
+    }
+}
+
+/// Places a request at a target without a limit, since this node does not divide.
+fn place_beside(
+    traffic: &Traffic,
+    desk: &ServiceDesk,
+    need: &PlaceNeed,
+    left: &[TargetId],
+) -> LimitedPlace {
+    let now = traffic.shared.now();
+    let mut need = need.clone();
+    let limits = desk.limits.borrow();
+    let closed = left.iter().filter(|id| !limits.is_open(now, id));
+    need.tried
+        .extend(closed.cloned().collect::<Vec<TargetId>>());
+    drop(limits);
+    match place_best(traffic, desk, &need) {
+        Some(placed) => LimitedPlace::of(Some(placed)),
+        None if left.is_empty() => LimitedPlace::Nowhere,
+        None => LimitedPlace::Later(LOOK_PAUSE),
+    }
+}
+
+/// Places a request at the best target that it was not sent to before.
+fn place_best(
+    traffic: &Traffic,
+    desk: &ServiceDesk,
+    need: &PlaceNeed,
+) -> Option<(TargetSpec, u64)> {
+    if desk.spec.borrow().engine.is_none() {
+        let target = choose_plain(traffic, desk, &need.tried)?;
+        return Some((target, desk.take_trial_number()));
+    }
+    let now = traffic.shared.now();
+    let board = desk.board.borrow();
+    desk.engines.borrow_mut().place(now, &board, need)
+}
+
+/// Chooses a target that is no engine, where some have limits: by what this node knows, with a permit for one
+/// that has a limit.
+///
+/// # Errors
+///
+/// Returns nothing where all that are left have limits, so that requests of all nodes take turns.
+pub(crate) async fn choose_limited(
+    traffic: &Rc<Traffic>,
+    desk: &Rc<ServiceDesk>,
+    tried: &[TargetId],
+) -> Result<Option<TargetSpec>, ()> {
+    loop {
+        let now = traffic.shared.now();
+        let left = desk.board.borrow().untried_targets(tried);
+        if !has_free(desk, now, &left) {
+            return if left.is_empty() { Ok(None) } else { Err(()) };
+        }
+        let denied = {
+            let limits = desk.limits.borrow();
+            let denied = left.iter().filter(|id| !limits.may_open(now, id));
+            denied.cloned().collect::<Vec<TargetId>>()
+        };
+        let closed = [tried, &denied[..]].concat();
+        let Some(target) = choose_plain(traffic, desk, &closed) else {
+            return Ok(None);
+        };
+        if desk.limits.borrow().is_open(now, &target.id) {
+            return Ok(Some(target));
+        }
+        match ask_permit(traffic, desk, &target, PermitUse::Work).await {
+            PermitEnd::Granted => return Ok(Some(target)),
+            PermitEnd::Wait(span) => {
+                let until = traffic.shared.now() + span.max(LOOK_PAUSE);
+                desk.limits.borrow_mut().note_denied(&target.id, until);
+            }
+        }
+    }
+}
+
+/// Tells whether any of these targets needs no permit and is not paused.
+fn has_free(desk: &ServiceDesk, now: Moment, targets: &[TargetId]) -> bool {
+    let board = desk.board.borrow();
+    let limits = desk.limits.borrow();
+    let mut free = targets.iter().filter(|id| !limits.state(id).needs_permit());
+    free.any(|id| !board.is_paused(now, id))
+}
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -68,6 +68,10 @@
     AskedForRest,
     /// A target named in an answer a limit for all nodes together.
     NamedLimit,
+    /// This node got a permit for a call to such a target.
+    Permit,
+    /// A call was not made for want of one.
+    Limited,
 }
 
 impl ServiceEvent {
@@ -84,6 +88,8 @@
             ServiceEvent::SaidLeaving => "said-leaving",
             ServiceEvent::AskedForRest => "asked-for-rest",
             ServiceEvent::NamedLimit => "named-limit",
+            ServiceEvent::Permit => "permit",
+            ServiceEvent::Limited => "limited",
         }
     }
 }
@@ -107,6 +113,11 @@
     /// Requests under which targets crashed that this node knows, and those of them that are refused.
     pub(crate) suspects: Gauge<u64, AtomicU64>,
     pub(crate) crashing: Gauge<u64, AtomicU64>,
+    /// Targets whose calls need permits, as this node knows them.
+    pub(crate) limited_targets: Gauge<u64, AtomicU64>,
+    /// Calls a second that this node gives out to all nodes, and requests that wait for them.
+    pub(crate) limit_rate: Gauge<f64, AtomicU64>,
+    pub(crate) limit_line: Gauge<u64, AtomicU64>,
     pub(crate) log_drops: Gauge<u64, AtomicU64>,
 }
 
@@ -127,6 +138,9 @@
             target_crashes: Counter::default(),
             suspects: Gauge::default(),
             crashing: Gauge::default(),
+            limited_targets: Gauge::default(),
+            limit_rate: Gauge::default(),
+            limit_line: Gauge::default(),
             log_drops: Gauge::default(),
         };
         metrics.register();
@@ -188,6 +202,21 @@
             "Of these, requests that are refused since they crash targets",
             self.crashing.clone(),
         );
+        registry.register(
+            "limited_targets",
+            "Targets with a limit for all nodes together",
+            self.limited_targets.clone(),
+        );
+        registry.register(
+            "limit_rate",
+            "Calls a second to such targets that this node gives out to all nodes",
+            self.limit_rate.clone(),
+        );
+        registry.register(
+            "limit_line",
+            "Requests of all nodes that wait for such calls at this node",
+            self.limit_line.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines that the full queue dropped",
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -33,6 +33,7 @@
 use crate::entry::handle_client;
 use crate::kept::KeptSuspects;
 use crate::leaving::ask_leaving;
+use crate::limit_news::follow_limits;
 use crate::metrics::ServeMetrics;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
@@ -244,6 +245,7 @@
     executor.spawn(learn_crashes(traffic.clone())).detach();
     executor.spawn(compare_crashes(traffic.clone())).detach();
     executor.spawn(ask_leaving(traffic.clone())).detach();
+    executor.spawn(follow_limits(traffic.clone())).detach();
     let listener = listeners.listener;
     let head_limit = ClientLimits::default().head_bytes;
     let turning = traffic.shared.clone();
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -11,19 +12,22 @@
 
 use turnford_adapter::PieceEnd;
 use turnford_fleet::CrashVerdict;
+use turnford_fleet::PermitUse;
 use turnford_policy::BatchBoard;
 use turnford_policy::BatchPlan;
 use turnford_policy::BatchSpec;
 use turnford_policy::Moment;
 use turnford_policy::PieceTicket;
 use turnford_policy::PieceWork;
+use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
 
 use crate::batch::ask_report;
 use crate::batch::run_batch;
-use crate::desk::awake_targets;
 use crate::desk::ServiceDesk;
 use crate::inputs::InputHold;
+use crate::limits::ask_permit;
+use crate::limits::PermitEnd;
 use crate::release::release_results;
 use crate::release::PieceResult;
 use crate::traffic::Traffic;
@@ -62,6 +66,8 @@
     pub(crate) last_fault: Cell<Option<Moment>>,
     /// When the next look is due though nothing happens until then.
     next_look: Cell<Option<Moment>>,
+    /// Targets with limits that permits are asked for.
+    asked: RefCell<BTreeSet<TargetId>>,
 }
 
 impl PieceDesk {
@@ -72,6 +78,7 @@
             takers: RefCell::default(),
             last_fault: Cell::new(None),
             next_look: Cell::new(None),
+            asked: RefCell::default(),
         })
     }
 
@@ -181,7 +188,7 @@
             let board = self.desk.board.borrow();
             let targets = self.pieces.targets.borrow();
             let mut pieces = self.pieces.board.borrow_mut();
-            pieces.plan(now, &board, &awake_targets(now, &board, &targets))
+            pieces.plan(now, &board, &self.desk.awake_targets(now, &targets))
         };
         for ticket in late {
             // A request that left needs no word.
@@ -193,6 +200,7 @@
             let run = run_batch(self.clone(), plan);
             self.traffic.executor.spawn(run).detach();
         }
+        self.ask_permits(now);
         self.schedule_look(now);
     }
 
@@ -200,9 +208,16 @@
     fn ask_unknown(&self, now: Moment) {
         let unknown = {
             let targets = self.pieces.targets.borrow();
-            let awake = awake_targets(now, &self.desk.board.borrow(), &targets);
+            let awake = self.desk.awake_targets(now, &targets);
+            let limits = self.desk.limits.borrow();
+            let needs_permit = |target: &TargetSpec| limits.state(&target.id).needs_permit();
+            let (limited, free): (Vec<TargetSpec>, Vec<TargetSpec>) =
+                awake.into_iter().partition(needs_permit);
             let mut board = self.pieces.board.borrow_mut();
-            board.take_unknown(now, &awake)
+            for target in limited {
+                board.assume_known(now, &target.id);
+            }
+            board.take_unknown(now, &free)
         };
         if !unknown.is_empty() {
             let waiting = self.pieces.board.borrow().waiting();
@@ -218,6 +233,29 @@
         }
     }
 
+    /// Asks for permits for calls to targets with limits that could be made now.
+    fn ask_permits(&self, now: Moment) {
+        let targets = self.pieces.targets.borrow();
+        for target in targets
+            .iter()
+            .filter(|target| self.wants_permit(now, target))
+        {
+            if self.pieces.asked.borrow_mut().insert(target.id.clone()) {
+                let ask = ask_piece_permit(self.clone(), target.clone());
+                self.traffic.executor.spawn(ask).detach();
+            }
+        }
+    }
+
+    fn wants_permit(&self, now: Moment, target: &TargetSpec) -> bool {
+        let limits = self.desk.limits.borrow();
+        let board = self.desk.board.borrow();
+        let is_limited = !limits.is_open(now, &target.id) && limits.may_open(now, &target.id);
+        let is_open = board.is_open(now, &target.id) && !board.is_paused(now, &target.id);
+        let has_use = || self.pieces.board.borrow().has_use_for(now, &target.id);
+        is_limited && is_open && has_use()
+    }
+
     /// Looks again when a pause or a deadline ends.
     fn schedule_look(&self, now: Moment) {
         let look = self.pieces.board.borrow_mut().next_look(now);
@@ -337,3 +375,15 @@
         }
     }
 }
+
+/// Asks for a permit for one target, and looks again when there is one, or may be.
+async fn ask_piece_permit(cell: PieceCell, target: TargetSpec) {
+    let end = ask_permit(&cell.traffic, &cell.desk, &target, PermitUse::Work).await;
+    if let PermitEnd::Wait(span) = end {
+        let until = cell.traffic.shared.now() + span;
+        cell.desk.limits.borrow_mut().note_denied(&target.id, until);
+        Timer::after(span).await;
+    }
+    cell.pieces.asked.borrow_mut().remove(&target.id);
+    cell.pump();
+}
--- a/packages/turnford-serve/src/release.rs
+++ b/packages/turnford-serve/src/release.rs
@@ -16,6 +16,7 @@
 use crate::call::CallPurpose;
 use crate::desk::ServiceDesk;
 use crate::gather::release_at_peer;
+use crate::limits::wait_permit;
 use crate::traffic::Traffic;
 use crate::wait::wait_until;
 
@@ -46,6 +47,15 @@
     waiting: RefCell<HashMap<ReleasePlace, Vec<PieceResult>>>,
 }
 
+impl ResultReleaser {
+    /// Returns the target that keeps the results of a place.
+    fn maker(&self, place: &ReleasePlace) -> Option<TargetSpec> {
+        let waiting = self.waiting.borrow();
+        let first = waiting.get(place).and_then(|results| results.first());
+        first.map(|result| result.maker.clone())
+    }
+}
+
 /// Gives results up, soon.
 pub(crate) fn release_results(traffic: &Rc<Traffic>, results: Vec<PieceResult>) {
     for result in results {
@@ -62,6 +72,7 @@
 
 async fn send_release(traffic: Rc<Traffic>, place: ReleasePlace) {
     Timer::after(GATHER_SPAN).await;
+    let has_call = place.1.is_some() || wait_call(&traffic, &place).await;
     let results = traffic.releaser.waiting.borrow_mut().remove(&place);
     let results = results.unwrap_or_default();
     if let Some(peer) = place.1 {
@@ -76,7 +87,7 @@
         return;
     };
     let handles: Vec<String> = results.into_iter().map(|result| result.handle).collect();
-    if !wait_rest(&traffic, &desk, &maker, handles.len()).await {
+    if !has_call || !wait_rest(&traffic, &desk, &maker, handles.len()).await {
         return;
     }
     if let Err(reason) = send_handles(&traffic, &desk, &maker, &handles).await {
@@ -90,6 +101,29 @@
     traffic.note_released(&desk, &handles);
 }
 
+/// Waits for a call to a target with a limit, while more results are gathered; false if there is none before
+/// they go by themselves.
+async fn wait_call(traffic: &Rc<Traffic>, place: &ReleasePlace) -> bool {
+    let Some(maker) = traffic.releaser.maker(place) else {
+        return false;
+    };
+    let Some(desk) = traffic.desk(&maker.service) else {
+        return false;
+    };
+    let until = traffic.shared.now() + kept_span(&desk);
+    let has_call = wait_permit(traffic, &desk, &maker, until).await;
+    if !has_call {
+        log::info!("target={} has no call for a release", maker.id);
+    }
+    has_call
+}
+
+/// Returns the time after which results go by themselves.
+fn kept_span(desk: &ServiceDesk) -> Duration {
+    let batch = desk.spec.borrow().batch.clone();
+    batch.map_or(Duration::ZERO, |batch| batch.result_span)
+}
+
 /// Waits until a target that wants rest takes calls again; false if its results go by themselves before.
 async fn wait_rest(
     traffic: &Traffic,
@@ -97,9 +131,7 @@
     maker: &TargetSpec,
     results: usize,
 ) -> bool {
-    let batch = desk.spec.borrow().batch.clone();
-    let kept = batch.map_or(Duration::ZERO, |batch| batch.result_span);
-    let latest = traffic.shared.now() + kept;
+    let latest = traffic.shared.now() + kept_span(desk);
     loop {
         let now = traffic.shared.now();
         let rests_until = desk.board.borrow().rests_until(now, &maker.id);
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -314,6 +314,13 @@
     refuse_admitted(record, ResultCode::NoTarget, reason, back_after)
 }
 
+/// Refuses a request whose targets' limits leave no call for it in time.
+pub(crate) fn refuse_limited(record: &RequestRecord, back_after: Duration) -> Response<AnswerBody> {
+    let reason = "the limits of its targets leave no call for it in time";
+    let back_after = back_after.max(RETRY_AFTER);
+    refuse_admitted(record, ResultCode::NoTarget, reason, back_after)
+}
+
 /// Refuses a request that has not run and never will.
 fn refuse_admitted(
     record: &RequestRecord,
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -59,6 +59,8 @@
     pub(crate) members: Arc<Vec<FleetMember>>,
     /// Most nodes that may be alive, this one among them.
     pub(crate) fleet: usize,
+    /// Nodes among them that fell silent lately and did not stop as planned.
+    pub(crate) missing: usize,
 }
 
 impl RouteView {
@@ -67,6 +69,11 @@
         self.fleet.max(LEAST_FLEET) as f64
     }
 
+    /// Tells whether this node reaches at least half of the nodes that may be alive, itself among them.
+    pub(crate) fn reaches_half(&self) -> bool {
+        self.members.len() + 1 >= self.missing
+    }
+
     /// Tells whether requests can be served.
     pub(crate) fn is_complete(&self) -> bool {
         self.config.version > 0 && !self.targets.is_empty()
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -22,6 +22,7 @@
 use crate::crash_check::check_starts;
 use crate::desk::ServiceDesk;
 use crate::leaving::LeavingQueue;
+use crate::limits::own_divider;
 use crate::pieces::PieceCell;
 use crate::progress::ProgressQueue;
 use crate::release::ResultReleaser;
@@ -129,7 +130,7 @@
     fn new_desk(&self, spec: &Arc<ServiceSpec>) -> Rc<ServiceDesk> {
         let repeats = self.shared.settings.repeats;
         let allowance = RetryAllowance::new(repeats.window, repeats.ratio, 0.0);
-        ServiceDesk::new(spec.clone(), allowance)
+        ServiceDesk::new(spec.clone(), allowance, own_divider(self))
     }
 
     fn refresh_targets(&self, view: &RouteView, service: &str, desk: &ServiceDesk) {
@@ -148,6 +149,8 @@
                 self.crashes.note_left(&target);
             }
         }
+        let now = self.shared.now();
+        desk.limits.borrow_mut().keep_only(now, &board);
         let mut engines = desk.engines.borrow_mut();
         engines.keep_only(&board);
         if let Some(engine) = &desk.spec.borrow().engine {
--- a/packages/turnford-serve/src/trial.rs
+++ b/packages/turnford-serve/src/trial.rs
@@ -7,6 +7,7 @@
 
 use turnford_fleet::CrashVerdict;
 use turnford_fleet::TrialEntry;
+use turnford_fleet::TurnAsk;
 use turnford_policy::PlaceNeed;
 use turnford_policy::RequestDigest;
 use turnford_policy::ResultCode;
@@ -14,7 +15,8 @@
 
 use crate::crash::SuspectGuard;
 use crate::desk::ServiceDesk;
-use crate::placement::choose_plain;
+use crate::limit_place::place_limited;
+use crate::limit_place::LimitedPlace;
 use crate::record::RequestRecord;
 use crate::traffic::Traffic;
 
@@ -37,7 +39,13 @@
         ticket: u64,
         /// Whether it is the only suspect there.
         is_alone: bool,
+        /// Whether it comes with a permit for one call.
+        has_permit: bool,
     },
+    /// All targets have limits, and it should ask again after this time.
+    Later(Duration),
+    /// All targets have limits, and its turn does not come in time; when to come back.
+    Full(Duration),
     /// No target can take it.
     Nowhere,
     /// Another copy of it is on trial.
@@ -115,12 +123,13 @@
     desk: &ServiceDesk,
     digest: RequestDigest,
     need: &PlaceNeed,
+    turn: &TurnAsk,
 ) -> CheckedPlace {
     let now = traffic.shared.now();
     let verdict = traffic.crashes.verdict(now, &digest);
     let mut trials = desk.trials.borrow_mut();
     let (is_alone, taken) = match trials.enter(now, &digest, verdict) {
-        TrialEntry::Freely => return place_sound(traffic, desk, need),
+        TrialEntry::Freely => return place_sound(traffic, desk, need, turn),
         TrialEntry::Refused(until) => return CheckedPlace::Refused(until.saturating_sub(now)),
         TrialEntry::Held => return CheckedPlace::Held,
         TrialEntry::OnTrial { is_alone, taken } => (is_alone, taken),
@@ -128,40 +137,46 @@
     let is_any_taken = !taken.is_empty();
     let mut need = need.clone();
     need.tried.extend(taken);
-    match place_freely(traffic, desk, &need) {
-        Some((target, ticket)) => {
+    match place_limited(traffic, desk, &need, turn) {
+        LimitedPlace::At {
+            target,
+            ticket,
+            has_permit,
+        } => {
             trials.start(ticket, digest, target.id.clone(), is_alone, need.deadline);
             CheckedPlace::At {
                 target,
                 ticket,
                 is_alone,
+                has_permit,
             }
         }
-        None if is_any_taken => CheckedPlace::Held,
-        None => CheckedPlace::Nowhere,
+        LimitedPlace::Nowhere if is_any_taken => CheckedPlace::Held,
+        LimitedPlace::Nowhere => CheckedPlace::Nowhere,
+        LimitedPlace::Later(span) => CheckedPlace::Later(span),
+        LimitedPlace::Full(span) => CheckedPlace::Full(span),
     }
 }
 
-fn place_sound(traffic: &Traffic, desk: &ServiceDesk, need: &PlaceNeed) -> CheckedPlace {
-    let placed = place_freely(traffic, desk, need);
-    placed.map_or(CheckedPlace::Nowhere, |(target, ticket)| CheckedPlace::At {
-        target,
-        ticket,
-        is_alone: false,
-    })
-}
-
-/// Places a request at the best target that it was not sent to before.
-fn place_freely(
+fn place_sound(
     traffic: &Traffic,
     desk: &ServiceDesk,
     need: &PlaceNeed,
-) -> Option<(TargetSpec, u64)> {
-    if desk.spec.borrow().engine.is_none() {
-        let target = choose_plain(traffic, desk, &need.tried)?;
-        return Some((target, desk.take_trial_number()));
+    turn: &TurnAsk,
+) -> CheckedPlace {
+    match place_limited(traffic, desk, need, turn) {
+        LimitedPlace::At {
+            target,
+            ticket,
+            has_permit,
+        } => CheckedPlace::At {
+            target,
+            ticket,
+            is_alone: false,
+            has_permit,
+        },
+        LimitedPlace::Nowhere => CheckedPlace::Nowhere,
+        LimitedPlace::Later(span) => CheckedPlace::Later(span),
+        LimitedPlace::Full(span) => CheckedPlace::Full(span),
     }
-    let now = traffic.shared.now();
-    let board = desk.board.borrow();
-    desk.engines.borrow_mut().place(now, &board, need)
 }
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -32,6 +32,10 @@
 use crate::gather::answer_pieces;
 use crate::gather::answer_release;
 use crate::leaving::answer_leaving;
+use crate::limit_news::answer_limit_sync;
+use crate::limit_news::answer_limits;
+use crate::limit_news::answer_report;
+use crate::limits::answer_permit;
 use crate::placement::answer_place;
 use crate::progress::answer_progress;
 use crate::resting::answer_rest;
@@ -41,7 +45,7 @@
 pub(crate) const SILENCE_SPAN: Duration = Duration::from_millis(150);
 
 /// Longest wait for that answer. Nodes answer in a few milliseconds; a slow one in some tens.
-const ALIVE_LIMIT: Duration = Duration::from_millis(250);
+pub(crate) const ALIVE_LIMIT: Duration = Duration::from_millis(250);
 
 /// Time for which a node that did not answer gets no work. Its own probes find out meanwhile.
 const DOWN_SPAN: Duration = Duration::from_secs(3);
@@ -60,9 +64,15 @@
 }
 
 impl PeerState {
-    fn takes_work(&self, now: Moment) -> bool {
+    pub(crate) fn takes_work(&self, now: Moment) -> bool {
         self.down_until.get() <= now && self.refuses_until.get() <= now
     }
+
+    /// Notes that another node heard of it: it may get work again.
+    pub(crate) fn note_heard_of(&self) {
+        self.down_until.set(Moment::ZERO);
+        self.refuses_until.set(Moment::ZERO);
+    }
 }
 
 /// The calling side of work between nodes.
@@ -193,7 +203,11 @@
     match request {
         WorkRequest::Alive => WorkReply::Noted,
         // Another node gathers from now on.
-        WorkRequest::Pieces(_) | WorkRequest::Admit(_) | WorkRequest::Place(_)
+        WorkRequest::Pieces(_)
+        | WorkRequest::Admit(_)
+        | WorkRequest::Place(_)
+        | WorkRequest::Permit(_)
+        | WorkRequest::LimitReport(_)
             if traffic.shared.is_draining() =>
         {
             WorkReply::Refused
@@ -208,6 +222,10 @@
         WorkRequest::Place(ask) => answer_place(&traffic, ask),
         WorkRequest::Crashes(news) => answer_crashes(&traffic, news),
         WorkRequest::CrashSync { sum, is_new } => answer_crash_sync(&traffic, sum, is_new),
+        WorkRequest::LimitReport(report) => answer_report(&traffic, &report),
+        WorkRequest::Permit(ask) => answer_permit(&traffic, &ask),
+        WorkRequest::Limits(news) => answer_limits(&traffic, &news),
+        WorkRequest::LimitSync(marks) => answer_limit_sync(&traffic, &marks),
         WorkRequest::Leaving(news) => answer_leaving(&traffic, news),
         WorkRequest::Resting(news) => answer_rest(&traffic, &news),
         WorkRequest::Progress { service, news } => {
--- a/packages/turnford-wire/src/codec.rs
+++ b/packages/turnford-wire/src/codec.rs
@@ -9,7 +9,7 @@
 use crate::PeerRequest;
 
 /// Version that this program speaks.
-pub const PROTOCOL_VERSION: u8 = 3;
+pub const PROTOCOL_VERSION: u8 = 4;
 
 /// Largest frame, in bytes.
 ///
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -3,11 +3,17 @@
 use std::net::SocketAddr;
 
 use turnford_fleet::CrashNews;
+use turnford_fleet::LimitTerm;
 use turnford_fleet::MemberUpdate;
 use turnford_policy::StorePlace;
 use turnford_policy::DIGEST_BYTES;
 
+use crate::LimitMark;
+use crate::LimitNews;
+use crate::LimitReport;
 use crate::PackedText;
+use crate::PermitAsk;
+use crate::PermitReply;
 
 /// How new a node's knowledge is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, bincode::Encode, bincode::Decode)]
@@ -228,6 +234,23 @@
     pub due_ms: u64,
     /// Milliseconds until the request ends at the latest.
     pub left_ms: u64,
+    /// Who divides the limits of the service's targets, as the sender knows it.
+    pub term: Option<LimitTerm>,
+    /// What matters where all targets have limits.
+    pub turn: PlaceTurn,
+}
+
+/// A request's claim to a turn where all targets have limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct PlaceTurn {
+    /// Number of the request; it keeps it while it waits.
+    pub number: u64,
+    /// Its ranks, the one of its account before that of its route; 0 goes first.
+    pub ranks: (u8, u8),
+    /// Milliseconds since it began to wait.
+    pub waited_ms: u32,
+    /// Milliseconds until it must be sent at the latest.
+    pub patience_ms: u32,
 }
 
 /// Where a request is placed.
@@ -242,7 +265,21 @@
         /// Whether targets crashed while they ran such a request, and it is the only such one
         /// there.
         is_alone: bool,
+        /// Whether it comes with a permit for one call, where the target has a limit.
+        has_permit: bool,
+    },
+    /// All targets have limits, and it is not its turn.
+    Later {
+        /// Milliseconds after which it should ask again.
+        wait_ms: u32,
     },
+    /// All targets have limits, and its turn does not come in time.
+    Full {
+        /// Milliseconds after which there will be room for one like it.
+        back_ms: u32,
+    },
+    /// Another node places, since it divides the limits of the targets.
+    Elsewhere(LimitTerm),
     /// No target can take it.
     Nowhere,
     /// Targets crashed while they ran such a request, and another copy of it runs now.
@@ -276,6 +313,8 @@
     pub ranks: (u8, u8),
     /// Milliseconds in which its stages must be done.
     pub limit_ms: u64,
+    /// Milliseconds in which it must be sent to its own target.
+    pub patience_ms: u64,
     /// Milliseconds until the request ends at the latest.
     pub left_ms: u64,
 }
@@ -320,7 +359,7 @@
 }
 
 /// A call from one traffic thread to another.
-#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+#[derive(Clone, Debug, PartialEq, bincode::Encode, bincode::Decode)]
 pub enum WorkRequest {
     /// Are you there?
     Alive,
@@ -350,6 +389,14 @@
     },
     /// These targets said that they leave.
     Leaving(Vec<LeavingNews>),
+    /// An answer of a target said this of its limit.
+    LimitReport(LimitReport),
+    /// May I send a call to this target, which has a limit?
+    Permit(PermitAsk),
+    /// This holds of targets' limits.
+    Limits(Vec<LimitNews>),
+    /// What do you know of limits that I don't?
+    LimitSync(Vec<LimitMark>),
     /// This target of a stage wants rest of the sender, who gathers for it.
     Resting(RestNews),
     /// What became of placed requests.
@@ -369,7 +416,7 @@
 }
 
 /// Answer of a traffic thread.
-#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+#[derive(Clone, Debug, PartialEq, bincode::Encode, bincode::Decode)]
 pub enum WorkReply {
     /// To the question whether it is there, to crashes, to targets that leave or rest, to progress and to a release.
     Noted,
@@ -403,6 +450,15 @@
         /// Those, where the sums differ.
         news: Vec<CrashNews>,
     },
+    /// To an ask for a permit.
+    Permit(PermitReply),
+    /// To a report of a limit and to a limit sync.
+    Limits {
+        /// What is new to the sender.
+        news: Vec<LimitNews>,
+        /// Services of which the sender knows more.
+        behind: Vec<String>,
+    },
     /// The call was not understood, or the node can't do it.
     Refused,
 }
