Have targets of the soak name limits for all nodes together

Cause: nodes that divide a limit were not killed, stopped and frozen as processes. Change: two targets of each run name a limit of 0 to 8 a second for 7 to 9 s beside the other faults; windows of 4 s are checked as the targets see them, calls of pieces too.

--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -35,6 +35,13 @@
 /// Faults of one run that have to do with what targets say in their answers, and with the store's copies.
 const WORD_FAULTS: usize = 6;
 
+/// Targets of one run that name a limit for all nodes together, and the limits.
+const LIMITS: usize = 2;
+const LIMIT_RATES: [&str; 5] = ["0", "0.5", "1", "3", "8"];
+
+/// Time in which they begin: what comes after has to be over with the last fault.
+const LIMIT_BEGIN_SPAN: Duration = Duration::from_secs(4);
+
 /// What a slow link to the store carries, in bytes a second: the largest configuration of a run
 /// takes two seconds.
 const SLOW_RATE: u32 = 200_000;
@@ -72,6 +79,8 @@
     Rest(usize, Duration),
     /// The store is away for a moment and comes back from a copy that is so old.
     Drill(Duration),
+    /// The target names a limit in its answers for a while.
+    Limit(usize, &'static str, Duration),
 }
 
 /// Returns the number of nodes of each run.
@@ -109,6 +118,12 @@
             let at = LEAD + FAULT_SPAN.mul_f64(rng.random());
             steps.push((at, draw_word_fault(&mut rng)));
         }
+        // Drawn apart, too.
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(47));
+        for _ in 0..LIMITS {
+            let at = LEAD + LIMIT_BEGIN_SPAN.mul_f64(rng.random());
+            steps.push((at, draw_limit(&mut rng)));
+        }
         steps.sort_by_key(|(at, _)| *at);
         // Drawn apart, too.
         let mut rng = StdRng::seed_from_u64(seed.rotate_left(17));
@@ -174,6 +189,13 @@
     }
 }
 
+fn draw_limit(rng: &mut StdRng) -> Fault {
+    let target = rng.random_range(0..TARGETS);
+    let span = Duration::from_millis(rng.random_range(7000..9000));
+    let rate = LIMIT_RATES[rng.random_range(0..LIMIT_RATES.len())];
+    Fault::Limit(target, rate, span)
+}
+
 fn draw_link(rng: &mut StdRng) -> LinkState {
     let delay = Duration::from_millis(rng.random_range(20..400));
     let states = [
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -37,7 +37,9 @@
 use crate::process::NodeProcess;
 use crate::process::GRACE_S;
 use crate::word::check_leaving;
+use crate::word::check_limit;
 use crate::word::check_rests;
+use crate::word::LimitSpan;
 
 /// Clients of a run.
 const CLIENTS: usize = 24;
@@ -97,6 +99,8 @@
     Return(usize),
     /// The target starts again and no longer says that it leaves.
     Reborn(usize),
+    /// The target of a limit names none any more.
+    Unlimited(usize),
     /// The store comes back from a copy.
     Restore(Box<MetaCopy>),
     /// The operator and the targets write again what they wrote.
@@ -129,6 +133,8 @@
     copies: Vec<(Instant, MetaCopy)>,
     /// Starts of targets under their ids, since the run began.
     reborn: Vec<(String, Instant)>,
+    /// Limits that targets named.
+    limits: Vec<LimitSpan>,
     /// Highest version that a process told, with the process's number.
     told: HashMap<usize, (usize, u64)>,
     broken: Vec<String>,
@@ -209,6 +215,7 @@
             interrupts: Vec::new(),
             copies: Vec::new(),
             reborn: Vec::new(),
+            limits: Vec::new(),
             told: HashMap::new(),
             broken: Vec::new(),
             folder,
@@ -307,6 +314,18 @@
             }
             Fault::Rest(target, span) => self.site.targets[target].rest_for(span),
             Fault::Drill(age) => self.begin_drill(age),
+            Fault::Limit(target, rate, span) => {
+                let target = &self.site.targets[target];
+                target.name_limit(Some(rate));
+                let begin = Instant::now();
+                self.limits.push(LimitSpan {
+                    target: target.clone(),
+                    rate: rate.parse().expect("a rate"),
+                    begin,
+                    end: begin + span,
+                });
+                self.after(span, Later::Unlimited(self.limits.len() - 1));
+            }
         }
     }
 
@@ -395,6 +414,7 @@
                 target.bear_again();
                 self.reborn.push((target.id().to_owned(), Instant::now()));
             }
+            Later::Unlimited(limit) => self.limits[limit].target.name_limit(None),
             Later::Restore(copy) => {
                 self.site.store.restore(*copy);
                 // What was copied before is of another history.
@@ -541,6 +561,10 @@
             let rests = check_rests(target, &records, &interrupts);
             self.broken.extend(rests);
         }
+        let limits = self.limits.iter();
+        let passed =
+            limits.filter_map(|limit| check_limit(limit, &self.limits, &records, &interrupts));
+        self.broken.extend(passed);
         if !forgets {
             let crashing = check_crashing(&self.room.crashing(), &self.site.journal.runs());
             self.broken.extend(crashing);
--- a/packages/turnford/tests/soak/word.rs
+++ b/packages/turnford/tests/soak/word.rs
@@ -4,7 +4,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use turnford_standin::limit_allowance;
 use turnford_standin::RouteTarget;
+use turnford_standin::TargetArrival;
+use turnford_standin::LIMIT_NOTICE;
+use turnford_standin::LIMIT_WINDOW;
 
 use crate::check::NodeSpan;
 use crate::client::CallRecord;
@@ -16,6 +20,19 @@
 /// Requests that a target that rests may get from a node all the same.
 const CROSSING_LIMIT: usize = 2;
 
+/// Time for which a fault of a node excuses it, from the users' bounds.
+const EXCUSE_SPAN: Duration = Duration::from_secs(3);
+
+/// A limit that a target names.
+#[derive(Clone)]
+pub(crate) struct LimitSpan {
+    pub(crate) target: RouteTarget,
+    /// Calls a second.
+    pub(crate) rate: f64,
+    pub(crate) begin: Instant,
+    pub(crate) end: Instant,
+}
+
 /// Tells whether a node was restarted or stood still between two moments.
 fn is_interrupted(interrupts: &[NodeSpan], node: usize, from: Instant, to: Instant) -> bool {
     let mut own = interrupts.iter().filter(|span| span.node == node);
@@ -87,3 +104,43 @@
         "node {node} sent {count} requests to {id}, which had asked it for rest"
     ))
 }
+
+/// Returns a line if nodes together sent a target more than the limit that it named allows. What nodes send
+/// that were interrupted lately doesn't count; calls that tell no node count where none was.
+pub(crate) fn check_limit(
+    limit: &LimitSpan,
+    all: &[LimitSpan],
+    records: &HashMap<String, CallRecord>,
+    interrupts: &[NodeSpan],
+) -> Option<String> {
+    let id = limit.target.id();
+    let others = all.iter().filter(|other| other.target.id() == id);
+    if others.count() > 1 {
+        // One limit took the place of another within its notice.
+        return None;
+    }
+    let counts = |call: &TargetArrival| {
+        let lately = call.at.checked_sub(EXCUSE_SPAN).unwrap_or(call.at);
+        match records.get(&call.attempt) {
+            Some(record) => !is_interrupted(interrupts, record.node, lately, call.at),
+            None => !interrupts
+                .iter()
+                .any(|span| span.begin <= call.at && span.end >= lately),
+        }
+    };
+    let calls = limit.target.arrivals().into_iter().filter(counts);
+    let calls = calls.map(|call| call.at);
+    let calls: Vec<Instant> = calls
+        .filter(|at| *at >= limit.begin + LIMIT_NOTICE && *at < limit.end)
+        .collect();
+    let windows = calls.iter().enumerate().map(|(first, begin)| {
+        let later = calls[first..].iter();
+        later.take_while(|at| **at < *begin + LIMIT_WINDOW).count()
+    });
+    let worst = windows.max().unwrap_or(0);
+    let allowed = limit_allowance(limit.rate);
+    (worst > allowed).then(|| {
+        let rate = limit.rate;
+        format!("{id} named a limit of {rate} a second and got {worst} of {allowed} in 4 s")
+    })
+}
