--- a/packages/turnford-policy/src/route/limit_board.rs
+++ b/packages/turnford-policy/src/route/limit_board.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LimitBoard {
     views: BTreeMap<TargetId, LimitView>,
+    /// Starts of the processes that the targets' entries tell.
+    births: BTreeMap<TargetId, TargetBirth>,
     /// Since when targets' entries are missing.
     missing: BTreeMap<TargetId, Moment>,
 }
@@ -27,6 +29,10 @@
 impl LimitBoard {
     /// Forgets the limits of targets that are gone, and of those that started again.
     pub fn keep_only(&mut self, now: Moment, board: &TargetBoard) {
+        let listed = board.all_targets();
+        self.births = listed
+            .map(|target| (target.id.clone(), target.born))
+            .collect();
         let missing = &mut self.missing;
         self.views.retain(|id, view| match board.get(id) {
             Some(target) => {
@@ -51,7 +57,7 @@
         heard: HeardWord,
     ) -> Option<LimitState> {
         let is_known = self.views.contains_key(id);
-        if !is_known && heard.word.rate().is_none() {
+        if self.is_other(id, born) || (!is_known && heard.word.rate().is_none()) {
             return None;
         }
         let view = self.view(id, born);
@@ -68,6 +74,9 @@
         sequence: u64,
         state: LimitState,
     ) -> bool {
+        if self.is_other(id, born) {
+            return false;
+        }
         let view = self.view(id, born);
         if view.sequence >= sequence {
             return false;
@@ -76,6 +85,11 @@
         true
     }
 
+    /// Tells whether another process runs under a target's id by now.
+    fn is_other(&self, id: &str, born: TargetBirth) -> bool {
+        self.births.get(id).is_some_and(|listed| *listed != born)
+    }
+
     fn view(&mut self, id: &TargetId, born: TargetBirth) -> &mut LimitView {
         let view = self.views.entry(id.clone());
         let view = view.or_insert_with(|| LimitView::new(born));
--- a/packages/turnford-serve/src/admission.rs
+++ b/packages/turnford-serve/src/admission.rs
@@ -21,14 +21,12 @@
 use turnford_wire::WorkRequest;
 
 use crate::desk::ServiceDesk;
-use crate::limits::placer_of;
-use crate::placement::PLACE_LIMIT;
+use crate::limits::PLACE_LIMIT;
 use crate::progress::PlacerLink;
 use crate::record::RequestRecord;
 use crate::stages::forecast_alone;
 use crate::stages::least_span;
 use crate::traffic::Traffic;
-use crate::work::call_peer;
 
 /// An admitted request's stages; their end is told when this is dropped.
 pub(crate) struct AdmittedFlow {
@@ -119,12 +117,12 @@
     let patience = record
         .serve_by()
         .saturating_sub(now + record.last_span.get());
-    let address = placer_of(traffic, desk);
+    let address = desk.limits.placer();
     let answer = match address {
         None => Some(admit_here(traffic, desk, &need, patience)),
         Some(placer) => {
             let request = WorkRequest::Admit(admit_ask(traffic, desk, &need, patience));
-            let reply = call_peer(traffic, placer, &request, PLACE_LIMIT).await;
+            let reply = traffic.peers.call(placer, &request, PLACE_LIMIT).await;
             reply.and_then(admit_answer)
         }
     };
@@ -200,7 +198,7 @@
 ) -> Result<(), FlowRefusal> {
     let targets = desk.board.borrow().untried_targets(&[]);
     let coming = desk.flow.borrow().admitted_before(need.ranks);
-    let mut division = desk.division.borrow_mut();
+    let mut division = desk.limits.division.borrow_mut();
     let Some(divider) = division.divider() else {
         return Ok(());
     };
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -196,7 +196,7 @@
 async fn is_silent(cell: &PieceCell, target: &TargetSpec) -> bool {
     let now = cell.traffic.shared.now();
     let rests = cell.desk.board.borrow().rests_until(now, &target.id);
-    let limit = cell.desk.limits.borrow().state(&target.id);
+    let limit = cell.desk.limits.board.borrow().state(&target.id);
     if rests.is_some() || limit.needs_permit() {
         // It wants no question either; the call goes on.
         return false;
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -15,24 +15,17 @@
 use hyper::body::Incoming;
 
 use turnford_adapter::decode_answer;
-use turnford_adapter::decode_limit;
-use turnford_adapter::decode_word;
 use turnford_adapter::AnswerFacts;
-use turnford_adapter::TargetWord;
 use turnford_http::HttpFault;
 use turnford_http::HttpLink;
-use turnford_policy::HeardWord;
-use turnford_policy::Moment;
 use turnford_policy::TargetSpec;
 
 use crate::desk::FlightGuard;
 use crate::desk::ServiceDesk;
-use crate::leaving::hear_leaving;
-use crate::limit_news::hear_limit;
 use crate::metrics::ServiceEvent;
-use crate::resting::hear_rest;
 use crate::traffic::Traffic;
 use crate::wait::wait_until;
+use crate::words::hear_words;
 
 /// Longest time to open a connection to a target. One lost opening packet is sent again after a
 /// second, and another target is faster than that.
@@ -184,8 +177,7 @@
         None => return Err(CallFault::Unknown("no answer in time")),
     };
     let (parts, body) = answer.into_parts();
-    let word = hear_word(traffic, desk, target, &parts, attempt);
-    read_limit(traffic, desk, target, &parts, attempt, now);
+    let word = hear_words(traffic, desk, target, &parts, attempt, now);
     let facts = decode_answer(&parts).map_err(|problem| {
         log::warn!("target={} answer refused: {problem}", target.id);
         CallFault::Unknown("the answer's head makes no sense")
@@ -220,65 +212,6 @@
     })
 }
 
-/// Hears what a target says of itself, whatever becomes of its answer.
-fn hear_word(
-    traffic: &Rc<Traffic>,
-    desk: &Rc<ServiceDesk>,
-    target: &TargetSpec,
-    parts: &Parts,
-    attempt: Option<&str>,
-) -> TargetWord {
-    let word = decode_word(parts, attempt).unwrap_or_else(|(word, problem)| {
-        log::warn!("target={} asks for rest: {problem}", target.id);
-        word
-    });
-    let metrics = &traffic.shared.metrics;
-    if word.leaves {
-        metrics.note_service(&target.service, ServiceEvent::SaidLeaving);
-        hear_leaving(traffic, desk, target);
-    }
-    if let Some(rest) = word.rest {
-        metrics.note_service(&target.service, ServiceEvent::AskedForRest);
-        log::info!(
-            "target={} asks for rest of {}ms: request={}",
-            target.id,
-            rest.as_millis(),
-            attempt.unwrap_or("-")
-        );
-        hear_rest(traffic, desk, target, rest);
-    }
-    word
-}
-
-/// Hears what a target says of the calls that it takes from all nodes together.
-fn read_limit(
-    traffic: &Rc<Traffic>,
-    desk: &Rc<ServiceDesk>,
-    target: &TargetSpec,
-    parts: &Parts,
-    attempt: Option<&str>,
-    sent: Moment,
-) {
-    let word = match decode_limit(parts, attempt) {
-        Ok(Some(word)) => word,
-        Ok(None) => return,
-        Err(problem) => {
-            log::warn!("target={} names a limit: {problem}", target.id);
-            return;
-        }
-    };
-    if word.rate().is_some() {
-        let metrics = &traffic.shared.metrics;
-        metrics.note_service(&target.service, ServiceEvent::NamedLimit);
-    }
-    let heard = HeardWord {
-        word,
-        sent,
-        heard: traffic.shared.now(),
-    };
-    hear_limit(traffic, desk, target, heard, attempt.unwrap_or("-"));
-}
-
 /// Notes an answer that belongs to another request; its connection is spoiled.
 fn other_attempt(traffic: &Traffic, target: &TargetSpec, facts: &AnswerFacts) -> CallFault {
     log::warn!(
--- a/packages/turnford-serve/src/crash.rs
+++ b/packages/turnford-serve/src/crash.rs
@@ -20,8 +20,8 @@
 
 use crate::crash_news::tell_crashes;
 use crate::fanout::NewsQueue;
-use crate::kept::forget_cleared;
-use crate::kept::keep_crashed;
+use crate::keeping::forget_cleared;
+use crate::keeping::keep_crashed;
 use crate::traffic::Traffic;
 
 /// Time after a call broke in which another start of its target, or the end of its entry, tells that
--- a/packages/turnford-serve/src/crash_news.rs
+++ b/packages/turnford-serve/src/crash_news.rs
@@ -18,12 +18,10 @@
 use turnford_wire::WorkRequest;
 
 use crate::crash::take_crash;
-use crate::fanout::sample_peers;
 use crate::fanout::tell_some;
 use crate::fanout::ANSWER_LIMIT;
-use crate::kept::take_kept;
+use crate::keeping::take_kept;
 use crate::traffic::Traffic;
-use crate::work::call_peer;
 
 /// Time in which news is gathered: neighbours at one target are found out together.
 const GATHER_PAUSE: Duration = Duration::from_millis(5);
@@ -67,7 +65,7 @@
         news.truncate(NEWS_LIMIT);
     }
     // One that does not hear it learns it by comparing.
-    tell_some(&traffic, &WorkRequest::Crashes(news));
+    tell_some(&traffic.peers, &WorkRequest::Crashes(news));
 }
 
 /// Takes another node's news, and passes on what is new.
@@ -114,7 +112,7 @@
             // One that knows more asks this node.
             continue;
         }
-        for peer in sample_peers(&traffic, 1) {
+        for peer in traffic.peers.sample(1) {
             compare_with(&traffic, peer, false).await;
         }
     }
@@ -132,7 +130,7 @@
 async fn compare_with(traffic: &Rc<Traffic>, peer: SocketAddr, is_new: bool) -> bool {
     let sum = traffic.crashes.table.borrow().checksum();
     let request = WorkRequest::CrashSync { sum, is_new };
-    let reply = call_peer(traffic, peer, &request, ANSWER_LIMIT).await;
+    let reply = traffic.peers.call(peer, &request, ANSWER_LIMIT).await;
     let Some(WorkReply::Crashes { sum, news }) = reply else {
         return false;
     };
@@ -142,7 +140,10 @@
     if traffic.crashes.table.borrow().checksum() != sum {
         let news = list_crashes(traffic, false);
         if !news.is_empty() {
-            call_peer(traffic, peer, &WorkRequest::Crashes(news), ANSWER_LIMIT).await;
+            traffic
+                .peers
+                .call(peer, &WorkRequest::Crashes(news), ANSWER_LIMIT)
+                .await;
         }
     }
     true
@@ -154,7 +155,7 @@
         Timer::after(START_PAUSE).await;
     }
     take_kept(&traffic);
-    for peer in sample_peers(&traffic, START_TRIES) {
+    for peer in traffic.peers.sample(START_TRIES) {
         if compare_with(&traffic, peer, true).await {
             break;
         }
--- a/packages/turnford-serve/src/desk.rs
+++ b/packages/turnford-serve/src/desk.rs
@@ -2,20 +2,16 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use turnford_fleet::DividerId;
-use turnford_fleet::LimitDivision;
 use turnford_fleet::TrialLedger;
 use turnford_fleet::TrialTicket;
 use turnford_policy::split_cells;
 use turnford_policy::EngineBoard;
 use turnford_policy::FlowBoard;
-use turnford_policy::LimitBoard;
 use turnford_policy::LimitState;
 use turnford_policy::Moment;
 use turnford_policy::RetryAllowance;
@@ -30,6 +26,7 @@
 
 use crate::call::CallFault;
 use crate::call::CallPurpose;
+use crate::limits::ServiceLimits;
 use crate::line::WaitLine;
 use crate::pieces::PieceDesk;
 
@@ -49,13 +46,7 @@
     pub(crate) spec: RefCell<Arc<ServiceSpec>>,
     pub(crate) board: RefCell<TargetBoard>,
     /// Limits that targets name for all nodes together.
-    pub(crate) limits: RefCell<LimitBoard>,
-    /// Who divides them.
-    pub(crate) division: RefCell<LimitDivision>,
-    /// Whether that node places for the service, as long as there are limits.
-    pub(crate) is_divided: Cell<bool>,
-    /// Targets whose words are on their way to it.
-    pub(crate) limit_reports: RefCell<BTreeSet<TargetId>>,
+    pub(crate) limits: Rc<ServiceLimits>,
     /// What is known of the targets where they are model engines.
     pub(crate) engines: RefCell<EngineBoard>,
     /// What admitted requests for this service still need of their stages.
@@ -85,15 +76,12 @@
     pub(crate) fn new(
         spec: Arc<ServiceSpec>,
         allowance: RetryAllowance,
-        own: DividerId,
+        limits: Rc<ServiceLimits>,
     ) -> Rc<Self> {
         Rc::new(Self {
             spec: RefCell::new(spec),
             board: RefCell::default(),
-            limits: RefCell::default(),
-            division: RefCell::new(LimitDivision::new(own)),
-            is_divided: Cell::new(false),
-            limit_reports: RefCell::default(),
+            limits,
             engines: RefCell::default(),
             flow: RefCell::default(),
             allowance: RefCell::new(allowance),
@@ -144,14 +132,14 @@
         if !has_room {
             return Some(CallFault::Closed("the target comes back from its rest"));
         }
-        let has_permit = self.limits.borrow_mut().enter(now, target);
+        let has_permit = self.limits.board.borrow_mut().enter(now, target);
         (!has_permit).then_some(CallFault::Limited)
     }
 
     /// Returns those of a cell's targets that take a further call of this node.
     pub(crate) fn awake_targets(&self, now: Moment, targets: &[TargetSpec]) -> Vec<TargetSpec> {
         let board = self.board.borrow();
-        let limits = self.limits.borrow();
+        let limits = self.limits.board.borrow();
         let awake = targets
             .iter()
             .filter(|target| board.is_open(now, &target.id) && limits.is_open(now, &target.id));
@@ -180,7 +168,7 @@
         let pieces = u32::try_from(batch.piece_limit.max(1)).unwrap_or(u32::MAX);
         let span = batch.call_span + batch.piece_span * pieces;
         let full = batch.slots.max(1) as f64 / span.as_secs_f64().max(0.001);
-        let limits = self.limits.borrow();
+        let limits = self.limits.board.borrow();
         let calls = awake.iter().map(|target| match limits.state(&target.id) {
             LimitState::Limited(rate) => full.min(rate),
             LimitState::Free | LimitState::Easing => full,
--- a/packages/turnford-serve/src/fanout.rs
+++ b/packages/turnford-serve/src/fanout.rs
@@ -7,8 +7,7 @@
 
 use turnford_wire::WorkRequest;
 
-use crate::traffic::Traffic;
-use crate::work::call_peer;
+use crate::peers::PeerLinks;
 
 /// Nodes that each node tells of what is new to it; with six, three rounds reach 880 nodes but for a
 /// few in a thousand.
@@ -46,36 +45,23 @@
 }
 
 /// Tells some other nodes.
-pub(crate) fn tell_some(traffic: &Rc<Traffic>, request: &WorkRequest) {
-    tell_peers(traffic, sample_peers(traffic, NEWS_FANOUT), request);
+pub(crate) fn tell_some(peers: &Rc<PeerLinks>, request: &WorkRequest) {
+    tell_peers(peers, peers.sample(NEWS_FANOUT), request);
 }
 
 /// Tells these nodes; the news of one that does not answer is lost to it.
 pub(crate) fn tell_peers(
-    traffic: &Rc<Traffic>,
-    peers: impl IntoIterator<Item = SocketAddr>,
+    peers: &Rc<PeerLinks>,
+    told: impl IntoIterator<Item = SocketAddr>,
     request: &WorkRequest,
 ) {
-    for peer in peers {
-        let told = traffic.clone();
+    for peer in told {
+        let peers = peers.clone();
         let request = request.clone();
+        let executor = peers.executor.clone();
         let tell = async move {
-            call_peer(&told, peer, &request, ANSWER_LIMIT).await;
+            peers.call(peer, &request, ANSWER_LIMIT).await;
         };
-        traffic.executor.spawn(tell).detach();
+        executor.spawn(tell).detach();
     }
 }
-
-/// Returns the addresses of so many other nodes, drawn anew each time.
-pub(crate) fn sample_peers(traffic: &Traffic, count: usize) -> Vec<SocketAddr> {
-    let view = traffic.shared.view.load();
-    let mut peers: Vec<SocketAddr> = view.members.iter().map(|member| member.work).collect();
-    let count = count.min(peers.len());
-    for place in 0..count {
-        let left = peers.len() - place;
-        let drawn = (traffic.draw() * left as f64) as usize;
-        peers.swap(place, place + drawn.min(left - 1));
-    }
-    peers.truncate(count);
-    peers
-}
--- a/packages/turnford-serve/src/gather.rs
+++ b/packages/turnford-serve/src/gather.rs
@@ -24,17 +24,13 @@
 
 use crate::desk::ServiceDesk;
 use crate::inputs::InputHold;
+use crate::peers::WaitingGuard;
+use crate::peers::SILENCE_SPAN;
 use crate::pieces::PieceCell;
 use crate::pieces::PieceOutcome;
 use crate::release::release_results;
 use crate::release::PieceResult;
 use crate::traffic::Traffic;
-use crate::work::call_peer;
-use crate::work::doer_of;
-use crate::work::mark_down;
-use crate::work::mark_refusing;
-use crate::work::WaitingGuard;
-use crate::work::SILENCE_SPAN;
 
 /// Nodes that the pieces of one stage are offered to before this node gathers them itself.
 const GATHERER_TRIES: usize = 2;
@@ -67,7 +63,7 @@
     for _ in 0..GATHERER_TRIES {
         let service = place.desk.spec.borrow().name.to_string();
         let duty = Duty::Gather(service, place.number);
-        let Some(peer) = doer_of(traffic, &duty) else {
+        let Some(peer) = traffic.peers.doer_of(&duty) else {
             break;
         };
         if let Some(end) = ask_peer(traffic, place, works, last_use, peer).await {
@@ -121,10 +117,10 @@
     let mut ask = piece_ask(place, works, now)?;
     ask.last_use = input_entries(traffic, last_use);
     let request = WorkRequest::Pieces(ask);
-    let state = traffic.work.state(peer);
-    let _waiting = WaitingGuard::new(traffic, peer, &state);
+    let state = traffic.peers.state(peer);
+    let _waiting = WaitingGuard::new(&traffic.peers, peer, &state);
     let call = async {
-        let reply = traffic.work.peers.call(peer, &request, limit).await;
+        let reply = traffic.peers.client.call(peer, &request, limit).await;
         Some(reply)
     };
     let watch = async {
@@ -148,7 +144,7 @@
         }
         Some(Ok(_)) => {
             log::info!("node at {peer} takes no pieces");
-            mark_refusing(traffic, &state);
+            traffic.peers.mark_refusing(&state);
             None
         }
         Some(Err(PeerFault::Late)) => {
@@ -160,7 +156,7 @@
         }
         Some(Err(fault)) => {
             log::info!("node at {peer} lost pieces: {fault}");
-            mark_down(traffic, &state);
+            traffic.peers.mark_down(&state);
             None
         }
         None => None,
@@ -258,7 +254,7 @@
         service: first.maker.service.to_string(),
         results: ids.collect(),
     };
-    let reply = call_peer(traffic, peer, &request, RELEASE_LIMIT).await;
+    let reply = traffic.peers.call(peer, &request, RELEASE_LIMIT).await;
     reply == Some(WorkReply::Noted)
 }
 
@@ -315,7 +311,7 @@
     let service = place.desk.spec.borrow().name.to_string();
     let duty = Duty::Gather(service, place.number);
     let rank = usize::from(rank).min(RANK_COUNT - 1);
-    match doer_of(traffic, &duty) {
+    match traffic.peers.doer_of(&duty) {
         Some(_) => place.desk.told_wait(now, place.number, rank),
         None => place.desk.own_waits(now, place.number)[rank],
     }
--- a/packages/turnford-serve/src/leaving.rs
+++ b/packages/turnford-serve/src/leaving.rs
@@ -25,9 +25,7 @@
 use crate::fanout::tell_peers;
 use crate::fanout::tell_some;
 use crate::fanout::NewsQueue;
-use crate::limits::wait_permit;
 use crate::traffic::Traffic;
-use crate::work::doer_of;
 
 /// Time in which words are gathered: the targets of a rack leave together.
 const GATHER_PAUSE: Duration = Duration::from_millis(5);
@@ -98,8 +96,8 @@
     for part in news.chunks(NEWS_LIMIT) {
         let doers = doers_of(&traffic, part);
         let request = WorkRequest::Leaving(part.to_vec());
-        tell_peers(&traffic, doers, &request);
-        tell_some(&traffic, &request);
+        tell_peers(&traffic.peers, doers, &request);
+        tell_some(&traffic.peers, &request);
     }
 }
 
@@ -111,7 +109,9 @@
         let gathers = (0..cells).map(move |cell| Duty::Gather(service.to_owned(), cell));
         gathers.chain([Duty::Place(service.to_owned())])
     });
-    duties.filter_map(|duty| doer_of(traffic, &duty)).collect()
+    duties
+        .filter_map(|duty| traffic.peers.doer_of(&duty))
+        .collect()
 }
 
 /// Takes another node's news, and passes on what is new.
@@ -146,7 +146,7 @@
 
 async fn ask_target(traffic: Rc<Traffic>, desk: Rc<ServiceDesk>, target: TargetSpec) {
     let until = traffic.shared.now() + PERMIT_LIMIT;
-    if !wait_permit(&traffic, &desk, &target, until).await {
+    if !desk.limits.wait_permit(&target, until).await {
         log::info!("target={} has no call for a question", target.id);
         return;
     }
--- a/packages/turnford-serve/src/limit_place.rs
+++ b/packages/turnford-serve/src/limit_place.rs
@@ -12,9 +12,9 @@
 use turnford_policy::TargetSpec;
 
 use crate::desk::ServiceDesk;
-use crate::limits::ask_permit;
+use crate::limit_news::report_limit;
 use crate::limits::PermitEnd;
-use crate::placement::choose_plain;
+use crate::plain_choice::choose_plain;
 use crate::traffic::Traffic;
 
 /// Pause before a request looks again where this node does not divide.
@@ -55,12 +55,12 @@
     need: &PlaceNeed,
     turn: &TurnAsk,
 ) -> LimitedPlace {
-    if !desk.limits.borrow().has_limits() {
+    if !desk.limits.board.borrow().has_limits() {
         return LimitedPlace::of(place_best(traffic, desk, need));
     }
     let now = traffic.shared.now();
     let left = desk.board.borrow().untried_targets(&need.tried);
-    let mut division = desk.division.borrow_mut();
+    let mut division = desk.limits.division.borrow_mut();
     let Some(divider) = division.divider() else {
         drop(division);
         return place_beside(traffic, desk, need, &left);
@@ -106,7 +106,7 @@
 ) -> LimitedPlace {
     let now = traffic.shared.now();
     let mut need = need.clone();
-    let limits = desk.limits.borrow();
+    let limits = desk.limits.board.borrow();
     let closed = left.iter().filter(|id| !limits.is_open(now, id));
     need.tried
         .extend(closed.cloned().collect::<Vec<TargetId>>());
@@ -151,7 +151,7 @@
             return if left.is_empty() { Ok(None) } else { Err(()) };
         }
         let denied = {
-            let limits = desk.limits.borrow();
+            let limits = desk.limits.board.borrow();
             let denied = left.iter().filter(|id| !limits.may_open(now, id));
             denied.cloned().collect::<Vec<TargetId>>()
         };
@@ -159,14 +159,25 @@
         let Some(target) = choose_plain(traffic, desk, &closed) else {
             return Ok(None);
         };
-        if desk.limits.borrow().is_open(now, &target.id) {
+        if desk.limits.board.borrow().is_open(now, &target.id) {
             return Ok(Some(target));
         }
-        match ask_permit(traffic, desk, &target, PermitUse::Work).await {
+        match desk.limits.ask_permit(&target, PermitUse::Work).await {
             PermitEnd::Granted => return Ok(Some(target)),
+            PermitEnd::Unknown(span) => {
+                report_limit(&desk.limits, &target);
+                let until = traffic.shared.now() + span;
+                desk.limits
+                    .board
+                    .borrow_mut()
+                    .note_denied(&target.id, until);
+            }
             PermitEnd::Wait(span) => {
                 let until = traffic.shared.now() + span.max(LOOK_PAUSE);
-                desk.limits.borrow_mut().note_denied(&target.id, until);
+                desk.limits
+                    .board
+                    .borrow_mut()
+                    .note_denied(&target.id, until);
             }
         }
     }
@@ -175,7 +186,7 @@
 /// Tells whether any of these targets needs no permit and is not paused.
 fn has_free(desk: &ServiceDesk, now: Moment, targets: &[TargetId]) -> bool {
     let board = desk.board.borrow();
-    let limits = desk.limits.borrow();
+    let limits = desk.limits.board.borrow();
     let mut free = targets.iter().filter(|id| !limits.state(id).needs_permit());
     free.any(|id| !board.is_paused(now, id))
 }
--- /dev/null
+++ b/packages/turnford-serve/src/limit_watch.rs
@@ -0,0 +1,156 @@
+//! What a node does about limits without being asked: it compares them with other nodes, and where it divides,
+//! looks after targets that get no call.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+
+use turnford_policy::TargetId;
+use turnford_wire::LimitMark;
+use turnford_wire::LimitNews;
+use turnford_wire::WorkReply;
+use turnford_wire::WorkRequest;
+
+use crate::desk::ServiceDesk;
+use crate::fanout::ANSWER_LIMIT;
+use crate::leaving::ask_health;
+use crate::limit_news::own_mark;
+use crate::limit_news::own_news;
+use crate::limit_news::take_limits;
+use crate::traffic::Traffic;
+
+/// Pause between two comparisons with another node.
+const COMPARE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Nodes with which one compares that divides: two that do must hear of each other soon.
+const DIVIDER_PEERS: usize = 3;
+
+/// Time after its start in which a node compares though it knows of no limit.
+const START_SPAN: Duration = Duration::from_secs(5);
+
+/// Follows the limits for as long as the node runs.
+pub(crate) async fn follow_limits(traffic: Rc<Traffic>) {
+    loop {
+        Timer::after(COMPARE_PAUSE).await;
+        for desk in traffic.all_desks() {
+            keep_division(&traffic, &desk);
+        }
+        note_gauges(&traffic);
+        compare(&traffic);
+    }
+}
+
+/// Compares what this node knows with what others know.
+fn compare(traffic: &Rc<Traffic>) {
+    let is_new = traffic.shared.now() < START_SPAN;
+    let desks = traffic.all_desks();
+    let compared = desks
+        .iter()
+        .filter(|desk| is_new || desk.limits.is_divided.get());
+    let marks: Vec<LimitMark> = compared.map(|desk| own_mark(&desk.limits)).collect();
+    if marks.is_empty() {
+        return;
+    }
+    let divides = |desk: &Rc<ServiceDesk>| {
+        let mut division = desk.limits.division.borrow_mut();
+        division.divider().is_some()
+    };
+    let count = if desks.iter().any(divides) {
+        DIVIDER_PEERS
+    } else {
+        1
+    };
+    for peer in traffic.peers.sample(count) {
+        let compare = compare_with(traffic.clone(), peer, marks.clone());
+        traffic.executor.spawn(compare).detach();
+    }
+}
+
+async fn compare_with(traffic: Rc<Traffic>, peer: SocketAddr, marks: Vec<LimitMark>) {
+    let request = WorkRequest::LimitSync(marks);
+    let reply = traffic.peers.call(peer, &request, ANSWER_LIMIT).await;
+    let Some(WorkReply::Limits { news, behind }) = reply else {
+        return;
+    };
+    for news in &news {
+        if let Some(desk) = traffic.desk(&news.service) {
+            take_limits(&desk.limits, news);
+        }
+    }
+    let desks = behind.iter().filter_map(|service| traffic.desk(service));
+    let news: Vec<LimitNews> = desks.filter_map(|desk| own_news(&desk.limits)).collect();
+    if !news.is_empty() {
+        let request = WorkRequest::Limits(news);
+        traffic.peers.call(peer, &request, ANSWER_LIMIT).await;
+    }
+}
+
+/// Answers a node that compares what it knows.
+pub(crate) fn answer_limit_sync(traffic: &Traffic, marks: &[LimitMark]) -> WorkReply {
+    let mut news = Vec::new();
+    let mut behind = Vec::new();
+    for mark in marks {
+        let Some(desk) = traffic.desk(&mark.service) else {
+            continue;
+        };
+        let own = own_mark(&desk.limits);
+        if own == *mark {
+            continue;
+        }
+        if own.term <= mark.term {
+            behind.push(mark.service.clone());
+        }
+        if own.term >= mark.term {
+            news.extend(own_news(&desk.limits));
+        }
+    }
+    WorkReply::Limits { news, behind }
+}
+
+/// Does what a divider does without being asked.
+fn keep_division(traffic: &Rc<Traffic>, desk: &Rc<ServiceDesk>) {
+    let now = traffic.shared.now();
+    let limits = &desk.limits;
+    let mut division = limits.division.borrow_mut();
+    let idle = division.divider().map_or_else(Vec::new, |divider| {
+        let board = limits.board.borrow();
+        divider.keep_only(|target: &TargetId, born| board.knows(target, born));
+        divider.note_reach(traffic.shared.view.load().reaches_half());
+        divider.take_idle(now)
+    });
+    drop(division);
+    limits.publish(false);
+    if !limits.board.borrow().has_limits() {
+        // Whoever has to place for all may do so again.
+        limits.is_divided.set(false);
+    }
+    for target in idle {
+        let listed = desk.board.borrow().get(&target).cloned();
+        if let Some(target) = listed.filter(|target| !target.leaving) {
+            limits.add_permit(&target.id, now);
+            let ask = ask_health(traffic.clone(), desk.clone(), target);
+            traffic.executor.spawn(ask).detach();
+        }
+    }
+}
+
+fn note_gauges(traffic: &Traffic) {
+    let now = traffic.shared.now();
+    let mut targets = 0;
+    let mut rate = 0.0;
+    let mut waiting = 0;
+    for desk in traffic.all_desks() {
+        targets += desk.limits.board.borrow().limited().count();
+        if let Some(divider) = desk.limits.division.borrow_mut().divider() {
+            let (given, line) = divider.load(now);
+            rate += given;
+            waiting += line;
+        }
+    }
+    let metrics = &traffic.shared.metrics;
+    metrics.limited_targets.set(targets as u64);
+    metrics.limit_rate.set(rate);
+    metrics.limit_line.set(waiting as u64);
+}
--- a/packages/turnford-serve/src/limits.rs
+++ b/packages/turnford-serve/src/limits.rs
@@ -1,8 +1,11 @@
-//! Limits that targets name for all nodes together: who divides them, and permits for calls.
+//! Limits that the targets of a service name for all nodes together: who divides them, and permits for calls.
 //!
 //! The node that places for a service divides the limits of its targets. A call to a target with a limit
 //! needs a permit of it; a node that gets no answer sends nothing there.
 
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,26 +16,31 @@
 use turnford_fleet::DivisionRole;
 use turnford_fleet::Duty;
 use turnford_fleet::HolderSight;
+use turnford_fleet::LimitDivision;
+use turnford_fleet::LimitEntry;
 use turnford_fleet::LimitTerm;
 use turnford_fleet::PermitUse;
 use turnford_fleet::PERMIT_SPAN;
+use turnford_policy::LimitBoard;
 use turnford_policy::Moment;
+use turnford_policy::ServiceId;
+use turnford_policy::TargetBirth;
+use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
+use turnford_wire::LimitNews;
 use turnford_wire::PermitAsk;
 use turnford_wire::PermitReply;
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
-use crate::desk::ServiceDesk;
-use crate::limit_news::note_term;
-use crate::limit_news::publish;
-use crate::limit_news::report_limit;
+use crate::fanout::tell_some;
 use crate::metrics::ServiceEvent;
-use crate::placement::PLACE_LIMIT;
-use crate::traffic::Traffic;
-use crate::work::call_peer;
-use crate::work::doer_of;
-use crate::work::ALIVE_LIMIT;
+use crate::peers::PeerLinks;
+use crate::peers::ALIVE_LIMIT;
+
+/// Longest wait for the node that places and divides: above its usual answer of a few milliseconds, well
+/// below what a request can spare.
+pub(crate) const PLACE_LIMIT: Duration = Duration::from_millis(120);
 
 /// Nodes that are asked one after the other, each named by the one before or next in its place.
 const ASK_TRIES: usize = 3;
@@ -43,6 +51,9 @@
 /// Pause before a node that nobody gave an answer asks again.
 const UNHEARD_PAUSE: Duration = Duration::from_millis(100);
 
+/// Most targets of one message: some 15 KB.
+pub(crate) const NEWS_LIMIT: usize = 256;
+
 /// What became of an ask for a permit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PermitEnd {
@@ -50,59 +61,95 @@
     Granted,
     /// None now; when to ask again.
     Wait(Duration),
+    /// The node that divides knows of no limit; when to ask again, once the two have compared.
+    Unknown(Duration),
 }
 
-/// Returns the identity under which this node divides.
-pub(crate) fn own_divider(traffic: &Traffic) -> DividerId {
-    let shared = &traffic.shared;
-    DividerId {
-        name: shared.settings.name.to_string(),
-        process: shared.started,
-        work: shared.settings.work,
-    }
+/// The limits of one service's targets, as the traffic thread has them.
+pub(crate) struct ServiceLimits {
+    pub(crate) peers: Rc<PeerLinks>,
+    pub(crate) service: ServiceId,
+    pub(crate) board: RefCell<LimitBoard>,
+    pub(crate) division: RefCell<LimitDivision>,
+    /// Whether the node that divides places for the service, as it does while there are limits.
+    pub(crate) is_divided: Cell<bool>,
+    /// Targets whose words are on their way to it.
+    pub(crate) reports: RefCell<BTreeSet<TargetId>>,
+    /// Looks again what can be sent where.
+    on_change: Box<dyn Fn()>,
 }
 
-/// Returns the address of the node that places for a service, and divides its targets' limits; `None` if it
-/// is this one. Where there are limits, it stays with the one that has begun.
-pub(crate) fn placer_of(traffic: &Traffic, desk: &ServiceDesk) -> Option<SocketAddr> {
-    let service = desk.spec.borrow().name.to_string();
-    let by_rank = || doer_of(traffic, &Duty::Place(service));
-    if !desk.is_divided.get() {
-        return by_rank();
+impl ServiceLimits {
+    pub(crate) fn new(
+        peers: Rc<PeerLinks>,
+        service: ServiceId,
+        on_change: impl Fn() + 'static,
+    ) -> Rc<Self> {
+        let own = own_divider(&peers);
+        Rc::new(Self {
+            peers,
+            service,
+            board: RefCell::default(),
+            division: RefCell::new(LimitDivision::new(own)),
+            is_divided: Cell::new(false),
+            reports: RefCell::default(),
+            on_change: Box::new(on_change),
+        })
     }
-    let division = desk.division.borrow();
-    let Some(term) = division.term() else {
-        return by_rank();
-    };
-    let now = traffic.shared.now();
-    if term.holder == own_divider(traffic) {
-        return if traffic.shared.is_draining() {
-            by_rank()
-        } else {
-            None
+
+    /// Returns the address of the node that places for the service, and divides its targets' limits; `None`
+    /// if it is this one. Where there are limits, it stays with the one that has begun.
+    pub(crate) fn placer(&self) -> Option<SocketAddr> {
+        let by_rank = || self.peers.doer_of(&Duty::Place(self.service.to_string()));
+        let division = self.division.borrow();
+        let Some(term) = division.term().filter(|_| self.is_divided.get()) else {
+            return by_rank();
         };
+        let now = self.peers.shared.now();
+        let is_own = term.holder == own_divider(&self.peers);
+        let holder = term.holder.work;
+        if is_own && !self.peers.shared.is_draining() {
+            None
+        } else if !is_own && self.peers.state(holder).takes_work(now) {
+            Some(holder)
+        } else {
+            by_rank()
+        }
     }
-    let holder = term.holder.work;
-    let is_up = traffic.work.state(holder).takes_work(now);
-    if is_up {
-        Some(holder)
-    } else {
-        by_rank()
-    }
-}
 
-/// Finds out who divides for a node that asks this one, or for this one itself.
-pub(crate) fn enter_division(
-    traffic: &Rc<Traffic>,
-    desk: &Rc<ServiceDesk>,
-    asked: Option<&LimitTerm>,
-) -> DivisionRole {
-    let now = traffic.shared.now();
-    if let Some(asked) = asked {
-        note_term(traffic, desk, asked);
+    /// Finds out who divides for a node that asks this one, or for this one itself.
+    pub(crate) fn enter(&self, asked: Option<&LimitTerm>) -> DivisionRole {
+        if let Some(asked) = asked {
+            self.note_term(asked);
+        }
+        let now = self.peers.shared.now();
+        let mut division = self.division.borrow_mut();
+        let sight = |holder: &DividerId| self.sight(now, holder);
+        let role = division.enter(now, asked, sight, self.board.borrow().limited());
+        if let Some(divider) = division.divider() {
+            divider.note_reach(self.peers.shared.view.load().reaches_half());
+        }
+        let number = division.term().map_or(0, |term| term.number);
+        drop(division);
+        match &role {
+            DivisionRole::Divides { is_new: true } => {
+                let service = &self.service;
+                log::info!("divides limits of service={service} term={number}");
+                self.is_divided.set(true);
+                self.board.borrow_mut().renumber();
+                self.publish(true);
+            }
+            DivisionRole::Doubted(term) => {
+                let look = look_for(self.peers.clone(), term.holder.work);
+                self.peers.executor.spawn(look).detach();
+            }
+            DivisionRole::Divides { .. } | DivisionRole::Elsewhere(_) => {}
+        }
+        role
     }
-    let sight = |holder: &DividerId| {
-        let state = traffic.work.state(holder.work);
+
+    fn sight(&self, now: Moment, holder: &DividerId) -> HolderSight {
+        let state = self.peers.state(holder.work);
         let heard = state.heard.get();
         if !state.takes_work(now) {
             HolderSight::Lost
@@ -111,152 +158,196 @@
         } else {
             HolderSight::Unknown
         }
-    };
-    let mut division = desk.division.borrow_mut();
-    let role = division.enter(now, asked, sight, desk.limits.borrow().limited());
-    let term = division.term().cloned();
-    if let Some(divider) = division.divider() {
-        divider.note_reach(traffic.shared.view.load().reaches_half());
     }
-    drop(division);
-    match &role {
-        DivisionRole::Divides { is_new: true } => {
-            let service = desk.spec.borrow().name.clone();
-            let number = term.map_or(0, |term| term.number);
-            log::info!("divides limits of service={service} term={number}");
-            desk.is_divided.set(true);
-            desk.limits.borrow_mut().renumber();
-            publish(traffic, desk, true);
-        }
-        DivisionRole::Doubted(term) => {
-            let look = look_for(traffic.clone(), term.holder.work);
-            traffic.executor.spawn(look).detach();
+
+    /// Notes who divides; true if that is new.
+    pub(crate) fn note_term(&self, term: &LimitTerm) -> bool {
+        let is_later = self.division.borrow_mut().note_term(term);
+        if is_later {
+            let service = &self.service;
+            log::info!(
+                "node={} divides limits of service={service} term={}",
+                term.holder.name,
+                term.number
+            );
+            self.is_divided.set(true);
+            self.board.borrow_mut().renumber();
+            self.peers.state(term.holder.work).note_heard_of();
         }
-        DivisionRole::Divides { .. } | DivisionRole::Elsewhere(_) => {}
+        is_later
     }
-    role
-}
 
-/// Finds out whether a node is there that another one finds lost.
-async fn look_for(traffic: Rc<Traffic>, holder: SocketAddr) {
-    call_peer(&traffic, holder, &WorkRequest::Alive, ALIVE_LIMIT).await;
-}
+    /// Notes that another node named who divides.
+    pub(crate) fn note_holder(&self, term: &LimitTerm) {
+        self.note_term(term);
+        self.is_divided.set(true);
+        self.peers.state(term.holder.work).note_heard_of();
+    }
 
-/// Asks for a permit to send a call to a target with a limit, and keeps it for the next such call.
-pub(crate) async fn ask_permit(
-    traffic: &Rc<Traffic>,
-    desk: &Rc<ServiceDesk>,
-    target: &TargetSpec,
-    purpose: PermitUse,
-) -> PermitEnd {
-    for _ in 0..ASK_TRIES {
-        let asked_at = traffic.shared.now();
-        let reply = match placer_of(traffic, desk) {
-            None => grant_here(traffic, desk, &permit_ask(desk, target, purpose)),
-            Some(peer) => {
-                let request = WorkRequest::Permit(permit_ask(desk, target, purpose));
-                let reply = call_peer(traffic, peer, &request, PLACE_LIMIT).await;
-                let Some(WorkReply::Permit(reply)) = reply else {
-                    continue;
-                };
-                reply
-            }
+    /// Tells this node's traffic and some others what the divider says anew; everything where it has just
+    /// begun.
+    pub(crate) fn publish(&self, is_new: bool) {
+        let now = self.peers.shared.now();
+        let mut division = self.division.borrow_mut();
+        let Some(term) = division.term().cloned() else {
+            return;
         };
-        match reply {
-            PermitReply::Granted => {
-                add_permit(traffic, desk, &target.id, asked_at);
-                return PermitEnd::Granted;
-            }
-            PermitReply::Free => {
-                // What this node knows is old, unless the other one missed it.
-                report_limit(traffic, desk, target);
-                return PermitEnd::Wait(UNHEARD_PAUSE);
-            }
-            PermitReply::Wait { wait_ms } => {
-                return PermitEnd::Wait(Duration::from_millis(u64::from(wait_ms)));
+        let Some(divider) = division.divider() else {
+            return;
+        };
+        let news = divider.take_news(now);
+        let entries = if is_new { divider.entries() } else { news };
+        drop(division);
+        if !entries.is_empty() || is_new {
+            self.take_entries(&entries);
+            self.tell(&term, &entries);
+        }
+    }
+
+    /// Tells some other nodes what the one that divides says.
+    pub(crate) fn tell(&self, term: &LimitTerm, entries: &[LimitEntry]) {
+        let mut parts: Vec<&[LimitEntry]> = entries.chunks(NEWS_LIMIT).collect();
+        if parts.is_empty() {
+            // Who divides is news, too.
+            parts.push(&[]);
+        }
+        for part in parts {
+            let news = LimitNews {
+                service: self.service.to_string(),
+                term: term.clone(),
+                entries: part.to_vec(),
+            };
+            tell_some(&self.peers, &WorkRequest::Limits(vec![news]));
+        }
+    }
+
+    /// Takes what the node that divides says; true if anything is new.
+    pub(crate) fn take_entries(&self, entries: &[LimitEntry]) -> bool {
+        let now = self.peers.shared.now();
+        let mut is_new = false;
+        for entry in entries {
+            let target: TargetId = entry.target.as_str().into();
+            let mut board = self.board.borrow_mut();
+            let before = board.state(&target);
+            if board.set(now, &target, entry.born, entry.sequence, entry.state) {
+                is_new = true;
+                if before != entry.state {
+                    let state = entry.state;
+                    log::info!("target={target} limit={state:?} before={before:?}");
+                }
             }
-            PermitReply::Elsewhere(term) => note_holder(traffic, desk, &term),
         }
+        if is_new {
+            (self.on_change)();
+        }
+        is_new
     }
-    PermitEnd::Wait(UNHEARD_PAUSE)
-}
 
-/// Asks for a permit until there is one; false if there is none until a moment.
-pub(crate) async fn wait_permit(
-    traffic: &Rc<Traffic>,
-    desk: &Rc<ServiceDesk>,
-    target: &TargetSpec,
-    until: Moment,
-) -> bool {
-    loop {
-        let now = traffic.shared.now();
-        if desk.limits.borrow().is_open(now, &target.id) {
-            return true;
+    /// Asks for a permit to send a call to a target with a limit, and keeps it for the next such call.
+    pub(crate) async fn ask_permit(&self, target: &TargetSpec, purpose: PermitUse) -> PermitEnd {
+        for _ in 0..ASK_TRIES {
+            let asked_at = self.peers.shared.now();
+            let ask = self.permit_ask(&target.id, target.born, purpose);
+            let reply = match self.placer() {
+                None => self.grant(&ask),
+                Some(peer) => {
+                    let request = WorkRequest::Permit(ask);
+                    let reply = self.peers.call(peer, &request, PLACE_LIMIT).await;
+                    let Some(WorkReply::Permit(reply)) = reply else {
+                        continue;
+                    };
+                    reply
+                }
+            };
+            match reply {
+                PermitReply::Granted => {
+                    self.add_permit(&target.id, asked_at);
+                    return PermitEnd::Granted;
+                }
+                PermitReply::Free => return PermitEnd::Unknown(UNHEARD_PAUSE),
+                PermitReply::Wait { wait_ms } => {
+                    return PermitEnd::Wait(Duration::from_millis(u64::from(wait_ms)));
+                }
+                PermitReply::Elsewhere(term) => self.note_holder(&term),
+            }
         }
-        match ask_permit(traffic, desk, target, PermitUse::Upkeep).await {
-            PermitEnd::Granted => return true,
-            PermitEnd::Wait(span) if traffic.shared.now() + span < until => {
-                Timer::after(span).await;
+        PermitEnd::Wait(UNHEARD_PAUSE)
+    }
+
+    /// Asks for a permit for a target's upkeep until there is one; false if there is none until a moment.
+    pub(crate) async fn wait_permit(&self, target: &TargetSpec, until: Moment) -> bool {
+        loop {
+            let now = self.peers.shared.now();
+            if self.board.borrow().is_open(now, &target.id) {
+                return true;
+            }
+            match self.ask_permit(target, PermitUse::Upkeep).await {
+                PermitEnd::Granted => return true,
+                PermitEnd::Wait(span) | PermitEnd::Unknown(span)
+                    if self.peers.shared.now() + span < until =>
+                {
+                    Timer::after(span).await;
+                }
+                PermitEnd::Wait(_) | PermitEnd::Unknown(_) => return false,
             }
-            PermitEnd::Wait(_) => return false,
         }
     }
-}
 
-/// Keeps a permit that was asked for at a moment.
-pub(crate) fn add_permit(traffic: &Traffic, desk: &ServiceDesk, target: &str, asked_at: Moment) {
-    let mut limits = desk.limits.borrow_mut();
-    limits.add_permit(target, asked_at + PERMIT_SPAN);
-    let service = &desk.spec.borrow().name;
-    let metrics = &traffic.shared.metrics;
-    metrics.note_service(service, ServiceEvent::Permit);
-}
+    /// Keeps a permit that was asked for at a moment.
+    pub(crate) fn add_permit(&self, target: &str, asked_at: Moment) {
+        let mut board = self.board.borrow_mut();
+        board.add_permit(target, asked_at + PERMIT_SPAN);
+        let metrics = &self.peers.shared.metrics;
+        metrics.note_service(&self.service, ServiceEvent::Permit);
+    }
 
-/// Notes that another node named who divides.
-pub(crate) fn note_holder(traffic: &Rc<Traffic>, desk: &Rc<ServiceDesk>, term: &LimitTerm) {
-    note_term(traffic, desk, term);
-    desk.is_divided.set(true);
-    traffic.work.state(term.holder.work).note_heard_of();
-}
+    fn permit_ask(&self, target: &TargetId, born: TargetBirth, purpose: PermitUse) -> PermitAsk {
+        PermitAsk {
+            service: self.service.to_string(),
+            term: self.division.borrow().term().cloned(),
+            target: target.to_string(),
+            born,
+            state: self.board.borrow().state(target),
+            purpose,
+        }
+    }
 
-fn permit_ask(desk: &ServiceDesk, target: &TargetSpec, purpose: PermitUse) -> PermitAsk {
-    PermitAsk {
-        service: target.service.to_string(),
-        term: desk.division.borrow().term().cloned(),
-        target: target.id.to_string(),
-        born: target.born,
-        state: desk.limits.borrow().state(&target.id),
-        purpose,
+    /// Answers an ask for a permit.
+    pub(crate) fn grant(&self, ask: &PermitAsk) -> PermitReply {
+        match self.enter(ask.term.as_ref()) {
+            DivisionRole::Divides { .. } => {}
+            DivisionRole::Elsewhere(term) => return PermitReply::Elsewhere(term),
+            DivisionRole::Doubted(_) => return wait_reply(ALIVE_LIMIT),
+        }
+        let now = self.peers.shared.now();
+        let mut division = self.division.borrow_mut();
+        let Some(divider) = division.divider() else {
+            return wait_reply(UNHEARD_PAUSE);
+        };
+        divider.adopt(now, &ask.target.as_str().into(), ask.born, ask.state);
+        if !divider.is_limited(now, &ask.target) {
+            return PermitReply::Free;
+        }
+        match divider.take(now, &ask.target, ask.purpose) {
+            Ok(()) => PermitReply::Granted,
+            Err(wait) => wait_reply(wait),
+        }
     }
 }
 
-/// Answers an ask for a permit.
-pub(crate) fn answer_permit(traffic: &Rc<Traffic>, ask: &PermitAsk) -> WorkReply {
-    match traffic.desk(&ask.service) {
-        Some(desk) => WorkReply::Permit(grant_here(traffic, &desk, ask)),
-        None => WorkReply::Refused,
+/// Returns the identity under which this node divides.
+fn own_divider(peers: &PeerLinks) -> DividerId {
+    let shared = &peers.shared;
+    DividerId {
+        name: shared.settings.name.to_string(),
+        process: shared.started,
+        work: shared.settings.work,
     }
 }
 
-fn grant_here(traffic: &Rc<Traffic>, desk: &Rc<ServiceDesk>, ask: &PermitAsk) -> PermitReply {
-    match enter_division(traffic, desk, ask.term.as_ref()) {
-        DivisionRole::Divides { .. } => {}
-        DivisionRole::Elsewhere(term) => return PermitReply::Elsewhere(term),
-        DivisionRole::Doubted(_) => return wait_reply(ALIVE_LIMIT),
-    }
-    let now = traffic.shared.now();
-    let mut division = desk.division.borrow_mut();
-    let Some(divider) = division.divider() else {
-        return wait_reply(UNHEARD_PAUSE);
-    };
-    divider.adopt(now, &ask.target.as_str().into(), ask.born, ask.state);
-    if !divider.is_limited(now, &ask.target) {
-        return PermitReply::Free;
-    }
-    match divider.take(now, &ask.target, ask.purpose) {
-        Ok(()) => PermitReply::Granted,
-        Err(wait) => wait_reply(wait),
-    }
+/// Finds out whether a node is there that another one finds lost.
+async fn look_for(peers: Rc<PeerLinks>, holder: SocketAddr) {
+    peers.call(holder, &WorkRequest::Alive, ALIVE_LIMIT).await;
 }
 
 fn wait_reply(wait: Duration) -> PermitReply {
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -33,7 +33,7 @@
 use crate::entry::handle_client;
 use crate::kept::KeptSuspects;
 use crate::leaving::ask_leaving;
-use crate::limit_news::follow_limits;
+use crate::limit_watch::follow_limits;
 use crate::metrics::ServeMetrics;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
--- a/packages/turnford-serve/src/outlook.rs
+++ b/packages/turnford-serve/src/outlook.rs
@@ -19,14 +19,13 @@
 use crate::admission::told_forecast;
 use crate::admission::AdmittedFlow;
 use crate::forward::RETRY_AFTER;
-use crate::placement::PLACE_LIMIT;
+use crate::limits::PLACE_LIMIT;
 use crate::record::RequestRecord;
 use crate::request::MOVE_SPAN;
 use crate::stages::forecast_alone;
 use crate::stages::least_span;
 use crate::stages::StageFault;
 use crate::traffic::Traffic;
-use crate::work::call_peer;
 
 /// Time by which a stage may outlast its forecast before that is renewed. News of what others did
 /// takes some 50 ms to the node that forecasts.
@@ -95,7 +94,7 @@
                     ticket: *ticket,
                     is_late,
                 };
-                match call_peer(traffic, address, &request, PLACE_LIMIT).await {
+                match traffic.peers.call(address, &request, PLACE_LIMIT).await {
                     Some(WorkReply::Forecast(ends)) => ends.as_deref().map(told_forecast),
                     _ => None,
                 }
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -26,7 +26,7 @@
 use crate::batch::run_batch;
 use crate::desk::ServiceDesk;
 use crate::inputs::InputHold;
-use crate::limits::ask_permit;
+use crate::limit_news::report_limit;
 use crate::limits::PermitEnd;
 use crate::release::release_results;
 use crate::release::PieceResult;
@@ -209,7 +209,7 @@
         let unknown = {
             let targets = self.pieces.targets.borrow();
             let awake = self.desk.awake_targets(now, &targets);
-            let limits = self.desk.limits.borrow();
+            let limits = self.desk.limits.board.borrow();
             let needs_permit = |target: &TargetSpec| limits.state(&target.id).needs_permit();
             let (limited, free): (Vec<TargetSpec>, Vec<TargetSpec>) =
                 awake.into_iter().partition(needs_permit);
@@ -248,7 +248,7 @@
     }
 
     fn wants_permit(&self, now: Moment, target: &TargetSpec) -> bool {
-        let limits = self.desk.limits.borrow();
+        let limits = self.desk.limits.board.borrow();
         let board = self.desk.board.borrow();
         let is_limited = !limits.is_open(now, &target.id) && limits.may_open(now, &target.id);
         let is_open = board.is_open(now, &target.id) && !board.is_paused(now, &target.id);
@@ -378,10 +378,14 @@
 
 /// Asks for a permit for one target, and looks again when there is one, or may be.
 async fn ask_piece_permit(cell: PieceCell, target: TargetSpec) {
-    let end = ask_permit(&cell.traffic, &cell.desk, &target, PermitUse::Work).await;
-    if let PermitEnd::Wait(span) = end {
+    let limits = &cell.desk.limits;
+    let end = limits.ask_permit(&target, PermitUse::Work).await;
+    if matches!(end, PermitEnd::Unknown(_)) {
+        report_limit(limits, &target);
+    }
+    if let PermitEnd::Wait(span) | PermitEnd::Unknown(span) = end {
         let until = cell.traffic.shared.now() + span;
-        cell.desk.limits.borrow_mut().note_denied(&target.id, until);
+        limits.board.borrow_mut().note_denied(&target.id, until);
         Timer::after(span).await;
     }
     cell.pieces.asked.borrow_mut().remove(&target.id);
--- a/packages/turnford-serve/src/placed_run.rs
+++ b/packages/turnford-serve/src/placed_run.rs
@@ -1,12 +1,18 @@
 //! A request's place at a target, and what becomes of it there.
 
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
 use turnford_policy::Moment;
 use turnford_policy::RunTicket;
 use turnford_policy::TargetSpec;
 use turnford_wire::RunNews;
 
+use crate::desk::ServiceDesk;
 use crate::line::LinePlace;
 use crate::progress::PlacerLink;
+use crate::traffic::Traffic;
 
 /// A place for a request; its end is told when this is dropped.
 pub(crate) struct PlacedRun {
@@ -49,3 +55,31 @@
         self.placer.tell(RunNews::Ended(self.ticket));
     }
 }
+
+/// A place as it was found now.
+pub(crate) enum FoundPlace {
+    Placed(Box<PlacedRun>),
+    Nowhere,
+    Held,
+    Refused(Duration),
+    Later(Duration),
+    Full(Duration),
+}
+
+/// Returns the placement that a node, `None` for this one, noted.
+pub(crate) fn note_run(
+    traffic: &Rc<Traffic>,
+    desk: &Rc<ServiceDesk>,
+    address: Option<SocketAddr>,
+    ticket: RunTicket,
+) -> NotedRun {
+    NotedRun {
+        placer: PlacerLink {
+            traffic: traffic.clone(),
+            desk: desk.clone(),
+            address,
+        },
+        ticket,
+        placed: traffic.shared.now(),
+    }
+}
--- /dev/null
+++ b/packages/turnford-serve/src/placer.rs
@@ -0,0 +1,219 @@
+//! Questions to the node that places for all, and its answers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use turnford_fleet::DivisionRole;
+use turnford_fleet::TurnAsk;
+use turnford_policy::Moment;
+use turnford_policy::PlaceNeed;
+use turnford_policy::PromptPart;
+use turnford_policy::RequestDigest;
+use turnford_wire::PlaceAsk;
+use turnford_wire::PlaceReply;
+use turnford_wire::PlaceTurn;
+use turnford_wire::WorkReply;
+use turnford_wire::WorkRequest;
+
+use crate::admission::short_millis;
+use crate::desk::ServiceDesk;
+use crate::limit_news::report_limit;
+use crate::limits::PLACE_LIMIT;
+use crate::peers::ALIVE_LIMIT;
+use crate::placed_run::note_run;
+use crate::placed_run::FoundPlace;
+use crate::placed_run::PlacedRun;
+use crate::traffic::Traffic;
+use crate::trial::place_checked;
+use crate::trial::CheckedPlace;
+use crate::trial::HOLD_PAUSE;
+
+/// Pause before another node is asked that is told to place.
+const ELSEWHERE_PAUSE: Duration = Duration::from_millis(2);
+
+/// Asks the node that places for all; `None` if it gives no answer, or one that can't be used.
+pub(crate) async fn ask_placer(
+    traffic: &Rc<Traffic>,
+    desk: &Rc<ServiceDesk>,
+    digest: RequestDigest,
+    need: &PlaceNeed,
+    turn: &TurnAsk,
+    placer: SocketAddr,
+) -> Option<FoundPlace> {
+    let now = traffic.shared.now();
+    let request = WorkRequest::Place(place_ask(desk, now, digest, need, turn));
+    let reply = traffic.peers.call(placer, &request, PLACE_LIMIT).await;
+    let Some(WorkReply::Placed(reply)) = reply else {
+        return None;
+    };
+    take_place(traffic, desk, now, placer, reply)
+}
+
+fn place_ask(
+    desk: &ServiceDesk,
+    now: Moment,
+    digest: RequestDigest,
+    need: &PlaceNeed,
+    turn: &TurnAsk,
+) -> PlaceAsk {
+    let millis = |until: Moment| {
+        let left = until.saturating_sub(now).as_millis();
+        u64::try_from(left).unwrap_or(u64::MAX)
+    };
+    let short = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+    PlaceAsk {
+        service: desk.spec.borrow().name.to_string(),
+        digest: digest.0,
+        parts: need
+            .parts
+            .iter()
+            .map(|part| (part.id, part.tokens))
+            .collect(),
+        prompt_tokens: need.prompt_tokens,
+        answer_tokens: need.answer_tokens,
+        inputs: need
+            .inputs
+            .iter()
+            .map(|(hall, bytes)| (hall.to_string(), *bytes))
+            .collect(),
+        tried: need.tried.iter().map(ToString::to_string).collect(),
+        due_ms: millis(need.due),
+        left_ms: millis(need.deadline),
+        term: desk.limits.division.borrow().term().cloned(),
+        turn: PlaceTurn {
+            number: turn.number,
+            ranks: turn.ranks,
+            waited_ms: short(now.saturating_sub(turn.begun)),
+            patience_ms: short(turn.latest.saturating_sub(now)),
+        },
+    }
+}
+
+/// Takes the answer to an ask that was made at a moment; `None` if it can't be used.
+fn take_place(
+    traffic: &Rc<Traffic>,
+    desk: &Rc<ServiceDesk>,
+    asked_at: Moment,
+    placer: SocketAddr,
+    reply: PlaceReply,
+) -> Option<FoundPlace> {
+    let span = |millis: u32| Duration::from_millis(u64::from(millis));
+    match reply {
+        PlaceReply::At {
+            target: id,
+            ticket,
+            is_alone,
+            has_permit,
+        } => {
+            if has_permit {
+                desk.limits.add_permit(&id, asked_at);
+            }
+            let run = note_run(traffic, desk, Some(placer), ticket);
+            // The other node may not know yet that the target leaves.
+            let target = desk.board.borrow().get(&id).cloned();
+            let target = target.filter(|target| !target.leaving)?;
+            if !desk
+                .limits
+                .board
+                .borrow()
+                .is_open(traffic.shared.now(), &id)
+            {
+                // The other node has not heard of the limit, or this one not of its end.
+                report_limit(&desk.limits, &target);
+                return Some(FoundPlace::Later(HOLD_PAUSE));
+            }
+            Some(FoundPlace::Placed(Box::new(PlacedRun {
+                target,
+                is_alone,
+                turn: None,
+                run: Some(run),
+            })))
+        }
+        PlaceReply::Later { wait_ms } => Some(FoundPlace::Later(span(wait_ms))),
+        PlaceReply::Full { back_ms } => Some(FoundPlace::Full(span(back_ms))),
+        PlaceReply::Elsewhere(term) => {
+            desk.limits.note_holder(&term);
+            Some(FoundPlace::Later(ELSEWHERE_PAUSE))
+        }
+        PlaceReply::Nowhere => None,
+        PlaceReply::Held => Some(FoundPlace::Held),
+        PlaceReply::Refused { back_ms } => {
+            Some(FoundPlace::Refused(Duration::from_millis(back_ms)))
+        }
+    }
+}
+
+/// Answers a request to place.
+pub(crate) fn answer_place(traffic: &Rc<Traffic>, ask: PlaceAsk) -> WorkReply {
+    let Some(desk) = traffic.desk(&ask.service) else {
+        return WorkReply::Refused;
+    };
+    if desk.limits.board.borrow().has_limits() {
+        match desk.limits.enter(ask.term.as_ref()) {
+            DivisionRole::Divides { .. } => {}
+            DivisionRole::Elsewhere(term) => {
+                return WorkReply::Placed(PlaceReply::Elsewhere(term));
+            }
+            DivisionRole::Doubted(_) => {
+                let wait_ms = short_millis(ALIVE_LIMIT);
+                return WorkReply::Placed(PlaceReply::Later { wait_ms });
+            }
+        }
+    }
+    let now = traffic.shared.now();
+    let digest = RequestDigest(ask.digest);
+    let turn = asked_turn(&ask, now);
+    let need = asked_need(ask, now);
+    let reply = match place_checked(traffic, &desk, digest, &need, &turn) {
+        CheckedPlace::At {
+            target,
+            ticket,
+            is_alone,
+            has_permit,
+        } => PlaceReply::At {
+            target: target.id.to_string(),
+            ticket,
+            is_alone,
+            has_permit,
+        },
+        CheckedPlace::Later(span) => PlaceReply::Later {
+            wait_ms: short_millis(span),
+        },
+        CheckedPlace::Full(span) => PlaceReply::Full {
+            back_ms: short_millis(span),
+        },
+        CheckedPlace::Nowhere => PlaceReply::Nowhere,
+        CheckedPlace::Held => PlaceReply::Held,
+        CheckedPlace::Refused(span) => PlaceReply::Refused {
+            back_ms: u64::try_from(span.as_millis()).unwrap_or(u64::MAX),
+        },
+    };
+    WorkReply::Placed(reply)
+}
+
+fn asked_turn(ask: &PlaceAsk, now: Moment) -> TurnAsk {
+    let span = |millis: u32| Duration::from_millis(u64::from(millis));
+    TurnAsk {
+        number: ask.turn.number,
+        ranks: ask.turn.ranks,
+        begun: now.saturating_sub(span(ask.turn.waited_ms)),
+        latest: now + span(ask.turn.patience_ms),
+    }
+}
+
+fn asked_need(ask: PlaceAsk, now: Moment) -> PlaceNeed {
+    let parts = ask.parts.into_iter();
+    let inputs = ask.inputs.into_iter();
+    PlaceNeed {
+        parts: parts
+            .map(|(id, tokens)| PromptPart { id, tokens })
+            .collect(),
+        prompt_tokens: ask.prompt_tokens,
+        answer_tokens: ask.answer_tokens,
+        inputs: inputs.map(|(hall, bytes)| (hall.into(), bytes)).collect(),
+        tried: ask.tried.into_iter().map(Into::into).collect(),
+        due: now + Duration::from_millis(ask.due_ms),
+        deadline: now + Duration::from_millis(ask.left_ms),
+    }
+}
--- /dev/null
+++ b/packages/turnford-serve/src/plain_choice.rs
@@ -0,0 +1,36 @@
+//! The choice among targets that are no engines.
+
+use turnford_policy::TargetId;
+use turnford_policy::TargetSpec;
+
+use crate::desk::ServiceDesk;
+use crate::traffic::Traffic;
+
+/// Cost of a target in another hall against one request more in its queue.
+const HALL_COST: f64 = 0.002;
+
+/// Cost of a target that has this node's part of its connections in use, against requests in its
+/// queue: it is chosen only where all are so.
+const OVER_COST: f64 = 1000.0;
+
+/// Chooses a target that is no engine, by what this node knows.
+pub(crate) fn choose_plain(
+    traffic: &Traffic,
+    desk: &ServiceDesk,
+    tried: &[TargetId],
+) -> Option<TargetSpec> {
+    let own_hall = &traffic.shared.settings.hall;
+    let sharers = traffic.shared.view.load().sharers();
+    let limit = desk.spec.borrow().connection_limit as f64 / sharers;
+    let now = traffic.shared.now();
+    let board = desk.board.borrow();
+    let cost = |target: &TargetSpec, load: f64| {
+        let is_near = target.hall == *own_hall;
+        let hall = if is_near { 0.0 } else { HALL_COST };
+        // Each call takes a connection; beyond this node's part of them the target resets some.
+        let is_over = f64::from(board.in_flight(&target.id) + 1) > limit.max(1.0);
+        let over = if is_over { OVER_COST } else { 0.0 };
+        load / f64::from(target.slots.max(1)) + hall + over
+    };
+    board.choose(now, tried, cost)
+}
--- a/packages/turnford-serve/src/progress.rs
+++ b/packages/turnford-serve/src/progress.rs
@@ -14,7 +14,6 @@
 
 use crate::desk::ServiceDesk;
 use crate::traffic::Traffic;
-use crate::work::call_peer;
 
 /// Time in which news of placed requests is gathered.
 const NEWS_PAUSE: Duration = Duration::from_millis(40);
@@ -105,5 +104,5 @@
         news: news.unwrap_or_default(),
     };
     // A node that does not hear it forgets the requests after their deadline.
-    call_peer(&traffic, place.0, &request, NEWS_LIMIT).await;
+    traffic.peers.call(place.0, &request, NEWS_LIMIT).await;
 }
--- a/packages/turnford-serve/src/release.rs
+++ b/packages/turnford-serve/src/release.rs
@@ -16,7 +16,6 @@
 use crate::call::CallPurpose;
 use crate::desk::ServiceDesk;
 use crate::gather::release_at_peer;
-use crate::limits::wait_permit;
 use crate::traffic::Traffic;
 use crate::wait::wait_until;
 
@@ -111,7 +110,7 @@
         return false;
     };
     let until = traffic.shared.now() + kept_span(&desk);
-    let has_call = wait_permit(traffic, &desk, &maker, until).await;
+    let has_call = desk.limits.wait_permit(&maker, until).await;
     if !has_call {
         log::info!("target={} has no call for a release", maker.id);
     }
--- a/packages/turnford-serve/src/resting.rs
+++ b/packages/turnford-serve/src/resting.rs
@@ -18,7 +18,6 @@
 use crate::desk::ServiceDesk;
 use crate::fanout::tell_peers;
 use crate::traffic::Traffic;
-use crate::work::doer_of;
 
 /// Part of a rest that a node adds at most: nodes that were told the same don't come back in the same
 /// moment.
@@ -55,14 +54,16 @@
         .iter()
         .filter(|desk| desk.spec.borrow().batch.is_none());
     let duties = plain.map(|desk| Duty::Place(desk.spec.borrow().name.to_string()));
-    let peers: BTreeSet<SocketAddr> = duties.filter_map(|duty| doer_of(traffic, &duty)).collect();
+    let peers: BTreeSet<SocketAddr> = duties
+        .filter_map(|duty| traffic.peers.doer_of(&duty))
+        .collect();
     let news = RestNews {
         service: target.service.to_string(),
         target: target.id.to_string(),
         born: target.born,
         rest_ms: u64::try_from(rest.as_millis()).unwrap_or(u64::MAX),
     };
-    tell_peers(traffic, peers, &WorkRequest::Resting(news));
+    tell_peers(&traffic.peers, peers, &WorkRequest::Resting(news));
 }
 
 /// Takes the news of a node that gathers.
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -9,9 +9,6 @@
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use rand::rngs::SmallRng;
-use rand::Rng;
-use rand::SeedableRng;
 
 use turnford_http::LinkShelf;
 use turnford_policy::RetryAllowance;
@@ -22,13 +19,13 @@
 use crate::crash_check::check_starts;
 use crate::desk::ServiceDesk;
 use crate::leaving::LeavingQueue;
-use crate::limits::own_divider;
+use crate::limits::ServiceLimits;
+use crate::peers::PeerLinks;
 use crate::pieces::PieceCell;
 use crate::progress::ProgressQueue;
 use crate::release::ResultReleaser;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
-use crate::work::WorkClient;
 
 /// Pause between looks for idle connections whose time is over.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
@@ -39,7 +36,8 @@
     pub(crate) shared: Arc<ServeShared>,
     pub(crate) shelf: RefCell<LinkShelf>,
     pub(crate) releaser: ResultReleaser,
-    pub(crate) work: WorkClient,
+    /// The other nodes.
+    pub(crate) peers: Rc<PeerLinks>,
     pub(crate) progress: ProgressQueue,
     /// Requests under which targets crashed.
     pub(crate) crashes: CrashDesk,
@@ -50,7 +48,6 @@
     desks: RefCell<HashMap<ServiceId, Rc<ServiceDesk>>>,
     /// What the services were last made from.
     view: RefCell<Arc<RouteView>>,
-    rng: RefCell<SmallRng>,
 }
 
 impl Traffic {
@@ -59,20 +56,19 @@
         shared: Arc<ServeShared>,
         ending: Receiver<()>,
     ) -> Rc<Self> {
-        let work = WorkClient::new(executor.clone());
+        let peers = PeerLinks::new(executor.clone(), shared.clone());
         Rc::new(Self {
             executor,
             shared,
             shelf: RefCell::default(),
             releaser: ResultReleaser::default(),
-            work,
+            peers,
             progress: ProgressQueue::default(),
             crashes: CrashDesk::default(),
             leaving: LeavingQueue::default(),
             ending,
             desks: RefCell::default(),
             view: RefCell::default(),
-            rng: RefCell::new(SmallRng::from_os_rng()),
         })
     }
 
@@ -96,7 +92,7 @@
 
     /// Returns a number from 0 to below 1.
     pub(crate) fn draw(&self) -> f64 {
-        self.rng.borrow_mut().random()
+        self.peers.draw()
     }
 
     /// Returns what the control thread knows now, with the services made from it. A request that
@@ -127,10 +123,20 @@
         }
     }
 
-    fn new_desk(&self, spec: &Arc<ServiceSpec>) -> Rc<ServiceDesk> {
+    fn new_desk(self: &Rc<Self>, spec: &Arc<ServiceSpec>) -> Rc<ServiceDesk> {
         let repeats = self.shared.settings.repeats;
         let allowance = RetryAllowance::new(repeats.window, repeats.ratio, 0.0);
-        ServiceDesk::new(spec.clone(), allowance, own_divider(self))
+        let (traffic, service) = (Rc::downgrade(self), spec.name.clone());
+        let on_change = move || {
+            let traffic = traffic.upgrade();
+            let desk = traffic.as_ref().and_then(|traffic| traffic.desk(&service));
+            if let Some((traffic, desk)) = traffic.zip(desk) {
+                desk.line.wake_first();
+                traffic.refresh_pieces(&desk);
+            }
+        };
+        let limits = ServiceLimits::new(self.peers.clone(), spec.name.clone(), on_change);
+        ServiceDesk::new(spec.clone(), allowance, limits)
     }
 
     fn refresh_targets(&self, view: &RouteView, service: &str, desk: &ServiceDesk) {
@@ -150,7 +156,7 @@
             }
         }
         let now = self.shared.now();
-        desk.limits.borrow_mut().keep_only(now, &board);
+        desk.limits.board.borrow_mut().keep_only(now, &board);
         let mut engines = desk.engines.borrow_mut();
         engines.keep_only(&board);
         if let Some(engine) = &desk.spec.borrow().engine {
--- /dev/null
+++ b/packages/turnford-serve/src/words.rs
@@ -0,0 +1,81 @@
+//! What targets say of themselves in their answers: that they leave, that they want rest, that they take so many
+//! calls from all nodes together.
+
+use std::rc::Rc;
+
+use http::response::Parts;
+
+use turnford_adapter::decode_limit;
+use turnford_adapter::decode_word;
+use turnford_adapter::TargetWord;
+use turnford_policy::HeardWord;
+use turnford_policy::Moment;
+use turnford_policy::TargetSpec;
+
+use crate::desk::ServiceDesk;
+use crate::leaving::hear_leaving;
+use crate::limit_news::hear_limit;
+use crate::metrics::ServiceEvent;
+use crate::resting::hear_rest;
+use crate::traffic::Traffic;
+
+/// Hears what a target says of itself in the answer to a call sent at a moment, whatever becomes of it.
+pub(crate) fn hear_words(
+    traffic: &Rc<Traffic>,
+    desk: &Rc<ServiceDesk>,
+    target: &TargetSpec,
+    parts: &Parts,
+    attempt: Option<&str>,
+    sent: Moment,
+) -> TargetWord {
+    let word = decode_word(parts, attempt).unwrap_or_else(|(word, problem)| {
+        log::warn!("target={} asks for rest: {problem}", target.id);
+        word
+    });
+    let metrics = &traffic.shared.metrics;
+    if word.leaves {
+        metrics.note_service(&target.service, ServiceEvent::SaidLeaving);
+        hear_leaving(traffic, desk, target);
+    }
+    if let Some(rest) = word.rest {
+        metrics.note_service(&target.service, ServiceEvent::AskedForRest);
+        log::info!(
+            "target={} asks for rest of {}ms: request={}",
+            target.id,
+            rest.as_millis(),
+            attempt.unwrap_or("-")
+        );
+        hear_rest(traffic, desk, target, rest);
+    }
+    read_limit(traffic, desk, target, parts, attempt, sent);
+    word
+}
+
+/// Hears what a target says of the calls that it takes from all nodes together.
+fn read_limit(
+    traffic: &Rc<Traffic>,
+    desk: &Rc<ServiceDesk>,
+    target: &TargetSpec,
+    parts: &Parts,
+    attempt: Option<&str>,
+    sent: Moment,
+) {
+    let word = match decode_limit(parts, attempt) {
+        Ok(Some(word)) => word,
+        Ok(None) => return,
+        Err(problem) => {
+            log::warn!("target={} names a limit: {problem}", target.id);
+            return;
+        }
+    };
+    if word.rate().is_some() {
+        let metrics = &traffic.shared.metrics;
+        metrics.note_service(&target.service, ServiceEvent::NamedLimit);
+    }
+    let heard = HeardWord {
+        word,
+        sent,
+        heard: traffic.shared.now(),
+    };
+    hear_limit(&desk.limits, target, heard, attempt.unwrap_or("-"));
+}
