Show that nodes choose alike among equal targets; the test fails

Cause: a node takes the first by id of the targets that cost the same, and all nodes do so. Change: a test of four nodes, sixteen equal targets and twelve callers. Result: fails; listed.

--- a/packages/turnford-policy/tests/target_board.rs
+++ b/packages/turnford-policy/tests/target_board.rs
@@ -109,3 +109,51 @@
     let tried = [Arc::from("b2")];
     assert!(board.choose(MS, &tried, |_, load| load).is_none());
 }
+
+/// Calls that each of sixteen equal targets gets in 14 s from twelve callers over four nodes, where a call
+/// takes 130 ms.
+fn equal_shares() -> Vec<usize> {
+    let targets: Vec<TargetSpec> = (0..16)
+        .map(|number| target(&format!("b{number:02}")))
+        .collect();
+    let mut boards = vec![TargetBoard::default(); 4];
+    for board in &mut boards {
+        board.set_targets(targets.iter());
+    }
+    let mut shares = vec![0; targets.len()];
+    let mut running: Vec<Option<(usize, usize, Duration)>> = vec![None; 12];
+    for step in 0..2800_u32 {
+        let now = MS * 5 * step;
+        for (caller, call) in running.iter_mut().enumerate() {
+            match *call {
+                Some((node, chosen, until)) if until <= now => {
+                    boards[node].note_ended(&targets[chosen].id);
+                    *call = None;
+                }
+                Some(_) => {}
+                None => {
+                    let node = (caller + step as usize) % boards.len();
+                    let cost = |target: &TargetSpec, load: f64| load / f64::from(target.slots);
+                    let choice = boards[node].choose(now, &[], cost).expect("a choice");
+                    boards[node].note_sent(&choice.id);
+                    let chosen = targets.iter().position(|target| target.id == choice.id);
+                    let chosen = chosen.expect("a target of the list");
+                    shares[chosen] += 1;
+                    *call = Some((node, chosen, now + 130 * MS));
+                }
+            }
+        }
+    }
+    shares
+}
+
+#[test]
+fn equal_targets() {
+    // Each node took the first by its id of those that cost the same, so that all nodes chose alike: the four
+    // busiest targets got many times what the others did, and some got nothing.
+    let shares = equal_shares();
+    let mean = shares.iter().sum::<usize>() / shares.len();
+    let most = shares.iter().max().copied().unwrap_or(0);
+    let least = shares.iter().min().copied().unwrap_or(0);
+    assert!(most <= 2 * mean && least >= mean / 2, "{shares:?}");
+}
