Take another one of equal targets each time

Cause: a node took the first by id of the targets that cost the same, and all nodes do so. Change: of those whose costs differ by less than a millisecond each is taken in turn.

--- a/packages/turnford-policy/src/route/board.rs
+++ b/packages/turnford-policy/src/route/board.rs
@@ -1,5 +1,6 @@
 //! The targets of one service as one node sees them, and the choice between them.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -32,10 +33,15 @@
 /// Cost of a target that fails all its calls, in the unit of times.
 const FAILURE_COST: Duration = Duration::from_secs(2);
 
+/// Costs that differ by less, in seconds, are the same.
+const EQUAL_COST: f64 = 0.001;
+
 /// The targets of one service.
 #[derive(Clone, Debug, Default)]
 pub struct TargetBoard {
     entries: BTreeMap<TargetId, BoardEntry>,
+    /// Which of several equal targets is chosen next. Nodes that took the first would all choose alike.
+    turn: Cell<usize>,
 }
 
 impl TargetBoard {
@@ -220,18 +226,33 @@
         let left: Vec<&BoardEntry> = self.untried(tried).collect();
         let awake = left.iter().filter(|entry| entry.paused_until <= now);
         let sound = awake.clone().filter(|entry| entry.failure < BAD_FAILURE);
-        let cost = |entry: &&BoardEntry| {
+        let cost = |entry: &BoardEntry| {
             let own = cost_of(&entry.spec, entry.load(now));
             own + entry.failure * FAILURE_COST.as_secs_f64()
         };
-        let least = |left: &&&BoardEntry, right: &&&BoardEntry| cost(left).total_cmp(&cost(right));
-        let chosen = sound
-            .min_by(least)
-            .or_else(|| awake.min_by(least))
-            .or_else(|| left.iter().min_by_key(|entry| entry.paused_until));
+        let chosen = self
+            .take_cheapest(sound.copied(), cost)
+            .or_else(|| self.take_cheapest(awake.copied(), cost))
+            .or_else(|| left.iter().copied().min_by_key(|entry| entry.paused_until));
         chosen.map(|entry| entry.spec.clone())
     }
 
+    /// Returns one of those that cost the least, another one each time.
+    fn take_cheapest<'a>(
+        &self,
+        entries: impl Iterator<Item = &'a BoardEntry>,
+        cost: impl Fn(&BoardEntry) -> f64,
+    ) -> Option<&'a BoardEntry> {
+        let costs = entries.map(|entry| (cost(entry), entry));
+        let costs: Vec<(f64, &BoardEntry)> = costs.collect();
+        let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
+        let is_equal = |(cost, _): &&(f64, &BoardEntry)| *cost <= least + EQUAL_COST;
+        let equal: Vec<&(f64, &BoardEntry)> = costs.iter().filter(is_equal).collect();
+        let turn = self.turn.get();
+        self.turn.set(turn.wrapping_add(1));
+        equal.get(turn % equal.len()).map(|(_, entry)| *entry)
+    }
+
     /// Returns the time of a target's calls against what is expected of them. What was measured
     /// long ago counts less, so that a slow target is tried again.
     pub fn slowness(&self, now: Moment, id: &str) -> f64 {
