Split the pool's views, the pieces of batches and the news of crashes off

Change: ViewTable, PieceWork and TargetCalls, CrashNews and CrashEntry in files of their own; the check for a free place stood twice.

--- a/packages/turnford-fleet/src/crash.rs
+++ b/packages/turnford-fleet/src/crash.rs
@@ -15,22 +15,20 @@
 use siphasher::sip::SipHasher13;
 
 use turnford_policy::RequestDigest;
-use turnford_policy::TargetBirth;
-use turnford_policy::DIGEST_BYTES;
 
+use crate::crash_entry::CrashEntry;
+use crate::crash_entry::CrashRecord;
+use crate::crash_news::CrashEvent;
+use crate::crash_news::CrashNews;
+use crate::crash_news::CrashPart;
+use crate::crash_news::TargetStart;
+use crate::crash_news::BEGUN_POINTS;
 use crate::Moment;
 
 /// Points after which a request is refused: two crashes on trial that it had begun. One is not
 /// enough: a request that crashes targets, sent there before it was a suspect, may run beside it.
 const POINT_LIMIT: u32 = 4;
 
-/// Points of a crash on trial.
-const BEGUN_POINTS: u32 = 2;
-
-/// Points of a crash on trial before the target showed that it had begun: it may have been in the
-/// queue, or one that crashes its target before anything shows.
-const QUEUED_POINTS: u32 = 1;
-
 /// Other targets that crash with one, after which the crash is put down to what they have in common.
 /// Where halls lost power, that is what had innocent requests refused: in three of some 10,000 random
 /// histories with three such losses each.
@@ -61,94 +59,6 @@
 /// left out is what would be forgotten first.
 const SNAPSHOT_LIMIT: usize = 1024;
 
-/// Start of a target, which is what crashes.
-pub type TargetStart = (String, TargetBirth);
-
-/// What one node tells another about a request.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    bincode::Encode,
-    bincode::Decode,
-    serde::Serialize,
-    serde::Deserialize,
-)]
-pub struct CrashNews {
-    /// Digest of what the request asks for.
-    pub digest: [u8; DIGEST_BYTES],
-    /// What happened.
-    pub event: CrashEvent,
-    /// Milliseconds since then.
-    pub age_ms: u32,
-}
-
-/// What happened to a request.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    bincode::Encode,
-    bincode::Decode,
-    serde::Serialize,
-    serde::Deserialize,
-)]
-pub enum CrashEvent {
-    /// A target crashed while it ran the request.
-    Crashed {
-        /// The target's id.
-        target: String,
-        /// Start of its process, in milliseconds of the time of day.
-        born: u64,
-        /// What it was to the target.
-        part: CrashPart,
-        /// Whether it ended well after that, so that the crash was not its doing.
-        is_cleared: bool,
-    },
-    /// It ended well.
-    EndedWell,
-}
-
-/// What a request was to a target that crashed while it had it. What tells more is greater.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    bincode::Encode,
-    bincode::Decode,
-    serde::Serialize,
-    serde::Deserialize,
-)]
-pub enum CrashPart {
-    /// One of those that it ran.
-    Shared,
-    /// The only suspect, which it had perhaps not begun to run.
-    QueuedTrial,
-    /// The only suspect, which it had begun to run.
-    BegunTrial,
-}
-
-impl CrashPart {
-    fn points(self) -> u32 {
-        match self {
-            CrashPart::Shared => 0,
-            CrashPart::QueuedTrial => QUEUED_POINTS,
-            CrashPart::BegunTrial => BEGUN_POINTS,
-        }
-    }
-
-    fn is_trial(self) -> bool {
-        self != CrashPart::Shared
-    }
-}
-
 /// What is known of a request before it runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashVerdict {
@@ -163,61 +73,6 @@
     Refused(Moment),
 }
 
-/// A crash of a target while it ran a request.
-#[derive(Clone, Debug)]
-struct CrashRecord {
-    start: TargetStart,
-    at: Moment,
-    part: CrashPart,
-    /// Whether the request ended well after that. It is kept so that a node which missed that does not
-    /// tell of the crash as if it still counted.
-    is_cleared: bool,
-}
-
-/// The crashes of one request.
-#[derive(Clone, Debug, Default)]
-struct CrashEntry {
-    crashes: Vec<CrashRecord>,
-    /// When it last ended well after a crash.
-    ended_well: Option<Moment>,
-}
-
-impl CrashEntry {
-    fn last(&self) -> Moment {
-        let times = self.crashes.iter().map(|crash| crash.at);
-        times.max().unwrap_or_default()
-    }
-
-    /// Returns the crashes that no good end cleared.
-    fn open_crashes(&self) -> impl Iterator<Item = &CrashRecord> {
-        self.crashes.iter().filter(|crash| !crash.is_cleared)
-    }
-
-    fn points(&self) -> u32 {
-        self.open_crashes().map(|crash| crash.part.points()).sum()
-    }
-
-    /// Drops the crash that matters least; false if that is the new one.
-    fn make_room(&mut self, new: &CrashRecord) -> bool {
-        let weight = |crash: &CrashRecord| (!crash.is_cleared, crash.part, crash.at);
-        let crashes = self.crashes.iter().enumerate();
-        let least = crashes.min_by_key(|(_, crash)| weight(crash));
-        let Some((place, least)) = least else {
-            return true;
-        };
-        if weight(least) >= weight(new) {
-            return false;
-        }
-        self.crashes.remove(place);
-        true
-    }
-
-    /// Returns what its memory is worth against that of others.
-    fn weight(&self) -> (u32, usize, Moment) {
-        (self.points(), self.open_crashes().count(), self.last())
-    }
-}
-
 /// All requests under which targets crashed.
 #[derive(Clone, Debug, Default)]
 pub struct CrashTable {
@@ -397,14 +252,11 @@
             } else {
                 crash.part
             };
-            crash_news(
-                now,
-                digest,
-                &CrashRecord {
-                    part,
-                    ..crash.clone()
-                },
-            )
+            let told = CrashRecord {
+                part,
+                ..crash.clone()
+            };
+            told.news(now, digest)
         });
         news.collect()
     }
@@ -442,7 +294,7 @@
             let crashes = entry.crashes.iter();
             crashes.map(move |crash| (digest, crash))
         });
-        let news = crashes.map(|(digest, crash)| crash_news(now, digest, crash));
+        let news = crashes.map(|(digest, crash)| crash.news(now, digest));
         news.take(SNAPSHOT_LIMIT).collect()
     }
 
@@ -464,20 +316,3 @@
         self.tried.retain(|_, digest| entries.contains_key(digest));
     }
 }
-
-fn crash_news(now: Moment, digest: &RequestDigest, crash: &CrashRecord) -> CrashNews {
-    CrashNews {
-        digest: digest.0,
-        event: CrashEvent::Crashed {
-            target: crash.start.0.clone(),
-            born: crash.start.1,
-            part: crash.part,
-            is_cleared: crash.is_cleared,
-        },
-        age_ms: to_millis(now.saturating_sub(crash.at)),
-    }
-}
-
-fn to_millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod routing;
 mod target;
 mod turn;
+mod view_table;
 mod work;
 
 pub use admission::plan_admission;
--- a/packages/turnford-policy/src/pool.rs
+++ b/packages/turnford-policy/src/pool.rs
@@ -1,7 +1,6 @@
 //! One service's pool on one node: views, held work, estimates, health and retries together.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,8 +12,8 @@
 use crate::routing::choose_baseline;
 use crate::routing::choose_estimated;
 use crate::routing::RoutingInput;
+use crate::view_table::ViewTable;
 use crate::ClassRank;
-use crate::HealthSettings;
 use crate::HoldQueue;
 use crate::HoldTicket;
 use crate::HoldVerdict;
@@ -33,7 +32,6 @@
 use crate::StagePlacement;
 use crate::StageWork;
 use crate::TargetFacts;
-use crate::TargetId;
 use crate::TargetView;
 
 /// Pieces of held work that one round looks at beyond the first, when the first needs a model that
@@ -50,8 +48,7 @@
 #[derive(Debug)]
 pub struct ServicePool {
     settings: PoolSettings,
-    views: Vec<TargetView>,
-    index: HashMap<TargetId, usize>,
+    views: ViewTable,
     queue: HoldQueue,
     estimates: StageEstimates,
     retries: RetryBudget,
@@ -59,8 +56,6 @@
     peer_backlog: f64,
     node_share: f64,
     turn: usize,
-    /// Targets that may be out; without any, no look at all of them is needed.
-    ejections: usize,
     prefixes: PrefixIndex,
     demand: ModelDemand,
     /// Begin of each call that runs, in order.
@@ -76,8 +71,7 @@
         let rng = SmallRng::seed_from_u64(settings.seed);
         Self {
             settings,
-            views: Vec::new(),
-            index: HashMap::new(),
+            views: ViewTable::default(),
             queue,
             estimates: StageEstimates::new(),
             retries: RetryBudget::new(),
@@ -85,7 +79,6 @@
             peer_backlog: 0.0,
             node_share: 1.0,
             turn: 0,
-            ejections: 0,
             prefixes: PrefixIndex::default(),
             demand: ModelDemand::default(),
             running: BTreeMap::new(),
@@ -96,44 +89,19 @@
 
     /// Takes the targets of a VM list. Views of targets that stay keep what was learned.
     pub fn apply_list(&mut self, list: Vec<TargetFacts>) {
-        let mut old: HashMap<TargetId, TargetView> = HashMap::new();
-        for view in self.views.drain(..) {
-            old.insert(view.facts.id.clone(), view);
-        }
-        for facts in list {
-            let view = match old.remove(&facts.id) {
-                Some(mut view) => {
-                    // The target's own report of its models is newer than the list's.
-                    let models = std::mem::take(&mut view.facts.models);
-                    view.facts = TargetFacts { models, ..facts };
-                    view
-                }
-                None => TargetView::new(facts),
-            };
-            self.views.push(view);
-        }
-        // A target that is gone from the list but still runs calls of this node stays as leaving.
-        let running = old.into_values().filter(|view| view.own() > 0);
-        self.views.extend(running.map(|mut view| {
-            view.leaving = true;
-            view.listed_leaving = true;
-            view
-        }));
-        self.views
-            .sort_by(|left, right| left.facts.id.cmp(&right.facts.id));
-        self.reindex();
+        self.views.apply_list(list);
     }
 
     /// Takes a late load report of a target.
     pub fn apply_report(&mut self, target: &str, report: LoadReport) {
-        if let Some(view) = self.view_mut(target) {
+        if let Some(view) = self.views.get_mut(target) {
             view.apply_report(report);
         }
     }
 
     /// Takes the sum of what peers have in flight at a target.
     pub fn apply_peer_load(&mut self, now: Moment, target: &str, inflight: u32) {
-        if let Some(view) = self.view_mut(target) {
+        if let Some(view) = self.views.get_mut(target) {
             view.apply_peers(now, inflight);
         }
     }
@@ -151,13 +119,14 @@
 
     /// Marks a target as leaving, by any signal; true if it is the first.
     pub fn mark_leaving(&mut self, now: Moment, target: &str) -> bool {
-        self.view_mut(target)
+        self.views
+            .get_mut(target)
             .is_some_and(|view| view.note_leaving(now))
     }
 
     /// Takes the VM list's word on whether a target leaves; true if that is new.
     pub fn mark_listed(&mut self, now: Moment, target: &str, leaving: bool) -> bool {
-        let Some(view) = self.view_mut(target) else {
+        let Some(view) = self.views.get_mut(target) else {
             return false;
         };
         view.listed_leaving = leaving;
@@ -166,13 +135,14 @@
 
     /// Takes a target's own word that it does not leave; true if it takes work again.
     pub fn mark_staying(&mut self, target: &str, taken_at: Moment) -> bool {
-        self.view_mut(target)
+        self.views
+            .get_mut(target)
             .is_some_and(|view| view.note_staying(taken_at))
     }
 
     /// Takes a cache event of an engine.
     pub fn note_prefix(&mut self, target: &str, prefix: PrefixHash, present: bool) {
-        let Some(view) = self.view_mut(target) else {
+        let Some(view) = self.views.get_mut(target) else {
             return;
         };
         if present {
@@ -186,7 +156,7 @@
 
     /// Takes the models that a target says to have; false if that is known.
     pub fn apply_models(&mut self, target: &str, models: &[String]) -> bool {
-        let Some(view) = self.view_mut(target) else {
+        let Some(view) = self.views.get_mut(target) else {
             return false;
         };
         let known = view.facts.models.iter().map(|model| &**model);
@@ -207,7 +177,7 @@
 
     /// Forgets what an engine was thought to hold, after a gap in its events.
     pub fn note_prefix_gap(&mut self, target: &str) {
-        if let Some(view) = self.view_mut(target) {
+        if let Some(view) = self.views.get_mut(target) {
             view.clear_prefixes();
         }
     }
@@ -253,7 +223,7 @@
 
     /// Offers a piece of work.
     pub fn offer(&mut self, now: Moment, work: StageWork) -> PoolOffer {
-        self.refresh_health(now);
+        self.views.refresh_health(now);
         if let Some(model) = &work.model {
             self.demand.note(now, model, work.expected);
         }
@@ -297,7 +267,7 @@
         if self.queue.is_empty() {
             return verdicts;
         }
-        self.refresh_health(now);
+        self.views.refresh_health(now);
         for ticket in self.queue.hopeless(now) {
             self.queue.remove(ticket);
             verdicts.push(HoldVerdict::Shed(ticket, ResultCode::Shed));
@@ -319,14 +289,14 @@
     /// Gives a placement back with its outcome.
     pub fn finish(&mut self, now: Moment, placement: &StagePlacement, outcome: StageOutcome) {
         self.running.remove(&placement.number);
-        let Some(at) = self.index.get(&placement.target).copied() else {
+        let Some(at) = self.views.place_of(&placement.target) else {
             return;
         };
         let time = now.saturating_sub(placement.placed_at);
-        let hardware = self.views[at].facts.hardware.clone();
+        let hardware = self.views.all()[at].facts.hardware.clone();
         let mean = self.estimates.mean(now, &hardware, placement.length);
         let ratio = time.as_secs_f64() / mean.as_secs_f64().max(1e-6);
-        let view = &mut self.views[at];
+        let view = self.views.at_mut(at);
         view.note_end(now);
         match outcome {
             StageOutcome::Whole => view.health.note_success(ratio),
@@ -345,17 +315,19 @@
             self.estimates
                 .record(now, &hardware, placement.length, time);
         }
-        self.judge(now, at);
+        if let Some(settings) = &self.settings.health {
+            self.views.judge(now, at, settings);
+        }
     }
 
     /// Returns the numbers of the pool.
     pub fn summary(&self, now: Moment) -> PoolSummary {
         let mut summary = PoolSummary {
-            targets: self.views.len(),
+            targets: self.views.all().len(),
             held: self.queue.len(),
             ..PoolSummary::default()
         };
-        for view in &self.views {
+        for view in self.views.all() {
             summary.own += view.own();
             summary.leaving += usize::from(view.leaving);
             summary.ejected += usize::from(view.health.is_ejected());
@@ -371,7 +343,7 @@
 
     /// Returns the views for status pages and digests.
     pub fn views(&self) -> &[TargetView] {
-        &self.views
+        self.views.all()
     }
 
     /// Returns the expected wait of a new piece of work of a class.
@@ -379,7 +351,7 @@
         let mut slots = 0.0;
         let mut over = 0.0;
         let mean = self.estimates.mean_of_length(now, 0).as_secs_f64();
-        for view in &self.views {
+        for view in self.views.all() {
             if view.leaving || view.health.is_ejected() {
                 continue;
             }
@@ -432,13 +404,13 @@
         let policy = self.settings.policy;
         let chosen = if policy == RoutingPolicy::Estimated {
             let holder = work.prefix.and_then(|prefix| self.prefixes.get(prefix));
-            let holder = holder.and_then(|target| self.index.get(target).copied());
-            choose_estimated(&input, &self.views, holder, &mut self.rng)
+            let holder = holder.and_then(|target| self.views.place_of(target));
+            choose_estimated(&input, self.views.all(), holder, &mut self.rng)
         } else {
             let turn = &mut self.turn;
-            choose_baseline(policy, &input, &self.views, turn, &mut self.rng)
+            choose_baseline(policy, &input, self.views.all(), turn, &mut self.rng)
         };
-        let view = &mut self.views[chosen?];
+        let view = self.views.at_mut(chosen?);
         view.note_start(now);
         self.next_number += 1;
         self.running.insert(self.next_number, now);
@@ -454,12 +426,12 @@
 
     fn has_usable(&self, now: Moment, work: &StageWork) -> bool {
         let input = self.input(now, work);
-        self.views.iter().any(|view| input.is_usable(view))
+        self.views.all().iter().any(|view| input.is_usable(view))
     }
 
     fn has_free(&self, now: Moment, work: &StageWork) -> bool {
         let input = self.input(now, work);
-        let mut views = self.views.iter();
+        let mut views = self.views.all().iter();
         views.any(|view| input.is_usable(view) && input.has_slot(view))
     }
 
@@ -471,96 +443,8 @@
             node_share: self.node_share,
         }
     }
-
-    fn refresh_health(&mut self, now: Moment) {
-        if self.ejections == 0 {
-            return;
-        }
-        for view in &mut self.views {
-            view.health.refresh(now);
-        }
-        self.ejections = self
-            .views
-            .iter()
-            .filter(|view| view.health.is_ejected())
-            .count();
-    }
-
-    /// Takes a target out if it is bad next to its peers and the pool can spare it.
-    fn judge(&mut self, now: Moment, at: usize) {
-        let Some(settings) = &self.settings.health else {
-            return;
-        };
-        let health = &self.views[at].health;
-        if health.is_ejected() || !health.is_suspect(settings) {
-            return;
-        }
-        let (failure, slowness) = self.peer_medians(at);
-        let bad = self.views[at].health.is_bad(settings, failure, slowness);
-        let bad = bad || self.views[at].health.fails_probation(settings);
-        if bad && self.can_spare(settings) {
-            self.views[at].health.eject(now, settings);
-            self.ejections += 1;
-        }
-    }
-
-    /// Returns the median failure and slowness of the other targets of the same hardware class, or
-    /// of all others if the class has no other.
-    fn peer_medians(&self, at: usize) -> (f64, f64) {
-        let hardware = &self.views[at].facts.hardware;
-        let others = || {
-            self.views
-                .iter()
-                .enumerate()
-                .filter(|(place, _)| *place != at)
-        };
-        let same: Vec<&TargetView> = others()
-            .filter(|(_, view)| view.facts.hardware == *hardware)
-            .map(|(_, view)| view)
-            .collect();
-        let peers = if same.is_empty() {
-            others().map(|(_, view)| view).collect()
-        } else {
-            same
-        };
-        let failures = peers.iter().map(|view| view.health.failure()).collect();
-        let slownesses = peers.iter().map(|view| view.health.slowness()).collect();
-        (median(failures, 0.0), median(slownesses, 1.0))
-    }
-
-    fn can_spare(&self, settings: &HealthSettings) -> bool {
-        let live = self.views.iter().filter(|view| !view.leaving).count();
-        let ejected = self
-            .views
-            .iter()
-            .filter(|view| view.health.is_ejected())
-            .count();
-        let allowed = (live as f64 * settings.ejected_part).floor() as usize;
-        let allowed = if live >= 2 { allowed.max(1) } else { 0 };
-        ejected < allowed
-    }
-
-    fn view_mut(&mut self, target: &str) -> Option<&mut TargetView> {
-        let at = self.index.get(target).copied()?;
-        self.views.get_mut(at)
-    }
-
-    fn reindex(&mut self) {
-        let places = self.views.iter().enumerate();
-        self.index = places
-            .map(|(at, view)| (view.facts.id.clone(), at))
-            .collect();
-    }
 }
 
 fn class_index(class: ClassRank) -> usize {
     usize::from(class).min(CLASS_COUNT - 1)
 }
-
-fn median(mut values: Vec<f64>, fallback: f64) -> f64 {
-    if values.is_empty() {
-        return fallback;
-    }
-    values.sort_by(f64::total_cmp);
-    values[values.len() / 2]
-}
--- a/packages/turnford-policy/src/route/batch.rs
+++ b/packages/turnford-policy/src/route/batch.rs
@@ -4,23 +4,20 @@
 //! come meanwhile for its next call.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
-use crate::ClassRank;
 use crate::Moment;
 use crate::TargetId;
 
 use super::room::RoomLedger;
+use super::target_calls::TargetCalls;
+use super::BatchPlan;
 use super::BatchSpec;
-use super::RequestDigest;
-use super::TargetBirth;
+use super::PieceTicket;
+use super::PieceWork;
 use super::TargetBoard;
 use super::TargetSpec;
 
-/// Number of a piece on the board.
-pub type PieceTicket = u64;
-
 /// Weight of the newest call in the average size of calls.
 const SIZE_WEIGHT: f64 = 0.1;
 
@@ -52,100 +49,12 @@
 /// A result that found no room is taken for one in so many of all the room at most.
 const LARGEST_PART: u64 = 4;
 
-/// A piece to run.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PieceWork {
-    /// Digest of the request.
-    pub digest: RequestDigest,
-    /// Whether targets crashed while they ran such a request; its pieces share a call with no other's.
-    pub is_suspect: bool,
-    /// Id of the request's try.
-    pub attempt: Arc<str>,
-    /// Stage of the request.
-    pub stage: usize,
-    /// Piece of the stage.
-    pub piece: u32,
-    /// What a first stage needs to begin.
-    pub key: Option<Arc<str>>,
-    /// Results that it needs.
-    pub inputs: Arc<[String]>,
-    /// When it is no longer wanted.
-    pub deadline: Moment,
-    /// When it should be done for the request to be in time.
-    pub due: Moment,
-    /// Ranks of the request, the one of its account before that of its route; 0 goes first.
-    pub ranks: (ClassRank, ClassRank),
-    /// Size of its result, in bytes.
-    pub result_bytes: u64,
-    /// Hall in which it should run, near what it needs or what needs it.
-    pub hall: Option<Arc<str>>,
-    /// Until when it waits for a target in that hall.
-    pub hall_until: Moment,
-}
-
-impl PieceWork {
-    /// Tells whether a target in a hall may run it now.
-    fn suits(&self, now: Moment, hall: &str, is_crowded: bool) -> bool {
-        is_crowded || self.is_near(hall) || self.hall.is_none() || self.hall_until <= now
-    }
-
-    /// Tells whether it may share a call with another piece.
-    fn may_share(&self, other: &PieceWork) -> bool {
-        let is_sound = !self.is_suspect && !other.is_suspect;
-        is_sound || self.digest == other.digest
-    }
-
-    fn is_near(&self, hall: &str) -> bool {
-        self.hall.as_deref() == Some(hall)
-    }
-}
-
-/// A call to make.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BatchPlan {
-    /// Target.
-    pub target: TargetId,
-    /// Pieces in the order of the call.
-    pub pieces: Vec<(PieceTicket, PieceWork)>,
-}
-
-impl BatchPlan {
-    /// Returns the size of all its results, in bytes.
-    pub fn result_bytes(&self) -> u64 {
-        self.pieces.iter().map(|(_, work)| work.result_bytes).sum()
-    }
-}
-
 #[derive(Clone, Debug)]
 struct QueuedPiece {
     ticket: PieceTicket,
     work: PieceWork,
 }
 
-/// Calls of one target that are under way.
-#[derive(Clone, Debug, Default)]
-struct TargetCalls {
-    /// Start of the target's process, once it was looked up.
-    born: Option<TargetBirth>,
-    /// Calls under way at its process of before, whose ends are still to come.
-    stale: usize,
-    /// Ends that the calls are expected to have, in the order of their start.
-    ends: Vec<Moment>,
-    paused_until: Moment,
-    /// Refusals in a row.
-    refusals: u32,
-    /// Until when this board knows what the target holds; `None` before its first report.
-    known_until: Option<Moment>,
-    /// Whether a report is on its way.
-    is_asked: bool,
-}
-
-impl TargetCalls {
-    fn is_known(&self, now: Moment) -> bool {
-        !self.ends.is_empty() || self.known_until.is_some_and(|until| until > now)
-    }
-}
-
 /// The pieces that wait for one service's targets, and the calls under way.
 #[derive(Debug)]
 pub struct BatchBoard {
@@ -260,9 +169,7 @@
     /// Tells whether pieces wait that a target could be sent now.
     pub fn has_use_for(&self, now: Moment, target: &str) -> bool {
         let calls = self.calls.get(target);
-        let is_free = calls.is_none_or(|calls| {
-            calls.ends.len() < self.spec.slots.max(1) && calls.paused_until <= now
-        });
+        let is_free = calls.is_none_or(|calls| calls.has_place(now, self.spec.slots));
         is_free && !self.waiting.is_empty()
     }
 
@@ -451,10 +358,8 @@
     ) -> Vec<TargetSpec> {
         let is_free = |target: &&TargetSpec| {
             let calls = self.calls.get(&target.id);
-            let has_place = calls.is_some_and(|calls| {
-                let has_slot = calls.ends.len() < self.spec.slots.max(1);
-                has_slot && calls.paused_until <= now && calls.is_known(now)
-            });
+            let has_place = calls
+                .is_some_and(|calls| calls.has_place(now, self.spec.slots) && calls.is_known(now));
             has_place && !target.leaving && !board.is_paused(now, &target.id)
         };
         let slowness = |id: &TargetId| board.slowness(now, id);
