Have comments give purposes, not figures

Cause: some comments told what was measured or seen, which belongs in commits and in docs/CAPACITY.md. Result: no code changed.

--- a/packages/turnford-fleet/src/claim.rs
+++ b/packages/turnford-fleet/src/claim.rs
@@ -20,7 +20,7 @@
 /// Number of ranges; each is one object at the platform.
 pub const RANGE_COUNT: u16 = 8;
 
-/// Shortest time between two writes of a range. Eight ranges make at most 80 writes a second.
+/// Shortest time between two writes of a range: all ranges together must stay well below the platform's rate.
 const WRITE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Pause after a fault of the platform.
--- a/packages/turnford-fleet/src/crash.rs
+++ b/packages/turnford-fleet/src/crash.rs
@@ -30,8 +30,7 @@
 const POINT_LIMIT: u32 = 4;
 
 /// Other targets that crash with one, after which the crash is put down to what they have in common.
-/// Where halls lost power, that is what had innocent requests refused: in three of some 10,000 random
-/// histories with three such losses each.
+/// Where halls lost power, innocent requests would be refused.
 const WIDE_COUNT: usize = 2;
 
 /// Time between such crashes: what the ways of the news differ by.
@@ -49,14 +48,14 @@
 const MEMORY_SPAN: Duration = Duration::from_secs(2 * 3600);
 
 /// Requests that are remembered. When a further one comes, the one with the fewest crashes goes, of
-/// these the one whose last crash is the longest ago: about 1.5 MB at most.
+/// these the one whose last crash is the longest ago.
 const ENTRY_LIMIT: usize = 1024;
 
 /// Crashes that are kept of a request: enough for the longest refusal.
 const CRASHES_KEPT: usize = 6;
 
-/// News in the answer to a node that knows other crashes than this one: about 50 KB at most. What is
-/// left out is what would be forgotten first.
+/// News in the answer to a node that knows other crashes than this one. What is left out is what would
+/// be forgotten first.
 const SNAPSHOT_LIMIT: usize = 1024;
 
 /// What is known of a request before it runs.
--- a/packages/turnford-fleet/src/rumor.rs
+++ b/packages/turnford-fleet/src/rumor.rs
@@ -11,7 +11,7 @@
 
 use crate::ConfigChange;
 
-/// Nodes that each node tells. With 3, news reaches all but a few in 10,000 of a large fleet.
+/// Nodes that each node tells. News reaches nearly all of a large fleet so; the others find the gap.
 pub const RUMOR_FANOUT: usize = 3;
 
 /// News remembered, so that each is passed on once.
--- a/packages/turnford-fleet/src/watcher.rs
+++ b/packages/turnford-fleet/src/watcher.rs
@@ -10,8 +10,7 @@
 /// Least number of watchers in a hall, so that one can fail.
 const LEAST_WATCHERS: usize = 2;
 
-/// Nodes of a hall that one watcher answers. Each asks about once a second, so that the answers take
-/// some thousandth of a core and 2 KB a second.
+/// Nodes of a hall that one watcher answers, each about once a second.
 const NODES_PER_WATCHER: usize = 16;
 
 /// Returns the nodes that watch for a hall, out of its nodes, in the order in which others ask them.
--- a/packages/turnford-http/src/arrival.rs
+++ b/packages/turnford-http/src/arrival.rs
@@ -7,20 +7,19 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 
-/// Longest pause within an answer that is arriving. A lost packet is sent again within some 200 ms,
-/// three in a row within this; a connection that fell silent has to be found out before a change
-/// must be in force, which is two seconds.
+/// Longest pause within an answer that is arriving. Lost packets are sent again within it; a
+/// connection that fell silent has to be found out before a change must be in force.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
-/// Longest time for a whole answer: a megabyte, the largest value of the platform's store, takes
-/// 8.4 s on a tenth of a link of 10 Mbit/s.
+/// Longest time for a whole answer: the largest value of the platform's store arrives within it on a
+/// tenth of the smallest link.
 const LONGEST_ARRIVAL: Duration = Duration::from_secs(10);
 
 /// How long an answer may take.
 ///
 /// An answer that is arriving is not given up for its size: what has come would be lost, and asking
-/// again takes the link from the next try. With one limit for whole answers, nodes with full links
-/// asked for a configuration of 0.85 MB for ten seconds and never had it.
+/// again takes the link from the next try: a node with a full link would ask for a large configuration
+/// for ever and never have it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerLimit {
     /// Time until the answer begins.
--- a/packages/turnford-policy/src/route/cell.rs
+++ b/packages/turnford-policy/src/route/cell.rs
@@ -2,8 +2,7 @@
 
 use super::TargetSpec;
 
-/// Targets in one cell. A node that gathers for eight targets makes some 25 calls a second, which a
-/// small VM does in a few hundredths of its core.
+/// Targets in one cell: what a small VM can gather for beside its requests.
 const CELL_SIZE: usize = 8;
 
 /// Splits targets into cells, hall by hall, so that a cell's targets are near each other. Nodes
--- a/packages/turnford-policy/src/route/engine.rs
+++ b/packages/turnford-policy/src/route/engine.rs
@@ -20,8 +20,7 @@
 /// Number of a placed request.
 pub type RunTicket = u64;
 
-/// What is thought of reading before a first prompt was read: 2,000 tokens in 100 ms, half as fast as
-/// the engines that were measured. Some twenty prompts later it no longer matters.
+/// Tokens whose reading is thought to take [`START_SPAN`] before a first prompt was read.
 const START_TOKENS: f64 = 2000.0;
 
 /// Span of reading [`START_TOKENS`] at the start.
@@ -36,8 +35,7 @@
 /// Weight of the newest first event in the average of how far they were from what was expected.
 const MISS_WEIGHT: f64 = 0.05;
 
-/// Cost of a request that is late for sure, in seconds. It is about what reading 16,000 tokens of
-/// shared parts anew is priced at.
+/// Cost of a request that is late for sure, in seconds.
 const LATE_COST: f64 = 1.0;
 
 /// Price of reading a token of a shared part anew, in seconds, beside the time that it takes.
@@ -46,8 +44,7 @@
 /// Time that one more running request adds to another's, in seconds.
 const RUN_COST: f64 = 0.004;
 
-/// Cost of a megabyte of inputs that crosses halls, in seconds: its price is that of reading some
-/// thousand tokens anew.
+/// Cost of a megabyte of inputs that crosses halls, in seconds.
 const MOVE_COST: f64 = 0.05;
 
 /// Cost of a target that is not the prompt's home, in seconds, so that equal ones are not equal.
--- a/packages/turnford-policy/src/route/gate.rs
+++ b/packages/turnford-policy/src/route/gate.rs
@@ -10,7 +10,7 @@
 const ASK_PAUSE: Duration = Duration::from_secs(10);
 
 /// Part of that time by which a node asks later at most, each by its own: all heard of the word within
-/// milliseconds, and 880 questions in one second would take a small target's places.
+/// milliseconds, and the questions of a large fleet in one second would take a small target's places.
 const ASK_SPREAD: f64 = 0.6;
 
 /// Calls that a target may have under way when its rest is over. Each good answer lets in one more, so
--- a/packages/turnford-policy/src/route/span_line.rs
+++ b/packages/turnford-policy/src/route/span_line.rs
@@ -11,7 +11,7 @@
 const START_WEIGHT: f64 = 0.25;
 
 /// Most times a sample may differ from what was expected. A target that hangs is no sign of how fast
-/// the others are; a start line that is far off is still left within some twenty samples.
+/// the others are; a start line that is far off is still left soon.
 const LARGEST_FACTOR: f64 = 3.0;
 
 /// A line through the sizes and spans that were seen, the newest counting most.
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -46,7 +46,7 @@
 /// still answers that; one that is down or cut off does not, and its pieces go elsewhere.
 const OVERDUE_FACTOR: f64 = 1.3;
 
-/// Longest wait for that answer: a report takes a few milliseconds, a lost packet some hundred more.
+/// Longest wait for that answer, which a lost packet may delay.
 const ALIVE_LIMIT: Duration = Duration::from_millis(400);
 
 /// Pause between such questions while a call goes on.
--- a/packages/turnford-serve/src/fanout.rs
+++ b/packages/turnford-serve/src/fanout.rs
@@ -9,8 +9,7 @@
 
 use crate::peers::PeerLinks;
 
-/// Nodes that each node tells of what is new to it; with six, three rounds reach 880 nodes but for a
-/// few in a thousand.
+/// Nodes that each node tells of what is new to it: a few rounds reach nearly all of a large fleet.
 const NEWS_FANOUT: usize = 6;
 
 /// Longest wait for another node's answer.
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -44,8 +44,8 @@
 use crate::stream::relay_stream;
 use crate::traffic::Traffic;
 
-/// Largest answer that is held to its end before the client gets it, in bytes. The pages bound no
-/// answer; those seen are a few kilobytes.
+/// Largest answer that is held to its end before the client gets it, in bytes. Nothing else bounds
+/// answers.
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 
 /// Most targets that a request looks at without reaching one: more than are down together in
@@ -56,7 +56,7 @@
 const LIMITED_TRIES: usize = 3;
 
 /// Time after which a target has fetched the inputs of a request that it was sent: it does so before
-/// it reads the prompt, and a few hundred kilobytes take some milliseconds.
+/// it reads the prompt.
 const FETCH_SPAN: Duration = Duration::from_millis(80);
 
 /// Time to come back after a refusal by which a failed target has been replaced or has recovered.
--- a/packages/turnford-serve/src/leaving.rs
+++ b/packages/turnford-serve/src/leaving.rs
@@ -30,7 +30,7 @@
 /// Time in which words are gathered: the targets of a rack leave together.
 const GATHER_PAUSE: Duration = Duration::from_millis(5);
 
-/// Most words of one message: some 20 KB.
+/// Most words of one message.
 const NEWS_LIMIT: usize = 256;
 
 /// Pause between looks for targets to be asked whether they stay.
--- a/packages/turnford-serve/src/limits.rs
+++ b/packages/turnford-serve/src/limits.rs
@@ -38,8 +38,7 @@
 use crate::peers::PeerLinks;
 use crate::peers::ALIVE_LIMIT;
 
-/// Longest wait for the node that places and divides: above its usual answer of a few milliseconds, well
-/// below what a request can spare.
+/// Longest wait for the node that places and divides: well below what a request can spare.
 pub(crate) const PLACE_LIMIT: Duration = Duration::from_millis(120);
 
 /// Nodes that are asked one after the other, each named by the one before or next in its place.
@@ -51,7 +50,7 @@
 /// Pause before a node that nobody gave an answer asks again.
 const UNHEARD_PAUSE: Duration = Duration::from_millis(100);
 
-/// Most targets of one message: some 15 KB.
+/// Most targets of one message.
 pub(crate) const NEWS_LIMIT: usize = 256;
 
 /// What became of an ask for a permit.
--- a/packages/turnford-serve/src/outlook.rs
+++ b/packages/turnford-serve/src/outlook.rs
@@ -27,8 +27,8 @@
 use crate::stages::StageFault;
 use crate::traffic::Traffic;
 
-/// Time by which a stage may outlast its forecast before that is renewed. News of what others did
-/// takes some 50 ms to the node that forecasts.
+/// Time by which a stage may outlast its forecast before that is renewed: news of what others did is
+/// gathered on its way to the node that forecasts.
 const RENEW_SLACK: Duration = Duration::from_millis(100);
 
 /// Waits until a request can't be served any more before its client or this node leaves, and tells
--- a/packages/turnford-serve/src/peers.rs
+++ b/packages/turnford-serve/src/peers.rs
@@ -26,7 +26,7 @@
 /// Silence of a node with work of ours after which it is asked whether it is there.
 pub(crate) const SILENCE_SPAN: Duration = Duration::from_millis(150);
 
-/// Longest wait for that answer. Nodes answer in a few milliseconds; a slow one in some tens.
+/// Longest wait for that answer.
 pub(crate) const ALIVE_LIMIT: Duration = Duration::from_millis(250);
 
 /// Time for which a node that did not answer gets no work. Its own probes find out meanwhile.
--- a/packages/turnford-serve/src/trial.rs
+++ b/packages/turnford-serve/src/trial.rs
@@ -20,8 +20,8 @@
 use crate::record::RequestRecord;
 use crate::traffic::Traffic;
 
-/// Longest time for which a suspect waits for another copy of it. Most that crash their target do so
-/// within 300 ms of being sent, and most that don't end in about as long again.
+/// Longest time for which a suspect waits for another copy of it: most have ended or crashed their
+/// target by then.
 pub(crate) const HOLD_SPAN: Duration = Duration::from_millis(500);
 
 /// Pause between looks whether a suspect may run.
--- a/packages/turnford-wire/src/packed.rs
+++ b/packages/turnford-wire/src/packed.rs
@@ -10,13 +10,13 @@
 use crate::FrameFault;
 
 /// Longest text that is unpacked, in bytes: four of the largest values of the platform's store. A
-/// damaged frame must not take the memory of a VM, which is 160 MB.
+/// damaged frame must not take the memory of a small VM.
 const TEXT_LIMIT: u64 = 4 * 1024 * 1024;
 
 /// A text, compressed.
 ///
-/// A configuration of 4,251 routes has 0.86 MB and packs to 0.07 MB, so that a node with a link of
-/// 10 Mbit/s tells sixteen others within a second in place of eleven.
+/// Configurations pack to a small part, so that a node with a small link tells many others of a large one in
+/// time.
 #[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
 pub struct PackedText(Vec<u8>);
 
