--- a/packages/turnford-serve/tests/limited_targets.rs
+++ b/packages/turnford-serve/tests/limited_targets.rs
@@ -392,6 +392,45 @@
     assert_used(&targets, 4.0, until - Duration::from_secs(3), until);
 }
 
+#[test]
+fn divider_stops() {
+    // A node that stops as planned takes no asks for calls, and still says that it is there. The one that was
+    // asked in its place sent those that asked back to it, so that nobody got a call until it had ended.
+    std::thread::scope(|scope| {
+        for left in 0..2 {
+            scope.spawn(move || stop_divider(left));
+        }
+    });
+}
+
+/// Has the node that divides stop, while requests come to one of the two others.
+fn stop_divider(left: usize) {
+    let (mut site, mut nodes, targets) = site_with(3, ["e1", "e2"], "sprog", &ENGINE);
+    let from = limit_all(&targets, "4");
+    let stream = Stream::new("/draft/1", 30.0);
+    stream.send(&site, &nodes, Duration::from_secs(4));
+    let divides = |node: &usize| {
+        let text = site.metrics(*node);
+        let mut lines = text.lines();
+        let rate = lines.find_map(|line| line.strip_prefix("turnford_limit_rate "));
+        rate.is_some_and(|rate| rate != "0.0")
+    };
+    let place = nodes.iter().position(divides).expect("a node that divides");
+    let stopping = nodes.remove(place);
+    let node = site.nodes[stopping].node.take().expect("a node");
+    // Whoever is left was heard by nobody for a while.
+    std::thread::sleep(Duration::from_millis(1500));
+    std::thread::scope(|scope| {
+        scope.spawn(|| async_io::block_on(node.drain()));
+        let begun = Instant::now();
+        stream.send(&site, &nodes[left..=left], Duration::from_millis(2200));
+        // Half of the limits, while the other one may not know.
+        let seen = begun + Duration::from_millis(700);
+        assert_used(&targets, 2.0, seen, begun + Duration::from_millis(2200));
+    });
+    assert_kept(&targets, 4.0, from);
+}
+
 #[test]
 fn untold_nodes() {
     // Only one node had an answer that names the limit; the others keep it as well.
