Ask the node that divides whether it still does, not whether it is there

Cause: a node that stops refuses asks for calls, and still answers that it is there. One that was asked in its place took it for the divider, and sent those that asked back to it until it had ended. Change: it is asked to compare what it knows of limits, which a node that stops refuses. Requests for services without limits take the way of before.

--- a/packages/turnford-fleet/tests/limit_division.rs
+++ b/packages/turnford-fleet/tests/limit_division.rs
@@ -535,6 +535,8 @@
     fn receive(&mut self, from: usize, to: usize, message: Message) {
         self.nodes[to].heard.insert(from, self.now);
         match message {
+            // One that stops refuses it, which tells as much as its silence.
+            Message::Alive if self.nodes[to].is_stopping => {}
             Message::Alive => self.send(to, from, Message::IsAlive),
             Message::IsAlive => {}
             Message::Ask(number, term, known) => {
--- a/packages/turnford-policy/src/route/board.rs
+++ b/packages/turnford-policy/src/route/board.rs
@@ -33,8 +33,8 @@
 /// Cost of a target that fails all its calls, in the unit of times.
 const FAILURE_COST: Duration = Duration::from_secs(2);
 
-/// Costs that differ by less, in seconds, are the same.
-const EQUAL_COST: f64 = 0.001;
+/// Costs that differ by less are the same but for rounding.
+const EQUAL_COST: f64 = 1e-6;
 
 /// The targets of one service.
 #[derive(Clone, Debug, Default)]
--- a/packages/turnford-serve/src/admission.rs
+++ b/packages/turnford-serve/src/admission.rs
@@ -196,12 +196,13 @@
     need: &FlowNeed,
     patience: Duration,
 ) -> Result<(), FlowRefusal> {
-    let targets = desk.board.borrow().untried_targets(&[]);
-    let coming = desk.flow.borrow().admitted_before(need.ranks);
     let mut division = desk.limits.division.borrow_mut();
-    let Some(divider) = division.divider() else {
+    let has_limits = desk.limits.board.borrow().has_limits();
+    let Some(divider) = division.divider().filter(|_| has_limits) else {
         return Ok(());
     };
+    let targets = desk.board.borrow().untried_targets(&[]);
+    let coming = desk.flow.borrow().admitted_before(need.ranks);
     let turn = divider.forecast(now, need.ranks, coming, &targets);
     let late = turn.map_or(Duration::ZERO, |turn| turn.saturating_sub(patience));
     if late.is_zero() {
--- a/packages/turnford-serve/src/limit_news.rs
+++ b/packages/turnford-serve/src/limit_news.rs
@@ -3,12 +3,10 @@
 //! A node that hears a new word tells the one that divides, which orders the words of all nodes, numbers what
 //! follows, and tells it on. Beside that, nodes that know of limits compare what they know.
 
-use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::Timer;
-use siphasher::sip::SipHasher13;
 
 use turnford_fleet::DivisionRole;
 use turnford_fleet::LimitEntry;
@@ -19,7 +17,6 @@
 use turnford_policy::TargetBirth;
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
-use turnford_wire::LimitMark;
 use turnford_wire::LimitNews;
 use turnford_wire::LimitReport;
 use turnford_wire::WorkReply;
@@ -186,20 +183,3 @@
         entries: entries.take(NEWS_LIMIT).collect(),
     })
 }
-
-/// Returns how new this node's knowledge is.
-pub(crate) fn own_mark(limits: &ServiceLimits) -> LimitMark {
-    let board = limits.board.borrow();
-    let mut sum = 0;
-    for (target, _, sequence, _) in board.told() {
-        let mut hasher = SipHasher13::new();
-        hasher.write(target.as_bytes());
-        hasher.write_u64(sequence);
-        sum ^= hasher.finish();
-    }
-    LimitMark {
-        service: limits.service.to_string(),
-        term: limits.division.borrow().term().cloned(),
-        sum,
-    }
-}
--- a/packages/turnford-serve/src/limit_place.rs
+++ b/packages/turnford-serve/src/limit_place.rs
@@ -144,6 +144,9 @@
     desk: &Rc<ServiceDesk>,
     tried: &[TargetId],
 ) -> Result<Option<TargetSpec>, ()> {
+    if !desk.limits.board.borrow().has_limits() {
+        return Ok(choose_plain(traffic, desk, tried));
+    }
     loop {
         let now = traffic.shared.now();
         let left = desk.board.borrow().untried_targets(tried);
--- a/packages/turnford-serve/src/limit_watch.rs
+++ b/packages/turnford-serve/src/limit_watch.rs
@@ -16,7 +16,6 @@
 use crate::desk::ServiceDesk;
 use crate::fanout::ANSWER_LIMIT;
 use crate::leaving::ask_health;
-use crate::limit_news::own_mark;
 use crate::limit_news::own_news;
 use crate::limit_news::take_limits;
 use crate::traffic::Traffic;
@@ -49,7 +48,7 @@
     let compared = desks
         .iter()
         .filter(|desk| is_new || desk.limits.is_divided.get());
-    let marks: Vec<LimitMark> = compared.map(|desk| own_mark(&desk.limits)).collect();
+    let marks: Vec<LimitMark> = compared.map(|desk| desk.limits.mark()).collect();
     if marks.is_empty() {
         return;
     }
@@ -95,7 +94,7 @@
         let Some(desk) = traffic.desk(&mark.service) else {
             continue;
         };
-        let own = own_mark(&desk.limits);
+        let own = desk.limits.mark();
         if own == *mark {
             continue;
         }
--- a/packages/turnford-serve/src/limits.rs
+++ b/packages/turnford-serve/src/limits.rs
@@ -6,11 +6,13 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::Timer;
+use siphasher::sip::SipHasher13;
 
 use turnford_fleet::DividerId;
 use turnford_fleet::DivisionRole;
@@ -27,6 +29,7 @@
 use turnford_policy::TargetBirth;
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
+use turnford_wire::LimitMark;
 use turnford_wire::LimitNews;
 use turnford_wire::PermitAsk;
 use turnford_wire::PermitReply;
@@ -139,7 +142,9 @@
                 self.publish(true);
             }
             DivisionRole::Doubted(term) => {
-                let look = look_for(self.peers.clone(), term.holder.work);
+                // One that stops refuses this, though it is there.
+                let request = WorkRequest::LimitSync(vec![self.mark()]);
+                let look = look_for(self.peers.clone(), term.holder.work, request);
                 self.peers.executor.spawn(look).detach();
             }
             DivisionRole::Divides { .. } | DivisionRole::Elsewhere(_) => {}
@@ -292,6 +297,22 @@
         }
     }
 
+    /// Returns how new this node's knowledge is.
+    pub(crate) fn mark(&self) -> LimitMark {
+        let mut sum = 0;
+        for (target, _, sequence, _) in self.board.borrow().told() {
+            let mut hasher = SipHasher13::new();
+            hasher.write(target.as_bytes());
+            hasher.write_u64(sequence);
+            sum ^= hasher.finish();
+        }
+        LimitMark {
+            service: self.service.to_string(),
+            term: self.division.borrow().term().cloned(),
+            sum,
+        }
+    }
+
     /// Keeps a permit that was asked for at a moment.
     pub(crate) fn add_permit(&self, target: &str, asked_at: Moment) {
         let mut board = self.board.borrow_mut();
@@ -344,9 +365,9 @@
     }
 }
 
-/// Finds out whether a node is there that another one finds lost.
-async fn look_for(peers: Rc<PeerLinks>, holder: SocketAddr) {
-    peers.call(holder, &WorkRequest::Alive, ALIVE_LIMIT).await;
+/// Finds out whether a node still divides that another one finds lost.
+async fn look_for(peers: Rc<PeerLinks>, holder: SocketAddr, request: WorkRequest) {
+    peers.call(holder, &request, ALIVE_LIMIT).await;
 }
 
 fn wait_reply(wait: Duration) -> PermitReply {
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -48,6 +48,7 @@
         | WorkRequest::Place(_)
         | WorkRequest::Permit(_)
         | WorkRequest::LimitReport(_)
+        | WorkRequest::LimitSync(_)
             if traffic.shared.is_draining() =>
         {
             WorkReply::Refused
