Say once where a request may run where targets have limits

Cause: the places of sound requests and of suspects were told apart in two copies, and a time to come back was planned from a made-up ask. Change: CheckedPlace holds the place that was found; the line plans from how late a request would be.

--- a/packages/turnford-fleet/src/limit_divider.rs
+++ b/packages/turnford-fleet/src/limit_divider.rs
@@ -235,17 +235,10 @@
         Some(self.line.forecast(now, ranks, coming, supply))
     }
 
-    /// Chooses when a request should come back whose turn would be so long after its latest time.
+    /// Chooses when a request should come back that would be late by so much.
     pub fn plan_return(&mut self, now: Moment, late: Duration, targets: &[TargetId]) -> Duration {
         let rate = self.supply(now, targets).rate();
-        let ask = TurnAsk {
-            number: 0,
-            ranks: (0, 0),
-            begun: now,
-            latest: now,
-        };
-        self.line
-            .plan_return(now, now.saturating_add(late), &ask, rate)
+        self.line.plan_return(now, late, rate)
     }
 
     /// Returns the targets that had no call for a while, so that nobody would hear that they are well
--- a/packages/turnford-fleet/src/turn_line.rs
+++ b/packages/turnford-fleet/src/turn_line.rs
@@ -182,7 +182,8 @@
             if known.is_some() {
                 self.waiting.remove(place);
             }
-            return TurnAnswer::Never(self.plan_return(now, now.saturating_add(wait), ask, rate));
+            let late = now.saturating_add(wait).saturating_sub(ask.latest.max(now));
+            return TurnAnswer::Never(self.plan_return(now, late, rate));
         }
         TurnAnswer::Wait(self.keep(now, place, known.is_some(), ask, supply))
     }
@@ -201,16 +202,9 @@
         supply.wait(ahead + coming, self.rate_left(now, ranks, supply))
     }
 
-    /// Returns when a request that can't be sent before a moment should come back, each at another time.
-    pub fn plan_return(
-        &mut self,
-        now: Moment,
-        turn: Moment,
-        ask: &TurnAsk,
-        rate: CallRate,
-    ) -> Duration {
-        let excess = turn.saturating_sub(ask.latest.max(now));
-        let back = now.saturating_add(excess).max(self.next_return);
+    /// Returns when a request should come back that would be late by so much, each at another time.
+    pub fn plan_return(&mut self, now: Moment, late: Duration, rate: CallRate) -> Duration {
+        let back = now.saturating_add(late).max(self.next_return);
         let longest = now + LONGEST_RETURN;
         let step = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(LONGEST_RETURN);
         self.next_return = back.saturating_add(step).min(longest);
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -23,6 +23,7 @@
 use crate::desk::ServiceDesk;
 use crate::forward::RETRY_AFTER;
 use crate::limit_place::choose_limited;
+use crate::limit_place::LimitedPlace;
 use crate::line::LinePlace;
 use crate::opening::wait_turn;
 use crate::opening::OpeningFault;
@@ -209,11 +210,15 @@
     need: &PlaceNeed,
     turn: &TurnAsk,
 ) -> FoundPlace {
-    match place_checked(traffic, desk, digest, need, turn) {
-        CheckedPlace::At {
+    let (place, is_alone) = match place_checked(traffic, desk, digest, need, turn) {
+        CheckedPlace::Found { place, is_alone } => (place, is_alone),
+        CheckedPlace::Held => return FoundPlace::Held,
+        CheckedPlace::Refused(span) => return FoundPlace::Refused(span),
+    };
+    match place {
+        LimitedPlace::At {
             target,
             ticket,
-            is_alone,
             has_permit,
         } => {
             if has_permit {
@@ -226,10 +231,8 @@
                 run: Some(note_run(traffic, desk, None, ticket)),
             }))
         }
-        CheckedPlace::Later(span) => FoundPlace::Later(span),
-        CheckedPlace::Full(span) => FoundPlace::Full(span),
-        CheckedPlace::Nowhere => FoundPlace::Nowhere,
-        CheckedPlace::Held => FoundPlace::Held,
-        CheckedPlace::Refused(span) => FoundPlace::Refused(span),
+        LimitedPlace::Later(span) => FoundPlace::Later(span),
+        LimitedPlace::Full(span) => FoundPlace::Full(span),
+        LimitedPlace::Nowhere => FoundPlace::Nowhere,
     }
 }
--- a/packages/turnford-serve/src/placer.rs
+++ b/packages/turnford-serve/src/placer.rs
@@ -19,6 +19,7 @@
 use crate::admission::short_millis;
 use crate::desk::ServiceDesk;
 use crate::limit_news::report_limit;
+use crate::limit_place::LimitedPlace;
 use crate::limits::PLACE_LIMIT;
 use crate::peers::ALIVE_LIMIT;
 use crate::placed_run::note_run;
@@ -166,10 +167,20 @@
     let turn = asked_turn(&ask, now);
     let need = asked_need(ask, now);
     let reply = match place_checked(traffic, &desk, digest, &need, &turn) {
-        CheckedPlace::At {
+        CheckedPlace::Found { place, is_alone } => found_reply(place, is_alone),
+        CheckedPlace::Held => PlaceReply::Held,
+        CheckedPlace::Refused(span) => PlaceReply::Refused {
+            back_ms: u64::try_from(span.as_millis()).unwrap_or(u64::MAX),
+        },
+    };
+    WorkReply::Placed(reply)
+}
+
+fn found_reply(place: LimitedPlace, is_alone: bool) -> PlaceReply {
+    match place {
+        LimitedPlace::At {
             target,
             ticket,
-            is_alone,
             has_permit,
         } => PlaceReply::At {
             target: target.id.to_string(),
@@ -177,19 +188,14 @@
             is_alone,
             has_permit,
         },
-        CheckedPlace::Later(span) => PlaceReply::Later {
+        LimitedPlace::Later(span) => PlaceReply::Later {
             wait_ms: short_millis(span),
         },
-        CheckedPlace::Full(span) => PlaceReply::Full {
+        LimitedPlace::Full(span) => PlaceReply::Full {
             back_ms: short_millis(span),
         },
-        CheckedPlace::Nowhere => PlaceReply::Nowhere,
-        CheckedPlace::Held => PlaceReply::Held,
-        CheckedPlace::Refused(span) => PlaceReply::Refused {
-            back_ms: u64::try_from(span.as_millis()).unwrap_or(u64::MAX),
-        },
-    };
-    WorkReply::Placed(reply)
+        LimitedPlace::Nowhere => PlaceReply::Nowhere,
+    }
 }
 
 fn asked_turn(ask: &PlaceAsk, now: Moment) -> TurnAsk {
--- a/packages/turnford-serve/src/trial.rs
+++ b/packages/turnford-serve/src/trial.rs
@@ -11,7 +11,6 @@
 use turnford_policy::PlaceNeed;
 use turnford_policy::RequestDigest;
 use turnford_policy::ResultCode;
-use turnford_policy::TargetSpec;
 
 use crate::crash::SuspectGuard;
 use crate::desk::ServiceDesk;
@@ -32,22 +31,12 @@
 
 /// Where a request may run, by what this node knows.
 pub(crate) enum CheckedPlace {
-    /// At a target.
-    At {
-        target: TargetSpec,
-        /// Number of the placement.
-        ticket: u64,
+    /// What targets there are for it.
+    Found {
+        place: LimitedPlace,
         /// Whether it is the only suspect there.
         is_alone: bool,
-        /// Whether it comes with a permit for one call.
-        has_permit: bool,
     },
-    /// All targets have limits, and it should ask again after this time.
-    Later(Duration),
-    /// All targets have limits, and its turn does not come in time; when to come back.
-    Full(Duration),
-    /// No target can take it.
-    Nowhere,
     /// Another copy of it is on trial.
     Held,
     /// It crashes targets, and is refused for so long.
@@ -129,7 +118,12 @@
     let verdict = traffic.crashes.verdict(now, &digest);
     let mut trials = desk.trials.borrow_mut();
     let (is_alone, taken) = match trials.enter(now, &digest, verdict) {
-        TrialEntry::Freely => return place_sound(traffic, desk, need, turn),
+        TrialEntry::Freely => {
+            return CheckedPlace::Found {
+                place: place_limited(traffic, desk, need, turn),
+                is_alone: false,
+            }
+        }
         TrialEntry::Refused(until) => return CheckedPlace::Refused(until.saturating_sub(now)),
         TrialEntry::Held => return CheckedPlace::Held,
         TrialEntry::OnTrial { is_alone, taken } => (is_alone, taken),
@@ -137,46 +131,13 @@
     let is_any_taken = !taken.is_empty();
     let mut need = need.clone();
     need.tried.extend(taken);
-    match place_limited(traffic, desk, &need, turn) {
-        LimitedPlace::At {
-            target,
-            ticket,
-            has_permit,
-        } => {
-            trials.start(ticket, digest, target.id.clone(), is_alone, need.deadline);
-            CheckedPlace::At {
-                target,
-                ticket,
-                is_alone,
-                has_permit,
-            }
+    let place = place_limited(traffic, desk, &need, turn);
+    match &place {
+        LimitedPlace::At { target, ticket, .. } => {
+            trials.start(*ticket, digest, target.id.clone(), is_alone, need.deadline);
         }
-        LimitedPlace::Nowhere if is_any_taken => CheckedPlace::Held,
-        LimitedPlace::Nowhere => CheckedPlace::Nowhere,
-        LimitedPlace::Later(span) => CheckedPlace::Later(span),
-        LimitedPlace::Full(span) => CheckedPlace::Full(span),
-    }
-}
-
-fn place_sound(
-    traffic: &Traffic,
-    desk: &ServiceDesk,
-    need: &PlaceNeed,
-    turn: &TurnAsk,
-) -> CheckedPlace {
-    match place_limited(traffic, desk, need, turn) {
-        LimitedPlace::At {
-            target,
-            ticket,
-            has_permit,
-        } => CheckedPlace::At {
-            target,
-            ticket,
-            is_alone: false,
-            has_permit,
-        },
-        LimitedPlace::Nowhere => CheckedPlace::Nowhere,
-        LimitedPlace::Later(span) => CheckedPlace::Later(span),
-        LimitedPlace::Full(span) => CheckedPlace::Full(span),
+        LimitedPlace::Nowhere if is_any_taken => return CheckedPlace::Held,
+        LimitedPlace::Nowhere | LimitedPlace::Later(_) | LimitedPlace::Full(_) => {}
     }
+    CheckedPlace::Found { place, is_alone }
 }
