Wait until a crash is kept before all nodes end in the test

Cause: all_started_again ended all nodes as soon as the request was refused, and left to chance whether its crashes had been kept in the store, which happens 200 ms after each. Change: the test waits until the store has it. The bound and all else stay.

--- a/packages/turnford-serve/tests/crashing_requests.rs
+++ b/packages/turnford-serve/tests/crashing_requests.rs
@@ -280,6 +280,10 @@
     let mut site = start_site();
     fragile_targets(&site, "sprog", &LASTING);
     wait_until("the node refuses it", || is_refused(&site, 0, "bad-first"));
+    // A crash is kept a little after it, when its neighbours are known; nodes that end before that keep nothing.
+    wait_until("it is kept", || {
+        !site.store.names("turnford-suspects").is_empty()
+    });
     let before = reached(&site);
     for node in &mut site.nodes {
         node.node.take().expect("a node").stop();
