--- /dev/null
+++ b/packages/turnford-wire/examples/limit_cost.rs
@@ -0,0 +1,116 @@
+//! What dividing limits costs: the time of one ask at the node that divides, and the bytes of the messages.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use turnford_fleet::DividerId;
+use turnford_fleet::LimitDivider;
+use turnford_fleet::LimitEntry;
+use turnford_fleet::LimitTerm;
+use turnford_fleet::PermitUse;
+use turnford_fleet::TurnAsk;
+use turnford_policy::LimitState;
+use turnford_policy::TargetId;
+use turnford_wire::encode_frame;
+use turnford_wire::LimitMark;
+use turnford_wire::LimitNews;
+use turnford_wire::PermitAsk;
+use turnford_wire::PermitReply;
+use turnford_wire::WorkReply;
+use turnford_wire::WorkRequest;
+
+/// Targets of a service that have limits.
+const TARGETS: usize = 450;
+
+/// Asks that are timed.
+const ASKS: u32 = 100_000;
+
+fn main() {
+    let targets: Vec<TargetId> = (0..TARGETS)
+        .map(|number| format!("i-{number:010}").into())
+        .collect();
+    let mut divider = LimitDivider::new(Duration::ZERO);
+    for target in &targets {
+        divider.adopt(Duration::ZERO, target, 1, LimitState::Limited(4.0));
+    }
+    let begun = Instant::now();
+    let mut granted = 0;
+    for number in 0..ASKS {
+        let now = Duration::from_micros(100 * u64::from(number));
+        let target = &targets[number as usize % TARGETS];
+        granted += u32::from(divider.take(now, target, PermitUse::Work).is_ok());
+    }
+    println!(
+        "permit: {:?} an ask, {granted} granted",
+        begun.elapsed() / ASKS
+    );
+    let begun = Instant::now();
+    for number in 0..ASKS / 100 {
+        let now = Duration::from_secs(20) + Duration::from_micros(100 * u64::from(number));
+        let ask = TurnAsk {
+            number: u64::from(number),
+            ranks: (1, 1),
+            begun: now,
+            latest: now + Duration::from_secs(4),
+        };
+        divider.ask_turn(now, &ask, &targets);
+    }
+    let (_, waiting) = divider.load(Duration::from_secs(20));
+    println!(
+        "turn: {:?} an ask among {TARGETS} targets, {waiting} wait",
+        begun.elapsed() / (ASKS / 100)
+    );
+    print_sizes();
+}
+
+fn print_sizes() {
+    let service = "writers".to_owned();
+    let term = LimitTerm {
+        number: 12,
+        holder: DividerId {
+            name: "front-piassa-3".to_owned(),
+            process: 1_796_279_614_729,
+            work: "10.3.0.12:7742".parse().expect("an address"),
+        },
+    };
+    let ask = WorkRequest::Permit(PermitAsk {
+        service: service.clone(),
+        term: Some(term.clone()),
+        target: "i-91b9f41feb".to_owned(),
+        born: 1_796_279_614_729,
+        state: LimitState::Limited(1.0),
+        purpose: PermitUse::Work,
+    });
+    let reply = WorkReply::Permit(PermitReply::Wait { wait_ms: 400 });
+    let mark = LimitMark {
+        service: service.clone(),
+        term: Some(term.clone()),
+        sum: u64::MAX,
+    };
+    let news = |count: usize| {
+        let entry = LimitEntry {
+            target: "i-91b9f41feb".to_owned(),
+            born: 1_796_279_614_729,
+            sequence: 7,
+            state: LimitState::Limited(1.0),
+        };
+        WorkRequest::Limits(vec![LimitNews {
+            service: service.clone(),
+            term: term.clone(),
+            entries: vec![entry; count],
+        }])
+    };
+    let size = |frame: Result<Vec<u8>, _>| frame.map_or(0, |frame: Vec<u8>| frame.len());
+    println!("ask for a permit: {} bytes", size(encode_frame(&ask)));
+    println!("its answer: {} bytes", size(encode_frame(&reply)));
+    println!(
+        "a comparison: {} bytes",
+        size(encode_frame(&WorkRequest::LimitSync(vec![mark])))
+    );
+    for count in [1, 60] {
+        println!(
+            "news of {count} targets: {} bytes",
+            size(encode_frame(&news(count)))
+        );
+    }
+}
