--- a/packages/turnford/tests/soak/word.rs
+++ b/packages/turnford/tests/soak/word.rs
@@ -136,11 +136,10 @@
     interrupts: &[NodeSpan],
 ) -> Option<String> {
     let id = limit.target.id();
+    // A later limit takes the place of this one, and the end of an earlier one ends all.
     let others = all.iter().filter(|other| other.target.id() == id);
-    if others.count() > 1 {
-        // One limit took the place of another within its notice.
-        return None;
-    }
+    let cuts = others.flat_map(|other| [other.begin, other.end]);
+    let end = cuts.filter(|at| *at > limit.begin).min()?;
     let counts = |call: &TargetArrival| {
         let lately = call.at.checked_sub(EXCUSE_SPAN).unwrap_or(call.at);
         match records.get(&call.attempt) {
@@ -153,7 +152,7 @@
     let calls = limit.target.arrivals().into_iter().filter(counts);
     let calls = calls.map(|call| call.at);
     let calls: Vec<Instant> = calls
-        .filter(|at| *at >= limit.begin + LIMIT_NOTICE && *at < limit.end)
+        .filter(|at| *at >= limit.begin + LIMIT_NOTICE && *at < end)
         .collect();
     let windows = calls.iter().enumerate().map(|(first, begin)| {
         let later = calls[first..].iter();
