Hold leases through a platform that comes back from a copy

Callers saw nothing yet; two lenders would have lent an account's limit twice, and targets would have had orders of two givers.

Cause: a lease took acknowledged writes for lasting and a version for the name of one state. After a return from a copy a held lease is free there, versions are given out again, and a conditional write replaces another's record. Change: records are known by version and mark; a taker waits, only reading, until every earlier holder has stopped by its own clock, and renews first after a read sent after that wait; a renewal answered after the lease's end is a new taking; tokens belong to terms, are carried on in the record and rise with the time of day.

--- a/packages/turnford-fleet/src/lease.rs
+++ b/packages/turnford-fleet/src/lease.rs
@@ -1,11 +1,17 @@
 //! A lease at the platform: one holder at a time, with a token that rises.
 //!
-//! Clocks of other machines play no part. A holder stops well before its lease ends by its own
-//! monotonic clock, counted from before the renewing write was sent. A successor takes over only
-//! after it has itself watched the same version for the whole span and the longest use of it.
-
-use std::time::Duration;
+//! The platform may come back from a copy that is some seconds old: acknowledged writes are gone and
+//! versions are given out again, so neither a free record nor an accepted conditional write proves that
+//! nobody else holds the lease. A node that takes it therefore waits, only reading, until every earlier
+//! holder has stopped by its own clock, and uses the lease once its record was still there after that.
+//!
+//! Clocks of other machines play no part. A holder counts its lease from before the renewing write was
+//! sent, by its own monotonic clock, and stops well before the end.
 
+use crate::lease_record::LeaseAction;
+use crate::lease_record::LeaseAnswer;
+use crate::lease_record::LeaseRecord;
+use crate::lease_record::LeaseSettings;
 use crate::Moment;
 use crate::NodeName;
 use crate::Version;
@@ -13,77 +19,74 @@
 /// Calls in one span of a lease.
 const RENEWALS: u32 = 4;
 
-/// Calls in one span of a lease while they fail. A failed renewal takes a read and a write to mend, and
+/// Calls in one span of a lease while they fail. A failed renewal takes a read and a write to repair, and
 /// both must fit into what is left of the span.
 const RETRIES: u32 = 20;
 
-/// Spans of a lease.
-#[derive(Clone, Copy, Debug)]
-pub struct LeaseSettings {
-    /// How long a renewal holds.
-    pub span: Duration,
-    /// How long before its end the holder stops using it.
-    pub margin: Duration,
-    /// Longest time for which an act begun under the lease can take effect after its end.
-    pub longest_use: Duration,
+/// Reads further apart than this part of a span don't show that a record stood unchanged between them.
+const GAP_PART: u32 = 2;
+
+/// The object as last read or written.
+#[derive(Clone, Debug)]
+struct ObservedLease {
+    version: Version,
+    /// `None` if the object is absent.
+    record: Option<LeaseRecord>,
+    /// Since when every read found this record.
+    since: Moment,
+    /// When the last such read was sent.
+    read_at: Moment,
+    /// Whether it replaced another record under this node's eyes, so that its writer is alive.
+    is_new: bool,
 }
 
-impl Default for LeaseSettings {
-    fn default() -> Self {
-        Self {
-            span: Duration::from_secs(4),
-            margin: Duration::from_secs(1),
-            longest_use: Duration::from_secs(1),
-        }
+impl ObservedLease {
+    fn is_free(&self) -> bool {
+        let record = self.record.as_ref();
+        record.is_none_or(|record| record.holder.is_empty())
+    }
+
+    fn is_clean(&self) -> bool {
+        let record = self.record.as_ref();
+        record.is_none_or(|record| record.holder.is_empty() && record.clean)
+    }
+
+    fn is_same(&self, version: Version, record: Option<&LeaseRecord>) -> bool {
+        self.version == version && self.mark() == record.map(|record| record.mark)
     }
-}
 
-/// Stored form of a lease.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct LeaseRecord {
-    /// Node that holds it; empty once it was given back.
-    pub holder: NodeName,
-    /// Mark of the write, for lost answers.
-    pub mark: u64,
-    /// True on a lease that was given back with nothing done under it that may still hold.
-    pub clean: bool,
+    fn mark(&self) -> Option<u64> {
+        self.record.as_ref().map(|record| record.mark)
+    }
 }
 
-/// Call to the platform for a lease.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LeaseAction {
-    /// Read the lease's object.
-    Read,
-    /// Write the record if the object has this version; 0 means absent.
-    Write {
-        /// Version that the object must have.
-        expected: Version,
-        /// Record to write.
-        record: LeaseRecord,
-    },
+/// How far a holding has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HoldPhase {
+    /// Not used before this time, when acts of earlier holders are over.
+    Waiting(Moment),
+    /// A read after that time found the record; the next renewal makes it usable.
+    Confirmed,
+    /// In use.
+    Active,
 }
 
-/// How a call ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LeaseAnswer {
-    /// The object as read; `None` if it is absent.
-    Found(Option<(Version, LeaseRecord)>),
-    /// The write was accepted with this version.
-    Accepted(Version),
-    /// The object has another version.
-    Conflict,
-    /// No answer, or a refusal.
-    Failed,
+/// The lease while this node holds it.
+#[derive(Clone, Copy, Debug)]
+struct HeldLease {
+    token: Version,
+    /// Whether nothing done under the lease before may still hold.
+    over_clean: bool,
+    end: Moment,
+    phase: HoldPhase,
 }
 
-/// What is known of the object.
+/// A write under way, or one whose answer was lost.
 #[derive(Clone, Debug)]
-struct SeenLease {
-    version: Version,
-    holder: NodeName,
-    /// Whether nothing done under the lease before may still hold.
-    clean: bool,
-    since: Moment,
+struct LeaseWrite {
+    record: LeaseRecord,
+    over_clean: bool,
+    sent: Moment,
 }
 
 /// One node's part in one lease.
@@ -91,21 +94,21 @@
 pub struct LeaseHolder {
     name: NodeName,
     settings: LeaseSettings,
-    seen: Option<SeenLease>,
-    /// Token and end of the lease, if this node holds it.
-    held: Option<(Version, Moment)>,
-    /// Token with which the present holding began, and whether the lease was clean then.
-    term: Option<(Version, bool)>,
+    observed: Option<ObservedLease>,
+    held: Option<HeldLease>,
     /// Since when the lease is no longer used because it will be given back.
     retiring: Option<Moment>,
     call_sent: Option<Moment>,
-    writing: Option<LeaseRecord>,
-    /// Whether the last write replaced a lease under which nothing may still hold.
-    over_clean: bool,
-    /// Write whose answer was lost, and when it was sent.
-    lost: Option<(Moment, LeaseRecord)>,
+    writing: Option<LeaseWrite>,
+    lost: Option<LeaseWrite>,
+    /// Whether a call failed, so that the object is read before it is written.
+    must_read: bool,
+    /// Whether another node's write took the place of what was observed.
+    met_writer: bool,
     next_call: Moment,
     next_mark: u64,
+    /// Highest token seen, and the least that the next term gets.
+    token_floor: Version,
 }
 
 impl LeaseHolder {
@@ -114,31 +117,39 @@
         Self {
             name,
             settings,
-            seen: None,
+            observed: None,
             held: None,
-            term: None,
             retiring: None,
             call_sent: None,
             writing: None,
-            over_clean: false,
             lost: None,
+            must_read: false,
+            met_writer: false,
             next_call: Moment::ZERO,
             next_mark: first_mark,
+            token_floor: 0,
         }
     }
 
+    /// Raises the least token of terms that begin from now on, so that tokens rise also where the
+    /// platform lost the record of the last one.
+    pub fn raise_token(&mut self, floor: Version) {
+        self.token_floor = self.token_floor.max(floor);
+    }
+
     /// Returns the token if an act may begin now, by the holder's own clock. It is asked again
     /// right before each act, so that a holder that slept does nothing with a lapsed lease.
     pub fn token(&self, now: Moment) -> Option<Version> {
-        let (token, end) = self.held?;
-        let usable = self.retiring.is_none() && now + self.settings.margin < end;
-        usable.then_some(token)
+        let held = self.held.filter(|held| held.phase == HoldPhase::Active)?;
+        let usable = self.retiring.is_none() && now + self.settings.margin < held.end;
+        usable.then_some(held.token)
     }
 
-    /// Returns the token with which the present holding began, and whether nothing done under the
-    /// lease before may still hold. The token rises with each renewal; the term stays.
+    /// Returns the token of the present holding, and whether nothing done under the lease before may
+    /// still hold.
     pub fn term(&self) -> Option<(Version, bool)> {
-        self.held.and(self.term)
+        let held = self.held.filter(|held| held.phase == HoldPhase::Active)?;
+        Some((held.token, held.over_clean))
     }
 
     /// Returns the call to make now, if the node wants the lease and a call is due. `clean` tells
@@ -148,9 +159,9 @@
         if self.call_sent.is_some() || now < self.next_call {
             return None;
         }
-        if self.held.is_some_and(|(_, end)| now >= end) {
+        if self.held.is_some_and(|held| now >= held.end) {
             self.held = None;
-            self.seen = None;
+            self.must_read = true;
         }
         if !wanted && self.held.is_none() {
             return None;
@@ -161,35 +172,80 @@
             return None;
         }
         self.call_sent = Some(now);
-        let Some(seen) = self.seen.clone() else {
-            return Some(LeaseAction::Read);
+        let write = self.next_write(now, wanted, clean);
+        let action = write.map_or(LeaseAction::Read, |(expected, write)| {
+            let record = write.record.clone();
+            self.writing = Some(write);
+            LeaseAction::Write { expected, record }
+        });
+        Some(action)
+    }
+
+    /// Returns the write that is due, with the version that it replaces; without one the object is read.
+    fn next_write(
+        &mut self,
+        now: Moment,
+        wanted: bool,
+        clean: bool,
+    ) -> Option<(Version, LeaseWrite)> {
+        let observed = self.observed.as_ref().filter(|_| !self.must_read)?;
+        let is_fresh = now.saturating_sub(observed.read_at) <= self.settings.span / RENEWALS;
+        let is_due = match self.held.map(|held| held.phase) {
+            _ if !wanted => true,
+            Some(HoldPhase::Active) => true,
+            Some(HoldPhase::Confirmed) => is_fresh,
+            Some(HoldPhase::Waiting(_)) => false,
+            None => is_fresh && (observed.is_free() || self.is_lapsed(observed)),
         };
-        let own = self.held.is_some();
-        let free = seen.version == 0 || seen.holder.is_empty();
-        let span = self.settings.span + self.settings.longest_use;
-        let lapsed = now.saturating_sub(seen.since) >= span;
-        if !own && !free && !lapsed {
-            return Some(LeaseAction::Read);
+        if !is_due {
+            return None;
         }
-        let holder = if wanted {
-            self.name.clone()
-        } else {
-            // The lease is given back; its end is not waited for.
-            self.held = None;
-            NodeName::new()
-        };
+        let expected = observed.version;
+        let over_clean = observed.is_clean();
+        let known = observed.record.as_ref().map_or(0, |record| record.token);
+        let held = self.held;
+        let token = held.map_or_else(
+            || self.token_floor.max(known.max(expected).saturating_add(1)),
+            |held| held.token,
+        );
         self.next_mark = self.next_mark.wrapping_add(1);
-        let record = LeaseRecord {
-            holder,
+        let mut record = LeaseRecord {
+            holder: self.name.clone(),
             mark: self.next_mark,
-            clean: clean && !wanted,
+            clean: false,
+            token,
+            pending: held.is_none(),
         };
-        self.writing = Some(record.clone());
-        self.over_clean = seen.version == 0 || (seen.holder.is_empty() && seen.clean);
-        Some(LeaseAction::Write {
-            expected: seen.version,
+        if !wanted {
+            // The lease is given back; its end is not waited for. What was never used is as clean as before.
+            self.held = None;
+            record.holder = NodeName::new();
+            record.clean = match held {
+                Some(held) if held.phase != HoldPhase::Active => held.over_clean,
+                _ => clean,
+            };
+        }
+        let write = LeaseWrite {
             record,
-        })
+            over_clean,
+            sent: now,
+        };
+        Some((expected, write))
+    }
+
+    /// Tells whether a record stood for so long that its holder has stopped. One whose writer was alive
+    /// a moment ago and waits for its first use gets the time for that wait too.
+    fn is_lapsed(&self, observed: &ObservedLease) -> bool {
+        let pending = observed
+            .record
+            .as_ref()
+            .is_some_and(|record| record.pending);
+        let span = if pending && observed.is_new {
+            self.settings.span + self.settings.effect_span()
+        } else {
+            self.settings.usable_span()
+        };
+        observed.read_at >= observed.since + span
     }
 
     /// Takes the end of a call.
@@ -201,32 +257,21 @@
         self.next_call = now + self.settings.span / RENEWALS;
         let writing = self.writing.take();
         match answer {
-            LeaseAnswer::Found(found) => {
-                let free = found
-                    .as_ref()
-                    .is_none_or(|(_, record)| record.holder.is_empty());
-                self.note_found(now, found);
-                // What is free is taken at once, and what is held is renewed at once: it was read
-                // because a call had failed, so its end is near.
-                if free || self.held.is_some() {
-                    self.next_call = now;
-                }
-            }
+            LeaseAnswer::Found(found) => self.note_found(now, sent, found),
             LeaseAnswer::Accepted(version) => {
-                if let Some(record) = writing {
-                    self.note_written(sent, version, record);
+                if let Some(write) = writing {
+                    self.note_written(now, version, write);
                 }
             }
             LeaseAnswer::Conflict => {
-                self.held = None;
-                self.seen = None;
+                self.drop_hold();
                 self.next_call = now;
             }
             // A write whose answer is lost may have taken effect. The next step reads, and finds
             // the record by its mark if it did.
             LeaseAnswer::Failed => {
-                self.lost = writing.map(|record| (sent, record));
-                self.seen = None;
+                self.lost = writing;
+                self.must_read = true;
                 self.next_call = now + self.settings.span / RETRIES;
             }
         }
@@ -240,48 +285,123 @@
         }
     }
 
-    fn note_found(&mut self, now: Moment, found: Option<(Version, LeaseRecord)>) {
+    /// Forgets a holding that another node's write ended.
+    fn drop_hold(&mut self) {
+        self.held = None;
+        self.observed = None;
+        self.met_writer = true;
+    }
+
+    fn note_found(&mut self, now: Moment, sent: Moment, found: Option<(Version, LeaseRecord)>) {
+        self.must_read = false;
         let lost = self.lost.take();
-        if let (Some((version, record)), Some((sent, written))) = (&found, lost) {
-            if *record == written {
-                self.note_written(sent, *version, written);
+        if let (Some((version, record)), Some(write)) = (&found, lost) {
+            if *record == write.record {
+                self.note_written(now, *version, write);
+                self.plan_call(now);
                 return;
             }
         }
-        let (version, holder, clean) = match found {
-            Some((version, record)) => (version, record.holder, record.clean),
-            None => (0, NodeName::new(), true),
-        };
-        if self.held.is_some_and(|(token, _)| token != version) {
+        let (version, record) =
+            found.map_or((0, None), |(version, record)| (version, Some(record)));
+        let known = self.observed.as_mut();
+        let same = known.filter(|known| known.is_same(version, record.as_ref()));
+        if let Some(known) = same {
+            if sent.saturating_sub(known.read_at) > self.settings.span / GAP_PART {
+                known.since = now;
+            }
+            known.read_at = sent;
+        } else {
             self.held = None;
+            self.observe(now, sent, version, record);
         }
-        let same = self
-            .seen
-            .as_ref()
-            .is_some_and(|seen| seen.version == version);
-        if !same {
-            let since = now;
-            self.seen = Some(SeenLease {
-                version,
-                holder,
-                clean,
-                since,
-            });
+        self.confirm_hold(sent);
+        self.plan_call(now);
+    }
+
+    /// Observes a record that this node has not seen before.
+    fn observe(
+        &mut self,
+        now: Moment,
+        sent: Moment,
+        version: Version,
+        record: Option<LeaseRecord>,
+    ) {
+        let token = record.as_ref().map_or(0, |record| record.token);
+        self.raise_token(token.saturating_add(1));
+        let is_new = self.observed.is_some() || self.met_writer;
+        self.met_writer = false;
+        self.observed = Some(ObservedLease {
+            version,
+            record,
+            since: now,
+            read_at: sent,
+            is_new,
+        });
+    }
+
+    /// Notes that a read found this node's own record, if it holds the lease.
+    fn confirm_hold(&mut self, sent: Moment) {
+        let Some(held) = &mut self.held else {
+            return;
+        };
+        if let HoldPhase::Waiting(until) = held.phase {
+            held.end = sent + self.settings.span;
+            if sent >= until {
+                held.phase = HoldPhase::Confirmed;
+            }
         }
     }
 
-    fn note_written(&mut self, sent: Moment, version: Version, record: LeaseRecord) {
-        if record.holder == self.name {
-            if self.held.is_none() {
-                self.term = Some((version, self.over_clean));
+    /// Has the next call made at once where a read shows that a write is due.
+    fn plan_call(&mut self, now: Moment) {
+        let observed = self.observed.as_ref();
+        let is_due = match self.held.map(|held| held.phase) {
+            Some(HoldPhase::Waiting(until)) => {
+                self.next_call = self.next_call.min(until.max(now));
+                false
             }
-            self.held = Some((version, sent + self.settings.span));
+            // An active lease was read because a call had failed, so its end is near.
+            Some(HoldPhase::Confirmed | HoldPhase::Active) => true,
+            None => observed.is_some_and(|seen| seen.is_free() || self.is_lapsed(seen)),
+        };
+        if is_due {
+            self.next_call = now;
         }
-        self.seen = Some(SeenLease {
+    }
+
+    /// Notes that a write took effect, some time between its sending and now.
+    fn note_written(&mut self, now: Moment, version: Version, write: LeaseWrite) {
+        let LeaseWrite {
+            record,
+            over_clean,
+            sent,
+        } = write;
+        let is_own = record.holder == self.name;
+        // What took effect after the holding's end may have replaced another node's record.
+        let held = self.held.filter(|held| now < held.end);
+        let renewed = held.filter(|held| !matches!(held.phase, HoldPhase::Waiting(_)));
+        let (token, over_clean, phase) = match renewed {
+            Some(held) => (held.token, held.over_clean, HoldPhase::Active),
+            None => {
+                let usable_from = now + self.settings.effect_span();
+                (record.token, over_clean, HoldPhase::Waiting(usable_from))
+            }
+        };
+        self.held = is_own.then_some(HeldLease {
+            token,
+            over_clean,
+            end: sent + self.settings.span,
+            phase,
+        });
+        self.raise_token(record.token.saturating_add(1));
+        self.observed = Some(ObservedLease {
             version,
-            holder: record.holder,
-            clean: record.clean,
-            since: sent,
+            record: Some(record),
+            since: now,
+            read_at: sent,
+            is_new: true,
         });
+        self.must_read = false;
     }
 }
--- a/packages/turnford-node/src/control/leases.rs
+++ b/packages/turnford-node/src/control/leases.rs
@@ -1,13 +1,26 @@
 //! Makes the calls that leases ask for.
 
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
 use turnford_fleet::LeaseAction;
 use turnford_fleet::LeaseAnswer;
+use turnford_fleet::LeaseHolder;
 use turnford_fleet::LeaseRecord;
 use turnford_platform::PlatformFault;
 use turnford_platform::VersionGuard;
 
 use super::context::ControlContext;
 
+/// Has the tokens of a lease's next terms rise with the time of day: a platform that comes back from a copy
+/// may have lost the record that holds the highest one.
+pub(super) fn raise_token(lease: &mut LeaseHolder) {
+    match SystemTime::now().duration_since(UNIX_EPOCH) {
+        Ok(since) => lease.raise_token(u64::try_from(since.as_millis()).unwrap_or(0)),
+        Err(fault) => log::warn!("time of day before 1970, tokens don't rise with it: {fault}"),
+    }
+}
+
 /// Performs one call for a lease.
 pub(super) async fn perform_lease(
     context: &ControlContext,
--- a/packages/turnford-node/src/control/orders.rs
+++ b/packages/turnford-node/src/control/orders.rs
@@ -23,6 +23,7 @@
 
 use super::context::ControlContext;
 use super::leases::perform_lease;
+use super::leases::raise_token;
 
 /// Pause between rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
@@ -85,6 +86,7 @@
     let now = context.now();
     let wanted = context.has_duty(&Duty::Orders(service.to_string()));
     let mut state = giver.borrow_mut();
+    raise_token(&mut state.lease);
     if let Some(action) = state.lease.step(now, wanted, true) {
         let (context, service, giver) = (context.clone(), service.clone(), giver.clone());
         let executor = context.executor.clone();
