Give a lease back as clean only where no earlier grant is in use

Callers of an account could have been served beyond its limit: the next lender of a lease that is called clean lends at once.

Cause: the lease was called clean where this node had no lender of its own, though it had taken it from a lender whose grants still held. Read in step_lease; a lender that never lent made `all` true. Change: a term is clear only if it began clean or has outlived all earlier grants; what was never used is given back as it was taken.

--- a/packages/turnford-fleet/src/lender.rs
+++ b/packages/turnford-fleet/src/lender.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Tells whether all grants of earlier lenders are over, and the requests that began under them.
+    pub fn has_outlived_grants(&self, now: Moment) -> bool {
+        now >= self.began + GRANT_LIFE + RUN_SPAN
+    }
+
     fn is_heard(&self, now: Moment, node: &str) -> bool {
         let at = self.at.get(node);
         at.is_some_and(|at| now.saturating_sub(*at) < SILENCE)
--- a/packages/turnford-node/src/control/lenders.rs
+++ b/packages/turnford-node/src/control/lenders.rs
@@ -20,6 +20,7 @@
 
 use super::context::ControlContext;
 use super::leases::perform_lease;
+use super::leases::raise_token;
 
 /// One group of accounts: this node's contact with the lender, and the lender if it is this node.
 pub(super) struct LenderGroup {
@@ -49,6 +50,22 @@
             stamp: LenderStamp::default(),
         }
     }
+
+    /// Tells whether no grant of this group can be in use, if this node holds its lease.
+    fn is_clear(&self, now: Moment) -> bool {
+        let Some((token, is_first)) = self.lease.term() else {
+            return true;
+        };
+        let lending = self.lending.as_ref().filter(|term| term.token == token);
+        lending.map_or(is_first, |term| term.is_clear(now))
+    }
+}
+
+impl LendingTerm {
+    fn is_clear(&self, now: Moment) -> bool {
+        let is_over = self.is_first || self.heard.has_outlived_grants(now);
+        is_over && self.lenders.values().all(|lender| lender.is_clear(now))
+    }
 }
 
 /// Lends a node its shares, if this node holds the lease for the group.
@@ -129,8 +146,8 @@
     let action = {
         let mut desk = context.shares.borrow_mut();
         let group = &mut desk.groups[usize::from(group)];
-        let mut lenders = group.lending.iter().flat_map(|term| term.lenders.values());
-        let clean = lenders.all(|lender| lender.is_clear(now));
+        let clean = group.is_clear(now);
+        raise_token(&mut group.lease);
         group.lease.step(now, wanted, clean)
     };
     if let Some(action) = action {
