Keep claims whose record the platform lost

A request with an id that may run once ran twice: the second try was granted, since the platform had come back from a copy without the claim of the first.

Cause: the committer of a range judged by what it read alone. lost_claim and lost_before_end fail on the code before: Granted where Taken is due. Change: the committer remembers the range as it last saw it, puts back what the platform lost, judges by that and writes it with the next group; an older version's state of a claim does not replace what is remembered. The end of a request is noted where its claim is gone, since that its call was sent stays true. A copy together with the loss of the committer's process stays open where the request has not ended.

--- a/packages/turnford-fleet/src/block.rs
+++ b/packages/turnford-fleet/src/block.rs
@@ -75,16 +75,9 @@
         self.len() == 0
     }
 
-    /// Writes a claim into the open generation.
+    /// Writes a claim into the open generation; an older generation's entry is replaced.
     pub fn set(&mut self, key: ClaimKey, entry: ClaimEntry) {
-        if self.generations.is_empty() {
-            self.generations.push_front(BTreeMap::new());
-        }
-        // An older generation's entry is replaced, so that each id stands once.
-        for claims in self.generations.iter_mut().skip(1) {
-            claims.remove(&key);
-        }
-        self.generations[0].insert(key, entry);
+        self.set_at(0, key, entry);
     }
 
     /// Closes the open generation and drops the oldest one beyond those kept.
@@ -94,6 +87,45 @@
         self.generations.truncate(CLOSED_LIMIT + 1);
     }
 
+    /// Puts back what another form of the same range, seen before, has and this one lacks: claims never go
+    /// but with their generation, so the platform lost them. Where this one is older, what `before` says of
+    /// a claim holds. True if that changed anything.
+    pub(crate) fn restore(&mut self, before: &ClaimBlock, is_older: bool) -> bool {
+        let mut is_changed = false;
+        for (age, claims) in before.generations.iter().enumerate() {
+            let generation = before.generation.saturating_sub(age as u64);
+            let place = self.generation.saturating_sub(generation);
+            let Some(place) = usize::try_from(place)
+                .ok()
+                .filter(|place| *place <= CLOSED_LIMIT)
+            else {
+                continue;
+            };
+            for (key, entry) in claims {
+                let known = self.get(key).copied();
+                let is_lost = known.is_none_or(|known| {
+                    known != *entry && (is_older || matches!(entry.state, ClaimState::Finished(_)))
+                });
+                if is_lost {
+                    self.set_at(place, *key, *entry);
+                    is_changed = true;
+                }
+            }
+        }
+        is_changed
+    }
+
+    /// Writes a claim into a generation, counted from the open one, so that each id stands once.
+    fn set_at(&mut self, place: usize, key: ClaimKey, entry: ClaimEntry) {
+        while self.generations.len() <= place {
+            self.generations.push_back(BTreeMap::new());
+        }
+        for claims in &mut self.generations {
+            claims.remove(&key);
+        }
+        self.generations[place].insert(key, entry);
+    }
+
     /// Returns the stored form.
     pub fn encode(&self) -> Vec<u8> {
         // Plain data without a limit always has a stored form.
--- a/packages/turnford-fleet/src/claim.rs
+++ b/packages/turnford-fleet/src/claim.rs
@@ -3,6 +3,9 @@
 //! Any node may run a [`ClaimRange`] for any range; the platform's versions keep two of them from
 //! granting the same id twice. What a lost answer leaves open is settled by reading the range again
 //! and computing the whole group anew: a claim that is there with the same owner was granted.
+//!
+//! The platform may come back from a copy without claims that it acknowledged. A committer remembers what it
+//! saw of the range, judges by that and writes it back with the next group.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -143,6 +146,10 @@
 #[derive(Debug, Default)]
 pub struct ClaimRange {
     known: Option<VersionedBlock>,
+    /// The range as last seen, whatever became of it since.
+    remembered: VersionedBlock,
+    /// Whether what is known holds claims that the platform lost.
+    is_restored: bool,
     read_at: Moment,
     queue: VecDeque<QueuedAsk>,
     call: Option<RangeCall>,
@@ -292,7 +299,7 @@
     fn commit(&mut self, now: Moment, known: VersionedBlock, step: &mut ClaimStep) {
         let mut block = known.block;
         let mut group = Vec::new();
-        let mut changed = false;
+        let mut changed = self.is_restored;
         let rotated = self.rotation_due(now, &block);
         if rotated {
             block.rotate();
@@ -327,13 +334,21 @@
         })
     }
 
-    fn learn(&mut self, now: Moment, version: Version, block: ClaimBlock) {
+    /// Takes the range as it stands at the platform, with the claims that the platform lost.
+    fn learn(&mut self, now: Moment, version: Version, mut block: ClaimBlock) {
+        let before = &self.remembered;
+        let is_restored = block.restore(&before.block, version < before.version);
+        self.remembered = VersionedBlock {
+            version,
+            block: block.clone(),
+        };
         let watched = self.watched.map(|(generation, _)| generation);
         if watched != Some(block.generation) {
             self.watched = Some((block.generation, now));
         }
         self.read_at = now;
         self.known = Some(VersionedBlock { version, block });
+        self.is_restored = is_restored;
     }
 
     fn requeue(&mut self, group: Vec<(QueuedAsk, ClaimVerdict)>) {
@@ -384,6 +399,11 @@
             (ClaimVerdict::Granted, true)
         }
         (_, Some(entry)) => (ClaimVerdict::Taken(entry), false),
-        (ClaimAsk::Finish(..), None) => (ClaimVerdict::Unavailable, false),
+        // The platform lost the claim; that its owner sent the call stays true.
+        (ClaimAsk::Finish(key, owner, code), None) => {
+            let state = ClaimState::Finished(code);
+            block.set(key, ClaimEntry { owner, state });
+            (ClaimVerdict::Granted, true)
+        }
     }
 }
