Close connections of clients that rest too long or whose heads don't arrive

A client that sent half a head, or a byte now and then, held a connection for ever; a few thousand of them took all descriptors of a node, and nobody else was served there.

Cause: `header_timeout_ms` and `idle_timeout_ms` of the configuration were read and used nowhere; a head was bounded by 16 KiB whatever the configuration said. Change: the stream of a connection tells when bytes come and the answer's body when it is done; between them a timer of the phase runs. A resting connection is closed as at a planned stop, a slow head cuts it. Limits come from the configuration in force. library_findings passes limits where it passed a size; its checks are as they were.

--- a/packages/turnford-http/src/listen.rs
+++ b/packages/turnford-http/src/listen.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 
 use async_channel::Receiver;
 use async_net::TcpStream;
@@ -16,6 +17,13 @@
 use hyper::service::service_fn;
 use smol_hyper::rt::FuturesIo;
 
+use crate::link_state::GuardedBody;
+use crate::link_state::LinkLimits;
+use crate::link_state::LinkPhase;
+use crate::link_state::LinkState;
+use crate::link_state::LinkTimer;
+use crate::link_state::NotedStream;
+
 /// Least size of the read buffer that the library accepts, in bytes.
 const LEAST_BUFFER: usize = 8192;
 
@@ -24,13 +32,15 @@
 /// The handler's future, and the body that it gave, are dropped as soon as the client closes. A
 /// body that ends with an error cuts the connection, so that the client never takes the answer for
 /// whole. Once `closing` ends, the connection closes after the answer under way, or at once where
-/// it rests.
-pub async fn serve_link<F, Fut, B>(
+/// it rests. One that rests for too long, or on which a head takes too long, is closed; `limits` is asked
+/// anew for each request.
+pub async fn serve_link<L, F, Fut, B>(
     stream: TcpStream,
-    head_limit: usize,
+    limits: L,
     closing: Receiver<()>,
     handler: Rc<F>,
 ) where
+    L: Fn() -> LinkLimits,
     F: Fn(Request<Incoming>) -> Fut + 'static,
     Fut: Future<Output = Response<B>> + 'static,
     B: Body + 'static,
@@ -40,14 +50,22 @@
         log::debug!("a connection of a client can't be set up: {error}");
         return;
     }
+    let state = LinkState::new();
+    let busy = state.clone();
     let service = service_fn(move |request| {
+        let guard = busy.serve();
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            let answer = answer.await;
+            Ok::<_, Infallible>(answer.map(|body| GuardedBody::new(body, guard)))
+        }
     });
     let mut builder = http1::Builder::new();
-    builder.max_buf_size(head_limit.max(LEAST_BUFFER));
+    builder.max_buf_size(limits().head_bytes.max(LEAST_BUFFER));
     builder.auto_date_header(false);
+    let stream = NotedStream::new(stream, state.clone());
     let connection = builder.serve_connection(FuturesIo::new(stream), service);
+    let mut timer = LinkTimer::new(state, limits);
     let mut connection = pin!(connection);
     let mut closing = pin!(closing.recv());
     let mut is_closing = false;
@@ -56,7 +74,22 @@
             is_closing = true;
             connection.as_mut().graceful_shutdown();
         }
-        connection.as_mut().poll(context)
+        if let Poll::Ready(served) = connection.as_mut().poll(context) {
+            return Poll::Ready(served);
+        }
+        match timer.poll_over(context) {
+            // Closes at once: nothing is under way.
+            Poll::Ready(LinkPhase::Idle) if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+                connection.as_mut().poll(context)
+            }
+            Poll::Ready(phase) => {
+                log::debug!("a connection of a client is closed: {phase:?} for too long");
+                Poll::Ready(Ok(()))
+            }
+            Poll::Pending => Poll::Pending,
+        }
     });
     if let Err(error) = served.await {
         log::debug!("a connection of a client ended: {error}");
--- a/packages/turnford-http/tests/library_findings.rs
+++ b/packages/turnford-http/tests/library_findings.rs
@@ -22,6 +22,7 @@
 use turnford_http::bind_listener;
 use turnford_http::serve_link;
 use turnford_http::HttpLink;
+use turnford_http::LinkLimits;
 
 const LIMIT: Duration = Duration::from_secs(5);
 
@@ -116,7 +117,12 @@
                     Response::new(Full::new(Bytes::new()))
                 }
             });
-            serve_link(stream, 8192, closing, handler).await;
+            let limits = || LinkLimits {
+                head_bytes: 8192,
+                head_span: Duration::from_secs(60),
+                idle_span: Duration::from_secs(60),
+            };
+            serve_link(stream, limits, closing, handler).await;
         });
     });
     let mut stream = TcpStream::connect(address).expect("a connection");
--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -17,6 +17,8 @@
 
 use async_net::TcpListener;
 
+use turnford_policy::ClientLimits;
+
 use crate::entry::accept_links;
 use crate::entry::answer_metrics;
 use crate::entry::answer_probe;
@@ -26,6 +28,13 @@
 /// Largest head of a probe or a reader of metrics, in bytes.
 const HEAD_LIMIT: usize = 8192;
 
+fn probe_limits() -> ClientLimits {
+    ClientLimits {
+        head_bytes: HEAD_LIMIT,
+        ..ClientLimits::default()
+    }
+}
+
 /// Listeners of the control thread.
 pub(crate) struct ControlListeners {
     /// For the platform's readiness probe.
@@ -54,7 +63,7 @@
     let probes = accept_links(
         executor.clone(),
         listeners.ready,
-        HEAD_LIMIT,
+        probe_limits,
         closing.clone(),
         || (),
         answer,
@@ -67,7 +76,7 @@
     let readers = accept_links(
         executor.clone(),
         listeners.metrics,
-        HEAD_LIMIT,
+        probe_limits,
         closing,
         || (),
         answer,
--- a/packages/turnford-serve/src/entry.rs
+++ b/packages/turnford-serve/src/entry.rs
@@ -19,6 +19,8 @@
 
 use turnford_adapter::is_ready_probe;
 use turnford_http::serve_link;
+use turnford_http::LinkLimits;
+use turnford_policy::ClientLimits;
 
 use crate::answer::AnswerBody;
 use crate::request::serve_request;
@@ -36,7 +38,7 @@
 pub(crate) async fn accept_links<F, Fut>(
     executor: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
-    head_limit: usize,
+    limits: impl Fn() -> ClientLimits + Clone + 'static,
     closing: Receiver<()>,
     turn: impl Fn(),
     handler: F,
@@ -66,11 +68,21 @@
                 continue;
             }
         };
-        let serve = serve_link(stream, head_limit, closing.clone(), handler.clone());
+        let limits = limits.clone();
+        let limits = move || link_limits(&limits());
+        let serve = serve_link(stream, limits, closing.clone(), handler.clone());
         executor.spawn(serve).detach();
     }
 }
 
+fn link_limits(limits: &ClientLimits) -> LinkLimits {
+    LinkLimits {
+        head_bytes: limits.head_bytes,
+        head_span: limits.head_span,
+        idle_span: limits.idle_span,
+    }
+}
+
 /// Answers a client. While the node stops, each answer closes its connection.
 pub(crate) async fn handle_client(
     traffic: Rc<Traffic>,
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -21,7 +21,6 @@
 
 use turnford_config::ServeSettings;
 use turnford_http::bind_listener;
-use turnford_policy::ClientLimits;
 use turnford_policy::SystemClock;
 use turnford_policy::TurnMark;
 
@@ -247,19 +246,13 @@
     executor.spawn(ask_leaving(traffic.clone())).detach();
     executor.spawn(follow_limits(traffic.clone())).detach();
     let listener = listeners.listener;
-    let head_limit = ClientLimits::default().head_bytes;
+    let limiting = traffic.clone();
+    let limits = move || limiting.current_view().config.limits;
     let turning = traffic.shared.clone();
     let turn = move || turning.turns.note(turning.now());
     let handler = move |request| handle_client(traffic.clone(), request);
     let closing = signals.closing;
-    let accept = accept_links(
-        executor.clone(),
-        listener,
-        head_limit,
-        closing,
-        turn,
-        handler,
-    );
+    let accept = accept_links(executor.clone(), listener, limits, closing, turn, handler);
     executor.spawn(accept).detach();
     async_io::block_on(executor.run(stop));
 }
