Use a lease at once where the platform never came back from a copy

Nodes were not ready for 4 s more at a start of the whole fleet, and first orders came 4 s later, since the lease's first use waits for holders that a copy may have lost.

Cause: a free record alone doesn't tell whether a holder is still acting. Change: the object API may tell in `object-restored-ms` how long ago it last came back from a copy. A taker that knows that it has not since all earlier holders stopped needs no wait; a renewal or a wait across a return begins anew, and the token of a term is made when its first use begins. Without the header nothing changes.

--- a/packages/turnford-fleet/src/lease.rs
+++ b/packages/turnford-fleet/src/lease.rs
@@ -5,9 +5,14 @@
 //! nobody else holds the lease. A node that takes it therefore waits, only reading, until every earlier
 //! holder has stopped by its own clock, and uses the lease once its record was still there after that.
 //!
+//! Where the platform tells how long ago it last came back, a taker that knows that it has not since every
+//! earlier holder stopped uses the lease at once, and a renewal across a return is a new taking.
+//!
 //! Clocks of other machines play no part. A holder counts its lease from before the renewing write was
 //! sent, by its own monotonic clock, and stops well before the end.
 
+use std::time::Duration;
+
 use crate::lease_record::LeaseAction;
 use crate::lease_record::LeaseAnswer;
 use crate::lease_record::LeaseRecord;
@@ -77,6 +82,8 @@
     token: Version,
     /// Whether nothing done under the lease before may still hold.
     over_clean: bool,
+    /// When the write was known to have taken the lease.
+    taken_at: Moment,
     end: Moment,
     phase: HoldPhase,
 }
@@ -87,6 +94,10 @@
     record: LeaseRecord,
     over_clean: bool,
     sent: Moment,
+    /// When the read was sent that found what the write replaces.
+    read_at: Moment,
+    /// From when no earlier holder acts, if the platform did not come back from a copy meanwhile.
+    free_from: Moment,
 }
 
 /// One node's part in one lease.
@@ -101,6 +112,8 @@
     call_sent: Option<Moment>,
     writing: Option<LeaseWrite>,
     lost: Option<LeaseWrite>,
+    /// How long before the answer under way the platform last came back from a copy, where it tells.
+    restored_ago: Option<Duration>,
     /// Whether a call failed, so that the object is read before it is written.
     must_read: bool,
     /// Whether another node's write took the place of what was observed.
@@ -123,6 +136,7 @@
             call_sent: None,
             writing: None,
             lost: None,
+            restored_ago: None,
             must_read: false,
             met_writer: false,
             next_call: Moment::ZERO,
@@ -137,6 +151,12 @@
         self.token_floor = self.token_floor.max(floor);
     }
 
+    /// Notes what the answer that is noted next tells of the platform: how long before it the platform last
+    /// came back from a copy.
+    pub fn note_restored(&mut self, ago: Option<Duration>) {
+        self.restored_ago = ago;
+    }
+
     /// Returns the token if an act may begin now, by the holder's own clock. It is asked again
     /// right before each act, so that a holder that slept does nothing with a lapsed lease.
     pub fn token(&self, now: Moment) -> Option<Version> {
@@ -204,7 +224,9 @@
         let over_clean = observed.is_clean();
         let known = observed.record.as_ref().map_or(0, |record| record.token);
         let held = self.held;
-        let token = held.map_or_else(
+        // Until the first use a later holder may have been lost with the copy, so the token is made anew.
+        let used = held.filter(|held| held.phase == HoldPhase::Active);
+        let token = used.map_or_else(
             || self.token_floor.max(known.max(expected).saturating_add(1)),
             |held| held.token,
         );
@@ -225,10 +247,17 @@
                 _ => clean,
             };
         }
+        let free_from = if observed.is_free() {
+            observed.read_at
+        } else {
+            observed.since + self.settings.effect_span()
+        };
         let write = LeaseWrite {
             record,
             over_clean,
             sent: now,
+            read_at: observed.read_at,
+            free_from,
         };
         Some((expected, write))
     }
@@ -256,11 +285,12 @@
         };
         self.next_call = now + self.settings.span / RENEWALS;
         let writing = self.writing.take();
+        let restored_ago = self.restored_ago.take();
         match answer {
-            LeaseAnswer::Found(found) => self.note_found(now, sent, found),
+            LeaseAnswer::Found(found) => self.note_found(now, sent, found, restored_ago),
             LeaseAnswer::Accepted(version) => {
                 if let Some(write) = writing {
-                    self.note_written(now, version, write);
+                    self.note_written(now, version, write, restored_ago);
                 }
             }
             LeaseAnswer::Conflict => {
@@ -292,12 +322,18 @@
         self.met_writer = true;
     }
 
-    fn note_found(&mut self, now: Moment, sent: Moment, found: Option<(Version, LeaseRecord)>) {
+    fn note_found(
+        &mut self,
+        now: Moment,
+        sent: Moment,
+        found: Option<(Version, LeaseRecord)>,
+        restored_ago: Option<Duration>,
+    ) {
         self.must_read = false;
         let lost = self.lost.take();
         if let (Some((version, record)), Some(write)) = (&found, lost) {
             if *record == write.record {
-                self.note_written(now, *version, write);
+                self.note_written(now, *version, write, restored_ago);
                 self.plan_call(now);
                 return;
             }
@@ -315,7 +351,7 @@
             self.held = None;
             self.observe(now, sent, version, record);
         }
-        self.confirm_hold(sent);
+        self.confirm_hold(now, sent, restored_ago);
         self.plan_call(now);
     }
 
@@ -340,16 +376,22 @@
         });
     }
 
-    /// Notes that a read found this node's own record, if it holds the lease.
-    fn confirm_hold(&mut self, sent: Moment) {
+    /// Notes that a read found this node's own record, if it holds the lease. After a return of the platform
+    /// the wait begins anew: another node may have taken the lease in what was lost.
+    fn confirm_hold(&mut self, now: Moment, sent: Moment, restored_ago: Option<Duration>) {
         let Some(held) = &mut self.held else {
             return;
         };
-        if let HoldPhase::Waiting(until) = held.phase {
-            held.end = sent + self.settings.span;
-            if sent >= until {
-                held.phase = HoldPhase::Confirmed;
-            }
+        if held.phase == HoldPhase::Active {
+            return;
+        }
+        held.end = sent + self.settings.span;
+        if restored_ago.is_some_and(|ago| ago < now.saturating_sub(held.taken_at)) {
+            held.taken_at = now;
+            held.phase = HoldPhase::Waiting(now + self.settings.effect_span());
+        }
+        if matches!(held.phase, HoldPhase::Waiting(until) if sent >= until) {
+            held.phase = HoldPhase::Confirmed;
         }
     }
 
@@ -370,27 +412,57 @@
         }
     }
 
+    /// Returns the holding that a write renews. One that took effect after the holding's end, or across a
+    /// return of the platform, may have replaced another node's record.
+    fn renewed(&self, now: Moment, restored_ago: Option<Duration>) -> Option<HeldLease> {
+        let held = self.held.filter(|held| now < held.end)?;
+        let known_at = held.end.saturating_sub(self.settings.span);
+        let is_unbroken = restored_ago.is_none_or(|ago| ago >= now.saturating_sub(known_at));
+        let is_usable = !matches!(held.phase, HoldPhase::Waiting(_));
+        (is_unbroken && is_usable).then_some(held)
+    }
+
+    /// Returns how far a holding is that a write has just begun.
+    fn first_phase(
+        &self,
+        now: Moment,
+        write: &LeaseWrite,
+        restored_ago: Option<Duration>,
+    ) -> HoldPhase {
+        let effect_span = self.settings.effect_span();
+        let since_read = now.saturating_sub(write.read_at);
+        if restored_ago.is_none_or(|ago| ago < since_read.saturating_add(effect_span)) {
+            return HoldPhase::Waiting(now + effect_span);
+        }
+        if now >= write.free_from {
+            HoldPhase::Active
+        } else {
+            HoldPhase::Waiting(write.free_from)
+        }
+    }
+
     /// Notes that a write took effect, some time between its sending and now.
-    fn note_written(&mut self, now: Moment, version: Version, write: LeaseWrite) {
-        let LeaseWrite {
-            record,
-            over_clean,
-            sent,
-        } = write;
-        let is_own = record.holder == self.name;
-        // What took effect after the holding's end may have replaced another node's record.
-        let held = self.held.filter(|held| now < held.end);
-        let renewed = held.filter(|held| !matches!(held.phase, HoldPhase::Waiting(_)));
-        let (token, over_clean, phase) = match renewed {
-            Some(held) => (held.token, held.over_clean, HoldPhase::Active),
+    fn note_written(
+        &mut self,
+        now: Moment,
+        version: Version,
+        write: LeaseWrite,
+        restored_ago: Option<Duration>,
+    ) {
+        let is_own = write.record.holder == self.name;
+        let renewed = self.renewed(now, restored_ago);
+        let (over_clean, taken_at, phase) = match renewed {
+            Some(held) => (held.over_clean, held.taken_at, HoldPhase::Active),
             None => {
-                let usable_from = now + self.settings.effect_span();
-                (record.token, over_clean, HoldPhase::Waiting(usable_from))
+                let phase = self.first_phase(now, &write, restored_ago);
+                (write.over_clean, now, phase)
             }
         };
+        let LeaseWrite { record, sent, .. } = write;
         self.held = is_own.then_some(HeldLease {
-            token,
+            token: record.token,
             over_clean,
+            taken_at,
             end: sent + self.settings.span,
             phase,
         });
--- a/packages/turnford-fleet/tests/lease_copies.rs
+++ b/packages/turnford-fleet/tests/lease_copies.rs
@@ -50,6 +50,8 @@
     /// Whether its sender gets the answer.
     is_answered: bool,
     answer: LeaseAnswer,
+    /// What the answer tells of the platform's last return.
+    restored_ago: Option<Duration>,
 }
 
 struct Node {
@@ -70,6 +72,9 @@
     last_token: Version,
     starts: u64,
     drills: usize,
+    /// When the platform last came back, and whether its answers tell.
+    restored_at: Option<Moment>,
+    tells: bool,
 }
 
 impl World {
@@ -84,6 +89,8 @@
             last_token: 0,
             starts: 0,
             drills: 0,
+            restored_at: None,
+            tells: false,
         };
         for number in 0..HOLDERS {
             let node = world.start(number);
@@ -149,6 +156,7 @@
         self.copies.clear();
         self.copies.push_back(self.stored.clone());
         self.drills += 1;
+        self.restored_at = Some(self.now);
     }
 
     fn disturb(&mut self, number: usize) {
@@ -198,6 +206,7 @@
             ends: now + ends,
             is_answered: lands <= ends && self.rng.random_bool(0.9),
             answer: LeaseAnswer::Failed,
+            restored_ago: None,
         });
     }
 
@@ -207,6 +216,10 @@
         for call in calls.iter_mut().filter(|call| call.lands <= now) {
             call.lands = Moment::MAX;
             call.answer = perform(&mut self.stored, &call.action);
+            if self.tells {
+                let ago = self.restored_at.map_or(Duration::MAX, |at| now - at);
+                call.restored_ago = Some(ago);
+            }
         }
         for call in &mut calls {
             let node = &mut self.nodes[call.holder];
@@ -220,6 +233,7 @@
             } else {
                 LeaseAnswer::Failed
             };
+            node.holder.note_restored(call.restored_ago.take());
             node.holder.note(now, answer);
         }
         calls.retain(|call| call.lands < Moment::MAX || call.ends < Moment::MAX);
@@ -285,6 +299,24 @@
     fn one_actor(seed in any::<u64>()) {
         prop_assert_eq!(check_history(seed), Ok(()));
     }
+
+    /// The same however often the platform comes back, where it tells.
+    #[test]
+    fn told_returns(seed in any::<u64>()) {
+        let mut world = World::new(seed);
+        world.tells = true;
+        let end = world.play(Duration::from_secs(3), Duration::ZERO);
+        prop_assert_eq!(end, Ok(()));
+    }
+}
+
+/// Guards against a wait that goes on over a return in which another node's taking was lost.
+#[test]
+fn kept_returns() {
+    let mut world = World::new(10_685_897_787_437_882_704);
+    world.tells = true;
+    let end = world.play(Duration::from_secs(3), Duration::ZERO);
+    assert_eq!(end, Ok(()));
 }
 
 /// One node and a platform whose calls work at once.
@@ -292,6 +324,7 @@
     now: Moment,
     stored: StoredLease,
     holder: LeaseHolder,
+    restored_ago: Option<Duration>,
 }
 
 impl CalmWorld {
@@ -301,6 +334,7 @@
             now: Moment::ZERO,
             stored: (0, None),
             holder: LeaseHolder::new("one".to_owned(), LeaseSettings::default(), 1),
+            restored_ago: None,
         }
     }
 
@@ -309,6 +343,7 @@
         self.now += TICK;
         if let Some(action) = self.holder.step(self.now, true, false) {
             let answer = perform(&mut self.stored, &action);
+            self.holder.note_restored(self.restored_ago);
             self.holder.note(self.now, answer);
         }
     }
@@ -361,6 +396,14 @@
     assert!(world.await_use() >= last_act);
 }
 
+/// Guards against a wait for holders that there can't be: the platform tells that it never came back.
+#[test]
+fn told_never() {
+    let mut world = CalmWorld::new();
+    world.restored_ago = Some(Duration::MAX);
+    assert!(world.await_use() < Duration::from_millis(100));
+}
+
 /// Guards against a lease that stays unused after the platform came back from a copy.
 #[test]
 fn back_in_use() {
--- a/packages/turnford-node/src/control/leases.rs
+++ b/packages/turnford-node/src/control/leases.rs
@@ -1,5 +1,6 @@
 //! Makes the calls that leases ask for.
 
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -21,12 +22,19 @@
     }
 }
 
-/// Performs one call for a lease.
+/// Performs one call for a lease; returns its end, and how long before that the platform last came back from
+/// a copy, where it tells.
 pub(super) async fn perform_lease(
     context: &ControlContext,
     key: &str,
     action: LeaseAction,
-) -> LeaseAnswer {
+) -> (LeaseAnswer, Option<Duration>) {
+    let answer = call_platform(context, key, action).await;
+    // No other call ends between that answer and this line.
+    (answer, context.objects.restored_ago())
+}
+
+async fn call_platform(context: &ControlContext, key: &str, action: LeaseAction) -> LeaseAnswer {
     match action {
         LeaseAction::Read => match context.objects.get(key).await {
             Ok(value) => match serde_json::from_slice::<LeaseRecord>(&value.bytes) {
--- a/packages/turnford-node/src/control/lenders.rs
+++ b/packages/turnford-node/src/control/lenders.rs
@@ -159,9 +159,10 @@
 }
 
 async fn call_lease(context: Rc<ControlContext>, group: u16, action: LeaseAction) {
-    let answer = perform_lease(&context, &format!("lease/lend-{group}"), action).await;
+    let (answer, restored_ago) =
+        perform_lease(&context, &format!("lease/lend-{group}"), action).await;
     let now = context.now();
-    context.shares.borrow_mut().groups[usize::from(group)]
-        .lease
-        .note(now, answer);
+    let lease = &mut context.shares.borrow_mut().groups[usize::from(group)].lease;
+    lease.note_restored(restored_ago);
+    lease.note(now, answer);
 }
--- a/packages/turnford-node/src/control/orders.rs
+++ b/packages/turnford-node/src/control/orders.rs
@@ -92,8 +92,10 @@
         let executor = context.executor.clone();
         let call = async move {
             let key = format!("lease/orders-{service}");
-            let answer = perform_lease(&context, &key, action).await;
-            giver.borrow_mut().lease.note(context.now(), answer);
+            let (answer, restored_ago) = perform_lease(&context, &key, action).await;
+            let lease = &mut giver.borrow_mut().lease;
+            lease.note_restored(restored_ago);
+            lease.note(context.now(), answer);
         };
         executor.spawn(call).detach();
     }
--- a/packages/turnford-platform/src/object.rs
+++ b/packages/turnford-platform/src/object.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use http::Method;
@@ -21,6 +23,12 @@
 /// Header with the version that a write expects.
 const GUARD_HEADER: &str = "if-version";
 
+/// Header with the milliseconds since the platform last came back from a copy, or [`NEVER_RESTORED`].
+const RESTORED_HEADER: &str = "object-restored-ms";
+
+/// Value of that header where the platform never did.
+const NEVER_RESTORED: &str = "never";
+
 /// Longest wait for an answer other than a watch's.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
@@ -86,13 +94,17 @@
 #[derive(Clone)]
 pub struct ObjectClient {
     link: PlatformLink,
+    /// What the newest answer told of the platform's last return from a copy.
+    restored_ago: Arc<Mutex<Option<Duration>>>,
 }
 
 impl ObjectClient {
     /// Makes a client.
     pub fn new(address: SocketAddr, budget: Arc<CallBudget>) -> Self {
-        let link = PlatformLink::new(address, budget);
-        Self { link }
+        Self {
+            link: PlatformLink::new(address, budget),
+            restored_ago: Arc::default(),
+        }
     }
 
     /// Returns the budget that the client's calls count against.
@@ -100,6 +112,29 @@
         &self.link.budget
     }
 
+    /// Returns how long before its newest answer to a read or write of an object the platform last came
+    /// back from a copy; `None` if that answer did not tell.
+    pub fn restored_ago(&self) -> Option<Duration> {
+        *self
+            .restored_ago
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note_restored(&self, answer: &HttpAnswer) {
+        let told = answer.header(RESTORED_HEADER).and_then(|text| {
+            if text == NEVER_RESTORED {
+                return Some(Duration::MAX);
+            }
+            text.parse().ok().map(Duration::from_millis)
+        });
+        let mut known = self
+            .restored_ago
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *known = told;
+    }
+
     /// Reads one object.
     ///
     /// # Errors
@@ -108,6 +143,7 @@
     pub async fn get(&self, key: &str) -> Result<ObjectValue, PlatformFault> {
         let request = self.link.read(Method::GET, &format!("/objects/{key}"))?;
         let answer = self.link.send(request, CALL_LIMIT).await?;
+        self.note_restored(&answer);
         match answer.status {
             200 => Ok(ObjectValue {
                 version: version_of(&answer)?,
@@ -138,6 +174,7 @@
         request.insert_header(GUARD_HEADER, guard.header());
         request.set_body(bytes);
         let answer = self.link.send(request, CALL_LIMIT).await?;
+        self.note_restored(&answer);
         match answer.status {
             200 => version_of(&answer),
             409 => Err(PlatformFault::Conflict {
--- a/packages/turnford-standin/src/objects.rs
+++ b/packages/turnford-standin/src/objects.rs
@@ -53,19 +53,29 @@
             Timer::after(Duration::from_secs_f64(millis / 1000.0)).await;
         }
         let key = call.path.strip_prefix("/objects/").map(str::to_owned);
+        let has_key = key.is_some();
+        let mut answer = self.answer(&call, key).await?;
+        if has_key {
+            // The stand-in keeps no copies to come back from.
+            answer.insert_header("object-restored-ms", "never");
+        }
+        Some(answer)
+    }
+
+    async fn answer(&self, call: &HttpCall, key: Option<String>) -> Option<HttpResponse> {
         match (call.method.as_str(), key) {
             ("GET", Some(key)) => Some(self.get(&key)),
-            ("PUT", Some(key)) => self.write(&call, |store, expected| {
+            ("PUT", Some(key)) => self.write(call, |store, expected| {
                 store.put(&key, expected, call.body.clone())
             }),
             ("DELETE", Some(key)) => {
-                self.write(&call, |store, expected| store.delete(&key, expected))
+                self.write(call, |store, expected| store.delete(&key, expected))
             }
             ("GET", None) if call.path == "/list" => {
                 let list = self.store().list(call.query("prefix").unwrap_or(""));
                 Some(json(&list))
             }
-            ("GET", None) if call.path == "/watch" => Some(self.watch(&call).await),
+            ("GET", None) if call.path == "/watch" => Some(self.watch(call).await),
             _ => Some(HttpResponse::new(StatusCode::NOT_FOUND)),
         }
     }
