--- a/packages/turnford-standin/src/fleet.rs
+++ b/packages/turnford-standin/src/fleet.rs
@@ -29,6 +29,8 @@
 pub struct StandinFleet {
     /// Address of the object API.
     pub objects: SocketAddr,
+    /// The objects, for runs in one process.
+    pub store: Arc<ObjectService>,
     /// Address of the VM list, the weight store, the journal and the faults.
     pub control: SocketAddr,
     /// Faults, for runs in one process.
@@ -61,6 +63,7 @@
             }
         }
         let object_service = Arc::new(ObjectService::new(faults.clone()));
+        let store = object_service.clone();
         let objects = serve(objects_port, executor, move |call| {
             let service = object_service.clone();
             async move { service.handle(call).await }
@@ -75,6 +78,7 @@
         })?;
         Ok(Self {
             objects,
+            store,
             control,
             faults,
             journal,
--- a/packages/turnford-standin/src/lib.rs
+++ b/packages/turnford-standin/src/lib.rs
@@ -29,6 +29,7 @@
 pub use journal::JournalEntry;
 pub use load::run_load;
 pub use load::LoadSettings;
+pub use objects::ObjectService;
 pub use plot::draw_report;
 pub use proxy::LinkProxy;
 pub use proxy::LinkState;
--- a/packages/turnford-standin/src/objects.rs
+++ b/packages/turnford-standin/src/objects.rs
@@ -5,6 +5,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -28,8 +29,10 @@
 const WATCH_PAUSE: Duration = Duration::from_secs(1);
 
 /// Shared state of the object API.
-pub(crate) struct ObjectService {
+pub struct ObjectService {
     store: Mutex<ObjectStore>,
+    /// When the store last came back from a copy.
+    restored_at: Mutex<Option<Instant>>,
     faults: Arc<FaultTable>,
     watches: Mutex<Vec<async_channel::Sender<()>>>,
 }
@@ -38,11 +41,38 @@
     pub(crate) fn new(faults: Arc<FaultTable>) -> Self {
         Self {
             store: Mutex::new(ObjectStore::default()),
+            restored_at: Mutex::new(None),
             faults,
             watches: Mutex::new(Vec::new()),
         }
     }
 
+    /// Returns a copy of what is stored.
+    pub fn copy(&self) -> ObjectStore {
+        self.store().clone()
+    }
+
+    /// Comes back from a copy: what was written since is gone, and versions are given out again.
+    pub fn restore(&self, copy: ObjectStore) {
+        *self.store() = copy;
+        let mut restored_at = self
+            .restored_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *restored_at = Some(Instant::now());
+    }
+
+    fn restored_text(&self) -> String {
+        let restored_at = self
+            .restored_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        restored_at.map_or_else(
+            || "never".to_owned(),
+            |at| at.elapsed().as_millis().to_string(),
+        )
+    }
+
     /// Answers one call.
     pub(crate) async fn handle(&self, call: HttpCall) -> Option<HttpResponse> {
         if self.faults.active(FaultKind::Outage, &[PLATFORM]).is_some() {
@@ -56,8 +86,7 @@
         let has_key = key.is_some();
         let mut answer = self.answer(&call, key).await?;
         if has_key {
-            // The stand-in keeps no copies to come back from.
-            answer.insert_header("object-restored-ms", "never");
+            answer.insert_header("object-restored-ms", self.restored_text());
         }
         Some(answer)
     }
@@ -122,7 +151,7 @@
         let prefix = call.query("prefix").unwrap_or("").to_owned();
         let after = call.query_number("after", 0);
         let wait_ms = call.query_number("wait_ms", 0).min(LONGEST_WATCH_MS);
-        let ends_at = std::time::Instant::now() + Duration::from_millis(wait_ms);
+        let ends_at = Instant::now() + Duration::from_millis(wait_ms);
         loop {
             let word = self.register_watch();
             let found = self.store().changes(&prefix, after);
@@ -130,7 +159,7 @@
                 Ok(list) => list,
                 Err(_) => return HttpResponse::new(StatusCode::GONE),
             };
-            let left = ends_at.saturating_duration_since(std::time::Instant::now());
+            let left = ends_at.saturating_duration_since(Instant::now());
             if !list.objects.is_empty() || left.is_zero() {
                 return json(&list);
             }
--- a/packages/turnford-standin/src/store.rs
+++ b/packages/turnford-standin/src/store.rs
@@ -25,7 +25,7 @@
 }
 
 /// Versioned objects with conditional writes and a bounded list of changes.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ObjectStore {
     revision: ObjectVersion,
     objects: BTreeMap<String, (ObjectVersion, Vec<u8>)>,
--- a/packages/turnford/tests/common/mod.rs
+++ b/packages/turnford/tests/common/mod.rs
@@ -237,6 +237,13 @@
         self.site.standins.faults.add_now(kind, at, span, factor);
     }
 
+    /// Lets the platform go on from a copy that it makes now, after what `change` does meanwhile.
+    pub fn lose(&self, change: impl FnOnce()) {
+        let copy = self.site.standins.store.copy();
+        change();
+        self.site.standins.store.restore(copy);
+    }
+
     /// Returns the journal's entries of one service for one mark.
     pub fn runs(&self, service: &str, mark: &str) -> Vec<JournalEntry> {
         let mut entries = self.site.standins.journal.entries();
--- /dev/null
+++ b/packages/turnford/tests/store_copies.rs
@@ -0,0 +1,65 @@
+//! Nodes of the own interface through a return of their platform from a copy.
+
+mod common;
+
+use std::time::Duration;
+
+use async_io::Timer;
+use common::Extras;
+use common::TestSite;
+
+/// Longer than a committer goes on with what it has read.
+const READ_AGAIN: Duration = Duration::from_millis(2500);
+
+fn with_id(id: &str) -> Extras<'_> {
+    Extras {
+        id: Some(id),
+        ..Extras::default()
+    }
+}
+
+/// Guards against a second run of a request id whose claim was lost with the copy.
+#[test]
+fn lost_claim() {
+    let site = TestSite::start(2);
+    site.lose(|| {
+        let first = async_io::block_on(site.post(0, "reserve", "mark:s hold", with_id("a")));
+        assert_eq!((first.code(), first.ran()), (0, "yes"));
+    });
+    async_io::block_on(async {
+        for wait in [Duration::ZERO, READ_AGAIN] {
+            Timer::after(wait).await;
+            for node in 0..2 {
+                let again = site
+                    .post(node, "reserve", "mark:s hold", with_id("a"))
+                    .await;
+                assert_ne!(again.ran(), "no", "a used id was called not run");
+            }
+        }
+    });
+    assert_eq!(site.runs("booking", "mark:s").len(), 1);
+    site.stop();
+}
+
+/// Guards against limits that nobody lends after a return: requests are served on.
+#[test]
+fn served_on() {
+    let site = TestSite::start(2);
+    site.lose(|| {
+        let first = async_io::block_on(site.post(0, "chat", "mark:a hello", Extras::default()));
+        assert_eq!(first.code(), 0);
+        std::thread::sleep(Duration::from_secs(2));
+    });
+    async_io::block_on(async {
+        for _ in 0..40 {
+            for node in 0..2 {
+                let answer = site
+                    .post(node, "chat", "mark:b hello", Extras::default())
+                    .await;
+                assert_eq!(answer.code(), 0, "{answer:?}");
+            }
+            Timer::after(Duration::from_millis(300)).await;
+        }
+    });
+    site.stop();
+}
