Tell placing nodes of crashes outside the change of services

Cause: a crash found while services change lists them while they are borrowed; the traffic thread panics, and a node's requests are cut. Change: the nodes are told in a task of its own. Conclusion: to be verified first.

--- a/packages/turnford-serve/src/crash_news.rs
+++ b/packages/turnford-serve/src/crash_news.rs
@@ -57,13 +57,18 @@
 /// Tells the nodes that place what happened at this one. They decide whether the next copy runs, and other
 /// ways of the news may be slower or lose it.
 pub(crate) fn tell_placers(traffic: &Rc<Traffic>, news: &CrashNews) {
-    let desks = traffic.all_desks();
-    let placers: BTreeSet<SocketAddr> = desks
-        .iter()
-        .filter_map(|desk| desk.limits.placer())
-        .collect();
     let request = WorkRequest::Crashes(vec![news.clone()]);
-    tell_peers(&traffic.peers, placers, &request);
+    let told = traffic.clone();
+    // A crash may be found while the services are being changed, when they can't be listed.
+    let tell = async move {
+        let desks = told.all_desks();
+        let placers: BTreeSet<SocketAddr> = desks
+            .iter()
+            .filter_map(|desk| desk.limits.placer())
+            .collect();
+        tell_peers(&told.peers, placers, &request);
+    };
+    traffic.executor.spawn(tell).detach();
 }
 
 async fn tell_untold(traffic: Rc<Traffic>) {
