--- a/packages/turnford-config/src/reader.rs
+++ b/packages/turnford-config/src/reader.rs
@@ -1,6 +1,7 @@
 //! Reads TOML tables field by field and collects all errors.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt::Display;
 use std::ops::Range;
@@ -227,6 +228,39 @@
         parsed
     }
 
+    /// Reads a table of strings and parses each of its names and values; an absent table is empty.
+    pub(crate) fn parsed_map<T: FromStr + Ord>(
+        &self,
+        field: &str,
+        allowed: &str,
+    ) -> BTreeMap<T, T> {
+        let Some(value) = self.value(field) else {
+            return BTreeMap::new();
+        };
+        let Some(table) = value.get_ref().as_table() else {
+            let allowed = format!("a table, each name and value {allowed}");
+            self.add_error(field, describe(value.get_ref()), allowed);
+            return BTreeMap::new();
+        };
+        let mut parsed = BTreeMap::new();
+        for (name, item) in table {
+            let path = format!("{}.{}", self.path_of(field), name.get_ref());
+            let key = name.get_ref().parse().ok();
+            if key.is_none() {
+                let found = format!("{:?}", name.get_ref());
+                self.log.add(&name.span(), &path, found, allowed);
+            }
+            let text = item.get_ref().as_str();
+            let value = text.and_then(|text| text.parse().ok());
+            if value.is_none() {
+                let found = describe(item.get_ref());
+                self.log.add(&item.span(), &path, found, allowed);
+            }
+            parsed.extend(key.zip(value));
+        }
+        parsed
+    }
+
     /// Reads a string that must be one of several names.
     pub(crate) fn choice<T: Copy>(&self, field: &str, names: &[(&str, T)]) -> Option<T> {
         let text = self.text(field)?;
--- a/packages/turnford-config/src/serve.rs
+++ b/packages/turnford-config/src/serve.rs
@@ -1,5 +1,6 @@
 //! Settings of a node that serves the routes in the platform's configuration.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,6 +64,10 @@
     pub peers: Vec<SocketAddr>,
     /// Time from the stop signal until the process is killed.
     pub stop_grace: Duration,
+    /// Addresses at which this VM connects to targets, by their listed addresses, where the two
+    /// differ because of an address translation. A target that is not named here is reached at its
+    /// listed address.
+    pub target_addresses: BTreeMap<SocketAddr, SocketAddr>,
     /// Retry budget of each service.
     pub retries: RetrySettings,
     /// Logging.
@@ -85,6 +90,12 @@
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<ConfigError>> {
         read_file(file, text, read_settings)
     }
+
+    /// Returns the address at which this VM connects to a target with the given listed address.
+    pub fn target_address(&self, listed: SocketAddr) -> SocketAddr {
+        let translated = self.target_addresses.get(&listed);
+        translated.copied().unwrap_or(listed)
+    }
 }
 
 fn read_settings(reader: &TableReader<'_>) -> Option<ServeSettings> {
@@ -99,6 +110,7 @@
     let store = reader.parsed("store", ADDRESS);
     let peers = reader.parsed_list("peers", ADDRESS);
     let stop_grace = reader.number_or("stop_grace_s", 0.0..=3600.0, 8.0);
+    let target_addresses = reader.parsed_map("target_addresses", ADDRESS);
     let retries = reader.table("repeats", read_retries);
     let log = reader.table("log", read_log);
     Some(ServeSettings {
@@ -113,6 +125,7 @@
         store: store?,
         peers,
         stop_grace: Duration::from_secs_f64(stop_grace),
+        target_addresses,
         retries: retries.unwrap_or_default(),
         log: log.unwrap_or(LogSettings {
             level: LogLevel::Info,
--- a/packages/turnford-config/tests/serve_settings.rs
+++ b/packages/turnford-config/tests/serve_settings.rs
@@ -67,3 +67,16 @@
         assert!(error.contains(field), "{field}: {error}");
     }
 }
+
+#[test]
+fn translated_targets() {
+    let table = "\n[target_addresses]\n\"10.1.64.9:8080\" = \"192.0.2.1:9001\"\n";
+    let settings = ServeSettings::parse("node.toml", &(rendered() + table)).expect("settings");
+    let listed = |text: &str| text.parse().expect("an address");
+    let translated = settings.target_address(listed("10.1.64.9:8080"));
+    assert_eq!(translated, listed("192.0.2.1:9001"));
+    let other = settings.target_address(listed("10.1.64.10:8080"));
+    assert_eq!(other, listed("10.1.64.10:8080"));
+    let invalid = rendered() + "\n[target_addresses]\nhere = \"there\"\n";
+    assert_eq!(errors(&invalid).len(), 2);
+}
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -245,14 +245,15 @@
     context: &Rc<ServiceContext>,
     target: &TargetSpec,
 ) -> Result<HttpConnection, CallError> {
+    let address = traffic.shared.settings.target_address(target.address);
     let idle = traffic
         .pool
         .borrow_mut()
-        .take(traffic.shared.now(), target.address, Duration::MAX);
+        .take(traffic.shared.now(), address, Duration::MAX);
     if let Some(connection) = idle {
         return Ok(connection);
     }
-    let opened = HttpConnection::open(&traffic.executor, target.address, CONNECT_TIMEOUT).await;
+    let opened = HttpConnection::open(&traffic.executor, address, CONNECT_TIMEOUT).await;
     let metrics = &traffic.shared.metrics;
     metrics.record_service_event(&target.service, ServiceEvent::Connected);
     opened.map_err(|_| {
--- a/packages/turnford-serve/src/crash_check.rs
+++ b/packages/turnford-serve/src/crash_check.rs
@@ -78,7 +78,8 @@
     if is_leaving || traffic.crashes.has_departed(&target) {
         return;
     }
-    let port = probe_port(target.address, PORT_PROBE_TIMEOUT).await;
+    let address = traffic.shared.settings.target_address(target.address);
+    let port = probe_port(address, PORT_PROBE_TIMEOUT).await;
     let now = traffic.shared.now();
     if port == PortState::Refused {
         context.targets.borrow_mut().record_refusal(now, &target.id);
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -152,7 +152,8 @@
             if listed.is_some_and(|listed| listed.process_start == target.process_start) {
                 continue;
             }
-            self.pool.borrow_mut().close_all(target.address);
+            let address = self.shared.settings.target_address(target.address);
+            self.pool.borrow_mut().close_all(address);
             if listed.is_none() && target.leaving {
                 self.crashes.record_departure(&target);
             }
--- a/packages/turnford-serve/tests/common/mod.rs
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use turnford_serve::ServeNode;
 use turnford_standin::start_threads;
 use turnford_standin::EndpointState;
+use turnford_standin::LinkProxy;
 use turnford_standin::MetaStore;
 use turnford_standin::RouteJournal;
 use turnford_standin::RouteTarget;
@@ -113,6 +115,44 @@
         number
     }
 
+    /// Starts a node that reaches each target through a proxy of its own, and returns the proxies.
+    pub(crate) fn node_behind(
+        &mut self,
+        name: &str,
+        targets: &[RouteTarget],
+    ) -> (usize, Vec<LinkProxy>) {
+        let number = self.node_behind_unready(name, targets, |_| {});
+        self.wait_ready(number.0);
+        number
+    }
+
+    /// Starts such a node, after `prepare` was called for its proxies, without waiting until it is
+    /// ready.
+    pub(crate) fn node_behind_unready(
+        &mut self,
+        name: &str,
+        targets: &[RouteTarget],
+        prepare: impl FnOnce(&[LinkProxy]),
+    ) -> (usize, Vec<LinkProxy>) {
+        let (endpoint, store) = self
+            .store
+            .open_endpoint(&self.executor)
+            .expect("a free port");
+        let proxy = |target: &RouteTarget| LinkProxy::start(&self.executor, target.address());
+        let links: Vec<LinkProxy> = targets
+            .iter()
+            .map(|target| proxy(target).expect("a free port"))
+            .collect();
+        prepare(&links);
+        let peers = self.nodes.iter().map(|node| node.settings.inner);
+        let mut settings = settings(name, store, peers.collect());
+        let addresses = targets.iter().map(RouteTarget::address);
+        settings.target_addresses = addresses
+            .zip(links.iter().map(|link| link.address))
+            .collect();
+        (self.start_node(settings, endpoint), links)
+    }
+
     fn wait_ready(&self, number: usize) {
         let node = &self.nodes[number];
         wait_until("the node is ready", || {
@@ -269,6 +309,7 @@
         store,
         peers,
         stop_grace: Duration::from_secs(6),
+        target_addresses: BTreeMap::new(),
         retries: RetrySettings {
             window: Duration::from_secs(10),
             ratio: 0.2,
--- a/packages/turnford-standin/src/proxy.rs
+++ b/packages/turnford-standin/src/proxy.rs
@@ -6,10 +6,12 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
+use async_executor::Task;
 use async_io::Timer;
 use async_net::TcpListener;
 use async_net::TcpStream;
@@ -17,6 +19,7 @@
 use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
 
+use crate::port::HangingPort;
 use crate::SharedExecutor;
 
 /// Interval at which a disturbed link is checked for recovery.
@@ -44,11 +47,38 @@
     StalledFromServer,
 }
 
+/// How a proxied link is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkCut {
+    /// Packets are lost: connections hang when they are opened, and open ones fall silent for good.
+    Silent,
+    /// Open connections are reset, new ones are refused.
+    Reset,
+    /// New connections are refused, open ones go on.
+    RefuseNew,
+}
+
+/// What happens to new connections.
+enum PortState {
+    /// They are accepted by this task.
+    Accepting {
+        _accept: Task<()>,
+    },
+    Refusing,
+    /// They are never established.
+    Hanging {
+        _port: HangingPort,
+    },
+}
+
 /// A proxy for one server.
 #[derive(Clone)]
 pub struct LinkProxy {
     /// Address to which clients connect.
     pub address: SocketAddr,
+    server: SocketAddr,
+    executor: SharedExecutor,
+    port: Arc<Mutex<PortState>>,
     state: Arc<Mutex<LinkState>>,
     /// Time at which the bytes accepted so far will have been forwarded, to and from the server.
     free_at: Arc<Mutex<[Option<Instant>; 2]>>,
@@ -72,21 +102,78 @@
         let listener = async_io::block_on(TcpListener::bind("127.0.0.1:0"))?;
         let proxy = Self {
             address: listener.local_addr()?,
+            server,
+            executor: executor.clone(),
+            port: Arc::new(Mutex::new(PortState::Refusing)),
             state: Arc::new(Mutex::new(LinkState::Open)),
             free_at: Arc::default(),
             blackhole_count: Arc::default(),
         };
-        let accepting = proxy.clone();
-        let spawner = executor.clone();
+        proxy.accept(listener);
+        Ok(proxy)
+    }
+
+    /// Accepts connections until the state of the port changes.
+    fn accept(&self, listener: TcpListener) {
+        let accepting = self.without_port();
         let accept = async move {
             while let Ok((client, _)) = listener.accept().await {
-                spawner
-                    .spawn(accepting.clone().serve(client, server))
-                    .detach();
+                let serve = accepting.clone().serve(client);
+                accepting.executor.spawn(serve).detach();
             }
         };
-        executor.spawn(accept).detach();
-        Ok(proxy)
+        let accept = self.executor.spawn(accept);
+        *self.lock_port() = PortState::Accepting { _accept: accept };
+    }
+
+    /// Returns a handle that does not keep the listener open.
+    fn without_port(&self) -> Self {
+        Self {
+            port: Arc::new(Mutex::new(PortState::Refusing)),
+            ..self.clone()
+        }
+    }
+
+    /// Cuts the link until [`LinkProxy::heal`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the port can't be taken over.
+    pub fn cut(&self, cut: LinkCut) -> io::Result<()> {
+        self.close_port();
+        match cut {
+            LinkCut::Silent => {
+                self.blackhole_open();
+                let port = HangingPort::open(self.address)?;
+                *self.lock_port() = PortState::Hanging { _port: port };
+            }
+            LinkCut::Reset => self.set(LinkState::Reset),
+            LinkCut::RefuseNew => {}
+        }
+        Ok(())
+    }
+
+    /// Ends a cut.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the port can't be bound again.
+    pub fn heal(&self) -> io::Result<()> {
+        self.close_port();
+        self.set(LinkState::Open);
+        self.accept(turnford_http::bind_listener(self.address)?);
+        Ok(())
+    }
+
+    fn close_port(&self) {
+        let state = std::mem::replace(&mut *self.lock_port(), PortState::Refusing);
+        if let PortState::Accepting { _accept: accept } = state {
+            async_io::block_on(accept.cancel());
+        }
+    }
+
+    fn lock_port(&self) -> MutexGuard<'_, PortState> {
+        self.port.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sets the state of the link.
@@ -103,9 +190,9 @@
         *self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn serve(self, client: TcpStream, server: SocketAddr) {
+    async fn serve(self, client: TcpStream) {
         let generation = self.blackhole_count.load(Ordering::SeqCst);
-        let Ok(server) = TcpStream::connect(server).await else {
+        let Ok(server) = TcpStream::connect(self.server).await else {
             return;
         };
         let to = self.forward(client.clone(), server.clone(), Direction::To, generation);
--- a/packages/turnford/src/command/routes.rs
+++ b/packages/turnford/src/command/routes.rs
@@ -1,5 +1,6 @@
 //! The routes of `turnford demo`: a store, targets and nodes in this process.
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -116,6 +117,7 @@
         store,
         peers: Vec::new(),
         stop_grace: STOP_GRACE,
+        target_addresses: BTreeMap::new(),
         retries: RetrySettings::default(),
         log: LogSettings {
             level: LogLevel::Info,
