Relay calls to targets that a node can't reach

Callers saw: nodes that lost the links to all targets answered 503 to nearly all requests, after running their stages, while other nodes reached the targets; requests at the other nodes failed, too. Cause: a node calls targets only over its own links, and takes a target that it can't reach for down. The placer paused such targets for all nodes, and refused connections counted as crashes at all nodes. Change: LinkTable (pure) tells a lost link from a target that is down by what other nodes report; a lost link's calls go through another node, one hop, which applies its own knowledge of the target (leaving, backoff) and streams the response. The node that took the request keeps deadline, retries, permits and outcome. A refused connection counts as a crash only if no other node reaches the target. An isolated node hands pieces back, and asks nobody who is isolated as well. Lines, two gauges and two events tell of it. Why it works: the evidence comes from a node with another path, so one node's links say nothing about a target, and each call needs only one node that reaches it.

--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -279,6 +279,12 @@
         CallError::NotSent(reason) | CallError::Unavailable(reason) => {
             cell.requeue_pieces(plan, reason, false);
         }
+        CallError::NoRelay(reason) => {
+            let mut scheduler = cell.queue.scheduler.borrow_mut();
+            scheduler.record_refusal(now, &target.id);
+            drop(scheduler);
+            cell.requeue_pieces(plan, reason, false);
+        }
         CallError::Limited => {
             let metrics = &traffic.shared.metrics;
             metrics.record_service_event(&target.service, ServiceEvent::Limited);
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -1,5 +1,6 @@
 //! One call to one target.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,15 +16,23 @@
 use hyper::body::Incoming;
 
 use turnford_adapter::decode_response;
+use turnford_adapter::set_remaining;
 use turnford_adapter::ResponseAttributes;
 use turnford_http::HttpConnection;
 use turnford_http::HttpError;
+use turnford_policy::Moment;
 use turnford_policy::TargetSpec;
 
+use crate::links::is_direct;
+use crate::links::record_contact;
+use crate::links::record_failure;
+use crate::links::wait_link_lost;
 use crate::metrics::ServiceEvent;
+use crate::relay::relay_call;
 use crate::service_context::InFlightGuard;
 use crate::service_context::ServiceContext;
 use crate::signals::process_signals;
+use crate::target_body::TargetBody;
 use crate::traffic::Traffic;
 use crate::wait::wait_until;
 
@@ -53,6 +62,8 @@
     Unavailable(&'static str),
     /// No byte was sent, because the target's rate limit across all nodes allows no further call.
     Limited,
+    /// No byte was sent: this node reaches no targets, and no other node could send the call for it.
+    NoRelay(&'static str),
     /// The target reports that it did not run the request.
     NotRun(StatusCode),
     /// The request was sent, and the connection closed or the target stopped responding.
@@ -63,8 +74,13 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallPurpose<'a> {
-    /// A client's request with its attempt id, which the response must carry.
-    Request(&'a str),
+    /// A client's request.
+    Request {
+        /// Attempt id, which the response must carry.
+        attempt: &'a str,
+        /// Whether the request may run more than once.
+        is_repeatable: bool,
+    },
     /// Pieces of stages.
     Pieces,
     /// A call that serves work which the target already has, or that queries its state. It adds no
@@ -73,25 +89,61 @@
 }
 
 impl<'a> CallPurpose<'a> {
-    fn attempt(self) -> Option<&'a str> {
+    pub(crate) fn attempt(self) -> Option<&'a str> {
         match self {
-            CallPurpose::Request(attempt) => Some(attempt),
+            CallPurpose::Request { attempt, .. } => Some(attempt),
             CallPurpose::Pieces | CallPurpose::Maintenance => None,
         }
     }
+
+    /// Returns whether the call may be sent again after its link was lost.
+    fn is_repeatable(self) -> bool {
+        match self {
+            CallPurpose::Request { is_repeatable, .. } => is_repeatable,
+            CallPurpose::Pieces | CallPurpose::Maintenance => true,
+        }
+    }
 }
 
 /// A target's response whose body has not been read yet.
 pub(crate) struct TargetResponse {
     pub(crate) parts: Parts,
-    pub(crate) attributes: ResponseAttributes,
     /// Whether the response announces that the target is leaving.
     pub(crate) is_leaving: bool,
-    pub(crate) body: Incoming,
-    connection: HttpConnection,
+    pub(crate) body: TargetBody,
+    link: ResponseLink,
     _in_flight: InFlightGuard,
 }
 
+/// Where a response arrives.
+enum ResponseLink {
+    Direct(DirectLink),
+    /// Through the node at this address.
+    Relayed(SocketAddr),
+}
+
+/// A connection to a target that carries a response.
+pub(crate) struct DirectLink {
+    connection: HttpConnection,
+    /// Time for which the connection may be reused after the response.
+    keep_alive: Duration,
+}
+
+impl DirectLink {
+    pub(crate) fn new(connection: HttpConnection, parts: &Parts) -> Self {
+        let keep_alive = match decode_response(parts) {
+            Ok(attributes) if !attributes.closes => attributes
+                .keep_alive
+                .map_or(DEFAULT_KEEP_ALIVE, |time| time.mul_f64(KEEP_ALIVE_RATIO)),
+            _ => Duration::ZERO,
+        };
+        Self {
+            connection,
+            keep_alive,
+        }
+    }
+}
+
 impl TargetResponse {
     /// Reads the whole body and returns the connection to the pool.
     pub(crate) async fn collect(
@@ -101,15 +153,23 @@
     ) -> Result<(Parts, Bytes), CallError> {
         let body = Limited::new(self.body, limit).collect().await;
         let body = body.map_err(|_| CallError::Disconnected("the response body was truncated"))?;
-        recycle_connection(traffic, self.connection, &self.attributes);
+        recycle_link(traffic, self.link);
         Ok((self.parts, body.to_bytes()))
     }
 
+    /// Returns the address of the node that relays the response, `None` if it comes directly from
+    /// the target.
+    pub(crate) fn relay(&self) -> Option<SocketAddr> {
+        match self.link {
+            ResponseLink::Direct(_) => None,
+            ResponseLink::Relayed(peer) => Some(peer),
+        }
+    }
+
     /// Splits the response for a body that is relayed as it arrives.
-    pub(crate) fn into_stream(self) -> (Parts, Incoming, StreamRemainder) {
+    pub(crate) fn into_stream(self) -> (Parts, TargetBody, StreamRemainder) {
         let remainder = StreamRemainder {
-            connection: self.connection,
-            attributes: self.attributes,
+            link: self.link,
             _in_flight: self._in_flight,
         };
         (self.parts, self.body, remainder)
@@ -118,48 +178,53 @@
 
 /// What is needed to recycle the connection after the body of a stream has ended.
 pub(crate) struct StreamRemainder {
-    connection: HttpConnection,
-    attributes: ResponseAttributes,
+    link: ResponseLink,
     _in_flight: InFlightGuard,
 }
 
 impl StreamRemainder {
     /// Returns the connection to the pool.
     pub(crate) fn finish(self, traffic: &Traffic) {
-        recycle_connection(traffic, self.connection, &self.attributes);
+        recycle_link(traffic, self.link);
+    }
+
+    /// Returns whether the response comes directly from the target.
+    pub(crate) fn is_direct(&self) -> bool {
+        matches!(self.link, ResponseLink::Direct(_))
     }
 }
 
-/// Returns a connection to the pool until its target may close it.
-fn recycle_connection(
-    traffic: &Traffic,
-    connection: HttpConnection,
-    attributes: &ResponseAttributes,
-) {
-    if attributes.closes {
-        return;
+fn recycle_link(traffic: &Traffic, link: ResponseLink) {
+    if let ResponseLink::Direct(link) = link {
+        recycle_connection(traffic, link);
     }
-    let keep_alive = attributes
-        .keep_alive
-        .map_or(DEFAULT_KEEP_ALIVE, |keep_alive| {
-            keep_alive.mul_f64(KEEP_ALIVE_RATIO)
-        });
+}
+
+/// Returns a connection to the pool until its target may close it.
+pub(crate) fn recycle_connection(traffic: &Traffic, link: DirectLink) {
     let now = traffic.shared.now();
-    traffic.pool.borrow_mut().put(now, connection, keep_alive);
+    let mut pool = traffic.pool.borrow_mut();
+    pool.put(now, link.connection, link.keep_alive);
 }
 
-/// Sends a request to a target and waits for the head of its response.
+/// Sends a request to a target and waits for the head of its response. Another node sends it if this
+/// node does not reach the target.
 pub(crate) async fn call_target(
     traffic: &Rc<Traffic>,
     context: &Rc<ServiceContext>,
     target: &TargetSpec,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
     purpose: CallPurpose<'_>,
     timeout: Duration,
 ) -> Result<TargetResponse, CallError> {
     let attempt = purpose.attempt();
     let in_flight = InFlightGuard::new(context, target);
-    let mut connection = open_connection(traffic, context, target).await?;
+    let deadline = traffic.shared.now() + timeout;
+    let connection = if is_direct(traffic, &target.id) {
+        open_connection(traffic, target, timeout).await
+    } else {
+        None
+    };
     // Checked last before sending: the call may have waited, and another node may have placed it.
     let now = traffic.shared.now();
     if let Some(error) = context.rejection_reason(now, &target.id, purpose) {
@@ -169,23 +234,34 @@
         .shared
         .metrics
         .record_service_event(&target.service, ServiceEvent::Sent);
-    let late = async {
-        let until = traffic.shared.now() + timeout;
-        wait_until(&traffic.shared, until).await;
-        None
-    };
-    let sent = async { Some(connection.send(request).await) };
-    let response = match sent.or(late).await {
-        Some(Ok(response)) => response,
-        Some(Err(HttpError::NotConnected)) => {
-            return Err(CallError::NotSent(
-                "the connection was closed before the request was sent",
-            ))
+    let (parts, body, link) = match connection {
+        Some(mut connection) => {
+            set_remaining(&mut request, deadline.saturating_sub(now));
+            let is_repeatable = purpose.is_repeatable();
+            let sent = send_request(
+                traffic,
+                target,
+                &mut connection,
+                request,
+                deadline,
+                is_repeatable,
+            );
+            let (parts, body) = sent.await?;
+            let link = ResponseLink::Direct(DirectLink::new(connection, &parts));
+            (parts, TargetBody::Direct(body), link)
+        }
+        None => {
+            let relayed = relay_call(traffic, target, request, purpose, deadline).await;
+            let response = relayed.inspect_err(|error| {
+                if matches!(error, CallError::NotSent(_)) {
+                    let now = traffic.shared.now();
+                    context.targets.borrow_mut().record_refusal(now, &target.id);
+                }
+            })?;
+            let link = ResponseLink::Relayed(response.peer);
+            (response.parts, response.body, link)
         }
-        Some(Err(_)) => return Err(CallError::Disconnected("the connection was lost")),
-        None => return Err(CallError::Unknown("the response timed out")),
     };
-    let (parts, body) = response.into_parts();
     let signal = process_signals(traffic, context, target, &parts, attempt, now);
     let attributes = decode_response(&parts).map_err(|error| {
         log::warn!("target={} invalid response: {error}", target.id);
@@ -204,7 +280,7 @@
         return Err(CallError::Unknown("the response is unsigned or encoded"));
     }
     if attributes.not_run {
-        drain_refusal(traffic, connection, &attributes, body).await;
+        drain_refusal(traffic, link, body).await;
         traffic
             .shared
             .metrics
@@ -213,14 +289,49 @@
     }
     Ok(TargetResponse {
         parts,
-        attributes,
         is_leaving: signal.is_leaving,
         body,
-        connection,
+        link,
         _in_flight: in_flight,
     })
 }
 
+/// Sends a request on a connection to a target and waits for the head of the response. A request
+/// that may be sent again is given up once the link to the target is found lost.
+pub(crate) async fn send_request(
+    traffic: &Rc<Traffic>,
+    target: &TargetSpec,
+    connection: &mut HttpConnection,
+    request: Request<Full<Bytes>>,
+    deadline: Moment,
+    is_repeatable: bool,
+) -> Result<(Parts, Incoming), CallError> {
+    let sent_at = traffic.shared.now();
+    let sent = async {
+        let response = connection.send(request).await;
+        response.map_err(|error| match error {
+            HttpError::NotConnected => {
+                CallError::NotSent("the connection was closed before the request was sent")
+            }
+            _ => CallError::Disconnected("the connection was lost"),
+        })
+    };
+    let late = async {
+        wait_until(&traffic.shared, deadline).await;
+        Err(CallError::Unknown("the response timed out"))
+    };
+    let lost = async {
+        wait_link_lost(traffic, target, sent_at).await;
+        if !is_repeatable {
+            std::future::pending::<()>().await;
+        }
+        Err(CallError::Disconnected("the link to the target was lost"))
+    };
+    let (parts, body) = sent.or(late).or(lost).await?.into_parts();
+    record_contact(traffic, &target.id);
+    Ok((parts, body))
+}
+
 /// Records a response that belongs to another request. Its connection is not reused.
 fn attempt_mismatch(
     traffic: &Traffic,
@@ -239,37 +350,34 @@
     CallError::Unknown("the response belongs to another request")
 }
 
-/// Returns a connection to a target, an idle one if there is any.
-async fn open_connection(
+/// Returns a connection to a target, an idle one if there is any, or `None` if the target is not
+/// reached.
+pub(crate) async fn open_connection(
     traffic: &Traffic,
-    context: &Rc<ServiceContext>,
     target: &TargetSpec,
-) -> Result<HttpConnection, CallError> {
+    timeout: Duration,
+) -> Option<HttpConnection> {
     let address = traffic.shared.settings.target_address(target.address);
     let idle = traffic
         .pool
         .borrow_mut()
         .take(traffic.shared.now(), address, Duration::MAX);
-    if let Some(connection) = idle {
-        return Ok(connection);
+    if idle.is_some() {
+        return idle;
     }
-    let opened = HttpConnection::open(&traffic.executor, address, CONNECT_TIMEOUT).await;
+    // Half of the time is left for another node.
+    let timeout = CONNECT_TIMEOUT.min(timeout / 2);
+    let opened = HttpConnection::open(&traffic.executor, address, timeout).await;
     let metrics = &traffic.shared.metrics;
     metrics.record_service_event(&target.service, ServiceEvent::Connected);
-    opened.map_err(|_| {
-        let now = traffic.shared.now();
-        context.targets.borrow_mut().record_refusal(now, &target.id);
-        CallError::NotSent("no connection to the target could be opened")
-    })
+    if opened.is_err() {
+        record_failure(traffic, &target.id);
+    }
+    opened.ok()
 }
 
 /// Reads the rest of a refusal so that its connection can be reused.
-async fn drain_refusal(
-    traffic: &Traffic,
-    connection: HttpConnection,
-    attributes: &ResponseAttributes,
-    body: Incoming,
-) {
+async fn drain_refusal(traffic: &Traffic, link: ResponseLink, body: TargetBody) {
     let read = async {
         let body = Limited::new(body, MAX_REFUSAL_BYTES).collect().await;
         body.is_ok()
@@ -279,6 +387,6 @@
         false
     };
     if read.or(late).await {
-        recycle_connection(traffic, connection, attributes);
+        recycle_link(traffic, link);
     }
 }
--- a/packages/turnford-serve/src/crash_check.rs
+++ b/packages/turnford-serve/src/crash_check.rs
@@ -1,29 +1,24 @@
 //! Determines whether a target crashed during a call that broke.
 //!
 //!
-//! A reset, a truncated response or silence is not proof of a crash. Proof is a refused connection,
-//! a different process start in the target's entry, or the removal of that entry. The end of a
-//! target that announced that it leaves does not count.
+//! A reset, a truncated response or silence is not proof of a crash. Proof is a refused connection
+//! of a target that no other node reaches, a different process start in the target's entry, or the
+//! removal of that entry. The end of a target that announced that it leaves does not count.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
 
-use turnford_http::probe_port;
-use turnford_http::PortState;
 use turnford_policy::BatchPlan;
 use turnford_policy::RequestDigest;
 use turnford_policy::TargetSpec;
 
 use crate::crash::record_crash;
 use crate::crash::BrokenCall;
+use crate::links::check_reachability;
+use crate::links::Reachability;
 use crate::service_context::ServiceContext;
 use crate::traffic::Traffic;
 
-/// Timeout for the target's machine to refuse a connection. After a process has ended, its machine
-/// refuses within a round trip; a machine without power does not reply at all.
-const PORT_PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Evidence given by a target's store entry, as logged.
 const ENTRY_EVIDENCE: &str = "its entry was removed or has another process start";
 
@@ -78,14 +73,14 @@
     if is_leaving || traffic.crashes.has_departed(&target) {
         return;
     }
-    let address = traffic.shared.settings.target_address(target.address);
-    let port = probe_port(address, PORT_PROBE_TIMEOUT).await;
-    let now = traffic.shared.now();
-    if port == PortState::Refused {
+    let reachability = check_reachability(traffic, &target).await;
+    let is_refused = reachability == Reachability::Refused;
+    if is_refused {
+        let now = traffic.shared.now();
         context.targets.borrow_mut().record_refusal(now, &target.id);
     }
     for call in calls {
-        if port == PortState::Refused {
+        if is_refused {
             record_crash(traffic, &call, "its port refuses connections");
         } else if has_restarted(context, &target) {
             record_crash(traffic, &call, ENTRY_EVIDENCE);
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -154,6 +154,7 @@
                 if !matches!(
                     error,
                     CallError::Unavailable(_)
+                        | CallError::NoRelay(_)
                         | CallError::Limited
                         | CallError::NotRun(StatusCode::CONFLICT)
                 ) {
@@ -232,7 +233,10 @@
         remaining.as_millis()
     ));
     drop(position);
-    let purpose = CallPurpose::Request(&record.attributes.attempt);
+    let purpose = CallPurpose::Request {
+        attempt: &record.attributes.attempt,
+        is_repeatable: record.route.is_repeatable(),
+    };
     let call = call_target(traffic, job.context, target, request, purpose, remaining);
     let fetched = async {
         Timer::after(INPUT_FETCH_TIME).await;
@@ -253,7 +257,10 @@
     let target = placed.target.clone();
     let record = job.record;
     let status = response.parts.status;
-    record.trace(format_args!("response {status}"));
+    match response.relay() {
+        Some(peer) => record.trace(format_args!("response {status} relayed by {peer}")),
+        None => record.trace(format_args!("response {status}")),
+    }
     let is_stream = record.route.kind == CallKind::Stream && status.is_success();
     if is_stream {
         job.context.record_success(traffic.shared.now(), &target.id);
@@ -361,7 +368,7 @@
                 log.tried.retain(|tried| *tried != target.id);
             }
         }
-        CallError::NotSent(reason) => {
+        CallError::NotSent(reason) | CallError::NoRelay(reason) => {
             log.unreached += 1;
             job.record
                 .trace(format_args!("{} not reached: {reason}", target.id));
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -72,6 +72,10 @@
     Permit,
     /// A call was not sent because no permit was available.
     Limited,
+    /// Another node sent a call for this one.
+    Relayed,
+    /// This node sent a call for another one.
+    RelayedForPeer,
 }
 
 impl ServiceEvent {
@@ -90,6 +94,8 @@
             ServiceEvent::AnnouncedLimit => "named-limit",
             ServiceEvent::Permit => "permit",
             ServiceEvent::Limited => "limited",
+            ServiceEvent::Relayed => "relayed",
+            ServiceEvent::RelayedForPeer => "relayed-for-peer",
         }
     }
 }
@@ -118,6 +124,10 @@
     /// Calls per second that this node allocates to all nodes, and requests queued for them.
     pub(crate) limit_rate: Gauge<f64, AtomicU64>,
     pub(crate) limit_queue: Gauge<u64, AtomicU64>,
+    /// Targets that other nodes reach and this one does not.
+    pub(crate) lost_targets: Gauge<u64, AtomicU64>,
+    /// 1 while this node reaches none of several targets.
+    pub(crate) isolated: Gauge<u64, AtomicU64>,
     pub(crate) log_drops: Gauge<u64, AtomicU64>,
 }
 
@@ -141,6 +151,8 @@
             limited_targets: Gauge::default(),
             limit_rate: Gauge::default(),
             limit_queue: Gauge::default(),
+            lost_targets: Gauge::default(),
+            isolated: Gauge::default(),
             log_drops: Gauge::default(),
         };
         metrics.register();
@@ -217,6 +229,16 @@
             "Requests of all nodes that wait for such calls at this node",
             self.limit_queue.clone(),
         );
+        registry.register(
+            "lost_targets",
+            "Targets that other nodes reach and this node doesn't",
+            self.lost_targets.clone(),
+        );
+        registry.register(
+            "isolated",
+            "1 while this node reaches none of several targets",
+            self.isolated.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines that the full queue dropped",
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -32,6 +32,7 @@
 use crate::crash_updates::sync_crashes;
 use crate::leaving::probe_leaving;
 use crate::limit_sync::maintain_limits;
+use crate::links::probe_lost_links;
 use crate::metrics::ServeMetrics;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
@@ -252,6 +253,7 @@
     executor.spawn(sync_crashes(traffic.clone())).detach();
     executor.spawn(probe_leaving(traffic.clone())).detach();
     executor.spawn(maintain_limits(traffic.clone())).detach();
+    executor.spawn(probe_lost_links(traffic.clone())).detach();
     let listener = listeners.listener;
     let limits_traffic = traffic.clone();
     let limits = move || limits_traffic.current_view().config.limits;
--- a/packages/turnford-serve/src/peers.rs
+++ b/packages/turnford-serve/src/peers.rs
@@ -48,6 +48,8 @@
     /// Time until which the node gets no new work. It may finish its pending work, as a stopping
     /// node does.
     refuses_until: Cell<Moment>,
+    /// Time until which the node is assumed to reach no targets.
+    pub(crate) isolated_until: Cell<Moment>,
 }
 
 impl PeerState {
@@ -67,6 +69,8 @@
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) shared: Arc<ServeShared>,
     pub(crate) client: PeerClient,
+    /// Client for calls to targets that other nodes relay.
+    pub(crate) relay_client: PeerClient,
     states: RefCell<HashMap<SocketAddr, Rc<PeerState>>>,
     rng: RefCell<SmallRng>,
 }
@@ -75,6 +79,7 @@
     pub(crate) fn new(executor: Rc<LocalExecutor<'static>>, shared: Arc<ServeShared>) -> Rc<Self> {
         Rc::new(Self {
             client: PeerClient::new(executor.clone()),
+            relay_client: PeerClient::with_streams(executor.clone()),
             executor,
             shared,
             states: RefCell::default(),
@@ -144,6 +149,25 @@
         state.down_until.set(self.shared.now() + DOWN_PERIOD);
     }
 
+    /// Returns the addresses of up to `count` nodes that may reach targets in a hall, those in that
+    /// hall first, otherwise in random order.
+    pub(crate) fn relay_candidates(&self, hall: &str, count: usize) -> Vec<SocketAddr> {
+        let now = self.shared.now();
+        let view = self.shared.view.load();
+        let states = self.states.borrow();
+        let is_usable = |address: &SocketAddr| {
+            let state = states.get(address);
+            state.is_none_or(|state| state.accepts_work(now) && state.isolated_until.get() <= now)
+        };
+        let usable = view.members.iter().filter(|member| is_usable(&member.work));
+        let mut usable: Vec<(bool, f64, SocketAddr)> = usable
+            .map(|member| (&*member.hall != hall, self.random(), member.work))
+            .collect();
+        usable.sort_by(|left, right| left.partial_cmp(right).unwrap_or(std::cmp::Ordering::Equal));
+        usable.truncate(count);
+        usable.into_iter().map(|(_, _, address)| address).collect()
+    }
+
     /// Returns the addresses of `count` other nodes, chosen at random.
     pub(crate) fn sample(&self, count: usize) -> Vec<SocketAddr> {
         let view = self.shared.view.load();
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::fmt::Write;
 use std::rc::Rc;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -64,7 +63,7 @@
         let started_at = shared.now();
         let client_timeout = attributes.client_timeout.unwrap_or(route.timeout);
         let deadline = started_at + client_timeout.min(route.timeout);
-        shared.running.fetch_add(1, Ordering::SeqCst);
+        shared.record_start();
         Rc::new(Self {
             shared,
             attributes,
@@ -170,7 +169,7 @@
         if self.is_ended.replace(true) {
             return;
         }
-        self.shared.running.fetch_sub(1, Ordering::SeqCst);
+        self.shared.record_end();
         let time = self.shared.now().saturating_sub(self.started_at);
         let account = self.account_name();
         self.shared
--- a/packages/turnford-serve/src/service_context.rs
+++ b/packages/turnford-serve/src/service_context.rs
@@ -124,6 +124,20 @@
         now: Moment,
         target: &str,
         purpose: CallPurpose<'_>,
+    ) -> Option<CallError> {
+        let refusal = self.refuses_work(now, target, purpose);
+        refusal.or_else(|| {
+            let has_permit = self.limits.table.borrow_mut().try_acquire(now, target);
+            (!has_permit).then_some(CallError::Limited)
+        })
+    }
+
+    /// Returns why a target accepts no such call from this node now, apart from its rate limit.
+    pub(crate) fn refuses_work(
+        &self,
+        now: Moment,
+        target: &str,
+        purpose: CallPurpose<'_>,
     ) -> Option<CallError> {
         let table = self.targets.borrow();
         let Some(spec) = table.get(target) else {
@@ -141,8 +155,7 @@
                 "the target is recovering from backoff",
             ));
         }
-        let has_permit = self.limits.table.borrow_mut().try_acquire(now, target);
-        (!has_permit).then_some(CallError::Limited)
+        None
     }
 
     /// Returns the targets of a cell that accept another call from this node.
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -106,7 +106,7 @@
     pub(crate) was_suspended: AtomicBool,
     /// Channel for suspects that are stored.
     pub(crate) suspects: SuspectChannel,
-    /// Number of requests in flight.
+    /// Number of requests and relayed calls in flight.
     pub(crate) running: AtomicU64,
     pub(crate) metrics: ServeMetrics,
 }
@@ -145,6 +145,16 @@
         settled.map(|(name, _)| *name).collect()
     }
 
+    /// Counts a request or a relayed call that a planned stop waits for.
+    pub(crate) fn record_start(&self) {
+        self.running.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Records the end of such a request or call.
+    pub(crate) fn record_end(&self) {
+        self.running.fetch_sub(1, Ordering::SeqCst);
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
     }
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -7,7 +7,6 @@
 use futures_lite::FutureExt;
 use http::Response;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use turnford_policy::ResultCode;
 
@@ -18,9 +17,11 @@
 use crate::crash::record_clean_end;
 use crate::crash::BrokenCall;
 use crate::crash_check::check_broken_call;
+use crate::links::record_contact;
 use crate::placed_run::PlacedRun;
 use crate::record::RequestRecord;
 use crate::service_context::ServiceContext;
+use crate::target_body::TargetBody;
 use crate::traffic::Traffic;
 
 /// Number of chunks buffered for a slow client before the target is throttled.
@@ -43,7 +44,12 @@
         let record = record.clone();
         let context = context.clone();
         async move {
-            let outcome = relay_chunks(&record, &context, &placed, body, &sender).await;
+            let on_chunk = || {
+                if remainder.is_direct() {
+                    record_contact(&traffic, &placed.target.id);
+                }
+            };
+            let outcome = relay_chunks(&record, &context, &placed, body, &sender, on_chunk).await;
             if outcome == RelayOutcome::Completed {
                 remainder.finish(&traffic);
                 record_clean_end(&traffic, &record.digest.get());
@@ -85,8 +91,9 @@
     record: &RequestRecord,
     context: &ServiceContext,
     placed: &PlacedRun,
-    mut body: Incoming,
+    mut body: TargetBody,
     sender: &ChunkSender,
+    on_chunk: impl Fn(),
 ) -> RelayOutcome {
     let mut is_first = true;
     loop {
@@ -110,6 +117,7 @@
         let Ok(chunk) = frame.into_data() else {
             continue;
         };
+        on_chunk();
         record.record_event();
         if std::mem::take(&mut is_first) {
             record.trace(format_args!("first event"));
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -1,5 +1,6 @@
 //! State of the traffic thread.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -11,6 +12,7 @@
 use async_io::Timer;
 
 use turnford_http::ConnectionPool;
+use turnford_policy::LinkTable;
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceId;
 use turnford_policy::ServiceSpec;
@@ -35,6 +37,10 @@
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) shared: Arc<ServeShared>,
     pub(crate) pool: RefCell<ConnectionPool>,
+    /// Links of this node to targets.
+    pub(crate) links: RefCell<LinkTable>,
+    /// Number of calls in flight that this node relays for others.
+    pub(crate) relayed: Cell<usize>,
     pub(crate) releaser: ResultReleaser,
     /// Connections to the other nodes.
     pub(crate) peers: Rc<PeerPool>,
@@ -61,6 +67,8 @@
             executor,
             shared,
             pool: RefCell::default(),
+            links: RefCell::default(),
+            relayed: Cell::default(),
             releaser: ResultReleaser::default(),
             peers,
             progress: ProgressQueue::default(),
@@ -117,6 +125,9 @@
             let slack = self.shared.settings.retries.slack / view.share_count();
             context.allowance.borrow_mut().set_slack(slack);
         }
+        let mut links = self.links.borrow_mut();
+        links.retain_listed(|id| view.targets.contains_key(id));
+        drop(links);
         for (service, context) in services.iter() {
             self.refresh_targets(view, service, context);
             check_restarts(self, context);
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -11,6 +11,7 @@
 
 use turnford_wire::accept_peers;
 use turnford_wire::CancelPolicy;
+use turnford_wire::StreamedReply;
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
@@ -26,8 +27,10 @@
 use crate::limit_updates::answer_limits;
 use crate::limit_updates::answer_report;
 use crate::limits::ServiceLimits;
+use crate::links::answer_reach;
 use crate::placer::answer_place;
 use crate::progress::answer_progress;
+use crate::relay_handler::answer_relay;
 use crate::traffic::Traffic;
 
 /// Serves other nodes' work for as long as the node runs.
@@ -38,10 +41,21 @@
     accept_peers(listener, executor, CancelPolicy::Drop, refusal, handler).await;
 }
 
-async fn answer_work(traffic: Rc<Traffic>, request: WorkRequest) -> WorkReply {
+async fn answer_work(traffic: Rc<Traffic>, request: WorkRequest) -> StreamedReply<WorkReply> {
     traffic.current_view();
+    match request {
+        WorkRequest::Relay(request) if !traffic.shared.is_draining() => {
+            answer_relay(&traffic, request).await
+        }
+        request => answer_unary(&traffic, request).await.into(),
+    }
+}
+
+async fn answer_unary(traffic: &Rc<Traffic>, request: WorkRequest) -> WorkReply {
     match request {
         WorkRequest::Probe => WorkReply::Ack,
+        // The requesting node or another one runs these pieces with fewer hops.
+        WorkRequest::Pieces(_) if traffic.links.borrow().is_isolated() => WorkReply::Refused,
         // Another node takes over this work.
         WorkRequest::Pieces(_)
         | WorkRequest::Admit(_)
@@ -53,41 +67,45 @@
         {
             WorkReply::Refused
         }
-        WorkRequest::Pieces(request) => answer_pieces(&traffic, request).await,
-        WorkRequest::Admit(request) => answer_admit(&traffic, request),
+        WorkRequest::Relay(_) => WorkReply::Refused,
+        WorkRequest::ReachTarget { service, target } => {
+            answer_reach(traffic, &service, &target).await
+        }
+        WorkRequest::Pieces(request) => answer_pieces(traffic, request).await,
+        WorkRequest::Admit(request) => answer_admit(traffic, request),
         WorkRequest::Forecast {
             service,
             ticket,
             is_late,
-        } => answer_forecast(&traffic, &service, ticket, is_late),
-        WorkRequest::Place(request) => answer_place(&traffic, request),
-        WorkRequest::Crashes(updates) => answer_crashes(&traffic, updates),
-        WorkRequest::CrashSync { sum, is_new } => answer_crash_sync(&traffic, sum, is_new),
-        WorkRequest::LimitReport(report) => match limits_of(&traffic, &report.service) {
+        } => answer_forecast(traffic, &service, ticket, is_late),
+        WorkRequest::Place(request) => answer_place(traffic, request),
+        WorkRequest::Crashes(updates) => answer_crashes(traffic, updates),
+        WorkRequest::CrashSync { sum, is_new } => answer_crash_sync(traffic, sum, is_new),
+        WorkRequest::LimitReport(report) => match limits_of(traffic, &report.service) {
             Some(limits) => answer_report(&limits, &report),
             None => WorkReply::Refused,
         },
-        WorkRequest::Permit(request) => match limits_of(&traffic, &request.service) {
+        WorkRequest::Permit(request) => match limits_of(traffic, &request.service) {
             Some(limits) => WorkReply::Permit(limits.grant(&request)),
             None => WorkReply::Refused,
         },
         WorkRequest::Limits(updates) => {
             for updates in &updates {
-                if let Some(limits) = limits_of(&traffic, &updates.service) {
+                if let Some(limits) = limits_of(traffic, &updates.service) {
                     answer_limits(&limits, updates);
                 }
             }
             WorkReply::Ack
         }
-        WorkRequest::LimitSync(marks) => answer_limit_sync(&traffic, &marks),
-        WorkRequest::Leaving(updates) => answer_leaving(&traffic, updates),
-        WorkRequest::Backoff(updates) => answer_backoff(&traffic, &updates),
+        WorkRequest::LimitSync(marks) => answer_limit_sync(traffic, &marks),
+        WorkRequest::Leaving(updates) => answer_leaving(traffic, updates),
+        WorkRequest::Backoff(updates) => answer_backoff(traffic, &updates),
         WorkRequest::Progress { service, updates } => {
-            answer_progress(&traffic, &service, &updates);
+            answer_progress(traffic, &service, &updates);
             WorkReply::Ack
         }
         WorkRequest::Release { service, results } => {
-            answer_release(&traffic, &service, results);
+            answer_release(traffic, &service, results);
             WorkReply::Ack
         }
     }
--- a/packages/turnford-standin/src/port.rs
+++ b/packages/turnford-standin/src/port.rs
@@ -1,7 +1,9 @@
-//! A port on which connections are never established, as on a machine that can't be reached.
+//! Ports that refuse connections, or on which connections are never established, as on a machine
+//! that can't be reached. Both stay reserved for their owner.
 
 use std::io;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::net::TcpStream;
 use std::os::fd::OwnedFd;
 use std::time::Duration;
@@ -17,30 +19,57 @@
 /// Timeout of a connection that fills the queue.
 const FILL_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// A listener whose queue is full, so that the system drops further connection requests.
-pub(crate) struct HangingPort {
-    _listener: OwnedFd,
+/// Length of the queue of a listener that accepts.
+const OPEN_BACKLOG: i32 = 128;
+
+/// A port that accepts no connections.
+pub(crate) struct ClosedPort {
+    socket: OwnedFd,
+    /// Connections that fill the queue if new ones are to hang.
     _fillers: Vec<TcpStream>,
 }
 
-impl HangingPort {
-    /// Takes over a free port.
+impl ClosedPort {
+    /// Reserves a free port that refuses connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the port can't be bound.
+    pub(crate) fn refusing(address: SocketAddr) -> io::Result<Self> {
+        let socket = net::socket(AddressFamily::INET, SocketType::STREAM, None)?;
+        set_socket_reuseaddr(&socket, true)?;
+        net::bind(&socket, &address)?;
+        Ok(Self {
+            socket,
+            _fillers: Vec::new(),
+        })
+    }
+
+    /// Reserves a free port whose queue is full, so that the system drops further connection
+    /// requests.
     ///
     /// # Errors
     ///
     /// Returns the system's error if the port can't be bound.
-    pub(crate) fn open(address: SocketAddr) -> io::Result<Self> {
-        let listener = net::socket(AddressFamily::INET, SocketType::STREAM, None)?;
-        set_socket_reuseaddr(&listener, true)?;
-        net::bind(&listener, &address)?;
-        net::listen(&listener, 0)?;
+    pub(crate) fn hanging(address: SocketAddr) -> io::Result<Self> {
+        let mut port = Self::refusing(address)?;
+        net::listen(&port.socket, 0)?;
         // Those beyond the queue's capacity time out.
         let fillers = (0..QUEUE_FILLERS)
             .filter_map(|_| TcpStream::connect_timeout(&address, FILL_TIMEOUT).ok());
-        let fillers = fillers.collect();
-        Ok(Self {
-            _listener: listener,
-            _fillers: fillers,
-        })
+        port._fillers = fillers.collect();
+        Ok(port)
+    }
+
+    /// Accepts connections from now on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the port can't be opened.
+    pub(crate) fn open(self) -> io::Result<async_net::TcpListener> {
+        net::listen(&self.socket, OPEN_BACKLOG)?;
+        let listener = TcpListener::from(self.socket);
+        listener.set_nonblocking(true)?;
+        async_net::TcpListener::try_from(listener)
     }
 }
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -414,6 +414,78 @@
         /// Target and handle of each result.
         results: Vec<(String, String)>,
     },
+    /// Sends a call to a target that the sender can't reach.
+    Relay(RelayRequest),
+    /// Asks whether the receiver reaches a target.
+    ReachTarget {
+        /// Service of the target.
+        service: String,
+        /// Id of the target.
+        target: String,
+    },
+}
+
+/// A call to a target that the receiver sends for the sender.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct RelayRequest {
+    /// Service of the target.
+    pub service: String,
+    /// Id of the target.
+    pub target: String,
+    /// Start time of the target's process, in Unix milliseconds.
+    pub process_start: u64,
+    /// Client attempt that the response must carry, if any.
+    pub attempt: Option<String>,
+    /// Whether the call adds no new work at the target.
+    pub is_maintenance: bool,
+    /// Method of the HTTP request.
+    pub method: String,
+    /// Path and query of the HTTP request.
+    pub path: String,
+    /// Headers of the HTTP request.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Body of the HTTP request.
+    pub body: Vec<u8>,
+    /// Time until the call ends, in milliseconds.
+    pub remaining_ms: u32,
+}
+
+/// Whether a node reaches a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub enum ReachState {
+    /// It does.
+    Reached,
+    /// The target's machine refuses its connections.
+    Refused,
+    /// It gets no reply.
+    Silent,
+    /// It reaches no targets at all, or does not know this one.
+    Unknown,
+}
+
+/// Outcome of a relayed call.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub enum RelayReply {
+    /// Head of the target's response; the body follows the reply.
+    Response {
+        /// Status of the HTTP response.
+        status: u16,
+        /// Headers of the HTTP response.
+        headers: Vec<(String, Vec<u8>)>,
+    },
+    /// No byte was sent: the relaying node does not reach the target.
+    NotReached {
+        /// Whether it reaches no target at all.
+        is_isolated: bool,
+    },
+    /// No byte was sent: the target accepts no such call from the relaying node at present.
+    Unavailable,
+    /// No byte was sent: the relaying node has no capacity for further calls.
+    Busy,
+    /// The call was sent, and its connection was lost.
+    Disconnected,
+    /// The call was sent, and its outcome is unknown.
+    Unknown,
 }
 
 /// Reply of a traffic thread.
@@ -463,4 +535,8 @@
     },
     /// The request could not be decoded, or the node cannot handle it.
     Refused,
+    /// Reply to a relay request.
+    Relayed(RelayReply),
+    /// Reply to a question whether the node reaches a target.
+    Reached(ReachState),
 }
--- a/packages/turnford-wire/src/server.rs
+++ b/packages/turnford-wire/src/server.rs
@@ -15,6 +15,7 @@
 use futures_lite::FutureExt;
 use h2::server::SendResponse;
 use h2::RecvStream;
+use http::HeaderValue;
 use http::Response;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 use turnford_http::configure_stream;
@@ -23,6 +24,9 @@
 use crate::body::read_body;
 use crate::decode_frame;
 use crate::encode_frame;
+use crate::streamed::send_body;
+use crate::streamed::FRAME_LENGTH_HEADER;
+use crate::StreamedReply;
 
 /// Delay before retrying after `accept` failed, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -53,7 +57,8 @@
     Q: Decode<()> + 'static,
     R: Encode + 'static,
     F: Fn(Q) -> Fut + Clone + 'static,
-    Fut: Future<Output = R> + 'static,
+    Fut: Future + 'static,
+    Fut::Output: Into<StreamedReply<R>>,
 {
     loop {
         let stream = match listener.accept().await {
@@ -85,7 +90,8 @@
     Q: Decode<()> + 'static,
     R: Encode + 'static,
     F: Fn(Q) -> Fut + Clone + 'static,
-    Fut: Future<Output = R> + 'static,
+    Fut: Future + 'static,
+    Fut::Output: Into<StreamedReply<R>>,
 {
     let mut builder = h2::server::Builder::new();
     builder.max_concurrent_streams(MAX_CONCURRENT_STREAMS);
@@ -114,7 +120,8 @@
     Q: Decode<()>,
     R: Encode,
     F: Fn(Q) -> Fut,
-    Fut: Future<Output = R>,
+    Fut: Future,
+    Fut::Output: Into<StreamedReply<R>>,
 {
     let frame = match read_body(body, &REQUEST_TIMEOUTS).await {
         Ok(frame) => frame,
@@ -135,7 +142,7 @@
                 }
                 None
             };
-            let reply = async { Some(handler(request).await) };
+            let reply = async { Some(handler(request).await.into()) };
             match reply.or(cancelled).await {
                 Some(reply) => reply,
                 None => return,
@@ -143,16 +150,24 @@
         }
         Err(error) => {
             log::warn!("refused the request of a peer: {error}");
-            refusal()
+            StreamedReply::from(refusal())
         }
     };
-    let Ok(frame) = encode_frame(&reply) else {
+    let Ok(frame) = encode_frame(&reply.reply) else {
         log::error!("reply to a peer exceeds the frame size limit");
         return;
     };
-    let Ok(mut stream) = respond.send_response(Response::new(()), false) else {
+    let mut response = Response::new(());
+    if reply.body.is_some() {
+        let length = HeaderValue::from(frame.len());
+        response.headers_mut().insert(FRAME_LENGTH_HEADER, length);
+    }
+    let Ok(mut stream) = respond.send_response(response, false) else {
         return;
     };
     // A send error means that the peer has disconnected, so no reply is needed.
-    let _ = stream.send_data(Bytes::from(frame), true);
+    let sent = stream.send_data(Bytes::from(frame), reply.body.is_none());
+    if let (Ok(()), Some(body)) = (sent, reply.body) {
+        send_body(stream, body).await;
+    }
 }
