--- a/packages/turnford-standin/src/route/signals.rs
+++ b/packages/turnford-standin/src/route/signals.rs
@@ -23,6 +23,9 @@
 /// platform.
 pub const LIMIT_GRACE: Duration = Duration::from_secs(3);
 
+/// Time in which a brittle target counts its rejections; specified by the platform.
+const REJECTION_WINDOW: Duration = Duration::from_secs(1);
+
 /// Returns the maximum number of calls per window for a limit in calls per second; specified by the
 /// platform.
 pub fn limit_allowance(rate: f64) -> usize {
@@ -64,6 +67,26 @@
     announced_at: Option<Instant>,
 }
 
+/// A target that fails when it rejects too many requests.
+#[derive(Clone, Copy, Debug)]
+struct Brittleness {
+    /// Rejections in one second after which a further one makes it fail.
+    max_rejections: u32,
+    /// Requests that it runs at the same time.
+    room: usize,
+    /// Time from which it rejects those beyond that number.
+    enforced_from: Instant,
+}
+
+/// What a brittle target does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BrittleDecision {
+    Run,
+    Reject,
+    /// One rejection too many.
+    Fail,
+}
+
 /// Signals of one target.
 #[derive(Default)]
 pub(super) struct TargetSignals {
@@ -71,6 +94,9 @@
     backoff: Mutex<Option<BackoffRequest>>,
     /// Announced limit, as sent in the header.
     limit: Mutex<Option<String>>,
+    brittleness: Mutex<Option<Brittleness>>,
+    /// Times of the rejections of a brittle target.
+    rejections: Mutex<Vec<Instant>>,
     arrivals: Mutex<Vec<TargetArrival>>,
 }
 
@@ -94,6 +120,32 @@
         *lock(&self.limit) = limit.map(str::to_owned);
     }
 
+    pub(super) fn announce_brittle(&self, max_rejections: Option<u32>, room: usize) {
+        *lock(&self.brittleness) = max_rejections.map(|max_rejections| Brittleness {
+            max_rejections,
+            room,
+            enforced_from: Instant::now() + LIMIT_GRACE,
+        });
+    }
+
+    /// Decides whether a brittle target runs a request beside `running` others.
+    pub(super) fn admit_brittle(&self, running: usize) -> BrittleDecision {
+        let now = Instant::now();
+        let brittleness = *lock(&self.brittleness);
+        let enforced = brittleness.filter(|brittle| now >= brittle.enforced_from);
+        let Some(brittle) = enforced.filter(|brittle| running >= brittle.room) else {
+            return BrittleDecision::Run;
+        };
+        let mut rejections = lock(&self.rejections);
+        rejections.retain(|at| now.saturating_duration_since(*at) < REJECTION_WINDOW);
+        rejections.push(now);
+        if rejections.len() > brittle.max_rejections as usize {
+            rejections.clear();
+            return BrittleDecision::Fail;
+        }
+        BrittleDecision::Reject
+    }
+
     /// Records a call. During a back-off period, returns the remaining seconds with which to reject it.
     pub(super) fn record_arrival(&self, call: &BufferedRequest) -> Option<String> {
         let now = Instant::now();
@@ -129,5 +181,8 @@
         if let Some(limit) = lock(&self.limit).as_deref() {
             response.insert_header("server-limit", limit);
         }
+        if let Some(brittle) = *lock(&self.brittleness) {
+            response.insert_header("server-brittle", brittle.max_rejections.to_string());
+        }
     }
 }
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -28,6 +29,7 @@
 use super::run::RouteJournal;
 use super::run::RouteRun;
 use super::run::RunKind;
+use super::signals::BrittleDecision;
 use super::signals::TargetArrival;
 use super::signals::TargetSignals;
 use crate::SharedExecutor;
@@ -35,12 +37,18 @@
 /// Time for which an unresponsive target keeps a call open.
 pub(super) const UNRESPONSIVE_TIME: Duration = Duration::from_secs(60);
 
+/// Number of concurrent requests of a target unless set otherwise.
+const DEFAULT_SLOTS: u64 = 8;
+
 /// Delay of a rejection with back-off, so that calls that were sent at the same time arrive before it.
 const REJECTION_DELAY: Duration = Duration::from_millis(60);
 
 /// Time after which a crashed target restarts under the same id.
 const RESTART_DELAY: Duration = Duration::from_millis(700);
 
+/// Additional time for which a brittle target stays down.
+const BRITTLE_DOWNTIME: Duration = Duration::from_secs(2);
+
 /// Time that a request runs before it crashes its target.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 
@@ -111,12 +119,38 @@
     faults: Mutex<VecDeque<TargetFault>>,
     is_unresponsive: AtomicBool,
     signals: TargetSignals,
+    /// Number of concurrent requests in the store entry.
+    slots: AtomicU64,
+    /// Requests that run.
+    running: Arc<AtomicUsize>,
     pub(super) calls: AtomicU64,
     /// The one slot of a stage target; taken by the running call.
     pub(super) slot: async_channel::Receiver<()>,
     pub(super) free_slots: async_channel::Sender<()>,
 }
 
+/// A place that a running request occupies at its target.
+struct Occupied {
+    running: Arc<AtomicUsize>,
+    /// Other requests that ran when it began.
+    others: usize,
+}
+
+impl Occupied {
+    fn new(running: &Arc<AtomicUsize>) -> Self {
+        Self {
+            others: running.fetch_add(1, Ordering::SeqCst),
+            running: running.clone(),
+        }
+    }
+}
+
+impl Drop for Occupied {
+    fn drop(&mut self) {
+        self.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// A running target, listed in the store.
 #[derive(Clone)]
 pub struct RouteTarget {
@@ -158,6 +192,8 @@
             faults: Mutex::default(),
             is_unresponsive: AtomicBool::new(false),
             signals: TargetSignals::default(),
+            slots: AtomicU64::new(DEFAULT_SLOTS),
+            running: Arc::default(),
             calls: AtomicU64::new(0),
             slot,
             free_slots,
@@ -250,6 +286,18 @@
         self.state.signals.announce_limit(limit);
     }
 
+    /// Sets the number of concurrent requests in the target's store entry.
+    pub fn set_slots(&self, slots: u64) {
+        self.state.slots.store(slots, Ordering::SeqCst);
+        self.republish();
+    }
+
+    /// Sets the number of rejections in a second that the target bears, which it announces in all its
+    /// responses, and the number of requests that it runs at the same time.
+    pub fn announce_brittle(&self, max_rejections: Option<u32>, room: usize) {
+        self.state.signals.announce_brittle(max_rejections, room);
+    }
+
     /// Returns all calls received, including rejected ones.
     pub fn arrivals(&self) -> Vec<TargetArrival> {
         self.state.signals.arrivals()
@@ -288,7 +336,8 @@
             "address": self.address().to_string(),
             "zone": self.hall,
             "version": "v1",
-            "slots": 8 + self.entry_changes.load(Ordering::SeqCst),
+            "slots": self.slots.load(Ordering::SeqCst)
+                + self.entry_changes.load(Ordering::SeqCst),
             "state": state,
             "cold_remaining_ms": 0,
             "call_sequence": 0,
@@ -298,11 +347,15 @@
     }
 
     fn crash(self: &Arc<Self>) {
+        self.crash_for(RESTART_DELAY);
+    }
+
+    fn crash_for(self: &Arc<Self>, downtime: Duration) {
         self.crashes.fetch_add(1, Ordering::SeqCst);
         self.journal.mark_unfinished_faulted(&self.id);
         let state = self.clone();
         let restart = async move {
-            Timer::after(RESTART_DELAY).await;
+            Timer::after(downtime).await;
             state.process_start.store(time_of_day(), Ordering::SeqCst);
             match state.open() {
                 Ok(()) => {
@@ -410,6 +463,15 @@
             }
             return Some(response);
         }
+        let occupied = Occupied::new(&self.running);
+        match self.signals.admit_brittle(occupied.others) {
+            BrittleDecision::Run => {}
+            BrittleDecision::Reject => return Some(rejection()),
+            BrittleDecision::Fail => {
+                self.crash_for(RESTART_DELAY + BRITTLE_DOWNTIME);
+                return None;
+            }
+        }
         let crashes = self.crashes_on(call);
         let run = RouteRun {
             is_faulted: fault.is_some() || crashes,
@@ -435,6 +497,7 @@
                     event_gap,
                     events,
                     fault == Some(TargetFault::Truncate),
+                    occupied,
                 )
             }
             TargetRole::Plain(duration) => {
@@ -481,9 +544,10 @@
         pause: Duration,
         count: u64,
         is_truncated: bool,
+        occupied: Occupied,
     ) -> HttpResponse {
         let journal = self.journal.clone();
-        let events = stream::unfold(1, move |number| {
+        let events = stream::unfold((1, occupied), move |(number, occupied)| {
             let journal = journal.clone();
             async move {
                 if number > count {
@@ -494,7 +558,7 @@
                     Timer::after(pause).await;
                 }
                 let event = format!("id: {number}\ndata: token {number}\n\n");
-                Some((event.into_bytes(), number + 1))
+                Some((event.into_bytes(), (number + 1, occupied)))
             }
         });
         let mut response = HttpResponse::new(StatusCode::OK);
