Probe the links that an isolated node would use

Cause: a node that had not reached three targets that were down relayed the calls of all its targets, and probed only the links that had failed, so that it stayed isolated for as long as the three were listed.

--- a/packages/turnford-policy/src/route/link_table.rs
+++ b/packages/turnford-policy/src/route/link_table.rs
@@ -75,13 +75,20 @@
         self.unreached.retain(|id| is_listed(id));
     }
 
-    /// Returns how a call gets to a target. An isolated node does not wait for its own links.
-    pub fn path(&self, id: &str) -> CallPath {
-        if self.is_lost(id) || self.is_isolated() {
-            CallPath::Relayed
-        } else {
-            CallPath::Direct
+    /// Returns how a call gets to a target. An isolated node does not wait for its own links, but has
+    /// those that it would use probed: the targets that it did not reach may be down.
+    pub fn path(&mut self, now: Moment, id: &str) -> CallPath {
+        if self.is_lost(id) {
+            return CallPath::Relayed;
         }
+        if !self.is_isolated() {
+            return CallPath::Direct;
+        }
+        self.failures.entry(id.into()).or_insert(LinkFailure {
+            is_confirmed: false,
+            next_probe: now,
+        });
+        CallPath::Relayed
     }
 
     /// Returns whether the link to a target is down while another node reaches the target.
--- a/packages/turnford-serve/src/links.rs
+++ b/packages/turnford-serve/src/links.rs
@@ -219,5 +219,6 @@
 
 /// Returns whether a call to a target may go over this node's link.
 pub(crate) fn is_direct(traffic: &Traffic, target: &str) -> bool {
-    traffic.links.borrow().path(target) == CallPath::Direct
+    let now = traffic.shared.now();
+    traffic.links.borrow_mut().path(now, target) == CallPath::Direct
 }
