Cut links to targets in the soak

Cause: the soak cut links to clients and to the store, but none to targets; a stand-in port that refused connections could be taken by others, and by processes started meanwhile. Change: each node of the soak reaches targets over links of its own; three cuts and two brittle targets in a run. Ports of cut links stay bound and are not inherited.

--- a/packages/turnford-standin/src/port.rs
+++ b/packages/turnford-standin/src/port.rs
@@ -11,6 +11,7 @@
 use rustix::net;
 use rustix::net::sockopt::set_socket_reuseaddr;
 use rustix::net::AddressFamily;
+use rustix::net::SocketFlags;
 use rustix::net::SocketType;
 
 /// Number of connections that fill the queue of a listener that never accepts.
@@ -36,7 +37,9 @@
     ///
     /// Returns the system's error if the port can't be bound.
     pub(crate) fn refusing(address: SocketAddr) -> io::Result<Self> {
-        let socket = net::socket(AddressFamily::INET, SocketType::STREAM, None)?;
+        // A process that is started meanwhile would keep the port bound.
+        let flags = SocketFlags::CLOEXEC;
+        let socket = net::socket_with(AddressFamily::INET, SocketType::STREAM, flags, None)?;
         set_socket_reuseaddr(&socket, true)?;
         net::bind(&socket, &address)?;
         Ok(Self {
--- a/packages/turnford-standin/src/proxy.rs
+++ b/packages/turnford-standin/src/proxy.rs
@@ -130,8 +130,12 @@
     /// Returns the system's error if the port can't be taken over.
     pub fn cut(&self, cut: LinkCut) -> io::Result<()> {
         let state = std::mem::replace(&mut *self.lock_port(), PortState::Changing);
-        if let PortState::Accepting(accept) = state {
-            async_io::block_on(accept.cancel());
+        match state {
+            PortState::Accepting(accept) => {
+                async_io::block_on(accept.cancel());
+            }
+            // Closed before the port is bound again.
+            state => drop(state),
         }
         match cut {
             LinkCut::Silent => self.blackhole_open(),
--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -5,6 +5,7 @@
 use rand::rngs::StdRng;
 use rand::Rng;
 use rand::SeedableRng;
+use turnford_standin::LinkCut;
 use turnford_standin::LinkState;
 use turnford_standin::TargetFault;
 
@@ -43,6 +44,14 @@
 /// Length of the period in which announced limits begin; short, so that they end with the last fault.
 const LIMIT_START_PERIOD: Duration = Duration::from_secs(2);
 
+/// Cuts per run of a node's links to all targets, and announcements that a target is brittle.
+const TARGET_CUTS: usize = 3;
+const BRITTLE: usize = 2;
+
+/// Rejections in a second that a brittle target bears, and requests that it runs at the same time.
+pub(crate) const BRITTLE_REJECTIONS: u32 = 2;
+pub(crate) const BRITTLE_ROOM: usize = 4;
+
 /// Rate of a throttled link to the store in bytes per second; the largest configuration of a run takes
 /// two seconds at this rate.
 const SLOW_RATE: u32 = 200_000;
@@ -82,6 +91,10 @@
     RestoreStore(Duration),
     /// The target announces a limit in its responses for this time.
     Limit(usize, &'static str, Duration),
+    /// The links between the node and all targets are cut for this time.
+    TargetCut(usize, LinkCut, Duration),
+    /// The target announces for this time that it fails when it rejects too many requests.
+    Brittle(usize, Duration),
 }
 
 /// Returns the number of nodes per run.
@@ -124,6 +137,16 @@
             let at = WARM_UP + LIMIT_START_PERIOD.mul_f64(rng.random());
             steps.push((at, random_limit(&mut rng)));
         }
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(11));
+        for _ in 0..TARGET_CUTS {
+            let at = WARM_UP + FAULT_PERIOD.mul_f64(rng.random());
+            steps.push((at, random_target_cut(&mut rng)));
+        }
+        for _ in 0..BRITTLE {
+            let at = WARM_UP + LIMIT_START_PERIOD.mul_f64(rng.random());
+            let duration = Duration::from_millis(rng.random_range(4000..9000));
+            steps.push((at, Fault::Brittle(rng.random_range(0..TARGETS), duration)));
+        }
         steps.sort_by_key(|(at, _)| *at);
         let mut rng = StdRng::seed_from_u64(seed.rotate_left(17));
         Self {
@@ -195,6 +218,14 @@
     Fault::Limit(target, rate, duration)
 }
 
+fn random_target_cut(rng: &mut StdRng) -> Fault {
+    let node = rng.random_range(0..node_count());
+    let cuts = [LinkCut::Silent, LinkCut::Reset, LinkCut::RefuseNew];
+    let cut = cuts[rng.random_range(0..cuts.len())];
+    let duration = Duration::from_millis(rng.random_range(1000..7000));
+    Fault::TargetCut(node, cut, duration)
+}
+
 fn random_link_state(rng: &mut StdRng) -> LinkState {
     let delay = Duration::from_millis(rng.random_range(20..400));
     let states = [
--- a/packages/turnford/tests/soak/process.rs
+++ b/packages/turnford/tests/soak/process.rs
@@ -37,8 +37,14 @@
 }
 
 impl NodeProcess {
-    /// Writes a node's settings file; `run` must be unique among concurrent runs.
-    pub(crate) fn new(folder: &Path, run: u16, number: usize, store: SocketAddr) -> Self {
+    /// Writes a node's settings file, with the addresses at which it reaches targets; `run` must be unique among concurrent runs.
+    pub(crate) fn new(
+        folder: &Path,
+        run: u16,
+        number: usize,
+        store: SocketAddr,
+        targets: &[(SocketAddr, SocketAddr)],
+    ) -> Self {
         let name = format!("node-{number}");
         let [high, low] = run.to_be_bytes();
         let last = u8::try_from(number + 1).unwrap_or(u8::MAX);
@@ -55,6 +61,10 @@
             at(WORK_PORT),
             at(METRICS_PORT),
         );
+        let table = targets
+            .iter()
+            .map(|(listed, reached)| format!("\"{listed}\" = \"{reached}\"\n"));
+        let text = format!("{text}\n[target_addresses]\n{}", table.collect::<String>());
         std::fs::write(&settings, text).expect("a folder for settings");
         let log = folder.join(format!("{name}.log"));
         Self {
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -18,6 +18,7 @@
 use turnford_standin::LinkState;
 use turnford_standin::MetaSnapshot;
 use turnford_standin::RouteSite;
+use turnford_standin::RouteTarget;
 use turnford_standin::RunKind;
 use turnford_standin::SharedExecutor;
 
@@ -34,6 +35,8 @@
 use crate::plan::node_count;
 use crate::plan::Fault;
 use crate::plan::FaultPlan;
+use crate::plan::BRITTLE_REJECTIONS;
+use crate::plan::BRITTLE_ROOM;
 use crate::process::NodeProcess;
 use crate::process::GRACE_PERIOD_S;
 use crate::word::check_backoff;
@@ -97,6 +100,9 @@
     Resume(usize),
     StoreLink(Option<usize>),
     ClientLink(usize),
+    TargetLinks(usize),
+    /// The target no longer announces that it is brittle.
+    EndBrittle(usize),
     Relist(usize),
     /// The target restarts and no longer announces that it is leaving.
     Restart(usize),
@@ -120,6 +126,8 @@
     version: u64,
     nodes: Vec<NodeProcess>,
     stores: Vec<LinkProxy>,
+    /// Links to all targets by node.
+    targets: Vec<Vec<LinkProxy>>,
     context: Arc<ClientContext>,
     client: HttpClient,
     scheduled: Vec<(Instant, ScheduledStep)>,
@@ -187,9 +195,19 @@
         let mut nodes = Vec::new();
         let mut stores = Vec::new();
         let mut links = Vec::new();
+        let mut targets = Vec::new();
         for node in 0..node_count() {
             let store = LinkProxy::start(&executor, site.address).expect("a free port");
-            let mut process = NodeProcess::new(&folder, run, node, store.address);
+            let own_targets: Vec<LinkProxy> = site
+                .targets
+                .iter()
+                .map(|target| LinkProxy::start(&executor, target.address()).expect("a free port"))
+                .collect();
+            let addresses = site.targets.iter().map(RouteTarget::address);
+            let own_addresses = own_targets.iter().map(|link| link.address);
+            let addresses: Vec<_> = addresses.zip(own_addresses).collect();
+            let mut process = NodeProcess::new(&folder, run, node, store.address, &addresses);
+            targets.push(own_targets);
             links.push(LinkProxy::start(&executor, process.listen()).expect("a free port"));
             process.start();
             nodes.push(process);
@@ -207,6 +225,7 @@
             site,
             nodes,
             stores,
+            targets,
             context,
             client: HttpClient::new(),
             scheduled: Vec::new(),
@@ -314,6 +333,16 @@
                 self.after(RELIST_DELAY, ScheduledStep::Restart(target));
             }
             Fault::Backoff(target, duration) => self.site.targets[target].request_backoff(duration),
+            Fault::TargetCut(node, cut, duration) => {
+                for link in &self.targets[node] {
+                    link.cut(cut).expect("a port");
+                }
+                self.after(duration, ScheduledStep::TargetLinks(node));
+            }
+            Fault::Brittle(target, duration) => {
+                self.site.targets[target].announce_brittle(Some(BRITTLE_REJECTIONS), BRITTLE_ROOM);
+                self.after(duration, ScheduledStep::EndBrittle(target));
+            }
             Fault::RestoreStore(age) => self.begin_store_restore(age),
             Fault::Limit(target, rate, duration) => {
                 let target = &self.site.targets[target];
@@ -409,6 +438,14 @@
                 }
             }
             ScheduledStep::ClientLink(node) => self.context.links[node].set(LinkState::Open),
+            ScheduledStep::TargetLinks(node) => {
+                for link in &self.targets[node] {
+                    link.heal().expect("a port");
+                }
+            }
+            ScheduledStep::EndBrittle(target) => {
+                self.site.targets[target].announce_brittle(None, 0);
+            }
             ScheduledStep::Relist(target) => self.site.targets[target].publish("ready"),
             ScheduledStep::Restart(target) => {
                 let target = &self.site.targets[target];
