Give out the room of brittle targets by one node

Cause: the announcement was not read, and each node sent a request to the same free place. Change: the announcement is decoded, told to other nodes, and ends with the first response without it or after 4 s. Meanwhile the node that places for the service gives out room (RoomAllocator, pure): one request for each target at first, twice as many in each round up to its slots, fewer after a rejection. What finds no room waits by rank or is refused at once. Why it works: what a target rejects comes from requests sent beyond its room, and one node counts those of all.

--- a/packages/turnford-fleet/src/permit_queue.rs
+++ b/packages/turnford-fleet/src/permit_queue.rs
@@ -160,6 +160,11 @@
         self.entries.is_empty()
     }
 
+    /// Returns whether a request is waiting.
+    pub fn contains(&self, number: u64) -> bool {
+        self.position_of(number).is_some()
+    }
+
     /// Decides whether a request may be sent, and queues it if it has to wait.
     pub fn request(
         &mut self,
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -11,6 +11,7 @@
 mod backoff;
 mod batch;
 mod batching;
+mod brittle;
 mod call;
 mod control;
 mod crash;
--- a/packages/turnford-serve/src/limit_placement.rs
+++ b/packages/turnford-serve/src/limit_placement.rs
@@ -51,9 +51,48 @@
     }
 }
 
+/// Places a request. While the service's targets are brittle, it waits in the permit queue until one
+/// of them has room.
+pub(crate) fn place_with_room(
+    traffic: &Traffic,
+    context: &ServiceContext,
+    request: &PlacementRequest,
+    queued: &QueuedRequest,
+) -> LimitedPlacement {
+    let now = traffic.shared.now();
+    if !context.brittleness.is_brittle(now) {
+        return place_limited(traffic, context, request, queued);
+    }
+    let untried = {
+        let table = context.targets.borrow();
+        let ids = table.untried_targets(&request.tried);
+        let untried = ids.iter().filter_map(|id| table.get(id));
+        untried.cloned().collect::<Vec<TargetSpec>>()
+    };
+    if untried.is_empty() {
+        return LimitedPlacement::NoTarget;
+    }
+    let decision = context.rooms.borrow_mut().request(now, queued, &untried);
+    match decision {
+        PermitDecision::Granted => {}
+        PermitDecision::Wait(delay) => return LimitedPlacement::Wait(delay),
+        PermitDecision::Rejected(delay) => return LimitedPlacement::Full(delay),
+    }
+    let free = context.rooms.borrow().free_targets(now, &untried);
+    let full = untried.iter().filter(|target| !free.contains(&target.id));
+    let mut request = request.clone();
+    request.tried.extend(full.map(|target| target.id.clone()));
+    let placed = place_limited(traffic, context, &request, queued);
+    if let LimitedPlacement::Assigned { target, ticket, .. } = &placed {
+        let mut rooms = context.rooms.borrow_mut();
+        rooms.start(now, *ticket, &target.id, request.deadline);
+    }
+    placed
+}
+
 /// Places a request, preferring targets without a limit. If all have limits, requests are placed in
 /// the order of the permit queue.
-pub(crate) fn place_limited(
+fn place_limited(
     traffic: &Traffic,
     context: &ServiceContext,
     request: &PlacementRequest,
--- a/packages/turnford-serve/src/limit_sync.rs
+++ b/packages/turnford-serve/src/limit_sync.rs
@@ -13,6 +13,7 @@
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
+use crate::brittle;
 use crate::fanout::REPLY_TIMEOUT;
 use crate::leaving::probe_health;
 use crate::limit_updates::apply_limits;
@@ -38,6 +39,7 @@
             maintain_allocator(&traffic, &context);
         }
         update_gauges(&traffic);
+        brittle::update_metrics(&traffic);
         sync_limits(&traffic);
     }
 }
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -128,6 +128,8 @@
     pub(crate) lost_targets: Gauge<u64, AtomicU64>,
     /// 1 while this node reaches none of several targets.
     pub(crate) isolated: Gauge<u64, AtomicU64>,
+    /// Services whose targets fail when they reject too many requests.
+    pub(crate) brittle_services: Gauge<u64, AtomicU64>,
     pub(crate) log_drops: Gauge<u64, AtomicU64>,
 }
 
@@ -153,6 +155,7 @@
             limit_queue: Gauge::default(),
             lost_targets: Gauge::default(),
             isolated: Gauge::default(),
+            brittle_services: Gauge::default(),
             log_drops: Gauge::default(),
         };
         metrics.register();
@@ -239,6 +242,11 @@
             "1 while this node reaches none of several targets",
             self.isolated.clone(),
         );
+        registry.register(
+            "brittle_services",
+            "Services whose targets fall over when they reject too much",
+            self.brittle_services.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines that the full queue dropped",
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -184,7 +184,8 @@
     let digest = record.digest.get();
     let now = traffic.shared.now();
     let is_clear = traffic.crashes.verdict(now, &digest) == CrashVerdict::Clear;
-    if is_clear && context.spec.borrow().engine.is_none() {
+    let is_brittle = context.brittleness.is_brittle(now);
+    if is_clear && !is_brittle && context.spec.borrow().engine.is_none() {
         if let Ok(target) = choose_limited(traffic, context, &placement.tried).await {
             return target.map_or(PlacementAttempt::NoTarget, |target| {
                 PlacementAttempt::Placed(Box::new(PlacedRun {
--- a/packages/turnford-serve/src/plain_choice.rs
+++ b/packages/turnford-serve/src/plain_choice.rs
@@ -23,6 +23,7 @@
     let node_count = traffic.shared.view.load().share_count();
     let limit = context.spec.borrow().connection_limit as f64 / node_count;
     let now = traffic.shared.now();
+    let is_brittle = context.brittleness.is_brittle(now);
     let table = context.targets.borrow();
     let cost = |target: &TargetSpec, load: f64| {
         let is_local = target.hall == *own_hall;
@@ -31,6 +32,12 @@
         // connections.
         let is_over = f64::from(table.inflight(&target.id) + 1) > limit.max(1.0);
         let over_cost = if is_over { OVER_LIMIT_COST } else { 0.0 };
+        // The node that allocates the room of brittle targets counts the calls of all nodes.
+        let load = if is_brittle {
+            context.rooms.borrow().in_use(&target.id) as f64
+        } else {
+            load
+        };
         load / f64::from(target.slots.max(1)) + hall_cost + over_cost
     };
     table.choose(now, tried, cost)
--- a/packages/turnford-serve/src/progress.rs
+++ b/packages/turnford-serve/src/progress.rs
@@ -18,6 +18,9 @@
 /// Time for which updates are collected before they are sent.
 const FLUSH_DELAY: Duration = Duration::from_millis(40);
 
+/// Time for which updates are collected while requests wait for the room that they tell of.
+const URGENT_FLUSH_DELAY: Duration = Duration::from_millis(5);
+
 /// Timeout for the acknowledgement of updates.
 const SEND_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -69,11 +72,13 @@
             }
         }
         RunUpdate::Refused(ticket) => {
+            context.rooms.borrow_mut().record_rejection(now, ticket);
             if let Some(target) = engines.target_of(ticket) {
                 context.targets.borrow_mut().record_refusal(now, target);
             }
         }
         RunUpdate::Ended(ticket) => {
+            context.rooms.borrow_mut().end(now, ticket);
             engines.record_end(ticket);
             context.trials.borrow_mut().end(ticket);
         }
@@ -105,7 +110,16 @@
 }
 
 async fn send_progress(traffic: Rc<Traffic>, key: (SocketAddr, ServiceId)) {
-    Timer::after(FLUSH_DELAY).await;
+    let context = traffic.service(&key.1);
+    let now = traffic.shared.now();
+    let is_brittle = context.is_some_and(|context| context.brittleness.is_brittle(now));
+    // Requests wait for the room of brittle targets.
+    let delay = if is_brittle {
+        URGENT_FLUSH_DELAY
+    } else {
+        FLUSH_DELAY
+    };
+    Timer::after(delay).await;
     let updates = traffic.progress.waiting.borrow_mut().remove(&key);
     let request = WorkRequest::Progress {
         service: key.1.to_string(),
--- a/packages/turnford-serve/src/service_context.rs
+++ b/packages/turnford-serve/src/service_context.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use turnford_fleet::RoomAllocator;
 use turnford_fleet::TrialId;
 use turnford_fleet::TrialTable;
 use turnford_policy::split_cells;
@@ -25,6 +26,7 @@
 use turnford_policy::TargetTable;
 use turnford_policy::RANK_COUNT;
 
+use crate::brittle::BrittleState;
 use crate::call::CallError;
 use crate::call::CallPurpose;
 use crate::limits::ServiceLimits;
@@ -60,6 +62,10 @@
     latency_model: RefCell<LatencyModel>,
     /// Requests that wait until a target accepts calls.
     pub(crate) wait_queue: Rc<WaitQueue>,
+    /// Announcements that the targets are brittle.
+    pub(crate) brittleness: BrittleState,
+    /// Room of brittle targets, as this node allocates it while it places requests for all nodes.
+    pub(crate) rooms: RefCell<RoomAllocator>,
     /// Queues of the cells, if the service runs pieces of stages.
     pub(crate) cells: RefCell<Vec<Rc<CellQueue>>>,
     /// Waits reported by the batching nodes, by cell.
@@ -93,6 +99,8 @@
                 INITIAL_LATENCY.1,
             )),
             wait_queue: Rc::default(),
+            brittleness: BrittleState::default(),
+            rooms: RefCell::default(),
             cells: RefCell::default(),
             waits: RefCell::default(),
         })
--- a/packages/turnford-serve/src/signals.rs
+++ b/packages/turnford-serve/src/signals.rs
@@ -1,5 +1,6 @@
 //! What targets report about themselves in their responses: that they are leaving, that they ask
-//! for backoff, or that they limit the rate of calls from all nodes together.
+//! for backoff, that they fail when they reject too many requests, or that they limit the rate of
+//! calls from all nodes together.
 
 use std::rc::Rc;
 
@@ -13,6 +14,7 @@
 use turnford_policy::TargetSpec;
 
 use crate::backoff::apply_backoff;
+use crate::brittle::process_brittle;
 use crate::leaving::process_leaving;
 use crate::limit_updates::process_limit;
 use crate::metrics::ServiceEvent;
@@ -48,6 +50,9 @@
         );
         apply_backoff(traffic, context, target, backoff);
     }
+    if let Some(is_brittle) = signal.is_brittle {
+        process_brittle(traffic, context, is_brittle, sent_at);
+    }
     process_rate_limit(traffic, context, target, parts, attempt, sent_at);
     signal
 }
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -171,6 +171,9 @@
         }
         let now = self.shared.now();
         context.limits.table.borrow_mut().retain_listed(now, &table);
+        let mut rooms = context.rooms.borrow_mut();
+        rooms.retain_listed(|id| table.get(id).is_some());
+        drop(rooms);
         let mut engines = context.engines.borrow_mut();
         engines.retain_listed(&table);
         if let Some(engine) = &context.spec.borrow().engine {
--- a/packages/turnford-serve/src/trial.rs
+++ b/packages/turnford-serve/src/trial.rs
@@ -14,7 +14,7 @@
 use turnford_policy::ResultCode;
 
 use crate::crash::SuspectGuard;
-use crate::limit_placement::place_limited;
+use crate::limit_placement::place_with_room;
 use crate::limit_placement::LimitedPlacement;
 use crate::record::RequestRecord;
 use crate::service_context::ServiceContext;
@@ -124,7 +124,7 @@
     let (is_alone, taken) = match trials.admit(now, &digest, verdict) {
         TrialAdmission::Unrestricted => {
             return CheckedPlacement::Found {
-                place: place_limited(traffic, context, request, queued),
+                place: place_with_room(traffic, context, request, queued),
                 is_alone: false,
             }
         }
@@ -137,7 +137,7 @@
     let is_any_taken = !taken.is_empty();
     let mut request = request.clone();
     request.tried.extend(taken);
-    let place = place_limited(traffic, context, &request, queued);
+    let place = place_with_room(traffic, context, &request, queued);
     match &place {
         LimitedPlacement::Assigned { target, ticket, .. } => {
             trials.start(
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -20,6 +20,7 @@
 use crate::backoff::answer_backoff;
 use crate::batching::answer_pieces;
 use crate::batching::answer_release;
+use crate::brittle::answer_brittle;
 use crate::crash_updates::answer_crash_sync;
 use crate::crash_updates::answer_crashes;
 use crate::leaving::answer_leaving;
@@ -98,6 +99,7 @@
             WorkReply::Ack
         }
         WorkRequest::LimitSync(marks) => answer_limit_sync(traffic, &marks),
+        WorkRequest::Brittle(updates) => answer_brittle(traffic, updates),
         WorkRequest::Leaving(updates) => answer_leaving(traffic, updates),
         WorkRequest::Backoff(updates) => answer_backoff(traffic, &updates),
         WorkRequest::Progress { service, updates } => {
--- a/packages/turnford-wire/src/lib.rs
+++ b/packages/turnford-wire/src/lib.rs
@@ -36,6 +36,7 @@
 pub use route::AdmitRequest;
 pub use route::AdmitStage;
 pub use route::BackoffUpdate;
+pub use route::BrittleUpdate;
 pub use route::ControlReply;
 pub use route::ControlRequest;
 pub use route::InputEntry;
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -423,6 +423,8 @@
         /// Id of the target.
         target: String,
     },
+    /// Services whose targets announced that they are brittle.
+    Brittle(Vec<BrittleUpdate>),
 }
 
 /// A call to a target that the receiver sends for the sender.
@@ -450,6 +452,15 @@
     pub remaining_ms: u32,
 }
 
+/// A service whose targets fail when they reject too many requests of all nodes together.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, bincode::Encode, bincode::Decode)]
+pub struct BrittleUpdate {
+    /// Service of the targets.
+    pub service: String,
+    /// Time since a target announced it, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Whether a node reaches a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
 pub enum ReachState {
