Bound the wait for a relayed response at the node that took the request

Cause: read in the diff: only the relaying node ended a call at its deadline; one that hangs was found by probes alone. Change: the node that took the request ends the wait at the deadline as well. Gauges of links change only with the links.

--- a/packages/turnford-serve/src/links.rs
+++ b/packages/turnford-serve/src/links.rs
@@ -91,8 +91,8 @@
         log::warn!(
             "target={target} not reached over the link of this node, but by the node at {peer}"
         );
+        update_metrics(traffic);
     }
-    update_metrics(traffic);
 }
 
 fn update_metrics(traffic: &Traffic) {
--- a/packages/turnford-serve/src/relay.rs
+++ b/packages/turnford-serve/src/relay.rs
@@ -37,6 +37,7 @@
 use crate::peers::SILENCE_TIMEOUT;
 use crate::target_body::TargetBody;
 use crate::traffic::Traffic;
+use crate::wait::wait_until;
 
 /// Number of other nodes that one call is offered to.
 const MAX_RELAY_ATTEMPTS: usize = 4;
@@ -91,7 +92,12 @@
             break;
         }
         relay.remaining_ms = millis_u32(deadline.saturating_sub(now));
-        match relay_at(traffic, target, &relay, peer).await {
+        let attempt = relay_at(traffic, target, &relay, peer);
+        let late = async {
+            wait_until(&traffic.shared, deadline).await;
+            RelayAttempt::Failed(CallError::Unknown("the response timed out"))
+        };
+        match attempt.or(late).await {
             RelayAttempt::Response(response) => return Ok(*response),
             RelayAttempt::Failed(error) => return Err(error),
             RelayAttempt::TargetDown => is_down = true,
