Send progress of placed requests again if the placer did not acknowledge it

Cause, by reading: the end of a request was told to the placer once; when the message was lost, its room stayed taken until two seconds after the request's deadline. Not shown by a log line of those runs. Change: updates are sent again up to four times.

--- a/packages/turnford-serve/src/progress.rs
+++ b/packages/turnford-serve/src/progress.rs
@@ -10,6 +10,7 @@
 
 use turnford_policy::ServiceId;
 use turnford_wire::RunUpdate;
+use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
 use crate::service_context::ServiceContext;
@@ -44,6 +45,12 @@
     }
 }
 
+/// Number of times that updates are sent again to a node that did not acknowledge them.
+const MAX_RESENDS: usize = 4;
+
+/// Delay before they are sent again.
+const RESEND_DELAY: Duration = Duration::from_millis(300);
+
 /// Updates that have not been sent yet.
 #[derive(Default)]
 pub(crate) struct ProgressQueue {
@@ -125,6 +132,25 @@
         service: key.1.to_string(),
         updates: updates.unwrap_or_default(),
     };
-    // A node that misses the updates drops the requests after their deadline.
-    traffic.peers.call(key.0, &request, SEND_TIMEOUT).await;
+    if traffic
+        .peers
+        .call(key.0, &request, SEND_TIMEOUT)
+        .await
+        .is_some()
+    {
+        return;
+    }
+    // Until the placer hears of them, it counts ended requests as running.
+    for _ in 0..MAX_RESENDS {
+        Timer::after(RESEND_DELAY).await;
+        let reply = traffic.peers.client.call(key.0, &request, SEND_TIMEOUT);
+        if let Ok(WorkReply::Ack) = reply.await {
+            return;
+        }
+    }
+    // The placer drops the requests after their deadline.
+    log::info!(
+        "node at {} missed updates about requests that it placed",
+        key.0
+    );
 }
