--- a/packages/turnford-policy/tests/link_table.rs
+++ b/packages/turnford-policy/tests/link_table.rs
@@ -135,7 +135,8 @@
     #![proptest_config(common::proptest_config(2000))]
 
     /// A call is relayed only after its target, or several ones, were not reached by this node since
-    /// the last contact, which the table assumes of further targets then, and a lost link is probed at least once a second.
+    /// the last contact, which the table assumes of further targets then, and a lost link is probed
+    /// at least once a second.
     #[test]
     fn relayed_with_reason(events in prop::collection::vec((1_u64..300, event()), 1..200)) {
         let mut table = LinkTable::default();
--- a/packages/turnford-serve/src/relay_handler.rs
+++ b/packages/turnford-serve/src/relay_handler.rs
@@ -89,6 +89,8 @@
     let started_at = traffic.shared.now();
     let remaining = Duration::from_millis(u64::from(relay.remaining_ms));
     let deadline = started_at + remaining;
+    // The node that took the request checks the attempt; here it only matters whether the call adds
+    // work.
     let purpose = if relay.is_maintenance {
         CallPurpose::Maintenance
     } else {
--- a/packages/turnford-standin/src/port.rs
+++ b/packages/turnford-standin/src/port.rs
@@ -8,6 +8,7 @@
 use std::os::fd::OwnedFd;
 use std::time::Duration;
 
+use rustix::io::Errno;
 use rustix::net;
 use rustix::net::sockopt::set_socket_reuseaddr;
 use rustix::net::AddressFamily;
@@ -23,6 +24,21 @@
 /// Length of the queue of a listener that accepts.
 const OPEN_BACKLOG: i32 = 128;
 
+/// Number of attempts to bind a port that was closed just before, and the delay between two.
+const BIND_ATTEMPTS: usize = 50;
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Binds a port as soon as the system has released it.
+fn bind_patiently(socket: &OwnedFd, address: SocketAddr) -> io::Result<()> {
+    for _ in 1..BIND_ATTEMPTS {
+        match net::bind(socket, &address) {
+            Err(Errno::ADDRINUSE) => std::thread::sleep(BIND_RETRY_DELAY),
+            bound => return Ok(bound?),
+        }
+    }
+    Ok(net::bind(socket, &address)?)
+}
+
 /// A port that accepts no connections.
 pub(crate) struct ClosedPort {
     socket: OwnedFd,
@@ -41,7 +57,7 @@
         let flags = SocketFlags::CLOEXEC;
         let socket = net::socket_with(AddressFamily::INET, SocketType::STREAM, flags, None)?;
         set_socket_reuseaddr(&socket, true)?;
-        net::bind(&socket, &address)?;
+        bind_patiently(&socket, address)?;
         Ok(Self {
             socket,
             _fillers: Vec::new(),
