Show which stream a request resumes and which software version serves it

Change: target entries keep their software version, also between nodes (a new pull that nodes of older builds refuse, after which the old one is made); the header that names the resumed attempt is decoded; both stand in the line of a request, the version also in the lines of targets. No decision reads them. Tests of policy, wire, adapter and three files of serve pass.

--- a/packages/turnford-fleet/tests/room_allocation.rs
+++ b/packages/turnford-fleet/tests/room_allocation.rs
@@ -36,6 +36,7 @@
         process_start: 1,
         orders: 0,
         leaving: false,
+        version: None,
     };
     (0..TARGETS).map(target).collect()
 }
--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -100,6 +100,7 @@
 pub use route::RunTicket;
 pub use route::ServiceShare;
 pub use route::ServiceSpec;
+pub use route::SoftwareVersion;
 pub use route::StageGraph;
 pub use route::StageRate;
 pub use route::StageSpec;
--- a/packages/turnford-policy/src/route.rs
+++ b/packages/turnford-policy/src/route.rs
@@ -50,6 +50,7 @@
 pub use config::RouteSpec;
 pub use config::ServiceShare;
 pub use config::ServiceSpec;
+pub use config::SoftwareVersion;
 pub use config::StageSpec;
 pub use config::TargetSpec;
 pub use digest::RequestDigest;
--- a/packages/turnford-policy/src/route/call.rs
+++ b/packages/turnford-policy/src/route/call.rs
@@ -23,6 +23,8 @@
     pub client_timeout: Option<Duration>,
     /// Last event of a stream that the client has received.
     pub last_event_id: Option<u64>,
+    /// Id of the attempt that brought the first event of the stream that this one resumes.
+    pub resumes: Option<String>,
     /// Length of the prompt, in tokens.
     pub prompt_tokens: u64,
     /// Maximum length of the output, in tokens.
--- a/packages/turnford-policy/src/route/config.rs
+++ b/packages/turnford-policy/src/route/config.rs
@@ -202,6 +202,9 @@
 /// Start of a target's process, in milliseconds since the Unix epoch.
 pub type ProcessStart = u64;
 
+/// Version of the software that a target runs. Versions are equal or different; they have no order.
+pub type SoftwareVersion = Arc<str>;
+
 /// A target listed by the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetSpec {
@@ -221,6 +224,8 @@
     pub orders: u64,
     /// Whether it is leaving and accepts no new work.
     pub leaving: bool,
+    /// Version of its software. `None` if the node that announced it doesn't know it.
+    pub version: Option<SoftwareVersion>,
 }
 
 impl TargetSpec {
--- a/packages/turnford-policy/src/route/list.rs
+++ b/packages/turnford-policy/src/route/list.rs
@@ -110,7 +110,13 @@
         self.insert(target);
     }
 
-    fn insert(&mut self, target: TargetSpec) {
+    fn insert(&mut self, mut target: TargetSpec) {
+        if target.version.is_none() {
+            // The node that sent the entry may not know versions.
+            let known = self.targets.get(&target.id);
+            let known = known.filter(|known| target.is_same_process(known));
+            target.version = known.and_then(|known| known.version.clone());
+        }
         let was_lapsed = self.lapsed.remove(&target.id).is_some();
         let old = self.targets.insert(target.id.clone(), target.clone());
         if let Some(old) = old
@@ -225,6 +231,7 @@
             *restored
                 == TargetSpec {
                     leaving,
+                    version: entry.version.clone().or_else(|| restored.version.clone()),
                     ..entry.clone()
                 }
         })
@@ -240,6 +247,7 @@
         TargetSpec {
             leaving: entry.leaving || known.leaving,
             orders: entry.orders.max(known.orders),
+            version: entry.version.or_else(|| known.version.clone()),
             ..entry
         }
     }
--- a/packages/turnford-policy/tests/batch_board.rs
+++ b/packages/turnford-policy/tests/batch_board.rs
@@ -34,6 +34,7 @@
         slots: 1,
         orders: 0,
         leaving: false,
+        version: None,
     }
 }
 
--- a/packages/turnford-policy/tests/born_again.rs
+++ b/packages/turnford-policy/tests/born_again.rs
@@ -26,6 +26,7 @@
         slots: 4,
         orders: 0,
         leaving: false,
+        version: None,
     }
 }
 
--- a/packages/turnford-policy/tests/engine_board.rs
+++ b/packages/turnford-policy/tests/engine_board.rs
@@ -22,6 +22,7 @@
             slots: 128,
             orders: 0,
             leaving: false,
+            version: None,
         })
         .collect();
     let mut table = TargetTable::default();
--- a/packages/turnford-policy/tests/engine_speed.rs
+++ b/packages/turnford-policy/tests/engine_speed.rs
@@ -69,6 +69,7 @@
             slots: 128,
             orders: 0,
             leaving: false,
+            version: None,
         })
         .collect();
     let mut table = TargetTable::default();
--- a/packages/turnford-policy/tests/limit_board.rs
+++ b/packages/turnford-policy/tests/limit_board.rs
@@ -26,6 +26,7 @@
         slots: 6,
         orders: 0,
         leaving: false,
+        version: None,
     };
     let mut table = TargetTable::default();
     table.set_targets([target].iter());
--- a/packages/turnford-policy/tests/store_eras.rs
+++ b/packages/turnford-policy/tests/store_eras.rs
@@ -160,6 +160,7 @@
                     slots: 4,
                     orders: 0,
                     leaving: false,
+                    version: None,
                 };
                 self.store.write(&spec);
                 let is_alive = true;
--- a/packages/turnford-policy/tests/target_board.rs
+++ b/packages/turnford-policy/tests/target_board.rs
@@ -19,6 +19,7 @@
         slots: 6,
         orders: 0,
         leaving: false,
+        version: None,
     }
 }
 
--- a/packages/turnford-policy/tests/target_list.rs
+++ b/packages/turnford-policy/tests/target_list.rs
@@ -20,6 +20,7 @@
         slots: 4,
         orders: 0,
         leaving,
+        version: None,
     }
 }
 
--- a/packages/turnford-policy/tests/target_words.rs
+++ b/packages/turnford-policy/tests/target_words.rs
@@ -28,6 +28,7 @@
         slots: 6,
         orders,
         leaving,
+        version: None,
     }
 }
 
--- a/packages/turnford-serve/src/control/peers.rs
+++ b/packages/turnford-serve/src/control/peers.rs
@@ -45,5 +45,13 @@
             let wait = Duration::from_millis(u64::from(wait_ms));
             view::answer_view(context, config, cursor, wait).await
         }
+        ControlRequest::VersionedViewPull {
+            config,
+            cursor,
+            wait_ms,
+        } => {
+            let wait = Duration::from_millis(u64::from(wait_ms));
+            view::answer_versioned_view(context, config, cursor, wait).await
+        }
     }
 }
--- a/packages/turnford-serve/src/control/targets.rs
+++ b/packages/turnford-serve/src/control/targets.rs
@@ -115,12 +115,13 @@
     for (id, target) in list.targets() {
         if old.get(id) != Some(target) {
             log::info!(
-                "target={id} service={} address={} hall={} leaving={} born={} place={position}",
+                "target={id} service={} address={} hall={} leaving={} born={} version={} place={position}",
                 target.service,
                 target.address,
                 target.hall,
                 target.leaving,
-                target.process_start
+                target.process_start,
+                target.version.as_deref().unwrap_or("-")
             );
         }
     }
--- a/packages/turnford-serve/src/control/view.rs
+++ b/packages/turnford-serve/src/control/view.rs
@@ -77,21 +77,46 @@
     peer: SocketAddr,
     wait: Duration,
 ) -> Result<PulledView, PeerError> {
-    let request = ControlRequest::ViewPull {
-        config: context.shared.view.load().config.version,
-        cursor: context.cursors.borrow().get(&peer).copied(),
-        wait_ms: to_millis(wait),
+    let config = context.shared.view.load().config.version;
+    let cursor = context.cursors.borrow().get(&peer).copied();
+    let wait_ms = to_millis(wait);
+    let request = ControlRequest::VersionedViewPull {
+        config,
+        cursor,
+        wait_ms,
     };
-    let timeout = wait + PULL_TIMEOUT;
     let started_at = context.now();
-    let reply = context.peers.call(peer, &request, timeout).await;
+    let reply = match call_pull(context, peer, &request, wait).await? {
+        // A node of an older build, or one that is stopping.
+        ControlReply::Refused => {
+            let request = ControlRequest::ViewPull {
+                config,
+                cursor,
+                wait_ms,
+            };
+            call_pull(context, peer, &request, wait).await?
+        }
+        reply => reply,
+    };
+    let (update, versions) = match reply {
+        ControlReply::VersionedView { view, versions } => (view, versions),
+        ControlReply::View(view) => (view, Vec::new()),
+        _ => return Err(PeerError::Disconnected),
+    };
+    Ok(apply_view(context, peer, started_at, update, versions))
+}
+
+async fn call_pull(
+    context: &ControlContext,
+    peer: SocketAddr,
+    request: &ControlRequest,
+    wait: Duration,
+) -> Result<ControlReply, PeerError> {
+    let reply = context.peers.call(peer, request, wait + PULL_TIMEOUT).await;
     if let Err(PeerError::Stalled(received)) = reply {
         context.record_abandoned(received);
     }
-    match reply? {
-        ControlReply::View(update) => Ok(apply_view(context, peer, started_at, update)),
-        _ => Err(PeerError::Disconnected),
-    }
+    reply
 }
 
 /// Applies a peer's response to a pull that started at `started_at`.
@@ -100,6 +125,7 @@
     peer: SocketAddr,
     started_at: Moment,
     update: ViewUpdate,
+    versions: Vec<Option<String>>,
 ) -> PulledView {
     let now = context.now();
     let compressed = update.config.as_ref();
@@ -116,7 +142,7 @@
         let own = config_state.position.get().unwrap_or_default();
         config_state.position.set(Some(own.max(config_position)));
     }
-    let update = target_update(now, update);
+    let update = target_update(now, update, versions);
     let is_behind = !context
         .targets
         .borrow_mut()
@@ -161,19 +187,43 @@
     cursor: Option<ViewCursor>,
     wait: Duration,
 ) -> ControlReply {
+    let update = wait_update(&context, config, cursor, wait).await;
+    update.map_or(ControlReply::Refused, |(view, _)| ControlReply::View(view))
+}
+
+/// Answers a view pull with the software versions of the targets.
+pub(super) async fn answer_versioned_view(
+    context: Rc<ControlContext>,
+    config: u64,
+    cursor: Option<ViewCursor>,
+    wait: Duration,
+) -> ControlReply {
+    let update = wait_update(&context, config, cursor, wait).await;
+    update.map_or(ControlReply::Refused, |(view, versions)| {
+        ControlReply::VersionedView { view, versions }
+    })
+}
+
+/// Waits until there is something new for a peer. Returns `None` if the node is stopping.
+async fn wait_update(
+    context: &ControlContext,
+    config: u64,
+    cursor: Option<ViewCursor>,
+    wait: Duration,
+) -> Option<(ViewUpdate, Vec<Option<String>>)> {
     let started_at = context.now();
     let until = started_at + wait.min(MAX_WAIT);
     loop {
-        let after = cursor.and_then(|cursor| known_change(&context, cursor));
+        let after = cursor.and_then(|cursor| known_change(context, cursor));
         let changed = context.view_changed.listen();
         if context.shared.is_draining() {
-            return ControlReply::Refused;
+            return None;
         }
         let has_config = context.shared.view.load().config.version > config;
         let has_targets = after != Some(context.targets.borrow().newest_change());
         let left = until.saturating_sub(context.now());
         if has_config || has_targets || left.is_zero() {
-            return ControlReply::View(view_update(&context, config, after, started_at));
+            return Some(view_update(context, config, after, started_at));
         }
         let over = async {
             Timer::after(left).await;
@@ -191,13 +241,14 @@
     (is_own && is_of_era).then_some(cursor.change)
 }
 
-/// Returns the update for a pull that started at `started_at`.
+/// Returns the update for a pull that started at `started_at`, and the software versions of its
+/// targets.
 fn view_update(
     context: &ControlContext,
     config: u64,
     after: Option<u64>,
     started_at: Moment,
-) -> ViewUpdate {
+) -> (ViewUpdate, Vec<Option<String>>) {
     let is_newer = context.shared.view.load().config.version > config;
     let mut copy = context.config_copy.borrow_mut();
     let compressed = if is_newer { copy.compressed() } else { None };
@@ -206,7 +257,11 @@
     let now = context.now();
     let targets = update.listed.iter().map(|listed| target_entry(now, listed));
     let removed = update.removed.iter().map(ToString::to_string);
-    ViewUpdate {
+    let versions = update.listed.iter().map(|listed| {
+        let version = listed.spec.version.as_deref();
+        version.map(str::to_owned)
+    });
+    let view = ViewUpdate {
         config: compressed.cloned(),
         config_position: context.config_state.position.get().unwrap_or_default(),
         is_full: update.is_full,
@@ -220,7 +275,8 @@
         },
         age_ms: to_millis(context.view_age()),
         waited_ms: to_millis(now.saturating_sub(started_at)),
-    }
+    };
+    (view, versions.collect())
 }
 
 fn from_millis(millis: u32) -> Duration {
@@ -249,8 +305,10 @@
     }
 }
 
-fn target_update(now: Moment, update: ViewUpdate) -> TargetUpdate {
-    let listed = update.targets.into_iter().map(|entry| ListedTarget {
+fn target_update(now: Moment, update: ViewUpdate, versions: Vec<Option<String>>) -> TargetUpdate {
+    let versions = versions.into_iter().chain(std::iter::repeat(None));
+    let entries = update.targets.into_iter().zip(versions);
+    let listed = entries.map(|(entry, version)| ListedTarget {
         spec: TargetSpec {
             id: entry.id.into(),
             process_start: entry.process_start,
@@ -260,6 +318,7 @@
             slots: entry.slots,
             orders: entry.orders,
             leaving: entry.leaving,
+            version: version.map(Into::into),
         },
         expires_at: entry.expires_in_ms.map(|left| now + from_millis(left)),
         is_restored: entry.is_restored,
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -227,8 +227,9 @@
             CallError::NotSent("the request can't be encoded")
         })?;
     record.trace(format_args!(
-        "sending to {} in {}, {}ms remaining",
+        "sending to {} of version {} in {}, {}ms remaining",
         target.id,
+        target.version.as_deref().unwrap_or("-"),
         target.hall,
         remaining.as_millis()
     ));
@@ -263,6 +264,7 @@
     }
     let is_stream = record.route.kind == CallKind::Stream && status.is_success();
     if is_stream {
+        record.target_version.replace(target.version.clone());
         job.context.record_success(traffic.shared.now(), &target.id);
         let response = relay_stream(traffic, job.record, job.context, placed, response);
         return Some(ForwardOutcome::Response(response));
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -13,6 +13,7 @@
 use turnford_policy::RequestDigest;
 use turnford_policy::ResultCode;
 use turnford_policy::RouteSpec;
+use turnford_policy::SoftwareVersion;
 use turnford_policy::StageGraph;
 
 use crate::shared::ServeShared;
@@ -36,6 +37,8 @@
     /// Hall of the target that will probably serve the final call.
     pub(crate) predicted_hall: RefCell<Option<Arc<str>>>,
     version: u64,
+    /// Software version of the target whose response is relayed.
+    pub(crate) target_version: RefCell<Option<SoftwareVersion>>,
     /// Digest of the request, set once its body has been read.
     pub(crate) digest: Cell<RequestDigest>,
     /// Time from the start of the final call to its first event, as estimated on arrival.
@@ -74,6 +77,7 @@
             deadline,
             predicted_hall: RefCell::default(),
             version,
+            target_version: RefCell::default(),
             digest: Cell::default(),
             final_call_time: Cell::new(Duration::ZERO),
             final_call_start: Cell::new(started_at),
@@ -191,13 +195,15 @@
         let trace = if is_normal { "" } else { trace.as_str() };
         log::log!(
             level,
-            "request={} asks={} route={} account={} rank={} config={} pause_ms={} code={} end={} head_ms={} ms={}{}{}{}",
+            "request={} asks={} route={} account={} rank={} config={} resumes={} version={} pause_ms={} code={} end={} head_ms={} ms={}{}{}{}",
             self.attributes.attempt,
             self.digest.get(),
             self.route.name,
             account,
             self.rank,
             self.version,
+            self.attributes.resumes.as_deref().unwrap_or("-"),
+            self.target_version.borrow().as_deref().unwrap_or("-"),
             self.longest_pause().as_millis(),
             code.number(),
             code.name(),
--- a/packages/turnford-wire/examples/relay_cost.rs
+++ b/packages/turnford-wire/examples/relay_cost.rs
@@ -92,6 +92,7 @@
         process_start: 1,
         orders: 0,
         leaving: false,
+        version: None,
     };
     let targets: Vec<TargetSpec> = (0..SERVICE_TARGETS).map(target).collect();
     let mut allocator = RoomAllocator::default();
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -71,6 +71,15 @@
         /// Time to wait for a change before replying, in milliseconds.
         wait_ms: u32,
     },
+    /// A [`ControlRequest::ViewPull`] whose reply has the software versions of the targets.
+    VersionedViewPull {
+        /// Configuration version of the sender.
+        config: u64,
+        /// Last change that the sender has from the receiving process; `None` requests all targets.
+        cursor: Option<ViewCursor>,
+        /// Time to wait for a change before replying, in milliseconds.
+        wait_ms: u32,
+    },
 }
 
 /// A target as sent between nodes.
@@ -144,6 +153,13 @@
     View(ViewUpdate),
     /// The request could not be decoded.
     Refused,
+    /// Reply to a versioned view pull.
+    VersionedView {
+        /// The update.
+        view: ViewUpdate,
+        /// Software version of each target of the update, in the same order; `None` if unknown.
+        versions: Vec<Option<String>>,
+    },
 }
 
 /// An input of pieces, with what is needed to release it.
