--- a/packages/turnford-standin/src/route/run.rs
+++ b/packages/turnford-standin/src/route/run.rs
@@ -26,6 +26,8 @@
 pub struct RouteRun {
     /// Instance id of the target.
     pub target: String,
+    /// Software version of the target's process.
+    pub version: String,
     /// Kind of the run.
     pub kind: RunKind,
     /// Id of the client's attempt.
@@ -38,6 +40,8 @@
     pub deadline_ms: Option<u64>,
     /// Handles of the input results.
     pub inputs: Vec<String>,
+    /// Event after which the run goes on.
+    pub last_event: Option<u64>,
     /// Whether a fault was injected into the run.
     pub is_faulted: bool,
     /// Whether the run completed; false while it is running, and if its caller disconnected.
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -40,12 +41,18 @@
 /// Number of concurrent requests of a target unless set otherwise.
 const DEFAULT_SLOTS: u64 = 8;
 
+/// Software version of a target's process unless set otherwise.
+const DEFAULT_VERSION: &str = "v1";
+
 /// Delay of a rejection with back-off, so that calls that were sent at the same time arrive before it.
 const REJECTION_DELAY: Duration = Duration::from_millis(60);
 
 /// Time after which a crashed target restarts under the same id.
 const RESTART_DELAY: Duration = Duration::from_millis(700);
 
+/// Interval between attempts to open the port of a replaced process.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Additional time for which a brittle target stays down.
 const BRITTLE_DOWNTIME: Duration = Duration::from_secs(2);
 
@@ -106,6 +113,8 @@
     address: Mutex<Option<SocketAddr>>,
     /// Start time of the process, in milliseconds since the Unix epoch.
     process_start: AtomicU64,
+    /// Software version of the process.
+    version: Mutex<String>,
     /// Body of the requests, or key of the pieces, that crash the target.
     pub(super) crash_body: Mutex<Option<String>>,
     /// State in the target's last store entry, `ready` or `draining`.
@@ -170,6 +179,23 @@
         id: &str,
         service: &str,
         role: TargetRole,
+    ) -> io::Result<Self> {
+        Self::start_with_version(executor, store, journal, id, service, role, DEFAULT_VERSION)
+    }
+
+    /// Starts a target whose process has a software version, and publishes it in the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if no port can be bound.
+    pub fn start_with_version(
+        executor: &SharedExecutor,
+        store: &MetaStore,
+        journal: &Arc<RouteJournal>,
+        id: &str,
+        service: &str,
+        role: TargetRole,
+        version: &str,
     ) -> io::Result<Self> {
         let (free_slots, slot) = async_channel::bounded(1);
         // The channel is new and has capacity for its one slot.
@@ -183,6 +209,7 @@
             listener: TargetListener::new(executor),
             address: Mutex::new(None),
             process_start: AtomicU64::new(time_of_day()),
+            version: Mutex::new(version.to_owned()),
             crash_body: Mutex::default(),
             listed_state: Mutex::default(),
             crashes: AtomicU64::new(0),
@@ -259,6 +286,27 @@
         self.state.publish("ready");
     }
 
+    /// Replaces the target's process by one of another software version at the same address. The
+    /// store entry follows after a delay.
+    pub fn replace_process(&self, version: &str, entry_delay: Duration) {
+        let state = self.state.clone();
+        state.journal.mark_unfinished_faulted(&state.id);
+        state.listener.close();
+        state.process_start.store(time_of_day(), Ordering::SeqCst);
+        version.clone_into(&mut lock(&state.version));
+        let publish = async move {
+            // The port is free once the tasks of the closed listener have ended.
+            while let Err(error) = state.open() {
+                log::info!("target {} can't be opened yet: {error}", state.id);
+                Timer::after(REOPEN_INTERVAL).await;
+            }
+            Timer::after(entry_delay).await;
+            let listed_state = lock(&state.listed_state).clone();
+            state.publish(&listed_state);
+        };
+        self.state.executor.spawn(publish).detach();
+    }
+
     /// Removes the target's store entry; the target continues to serve.
     pub fn unpublish(&self) {
         self.state.store.remove("servers", &self.state.id);
@@ -335,7 +383,7 @@
             "service": self.service,
             "address": self.address().to_string(),
             "zone": self.hall,
-            "version": "v1",
+            "version": lock(&self.version).as_str(),
             "slots": self.slots.load(Ordering::SeqCst)
                 + self.entry_changes.load(Ordering::SeqCst),
             "state": state,
@@ -410,7 +458,12 @@
         match call.path.as_str() {
             "/health" => Some(self.health()),
             "/v1/report" => {
-                let report = json!({ "waiting_requests": 0, "busy": 0, "free_memory_mb": 100 });
+                let report = json!({
+                    "waiting_requests": 0,
+                    "busy": 0,
+                    "free_memory_mb": 100,
+                    "born": self.process_start.load(Ordering::SeqCst),
+                });
                 Some(json_response(StatusCode::OK, &report))
             }
             "/v1/stage-free" => Some(self.release(call)),
@@ -440,12 +493,16 @@
         let inputs = inputs.split(',').filter(|input| !input.is_empty());
         RouteRun {
             target: self.id.clone(),
+            version: lock(&self.version).clone(),
             kind,
             attempt,
             account: call.header("x-turnford-tenant").map(str::to_owned),
             has_key: call.header("authorization").is_some(),
             deadline_ms: deadline.and_then(|text| text.parse().ok()),
             inputs: inputs.map(str::to_owned).collect(),
+            last_event: call
+                .header("last-event-id")
+                .and_then(|text| text.parse().ok()),
             is_faulted: false,
             is_complete: false,
         }
@@ -477,6 +534,7 @@
             is_faulted: fault.is_some() || crashes,
             ..self.run(call, attempt.clone(), RunKind::Request)
         };
+        let last_event = run.last_event.unwrap_or(0);
         let index = self.journal.add(run);
         if crashes {
             self.crash_soon();
@@ -495,7 +553,7 @@
                 self.event_response(
                     index,
                     event_gap,
-                    events,
+                    last_event + 1..=events,
                     fault == Some(TargetFault::Truncate),
                     occupied,
                 )
@@ -542,19 +600,20 @@
         &self,
         index: usize,
         pause: Duration,
-        count: u64,
+        numbers: RangeInclusive<u64>,
         is_truncated: bool,
         occupied: Occupied,
     ) -> HttpResponse {
         let journal = self.journal.clone();
-        let events = stream::unfold((1, occupied), move |(number, occupied)| {
+        let (first, last) = numbers.into_inner();
+        let events = stream::unfold((first, occupied), move |(number, occupied)| {
             let journal = journal.clone();
             async move {
-                if number > count {
+                if number > last {
                     journal.record_end(index);
                     return None;
                 }
-                if number > 1 {
+                if number > first {
                     Timer::after(pause).await;
                 }
                 let event = format!("id: {number}\ndata: token {number}\n\n");
