Resume streams only at the software version that began them

Placement knew no versions, and the version that began a stream was known to no node but the one that relayed it. Change: while a service may have several versions, a node has three others (rendezvous hashing over members) keep a record of each resumable stream before its first event is sent; a node that resumes one asks them, and sends the request only to targets of that version. One version for longer than a stream lasts needs no records; those of running streams follow when a second one appears. Streams whose version is not known, or gone, are refused at once (126, 127). A new connection for streams is checked by the start that the target's report names, so that a process replaced under its id is not taken for the listed one.

--- a/packages/turnford-fleet/src/duty.rs
+++ b/packages/turnford-fleet/src/duty.rs
@@ -9,6 +9,8 @@
 
 use siphasher::sip::SipHasher13;
 
+use crate::StreamKey;
+
 /// A task that one or a few nodes perform for the whole fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Duty {
@@ -24,6 +26,8 @@
     Gather(String, usize),
     /// Placing the requests of a service with model engines.
     Place(String),
+    /// Keeping the record of a stream.
+    Stream(StreamKey),
     /// Removing the platform's records of nodes that no longer exist.
     Sweep,
 }
@@ -37,6 +41,7 @@
             Duty::Orders(service) => write!(f, "orders/{service}"),
             Duty::Gather(service, cell) => write!(f, "gather/{service}/{cell}"),
             Duty::Place(service) => write!(f, "place/{service}"),
+            Duty::Stream(key) => write!(f, "stream/{key:x}"),
             Duty::Sweep => f.write_str("sweep"),
         }
     }
--- a/packages/turnford-policy/src/code.rs
+++ b/packages/turnford-policy/src/code.rs
@@ -37,6 +37,10 @@
     CrashesTargets = 124,
     /// Targets crashed while they ran this request, and another copy of it is running on trial.
     OnTrial = 125,
+    /// The software version that began the resumed stream is not known.
+    StreamUnknown = 126,
+    /// No target of the software version that began the resumed stream is left.
+    VersionGone = 127,
     /// The platform can't record the claim at the moment.
     ClaimUnavailable = 130,
     /// A request with the same id is running.
@@ -67,7 +71,7 @@
 
 impl ResultCode {
     /// All codes in ascending order.
-    pub const ALL: [ResultCode; 29] = [
+    pub const ALL: [ResultCode; 31] = [
         ResultCode::Done,
         ResultCode::DoneLate,
         ResultCode::DoneBefore,
@@ -84,6 +88,8 @@
         ResultCode::NoTarget,
         ResultCode::CrashesTargets,
         ResultCode::OnTrial,
+        ResultCode::StreamUnknown,
+        ResultCode::VersionGone,
         ResultCode::ClaimUnavailable,
         ResultCode::ClaimRunning,
         ResultCode::ClaimFinished,
@@ -123,6 +129,8 @@
             ResultCode::NoTarget => "no-target",
             ResultCode::CrashesTargets => "crashes-targets",
             ResultCode::OnTrial => "on-trial",
+            ResultCode::StreamUnknown => "stream-unknown",
+            ResultCode::VersionGone => "version-gone",
             ResultCode::ClaimUnavailable => "claim-unavailable",
             ResultCode::ClaimRunning => "claim-running",
             ResultCode::ClaimFinished => "claim-finished",
--- a/packages/turnford-serve/src/availability.rs
+++ b/packages/turnford-serve/src/availability.rs
@@ -12,6 +12,7 @@
 
 use crate::forward::RETRY_AFTER;
 use crate::record::RequestRecord;
+use crate::resume::unsuitable_targets;
 use crate::service_context::ServiceContext;
 use crate::traffic::Traffic;
 use crate::wait_queue::QueuePosition;
@@ -47,12 +48,17 @@
     context: &ServiceContext,
 ) -> Result<(), AvailabilityError> {
     let now = traffic.shared.now();
-    if context.wait_queue.is_empty() && context.targets.borrow().has_open(now, &[]) {
+    let source = record.source.borrow();
+    let others = source
+        .as_ref()
+        .map(|source| unsuitable_targets(context, source));
+    let others = others.unwrap_or_default();
+    if context.wait_queue.is_empty() && context.targets.borrow().has_open(now, &others) {
         return Ok(());
     }
     let ranks = (record.rank, record.route.rank);
     let ahead = context.wait_queue.ahead_of(ranks, record.due());
-    forecast_availability(traffic, record, context, &[], ahead).map(|_| ())
+    forecast_availability(traffic, record, context, &others, ahead).map(|_| ())
 }
 
 /// Waits until a target that has not been tried accepts the request. The position in the queue is
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -28,6 +28,7 @@
 use crate::links::record_failure;
 use crate::links::wait_link_lost;
 use crate::metrics::ServiceEvent;
+use crate::process_check::check_process;
 use crate::relay::relay_call;
 use crate::service_context::InFlightGuard;
 use crate::service_context::ServiceContext;
@@ -80,6 +81,8 @@
         attempt: &'a str,
         /// Whether the request may run more than once.
         is_repeatable: bool,
+        /// Software version that the target must have, if the request resumes a stream.
+        version: Option<&'a str>,
     },
     /// Pieces of stages.
     Pieces,
@@ -96,6 +99,14 @@
         }
     }
 
+    /// Returns the software version that the target must have.
+    pub(crate) fn version(self) -> Option<&'a str> {
+        match self {
+            CallPurpose::Request { version, .. } => version,
+            CallPurpose::Pieces | CallPurpose::Maintenance => None,
+        }
+    }
+
     /// Returns whether the call may be sent again after its link was lost.
     fn is_repeatable(self) -> bool {
         match self {
@@ -225,6 +236,13 @@
     } else {
         None
     };
+    let connection = match connection {
+        Some(opened) if attempt.is_some() => {
+            Some(check_process(traffic, context, target, opened).await?)
+        }
+        Some(opened) => Some(opened.connection),
+        None => None,
+    };
     // Checked last before sending: the call may have waited, and another node may have placed it.
     let now = traffic.shared.now();
     if let Some(error) = context.rejection_reason(now, &target.id, purpose) {
@@ -350,20 +368,30 @@
     CallError::Unknown("the response belongs to another request")
 }
 
+/// A connection to a target.
+pub(crate) struct TargetConnection {
+    pub(crate) connection: HttpConnection,
+    /// Whether it was opened for this call.
+    pub(crate) is_new: bool,
+}
+
 /// Returns a connection to a target, an idle one if there is any, or `None` if the target is not
 /// reached.
 pub(crate) async fn open_connection(
     traffic: &Traffic,
     target: &TargetSpec,
     timeout: Duration,
-) -> Option<HttpConnection> {
+) -> Option<TargetConnection> {
     let address = traffic.shared.settings.target_address(target.address);
     let idle = traffic
         .pool
         .borrow_mut()
         .take(traffic.shared.now(), address, Duration::MAX);
-    if idle.is_some() {
-        return idle;
+    if let Some(connection) = idle {
+        return Some(TargetConnection {
+            connection,
+            is_new: false,
+        });
     }
     // Half of the time is left for another node.
     let timeout = CONNECT_TIMEOUT.min(timeout / 2);
@@ -373,7 +401,10 @@
     if opened.is_err() {
         record_failure(traffic, &target.id);
     }
-    opened.ok()
+    opened.ok().map(|connection| TargetConnection {
+        connection,
+        is_new: true,
+    })
 }
 
 /// Reads the rest of a refusal so that its connection can be reused.
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -39,6 +39,7 @@
 use crate::request::refuse_limited;
 use crate::request::refuse_suspect;
 use crate::results::StageResults;
+use crate::resume::unsuitable_targets;
 use crate::service_context::ServiceContext;
 use crate::stream::relay_stream;
 use crate::traffic::Traffic;
@@ -108,9 +109,10 @@
     job.context.allowance.borrow_mut().record_first_attempt(now);
     job.record.record_final_call_start();
     while may_attempt(traffic, job, &log) {
+        let excluded = excluded_targets(job, &log);
         let options = PlacementOptions {
             inputs: &job.results.halls,
-            tried: &log.tried,
+            tried: &excluded,
             // Once a target has failed the request, the error response is not delayed by another
             // target's backoff.
             may_wait: !log.may_have_run,
@@ -174,6 +176,16 @@
     ForwardOutcome::Response(final_response(traffic, job, log))
 }
 
+/// Returns the targets that the request may not be sent to: those tried before and, if it resumes a
+/// stream, those of other versions than the one that began it.
+fn excluded_targets(job: &ForwardJob<'_>, log: &AttemptLog) -> Vec<TargetId> {
+    let source = job.record.source.borrow();
+    let others = source
+        .as_ref()
+        .map(|source| unsuitable_targets(job.context, source));
+    [&log.tried[..], &others.unwrap_or_default()].concat()
+}
+
 fn may_attempt(traffic: &Traffic, job: &ForwardJob<'_>, log: &AttemptLog) -> bool {
     let may_retry = !log.may_have_run || job.record.route.is_repeatable();
     let has_time = traffic.shared.now() < job.record.deadline;
@@ -234,9 +246,11 @@
         remaining.as_millis()
     ));
     drop(position);
+    let source = record.source.borrow().clone();
     let purpose = CallPurpose::Request {
         attempt: &record.attributes.attempt,
         is_repeatable: record.route.is_repeatable(),
+        version: source.as_ref().map(|source| &*source.version),
     };
     let call = call_target(traffic, job.context, target, request, purpose, remaining);
     let fetched = async {
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -76,6 +76,14 @@
     Relayed,
     /// This node sent a call for another one.
     RelayedForPeer,
+    /// A client resumed a stream whose version is known.
+    Resumed,
+    /// A client's attempt to resume a stream was refused, as its version is not known or gone.
+    ResumeRefused,
+    /// A stream began whose version no other node keeps.
+    StreamNotRecorded,
+    /// A target's process is not the one of its store entry.
+    ProcessReplaced,
 }
 
 impl ServiceEvent {
@@ -96,6 +104,10 @@
             ServiceEvent::Limited => "limited",
             ServiceEvent::Relayed => "relayed",
             ServiceEvent::RelayedForPeer => "relayed-for-peer",
+            ServiceEvent::Resumed => "resumed",
+            ServiceEvent::ResumeRefused => "resume-refused",
+            ServiceEvent::StreamNotRecorded => "stream-not-recorded",
+            ServiceEvent::ProcessReplaced => "process-replaced",
         }
     }
 }
--- /dev/null
+++ b/packages/turnford-serve/src/process_check.rs
@@ -0,0 +1,88 @@
+//! Check that a new connection leads to the process that a target's store entry describes.
+//!
+//! A target may restart under the same id and address with other software before its entry says so.
+//! A connection never changes its process, so each one is checked once.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+
+use turnford_adapter::decode_process_start;
+use turnford_adapter::encode_report;
+use turnford_http::HttpConnection;
+use turnford_policy::ProcessStart;
+use turnford_policy::TargetSpec;
+
+use crate::call::CallError;
+use crate::call::TargetConnection;
+use crate::metrics::ServiceEvent;
+use crate::service_context::ServiceContext;
+use crate::traffic::Traffic;
+
+/// Timeout for a target's status report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Maximum size of a status report, in bytes.
+const MAX_REPORT_BYTES: usize = 256 * 1024;
+
+/// Returns a connection to a target after checking the process behind it, if the service has streams.
+///
+/// # Errors
+///
+/// Returns [`CallError::NotSent`] if the process is another one, or gives no report.
+pub(crate) async fn check_process(
+    traffic: &Rc<Traffic>,
+    context: &ServiceContext,
+    target: &TargetSpec,
+    opened: TargetConnection,
+) -> Result<HttpConnection, CallError> {
+    let mut connection = opened.connection;
+    if !opened.is_new || !needs_check(context, target) {
+        return Ok(connection);
+    }
+    let late = async {
+        Timer::after(REPORT_TIMEOUT).await;
+        Err(CallError::NotSent("the target gave no status report"))
+    };
+    let reported = read_process_start(&mut connection, target).or(late).await?;
+    // A target whose report does not name its process can't be checked.
+    if reported.is_none_or(|reported| reported == target.process_start) {
+        return Ok(connection);
+    }
+    log::info!(
+        "target={} process was replaced: born={} in its entry, {} in its report",
+        target.id,
+        target.process_start,
+        reported.unwrap_or_default()
+    );
+    let metrics = &traffic.shared.metrics;
+    metrics.record_service_event(&target.service, ServiceEvent::ProcessReplaced);
+    let now = traffic.shared.now();
+    context.targets.borrow_mut().record_refusal(now, &target.id);
+    Err(CallError::NotSent(
+        "its process is not the one of its store entry",
+    ))
+}
+
+fn needs_check(context: &ServiceContext, target: &TargetSpec) -> bool {
+    target.process_start != 0 && !context.version_window.get().is_zero()
+}
+
+/// Returns the start of the process behind a connection, `None` if the target does not report it.
+async fn read_process_start(
+    connection: &mut HttpConnection,
+    target: &TargetSpec,
+) -> Result<Option<ProcessStart>, CallError> {
+    let lost = CallError::NotSent("the connection was lost before the request was sent");
+    let request = encode_report(&target.address.to_string(), &target.id)
+        .map_err(|_| CallError::NotSent("the request for a status report can't be encoded"))?;
+    let response = connection.send(request).await.map_err(|_| lost.clone())?;
+    let is_success = response.status().is_success();
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
+    let body = body.collect().await.map_err(|_| lost)?.to_bytes();
+    Ok(decode_process_start(&body).filter(|_| is_success))
+}
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -16,6 +16,7 @@
 use turnford_policy::SoftwareVersion;
 use turnford_policy::StageGraph;
 
+use crate::resume::StreamSource;
 use crate::shared::ServeShared;
 use crate::wait::wait_until;
 
@@ -37,6 +38,8 @@
     /// Hall of the target that will probably serve the final call.
     pub(crate) predicted_hall: RefCell<Option<Arc<str>>>,
     version: u64,
+    /// Service and version that must go on with the stream that the request resumes.
+    pub(crate) source: RefCell<Option<StreamSource>>,
     /// Software version of the target whose response is relayed.
     pub(crate) target_version: RefCell<Option<SoftwareVersion>>,
     /// Digest of the request, set once its body has been read.
@@ -77,6 +80,7 @@
             deadline,
             predicted_hall: RefCell::default(),
             version,
+            source: RefCell::default(),
             target_version: RefCell::default(),
             digest: Cell::default(),
             final_call_time: Cell::new(Duration::ZERO),
--- a/packages/turnford-serve/src/relay_handler.rs
+++ b/packages/turnford-serve/src/relay_handler.rs
@@ -27,6 +27,7 @@
 use crate::links::is_direct;
 use crate::links::record_contact;
 use crate::metrics::ServiceEvent;
+use crate::process_check::check_process;
 use crate::relay::decode_headers;
 use crate::relay::encode_headers;
 use crate::service_context::InFlightGuard;
@@ -99,7 +100,13 @@
     let attempt = relay.attempt.clone();
     let mut request = decode_request(relay).ok_or(RelayReply::Unavailable)?;
     let connection = open_connection(traffic, &target, remaining).await;
-    let mut connection = connection.ok_or_else(not_reached)?;
+    let opened = connection.ok_or_else(not_reached)?;
+    let mut connection = if attempt.is_some() {
+        let checked = check_process(traffic, &context, &target, opened).await;
+        checked.map_err(|_| RelayReply::Unavailable)?
+    } else {
+        opened.connection
+    };
     let now = traffic.shared.now();
     if context.refuses_work(now, &target.id, purpose).is_some() {
         return Err(RelayReply::Unavailable);
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -33,6 +33,8 @@
 use crate::forward::RETRY_AFTER;
 use crate::placement::predict_hall;
 use crate::record::RequestRecord;
+use crate::resume::find_source;
+use crate::resume::ResumeRefusal;
 use crate::shared::RouteView;
 use crate::stages::run_stages;
 use crate::stages::StageError;
@@ -234,12 +236,21 @@
     parts: &Parts,
     body: &Bytes,
 ) -> Response<ResponseBody> {
-    let service = record.route.draw_service(traffic.random());
+    let source = match find_source(traffic, record).await {
+        Ok(source) => source,
+        Err(refusal) => return refuse_resume(record, &refusal),
+    };
+    let drawn = record.route.draw_service(traffic.random());
+    let service = source.as_ref().map(|source| &source.service).or(drawn);
     let context = service.and_then(|service| traffic.service(service));
+    record.source.replace(source.clone());
     let Some(context) = context else {
         let reason = "the service is not known";
         return refuse_admitted(record, ResultCode::NoTarget, reason, RETRY_AFTER);
     };
+    if source.is_some_and(|source| !context.has_open_version(&source.version)) {
+        return refuse_resume(record, &ResumeRefusal::version_gone());
+    }
     record
         .final_call_time
         .set(context.predict_final_call(record.attributes.unique_tokens()));
@@ -317,6 +328,11 @@
     refuse_admitted(record, refusal.code, refusal.reason(), refusal.retry_after)
 }
 
+/// Refuses a request that resumes a stream, because no target may go on with it.
+fn refuse_resume(record: &RequestRecord, refusal: &ResumeRefusal) -> Response<ResponseBody> {
+    refuse_admitted(record, refusal.code, refusal.reason, RETRY_AFTER)
+}
+
 /// Refuses a request that no target accepts in time.
 fn refuse_unavailable(record: &RequestRecord, error: AvailabilityError) -> Response<ResponseBody> {
     match error {
--- a/packages/turnford-serve/src/service_context.rs
+++ b/packages/turnford-serve/src/service_context.rs
@@ -24,6 +24,7 @@
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
 use turnford_policy::TargetTable;
+use turnford_policy::VersionHistory;
 use turnford_policy::RANK_COUNT;
 
 use crate::brittle::BrittleState;
@@ -60,6 +61,10 @@
     next_trial: Cell<TrialId>,
     /// Model of the time to the first event of this node's final calls, by unique prompt tokens.
     latency_model: RefCell<LatencyModel>,
+    /// Software versions of the targets.
+    pub(crate) versions: RefCell<VersionHistory>,
+    /// Time for which a stream of the service may go on.
+    pub(crate) version_window: Cell<Duration>,
     /// Requests that wait until a target accepts calls.
     pub(crate) wait_queue: Rc<WaitQueue>,
     /// Announcements that the targets are brittle.
@@ -98,6 +103,8 @@
                 INITIAL_LATENCY_TOKENS,
                 INITIAL_LATENCY.1,
             )),
+            versions: RefCell::default(),
+            version_window: Cell::new(Duration::ZERO),
             wait_queue: Rc::default(),
             brittleness: BrittleState::default(),
             rooms: RefCell::default(),
@@ -106,6 +113,19 @@
         })
     }
 
+    /// Returns whether a target of a software version accepts new work.
+    pub(crate) fn has_open_version(&self, version: &str) -> bool {
+        let table = self.targets.borrow();
+        let mut open = table.open_targets();
+        open.any(|target| target.version.as_deref() == Some(version))
+    }
+
+    /// Returns whether all targets within a window had the same software version.
+    pub(crate) fn has_sole_version(&self, now: Moment, window: Duration) -> bool {
+        let history = self.versions.borrow();
+        history.sole_version(now, window).is_some()
+    }
+
     /// Predicts the time to the first event of a final call.
     pub(crate) fn predict_final_call(&self, unique_tokens: u64) -> Duration {
         self.latency_model.borrow().predict(unique_tokens as f64)
@@ -154,6 +174,14 @@
         if spec.leaving && purpose != CallPurpose::Maintenance {
             return Some(CallError::Unavailable("the target is leaving"));
         }
+        if purpose
+            .version()
+            .is_some_and(|version| spec.version.as_deref() != Some(version))
+        {
+            return Some(CallError::Unavailable(
+                "the target runs another software version",
+            ));
+        }
         if table.backoff_until(now, target).is_some() {
             return Some(CallError::Unavailable("the target has asked for backoff"));
         }
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -20,6 +20,8 @@
 use crate::links::record_contact;
 use crate::placed_run::PlacedRun;
 use crate::record::RequestRecord;
+use crate::resume::complete_stream;
+use crate::resume::record_source;
 use crate::service_context::ServiceContext;
 use crate::target_body::TargetBody;
 use crate::traffic::Traffic;
@@ -39,6 +41,12 @@
 ) -> Response<ResponseBody> {
     let (parts, body, remainder) = response.into_stream();
     let (sender, chunks) = async_channel::bounded(MAX_BUFFERED_CHUNKS);
+    let recorded = {
+        let (traffic, record, context) = (traffic.clone(), record.clone(), context.clone());
+        let target = placed.target.clone();
+        async move { record_source(&traffic, &record, &context, &target).await }
+    };
+    let recorded = traffic.executor.spawn(recorded);
     let relay = {
         let traffic = traffic.clone();
         let record = record.clone();
@@ -49,8 +57,11 @@
                     record_contact(&traffic, &placed.target.id);
                 }
             };
+            // Once the client has an event, other nodes have to know which version began the stream.
+            recorded.await;
             let outcome = relay_chunks(&record, &context, &placed, body, &sender, on_chunk).await;
             if outcome == RelayOutcome::Completed {
+                complete_stream(&traffic, &record);
                 remainder.finish(&traffic);
                 record_clean_end(&traffic, &record.digest.get());
                 record.end(ResultCode::Done, "");
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -12,6 +12,7 @@
 use async_io::Timer;
 
 use turnford_http::ConnectionPool;
+use turnford_policy::CallKind;
 use turnford_policy::LinkTable;
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceId;
@@ -28,6 +29,10 @@
 use crate::service_context::ServiceContext;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
+use crate::stream_directory::StreamDirectory;
+
+/// Time after the longest timeout of a stream within which its client may still resume it.
+const RESUME_MARGIN: Duration = Duration::from_secs(5);
 
 /// Interval between sweeps for expired idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -47,6 +52,8 @@
     pub(crate) progress: ProgressQueue,
     /// Requests during which targets crashed.
     pub(crate) crashes: CrashTracker,
+    /// Records of the versions that began streams.
+    pub(crate) streams: Rc<StreamDirectory>,
     /// Leave announcements of targets that have not been forwarded yet.
     pub(crate) leaving: LeavingQueue,
     /// Closed when the node is about to stop.
@@ -70,6 +77,7 @@
             links: RefCell::default(),
             relayed: Cell::default(),
             releaser: ResultReleaser::default(),
+            streams: StreamDirectory::new(peers.clone()),
             peers,
             progress: ProgressQueue::default(),
             crashes: CrashTracker::default(),
@@ -129,8 +137,14 @@
         links.retain_listed(|id| view.targets.contains_key(id));
         drop(links);
         for (service, context) in services.iter() {
+            let window = stream_window(view, service);
+            let was_sole = context.has_sole_version(self.shared.now(), window);
+            context.version_window.set(window);
             self.refresh_targets(view, service, context);
             check_restarts(self, context);
+            if was_sole && !context.has_sole_version(self.shared.now(), window) {
+                self.streams.announce_begun();
+            }
         }
     }
 
@@ -179,6 +193,9 @@
         if let Some(engine) = &context.spec.borrow().engine {
             engines.set_capacity(engine.cache_tokens);
         }
+        let versions = table.all_targets().map(|target| target.version.clone());
+        let window = context.version_window.get();
+        context.versions.borrow_mut().observe(now, window, versions);
         drop(table);
         context.refresh_cells();
     }
@@ -215,6 +232,17 @@
     }
 }
 
+/// Returns the time for which streams of a service may go on; zero if it has none.
+fn stream_window(view: &RouteView, service: &str) -> Duration {
+    let routes = view.config.routes.iter();
+    let streams = routes.filter(|route| {
+        let mut shares = route.shares.iter();
+        route.kind == CallKind::Stream && shares.any(|share| &*share.service == service)
+    });
+    let longest = streams.map(|route| route.timeout).max();
+    longest.map_or(Duration::ZERO, |longest| longest + RESUME_MARGIN)
+}
+
 /// Applies each change of the view.
 pub(crate) async fn follow_changes(traffic: Rc<Traffic>, changes: Receiver<()>) {
     let mut has_returned = false;
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -32,6 +32,7 @@
 use crate::placer::answer_place;
 use crate::progress::answer_progress;
 use crate::relay_handler::answer_relay;
+use crate::resume::answer_query;
 use crate::traffic::Traffic;
 
 /// Serves other nodes' work for as long as the node runs.
@@ -99,6 +100,13 @@
             WorkReply::Ack
         }
         WorkRequest::LimitSync(marks) => answer_limit_sync(traffic, &marks),
+        // A stopping node does not keep records for long enough.
+        WorkRequest::StreamRecords(_) if traffic.shared.is_draining() => WorkReply::Refused,
+        WorkRequest::StreamRecords(records) => {
+            traffic.streams.keep(&records);
+            WorkReply::Ack
+        }
+        WorkRequest::StreamQuery { key, service } => answer_query(traffic, key, service.as_deref()),
         WorkRequest::Brittle(updates) => answer_brittle(traffic, updates),
         WorkRequest::Leaving(updates) => answer_leaving(traffic, updates),
         WorkRequest::Backoff(updates) => answer_backoff(traffic, &updates),
--- a/packages/turnford-serve/tests/resumed_streams.rs
+++ b/packages/turnford-serve/tests/resumed_streams.rs
@@ -17,6 +17,7 @@
 use common::RouteSite;
 use turnford_standin::EndpointState;
 use turnford_standin::RouteTarget;
+use turnford_standin::TargetIdentity;
 use turnford_standin::TargetRole;
 
 /// An engine whose streams last long enough to be interrupted.
@@ -174,15 +175,13 @@
     fn add_target(&mut self, version: &str) {
         let id = format!("s{}", self.targets.len());
         let site = &self.site;
-        let target = RouteTarget::start_with_version(
-            &site.executor,
-            &site.store,
-            &site.journal,
-            &id,
-            "sprog",
-            LONG_ENGINE,
+        let identity = TargetIdentity {
+            id: &id,
+            service: "sprog",
             version,
-        );
+        };
+        let (executor, journal) = (&site.executor, &site.journal);
+        let target = RouteTarget::start_as(executor, &site.store, journal, &identity, LONG_ENGINE);
         self.targets.push(target.expect("a free port"));
     }
 
--- a/packages/turnford-standin/src/lib.rs
+++ b/packages/turnford-standin/src/lib.rs
@@ -50,6 +50,7 @@
 pub use route::RunKind;
 pub use route::TargetArrival;
 pub use route::TargetFault;
+pub use route::TargetIdentity;
 pub use route::TargetRole;
 pub use route::BACKOFF_GRACE;
 pub use route::LIMIT_GRACE;
--- a/packages/turnford-standin/src/route.rs
+++ b/packages/turnford-standin/src/route.rs
@@ -27,4 +27,5 @@
 pub use site::RouteSite;
 pub use target::RouteTarget;
 pub use target::TargetFault;
+pub use target::TargetIdentity;
 pub use target::TargetRole;
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -160,6 +160,17 @@
     }
 }
 
+/// What a target's store entry says of the target.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetIdentity<'a> {
+    /// Instance id.
+    pub id: &'a str,
+    /// Service that the target runs.
+    pub service: &'a str,
+    /// Software version of its process.
+    pub version: &'a str,
+}
+
 /// A running target, listed in the store.
 #[derive(Clone)]
 pub struct RouteTarget {
@@ -180,36 +191,39 @@
         service: &str,
         role: TargetRole,
     ) -> io::Result<Self> {
-        Self::start_with_version(executor, store, journal, id, service, role, DEFAULT_VERSION)
+        let identity = TargetIdentity {
+            id,
+            service,
+            version: DEFAULT_VERSION,
+        };
+        Self::start_as(executor, store, journal, &identity, role)
     }
 
-    /// Starts a target whose process has a software version, and publishes it in the store.
+    /// Starts a target with the given identity, and publishes it in the store.
     ///
     /// # Errors
     ///
     /// Returns the system's error if no port can be bound.
-    pub fn start_with_version(
+    pub fn start_as(
         executor: &SharedExecutor,
         store: &MetaStore,
         journal: &Arc<RouteJournal>,
-        id: &str,
-        service: &str,
+        identity: &TargetIdentity<'_>,
         role: TargetRole,
-        version: &str,
     ) -> io::Result<Self> {
         let (free_slots, slot) = async_channel::bounded(1);
         // The channel is new and has capacity for its one slot.
         let _ = free_slots.try_send(());
         let state = Arc::new(TargetState {
-            id: id.to_owned(),
-            service: service.to_owned(),
+            id: identity.id.to_owned(),
+            service: identity.service.to_owned(),
             hall: "hal-a".to_owned(),
             store: store.clone(),
             executor: executor.clone(),
             listener: TargetListener::new(executor),
             address: Mutex::new(None),
             process_start: AtomicU64::new(time_of_day()),
-            version: Mutex::new(version.to_owned()),
+            version: Mutex::new(identity.version.to_owned()),
             crash_body: Mutex::default(),
             listed_state: Mutex::default(),
             crashes: AtomicU64::new(0),
@@ -404,9 +418,9 @@
         let state = self.clone();
         let restart = async move {
             Timer::after(downtime).await;
-            state.process_start.store(time_of_day(), Ordering::SeqCst);
             match state.open() {
                 Ok(()) => {
+                    state.process_start.store(time_of_day(), Ordering::SeqCst);
                     let listed_state = lock(&state.listed_state).clone();
                     state.publish(&listed_state);
                 }
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -6,6 +6,9 @@
 use turnford_fleet::CrashUpdate;
 use turnford_fleet::LimitTerm;
 use turnford_fleet::MemberUpdate;
+use turnford_fleet::StreamAnswer;
+use turnford_fleet::StreamKey;
+use turnford_fleet::StreamRecord;
 use turnford_policy::StorePosition;
 use turnford_policy::DIGEST_BYTES;
 
@@ -441,6 +444,15 @@
     },
     /// Services whose targets announced that they are brittle.
     Brittle(Vec<BrittleUpdate>),
+    /// Records of streams that the sender began, for the receiver to keep.
+    StreamRecords(Vec<StreamRecord>),
+    /// Asks for the origin of a stream.
+    StreamQuery {
+        /// Key of the stream.
+        key: StreamKey,
+        /// Service of the stream, if its route has only one.
+        service: Option<String>,
+    },
 }
 
 /// A call to a target that the receiver sends for the sender.
@@ -518,7 +530,8 @@
 /// Reply of a traffic thread.
 #[derive(Clone, Debug, PartialEq, bincode::Encode, bincode::Decode)]
 pub enum WorkReply {
-    /// Acknowledges a probe, crash updates, leaving and backoff updates, progress and a release.
+    /// Acknowledges a probe, crash updates, leaving and backoff updates, progress, a release and
+    /// stream records.
     Ack,
     /// Reply to a request to run pieces.
     Pieces {
@@ -566,4 +579,6 @@
     Relayed(RelayReply),
     /// Reply to a question whether the node reaches a target.
     Reached(ReachState),
+    /// Reply to a question for the origin of a stream.
+    Stream(StreamAnswer),
 }
--- a/packages/turnford/tests/soak/check.rs
+++ b/packages/turnford/tests/soak/check.rs
@@ -9,6 +9,7 @@
 
 use crate::client::CallRecord;
 use crate::client::CallResult;
+use crate::client::ResumedStream;
 
 /// Routes whose requests may run at most once.
 const ONCE: [&str; 2] = ["hold", "reply"];
@@ -22,6 +23,9 @@
 /// Minimum ratio of served requests after all faults.
 const MIN_SERVED_RATIO: f64 = 0.97;
 
+/// Streams that may hold events of two software versions.
+const MIXED_LIMIT: usize = 2;
+
 /// Time after a crash after which nodes must have shared it.
 const CRASH_SYNC_TIME: Duration = Duration::from_secs(3);
 
@@ -97,6 +101,24 @@
     })
 }
 
+/// Returns a violation if more streams than allowed hold events of two software versions.
+pub(crate) fn check_versions(resumed: &[ResumedStream], runs: &[RouteRun]) -> Option<String> {
+    let version_of = |attempt: &str| {
+        let mut own = runs.iter().rev().filter(|run| run.kind == RunKind::Request);
+        own.find(|run| run.attempt == attempt)
+            .map(|run| run.version.as_str())
+    };
+    let mixed = resumed.iter().filter(|stream| {
+        let (first, second) = (version_of(&stream.first), version_of(&stream.second));
+        second.is_some() && first != second
+    });
+    let mixed: Vec<&ResumedStream> = mixed.collect();
+    (mixed.len() > MIXED_LIMIT).then(|| {
+        let (count, all) = (mixed.len(), resumed.len());
+        format!("{count} of {all} resumed streams went on at another version: {mixed:?}")
+    })
+}
+
 fn is_own_answer(record: &CallRecord, stamp: &str, body: &str) -> bool {
     if stamp != format!("stamp-{}", record.attempt) {
         return false;
--- a/packages/turnford/tests/soak/client.rs
+++ b/packages/turnford/tests/soak/client.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 use rand::Rng;
 use turnford_http::HttpClient;
 use turnford_http::HttpError;
@@ -34,6 +35,13 @@
 /// Route of that request.
 const CRASHING_ROUTE: &str = "reply";
 
+/// Route whose streams are dropped and resumed, and the number of events after which they are.
+pub(crate) const RESUMED_ROUTE: &str = "note";
+const EVENTS_BEFORE_DROP: u64 = 3;
+
+/// Pause between two streams of a client that resumes them.
+const RESUMING_PAUSE: Duration = Duration::from_millis(60);
+
 /// Pause between two copies of that request.
 const CRASHING_PAUSE: Duration = Duration::from_millis(120);
 
@@ -59,6 +67,15 @@
     pub(crate) announced_leaving: bool,
 }
 
+/// A stream that was dropped and resumed: the attempts that began it and went on with it.
+#[derive(Clone, Debug)]
+pub(crate) struct ResumedStream {
+    pub(crate) first: String,
+    pub(crate) second: String,
+    /// Status of the second response.
+    pub(crate) status: Option<u16>,
+}
+
 /// State that all clients share.
 pub(crate) struct ClientContext {
     pub(crate) links: Vec<LinkProxy>,
@@ -68,6 +85,7 @@
     records: Mutex<Vec<CallRecord>>,
     /// Requests that crash targets.
     crashing: Mutex<Vec<CallRecord>>,
+    resumed: Mutex<Vec<ResumedStream>>,
     pub(crate) is_over: AtomicBool,
     next_number: AtomicU64,
 }
@@ -80,6 +98,7 @@
             calls,
             records: Mutex::default(),
             crashing: Mutex::default(),
+            resumed: Mutex::default(),
             is_over: AtomicBool::new(false),
             next_number: AtomicU64::new(1),
         })
@@ -105,6 +124,17 @@
         records.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Returns the streams that were dropped and resumed.
+    pub(crate) fn resumed(&self) -> Vec<ResumedStream> {
+        let resumed = self.resumed.lock();
+        resumed.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn next_attempt(&self) -> String {
+        let number = self.next_number.fetch_add(1, Ordering::SeqCst);
+        format!("{number:016x}")
+    }
+
     fn choose_node(&self) -> Option<usize> {
         let ready = (0..node_count()).filter(|&node| self.ready[node].load(Ordering::SeqCst));
         let ready: Vec<usize> = ready.collect();
@@ -129,7 +159,9 @@
                 }
             },
         };
-        let call = &context.calls[rand::rng().random_range(0..context.calls.len())];
+        let calls = context.calls.iter();
+        let calls: Vec<&RouteCall> = calls.filter(|call| call.name != RESUMED_ROUTE).collect();
+        let call = calls[rand::rng().random_range(0..calls.len())];
         let record = send_one(&context, node, &client, call, "").await;
         let is_kept = matches!(record.end, CallResult::Response(..));
         context.add(record);
@@ -162,6 +194,73 @@
     }
 }
 
+/// Begins streams, drops them and resumes them at another node.
+pub(crate) async fn run_resuming(context: Arc<ClientContext>) {
+    let mut calls = context.calls.iter();
+    let call = calls.find(|call| call.name == RESUMED_ROUTE);
+    let call = call.expect("a route with resumable streams").clone();
+    while !context.is_over.load(Ordering::SeqCst) {
+        Timer::after(RESUMING_PAUSE).await;
+        let first = context.next_attempt();
+        let Some((_, last_event)) = read_events(&context, &call, &first, &[]).await else {
+            continue;
+        };
+        if last_event == 0 {
+            continue;
+        }
+        let last_event = last_event.to_string();
+        let second = context.next_attempt();
+        let headers = [("resumes", &*first), ("last-event-id", &*last_event)];
+        let response = read_events(&context, &call, &second, &headers).await;
+        let stream = ResumedStream {
+            first,
+            second,
+            status: response.map(|(status, _)| status),
+        };
+        let mut resumed = context
+            .resumed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        resumed.push(stream);
+    }
+}
+
+/// Reads some events of a stream at a random node and drops it. Returns its status and the last event.
+async fn read_events(
+    context: &ClientContext,
+    call: &RouteCall,
+    attempt: &str,
+    headers: &[(&str, &str)],
+) -> Option<(u16, u64)> {
+    let to = context.links[context.choose_node()?].address;
+    let mut request = call.request(to, attempt).expect("a path");
+    for (name, value) in headers {
+        request.insert_header(name, *value);
+    }
+    let client = HttpClient::new();
+    let mut stream = client.open(to, request, REQUEST_TIMEOUT).await.ok()?;
+    let read = async {
+        let mut last_event = 0;
+        let mut count = 0;
+        while count < EVENTS_BEFORE_DROP {
+            let Ok(Some(line)) = stream.next_line().await else {
+                break;
+            };
+            if let Some(number) = line.strip_prefix("id: ") {
+                last_event = number.trim().parse().unwrap_or(last_event);
+                count += 1;
+            }
+        }
+        last_event
+    };
+    let late = async {
+        Timer::after(REQUEST_TIMEOUT).await;
+        0
+    };
+    let last_event = read.or(late).await;
+    Some((stream.status, last_event))
+}
+
 async fn send_one(
     context: &ClientContext,
     node: usize,
@@ -169,8 +268,7 @@
     call: &RouteCall,
     body: &'static str,
 ) -> CallRecord {
-    let number = context.next_number.fetch_add(1, Ordering::SeqCst);
-    let attempt = format!("{number:016x}");
+    let attempt = context.next_attempt();
     let to = context.links[node].address;
     let sent = Instant::now();
     let mut request = call.request(to, &attempt).expect("a path");
--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -48,6 +48,13 @@
 const TARGET_CUTS: usize = 3;
 const BRITTLE: usize = 2;
 
+/// Processes of engines that are replaced per run, by one of these software versions.
+const REPLACED: usize = 6;
+const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
+
+/// The engines among the targets of a run's site.
+const ENGINES: [usize; 2] = [2, 3];
+
 /// Rejections in a second that a brittle target bears, and requests that it runs at the same time.
 pub(crate) const BRITTLE_REJECTIONS: u32 = 2;
 pub(crate) const BRITTLE_ROOM: usize = 4;
@@ -93,6 +100,9 @@
     Limit(usize, &'static str, Duration),
     /// The links between the node and all targets are cut for this time.
     TargetCut(usize, LinkCut, Duration),
+    /// The target's process is replaced by one of this software version; its store entry follows after
+    /// this time.
+    Replace(usize, &'static str, Duration),
     /// The target announces for this time that it fails when it rejects too many requests.
     Brittle(usize, Duration),
 }
@@ -147,6 +157,11 @@
             let duration = Duration::from_millis(rng.random_range(4000..9000));
             steps.push((at, Fault::Brittle(rng.random_range(0..TARGETS), duration)));
         }
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(23));
+        for _ in 0..REPLACED {
+            let at = WARM_UP + FAULT_PERIOD.mul_f64(rng.random());
+            steps.push((at, random_replacement(&mut rng)));
+        }
         steps.sort_by_key(|(at, _)| *at);
         let mut rng = StdRng::seed_from_u64(seed.rotate_left(17));
         Self {
@@ -218,6 +233,13 @@
     Fault::Limit(target, rate, duration)
 }
 
+fn random_replacement(rng: &mut StdRng) -> Fault {
+    let target = ENGINES[rng.random_range(0..ENGINES.len())];
+    let version = VERSIONS[rng.random_range(0..VERSIONS.len())];
+    let delay = Duration::from_millis(rng.random_range(0..1500));
+    Fault::Replace(target, version, delay)
+}
+
 fn random_target_cut(rng: &mut StdRng) -> Fault {
     let node = rng.random_range(0..node_count());
     let cuts = [LinkCut::Silent, LinkCut::Reset, LinkCut::RefuseNew];
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -26,12 +26,15 @@
 use crate::check::check_crashing;
 use crate::check::check_recovery;
 use crate::check::check_stops;
+use crate::check::check_versions;
 use crate::check::NodeInterval;
 use crate::check::PROPAGATION_TIME;
 use crate::client::run_client;
 use crate::client::run_crashing;
+use crate::client::run_resuming;
 use crate::client::ClientContext;
 use crate::client::CRASHING_BODY;
+use crate::client::RESUMED_ROUTE;
 use crate::plan::node_count;
 use crate::plan::Fault;
 use crate::plan::FaultPlan;
@@ -48,6 +51,9 @@
 /// Clients of a run.
 const CLIENTS: usize = 24;
 
+/// Clients that drop streams and resume them.
+const RESUMING_CLIENTS: usize = 6;
+
 /// Interval between steps of a run.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -181,11 +187,27 @@
     (run.violations.clone(), run.folder.clone())
 }
 
+/// Returns the configuration of a run, with a route whose streams may be resumed.
+fn soak_config() -> Value {
+    let text = include_str!("../../../../scenarios/routes.json");
+    let mut config: Value = serde_json::from_str(text).expect("a configuration");
+    let routes = config["routes"].as_array_mut().expect("routes");
+    let streaming = routes.iter().find(|route| route["kind"] == "streaming");
+    let mut route = streaming.expect("a streaming route").clone();
+    route["name"] = Value::from(RESUMED_ROUTE);
+    route["path_prefix"] = Value::from(format!("/{RESUMED_ROUTE}/"));
+    route["resumable"] = Value::from(true);
+    route["max_attempts"] = Value::from(2);
+    route["stages"] = Value::Array(Vec::new());
+    routes.push(route);
+    config
+}
+
 impl SoakRun {
     fn start(seed: u64) -> Self {
         let executor = start_threads("soak", 3);
-        let config = include_str!("../../../../scenarios/routes.json");
-        let site = RouteSite::start(config, &executor).expect("a site on loopback");
+        let config = soak_config();
+        let site = RouteSite::start(&config.to_string(), &executor).expect("a site on loopback");
         let number = RUNS.fetch_add(1, Ordering::SeqCst);
         let process = (std::process::id() % 251) as u16;
         let run = number.wrapping_mul(251).wrapping_add(process);
@@ -217,7 +239,9 @@
         for _ in 0..CLIENTS {
             executor.spawn(run_client(context.clone())).detach();
         }
-        let config: Value = serde_json::from_str(config).expect("a configuration");
+        for _ in 0..RESUMING_CLIENTS {
+            executor.spawn(run_resuming(context.clone())).detach();
+        }
         Self {
             executor,
             version: config["version"].as_u64().unwrap_or(1),
@@ -343,6 +367,11 @@
                 self.site.targets[target].announce_brittle(Some(BRITTLE_REJECTIONS), BRITTLE_ROOM);
                 self.after(duration, ScheduledStep::EndBrittle(target));
             }
+            Fault::Replace(target, version, delay) => {
+                let target = &self.site.targets[target];
+                target.replace_process(version, delay);
+                self.restarts.push((target.id().to_owned(), Instant::now()));
+            }
             Fault::RestoreStore(age) => self.begin_store_restore(age),
             Fault::Limit(target, rate, duration) => {
                 let target = &self.site.targets[target];
@@ -612,6 +641,9 @@
             let crashing = check_crashing(&self.context.crashing(), &self.site.journal.runs());
             self.violations.extend(crashing);
         }
+        let resumed = self.context.resumed();
+        let mixed = check_versions(&resumed, &self.site.journal.runs());
+        self.violations.extend(mixed);
         // A request that is still in progress has no record yet, and may have run.
         let runs = self.site.journal.runs();
         let known = runs
@@ -626,7 +658,14 @@
         let served = records
             .values()
             .filter(|record| matches!(record.end, crate::client::CallResult::Response(200, ..)));
-        println!("{} requests, {} served", records.len(), served.count());
+        let gone_on = resumed.iter().filter(|stream| stream.status == Some(200));
+        println!(
+            "{} requests, {} served; {} streams resumed, {} went on",
+            records.len(),
+            served.count(),
+            resumed.len(),
+            gone_on.count()
+        );
         // Keeps the executor in use until the end of the run.
         let _ = &self.executor;
     }
