Know that a fleet that starts for the first time has no older streams

Change: the settings say whether the whole fleet starts for the first time; split routes go by the sole version of each service.

--- a/packages/turnford-config/src/serve.rs
+++ b/packages/turnford-config/src/serve.rs
@@ -62,6 +62,8 @@
     /// Addresses of other nodes to contact while the store is unavailable; may be empty or out of
     /// date.
     pub peers: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time, so that nothing is older than this process.
+    pub is_first_start: bool,
     /// Time from the stop signal until the process is killed.
     pub stop_grace: Duration,
     /// Addresses at which this VM connects to targets, by their listed addresses, where the two
@@ -109,6 +111,7 @@
     let metrics = reader.parsed("metrics", ADDRESS);
     let store = reader.parsed("store", ADDRESS);
     let peers = reader.parsed_list("peers", ADDRESS);
+    let is_first_start = reader.flag_or("first_start", false);
     let stop_grace = reader.number_or("stop_grace_s", 0.0..=3600.0, 8.0);
     let target_addresses = reader.parsed_map("target_addresses", ADDRESS);
     let retries = reader.table("repeats", read_retries);
@@ -124,6 +127,7 @@
         metrics: metrics?,
         store: store?,
         peers,
+        is_first_start,
         stop_grace: Duration::from_secs_f64(stop_grace),
         target_addresses,
         retries: retries.unwrap_or_default(),
--- a/packages/turnford-config/tests/serve_settings.rs
+++ b/packages/turnford-config/tests/serve_settings.rs
@@ -23,6 +23,7 @@
             "{{seed_nodes|json}}",
             "[\"10.1.0.41:8628\", \"10.2.0.25:8628\"]",
         ),
+        ("{{first_start|json}}", "true"),
         ("{{bounds.grace_s}}", "8"),
         ("{{bounds.budget_window_s}}", "10"),
         ("{{bounds.retry_budget_ratio}}", "0.2"),
@@ -47,6 +48,7 @@
     assert_eq!(&*settings.name, "front-hal-a-1");
     assert_eq!(settings.work.port(), 7740);
     assert_eq!(settings.peers.len(), 2);
+    assert!(settings.is_first_start);
     assert_eq!(settings.stop_grace, Duration::from_secs(8));
     assert_eq!(settings.retries.slack, 52.0);
     assert!(ServeSettings::is_serve_settings(&rendered()));
--- a/packages/turnford-fleet/src/stream_evidence.rs
+++ b/packages/turnford-fleet/src/stream_evidence.rs
@@ -22,8 +22,8 @@
 pub struct StreamAnswer {
     /// The node's record of the stream.
     pub lookup: StreamLookup,
-    /// The node's knowledge of the service that the question names.
-    pub versions: VersionKnowledge,
+    /// The node's knowledge of each service that the question names.
+    pub versions: Vec<VersionKnowledge>,
 }
 
 /// Outcome of a question about a stream's origin.
@@ -31,8 +31,8 @@
 pub enum StreamVerdict {
     /// The origin was recorded this many milliseconds ago.
     Recorded(StreamOrigin, u32),
-    /// The service had only this version while the stream may have begun.
-    Sole(SoftwareVersion),
+    /// Each service that may have begun the stream had only this version at that time.
+    Sole(Vec<SoftwareVersion>),
     /// Records contradict each other.
     Conflicting,
     /// Nothing proves the origin.
@@ -64,9 +64,9 @@
         lookups.any(|lookup| lookup != StreamLookup::Unknown)
     }
 
-    /// Returns the verdict on a stream of `service`. `has_peers` tells whether other nodes are
-    /// alive, one of which must then have confirmed that the service had a sole version.
-    pub fn verdict(&self, service: Option<&str>, has_peers: bool) -> StreamVerdict {
+    /// Returns the verdict on a stream that one of `service_count` services began. `has_peers` tells
+    /// whether other nodes are alive, one of which must then have confirmed sole versions.
+    pub fn verdict(&self, service_count: usize, has_peers: bool) -> StreamVerdict {
         let mut recorded: Option<(StreamOrigin, u32)> = None;
         for answer in &self.answers {
             match answer.lookup {
@@ -82,18 +82,19 @@
         if let Some((origin, age)) = recorded {
             return StreamVerdict::Recorded(origin, age);
         }
-        if service.is_none() || (has_peers && self.peer_answers == 0) {
+        if service_count == 0 || (has_peers && self.peer_answers == 0) {
             return StreamVerdict::Unknown;
         }
-        self.sole_version()
-            .map_or(StreamVerdict::Unknown, StreamVerdict::Sole)
+        let versions = (0..service_count).map(|service| self.sole_version(service));
+        let versions: Option<Vec<SoftwareVersion>> = versions.collect();
+        versions.map_or(StreamVerdict::Unknown, StreamVerdict::Sole)
     }
 
-    /// Returns the version that all nodes that know the service for long enough agree on.
-    fn sole_version(&self) -> Option<SoftwareVersion> {
+    /// Returns the version that all nodes that know a service for long enough agree on.
+    fn sole_version(&self, service: usize) -> Option<SoftwareVersion> {
         let mut sole: Option<&str> = None;
         for answer in &self.answers {
-            match &answer.versions {
+            match answer.versions.get(service)? {
                 VersionKnowledge::Mixed => return None,
                 VersionKnowledge::Recent => {}
                 VersionKnowledge::Sole(version) if sole.is_none_or(|sole| sole == version) => {
--- a/packages/turnford-fleet/tests/stream_records.rs
+++ b/packages/turnford-fleet/tests/stream_records.rs
@@ -186,7 +186,7 @@
         };
         StreamAnswer {
             lookup: node.table.lookup(self.now, key),
-            versions,
+            versions: vec![versions],
         }
     }
 
@@ -210,13 +210,13 @@
             }
         }
         self.counts.resumed += 1;
-        match evidence.verdict(Some(SERVICE), true) {
+        match evidence.verdict(1, true) {
             StreamVerdict::Recorded(origin, _) => {
                 prop_assert_eq!(origin, stream_origin(SERVICE, &stream.version));
                 self.counts.found += 1;
             }
-            StreamVerdict::Sole(version) => {
-                prop_assert_eq!(&version, &stream.version);
+            StreamVerdict::Sole(versions) => {
+                prop_assert_eq!(&versions[0], &stream.version);
                 self.counts.found += 1;
             }
             StreamVerdict::Conflicting => prop_assert!(false, "records of one stream differ"),
--- a/packages/turnford-policy/src/route/version_history.rs
+++ b/packages/turnford-policy/src/route/version_history.rs
@@ -10,6 +10,8 @@
 /// Software versions of one service's targets, as seen by one node.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
+    /// Whether there were no targets before those that were seen first.
+    is_complete: bool,
     /// When targets were first seen.
     known_since: Option<Moment>,
     /// When each version was last seen; `None` while a target has it. The version is `None` for
@@ -18,6 +20,14 @@
 }
 
 impl VersionHistory {
+    /// Creates the history of a service that had no targets before.
+    pub fn complete() -> Self {
+        Self {
+            is_complete: true,
+            ..Self::default()
+        }
+    }
+
     /// Records the versions of the targets that are listed now.
     pub fn observe(
         &mut self,
@@ -39,7 +49,7 @@
     /// Returns whether the targets have been known for all of the past `window`.
     pub fn covers(&self, now: Moment, window: Duration) -> bool {
         self.known_since
-            .is_some_and(|since| now.saturating_sub(since) >= window)
+            .is_some_and(|since| self.is_complete || now.saturating_sub(since) >= window)
     }
 
     /// Returns whether the targets had several versions within `window`, or one that is not known.
--- a/packages/turnford-serve/src/resume.rs
+++ b/packages/turnford-serve/src/resume.rs
@@ -97,15 +97,12 @@
     record: &RequestRecord,
 ) -> Result<StreamSource, ResumeRefusal> {
     let key = stream_key_of(record);
-    // A route that is split over services has no sole version.
-    let service = match &record.route.shares[..] {
-        [share] => Some(&*share.service),
-        _ => None,
-    };
-    let own = answer_of(traffic, key, service);
-    let evidence = traffic.streams.ask(key, service, own).await;
+    let shares = record.route.shares.iter();
+    let services: Vec<String> = shares.map(|share| share.service.to_string()).collect();
+    let own = answer_of(traffic, key, &services);
+    let evidence = traffic.streams.ask(key, &services, own).await;
     let has_peers = !traffic.shared.view.load().members.is_empty();
-    match evidence.verdict(service, has_peers) {
+    match evidence.verdict(services.len(), has_peers) {
         StreamVerdict::Recorded(origin, age_ms) => {
             let source = source_of(traffic, record, origin);
             let source = source.ok_or_else(ResumeRefusal::version_gone)?;
@@ -115,10 +112,16 @@
             ));
             Ok(source)
         }
-        StreamVerdict::Sole(version) => {
+        StreamVerdict::Sole(versions) => {
+            let drawn = record.route.draw_service(traffic.random());
+            let mut pairs = record.route.shares.iter().zip(versions);
+            let found = pairs.find(|(share, _)| Some(&share.service) == drawn);
+            let (share, version) = found.ok_or_else(ResumeRefusal::version_gone)?;
             record.trace(format_args!("resumes at the sole version {version}"));
-            let service = record.route.shares[0].service.clone();
-            Ok(StreamSource { service, version })
+            Ok(StreamSource {
+                service: share.service.clone(),
+                version,
+            })
         }
         StreamVerdict::Conflicting => Err(ResumeRefusal::unknown(
             "attempts with this id began streams at different versions",
@@ -152,28 +155,33 @@
     stream_key(record.account.as_deref().unwrap_or(""), attempt)
 }
 
-/// Returns what this node knows of a stream and of the service that may have begun it.
-fn answer_of(traffic: &Traffic, key: StreamKey, service: Option<&str>) -> StreamAnswer {
-    let context = service.and_then(|service| traffic.service(service));
-    let now = traffic.shared.now();
-    let versions = context.map_or(VersionKnowledge::Recent, |context| {
-        let window = context.version_window.get();
-        let history = context.versions.borrow();
-        match history.sole_version(now, window) {
-            Some(version) => VersionKnowledge::Sole(version.to_string()),
-            None if history.is_mixed(now, window) => VersionKnowledge::Mixed,
-            None => VersionKnowledge::Recent,
-        }
-    });
+/// Returns what this node knows of a stream and of the services that may have begun it.
+fn answer_of(traffic: &Traffic, key: StreamKey, services: &[String]) -> StreamAnswer {
+    let versions = services
+        .iter()
+        .map(|service| version_knowledge(traffic, service));
     StreamAnswer {
         lookup: traffic.streams.lookup(key),
-        versions,
+        versions: versions.collect(),
+    }
+}
+
+fn version_knowledge(traffic: &Traffic, service: &str) -> VersionKnowledge {
+    let Some(context) = traffic.service(service) else {
+        return VersionKnowledge::Recent;
+    };
+    let (now, window) = (traffic.shared.now(), context.version_window.get());
+    let history = context.versions.borrow();
+    match history.sole_version(now, window) {
+        Some(version) => VersionKnowledge::Sole(version.to_string()),
+        None if history.is_mixed(now, window) => VersionKnowledge::Mixed,
+        None => VersionKnowledge::Recent,
     }
 }
 
 /// Answers another node's question about a stream.
-pub(crate) fn answer_query(traffic: &Traffic, key: StreamKey, service: Option<&str>) -> WorkReply {
-    WorkReply::Stream(answer_of(traffic, key, service))
+pub(crate) fn answer_query(traffic: &Traffic, key: StreamKey, services: &[String]) -> WorkReply {
+    WorkReply::Stream(answer_of(traffic, key, services))
 }
 
 /// Returns the targets of a service that may not go on with a stream.
@@ -190,14 +198,13 @@
 pub(crate) async fn record_source(
     traffic: &Rc<Traffic>,
     record: &RequestRecord,
-    context: &ServiceContext,
     target: &TargetSpec,
 ) {
     let Some(stream) = new_record(record, target) else {
         return;
     };
     traffic.streams.begin(stream);
-    if is_sole(traffic, record, context) {
+    if is_sole(traffic, record) {
         return;
     }
     if traffic.streams.announce(stream).await == 0 && !traffic.shared.view.load().members.is_empty()
@@ -223,12 +230,13 @@
     })
 }
 
-/// Returns whether all nodes know which version begins the streams of a route.
-fn is_sole(traffic: &Traffic, record: &RequestRecord, context: &ServiceContext) -> bool {
-    let now = traffic.shared.now();
-    let history = context.versions.borrow();
-    let is_sole = history.sole_version(now, context.version_window.get());
-    record.route.shares.len() == 1 && is_sole.is_some()
+/// Returns whether the version of a route's streams is known without a record.
+fn is_sole(traffic: &Traffic, record: &RequestRecord) -> bool {
+    let mut shares = record.route.shares.iter();
+    shares.all(|share| {
+        let knowledge = version_knowledge(traffic, &share.service);
+        matches!(knowledge, VersionKnowledge::Sole(_))
+    })
 }
 
 /// Records that a stream ended as a whole.
--- a/packages/turnford-serve/src/service_context.rs
+++ b/packages/turnford-serve/src/service_context.rs
@@ -88,6 +88,7 @@
         spec: Arc<ServiceSpec>,
         allowance: RetryAllowance,
         limits: Rc<ServiceLimits>,
+        versions: VersionHistory,
     ) -> Rc<Self> {
         Rc::new(Self {
             spec: RefCell::new(spec),
@@ -103,7 +104,7 @@
                 INITIAL_LATENCY_TOKENS,
                 INITIAL_LATENCY.1,
             )),
-            versions: RefCell::default(),
+            versions: RefCell::new(versions),
             version_window: Cell::new(Duration::ZERO),
             wait_queue: Rc::default(),
             brittleness: BrittleState::default(),
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -42,9 +42,9 @@
     let (parts, body, remainder) = response.into_stream();
     let (sender, chunks) = async_channel::bounded(MAX_BUFFERED_CHUNKS);
     let recorded = {
-        let (traffic, record, context) = (traffic.clone(), record.clone(), context.clone());
+        let (traffic, record) = (traffic.clone(), record.clone());
         let target = placed.target.clone();
-        async move { record_source(&traffic, &record, &context, &target).await }
+        async move { record_source(&traffic, &record, &target).await }
     };
     let recorded = traffic.executor.spawn(recorded);
     let relay = {
--- a/packages/turnford-serve/src/stream_directory.rs
+++ b/packages/turnford-serve/src/stream_directory.rs
@@ -159,7 +159,7 @@
     pub(crate) async fn ask(
         &self,
         key: StreamKey,
-        service: Option<&str>,
+        services: &[String],
         own: StreamAnswer,
     ) -> StreamEvidence {
         let mut evidence = StreamEvidence::default();
@@ -170,7 +170,7 @@
             if evidence.has_record() {
                 break;
             }
-            self.ask_nodes(peers, key, service, &mut evidence).await;
+            self.ask_nodes(peers, key, services, &mut evidence).await;
         }
         evidence
     }
@@ -179,13 +179,13 @@
         &self,
         nodes: &[SocketAddr],
         key: StreamKey,
-        service: Option<&str>,
+        services: &[String],
         evidence: &mut StreamEvidence,
     ) {
         let (sender, replies) = async_channel::bounded(nodes.len().max(1));
         let request = WorkRequest::StreamQuery {
             key,
-            service: service.map(str::to_owned),
+            services: services.to_vec(),
         };
         for peer in nodes {
             let (peers, request, sender) = (self.peers.clone(), request.clone(), sender.clone());
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -17,6 +17,7 @@
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceId;
 use turnford_policy::ServiceSpec;
+use turnford_policy::VersionHistory;
 
 use crate::crash::CrashTracker;
 use crate::crash_check::check_restarts;
@@ -163,7 +164,12 @@
             }
         };
         let limits = ServiceLimits::new(self.peers.clone(), spec.name.clone(), on_change);
-        ServiceContext::new(spec.clone(), allowance, limits)
+        let versions = if self.shared.settings.is_first_start {
+            VersionHistory::complete()
+        } else {
+            VersionHistory::default()
+        };
+        ServiceContext::new(spec.clone(), allowance, limits, versions)
     }
 
     fn refresh_targets(&self, view: &RouteView, service: &str, context: &ServiceContext) {
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -106,7 +106,7 @@
             traffic.streams.keep(&records);
             WorkReply::Ack
         }
-        WorkRequest::StreamQuery { key, service } => answer_query(traffic, key, service.as_deref()),
+        WorkRequest::StreamQuery { key, services } => answer_query(traffic, key, &services),
         WorkRequest::Brittle(updates) => answer_brittle(traffic, updates),
         WorkRequest::Leaving(updates) => answer_leaving(traffic, updates),
         WorkRequest::Backoff(updates) => answer_backoff(traffic, &updates),
--- a/packages/turnford-serve/tests/common/mod.rs
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -308,6 +308,7 @@
         metrics: free_address(),
         store,
         peers,
+        is_first_start: false,
         stop_grace: Duration::from_secs(6),
         target_addresses: BTreeMap::new(),
         retries: RetrySettings {
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -450,8 +450,8 @@
     StreamQuery {
         /// Key of the stream.
         key: StreamKey,
-        /// Service of the stream, if its route has only one.
-        service: Option<String>,
+        /// Services that may have begun the stream.
+        services: Vec<String>,
     },
 }
 
--- a/packages/turnford/src/command/routes.rs
+++ b/packages/turnford/src/command/routes.rs
@@ -116,6 +116,7 @@
         metrics: free,
         store,
         peers: Vec::new(),
+        is_first_start: true,
         stop_grace: STOP_GRACE,
         target_addresses: BTreeMap::new(),
         retries: RetrySettings::default(),
