Explain resumed streams to operators, and end the search for their version early

Cause: a stream whose version was proved by the first answers waited for further nodes, and no page told how to trace a mixed stream.

--- a/packages/turnford-serve/src/resume.rs
+++ b/packages/turnford-serve/src/resume.rs
@@ -100,16 +100,11 @@
     let shares = record.route.shares.iter();
     let services: Vec<String> = shares.map(|share| share.service.to_string()).collect();
     let own = answer_of(traffic, key, &services);
-    let evidence = traffic.streams.ask(key, &services, own).await;
-    let has_peers = !traffic.shared.view.load().members.is_empty();
-    match evidence.verdict(services.len(), has_peers) {
+    match traffic.streams.find_origin(key, &services, own).await {
         StreamVerdict::Recorded(origin, age_ms) => {
             let source = source_of(traffic, record, origin);
             let source = source.ok_or_else(ResumeRefusal::version_gone)?;
-            record.trace(format_args!(
-                "resumes at version {} of {}, recorded {age_ms}ms ago",
-                source.version, source.service
-            ));
+            log_source(record, &source, format_args!("record age_ms={age_ms}"));
             Ok(source)
         }
         StreamVerdict::Sole(versions) => {
@@ -117,11 +112,12 @@
             let mut pairs = record.route.shares.iter().zip(versions);
             let found = pairs.find(|(share, _)| Some(&share.service) == drawn);
             let (share, version) = found.ok_or_else(ResumeRefusal::version_gone)?;
-            record.trace(format_args!("resumes at the sole version {version}"));
-            Ok(StreamSource {
+            let source = StreamSource {
                 service: share.service.clone(),
                 version,
-            })
+            };
+            log_source(record, &source, format_args!("sole"));
+            Ok(source)
         }
         StreamVerdict::Conflicting => Err(ResumeRefusal::unknown(
             "attempts with this id began streams at different versions",
@@ -132,6 +128,16 @@
     }
 }
 
+fn log_source(record: &RequestRecord, source: &StreamSource, proof: std::fmt::Arguments<'_>) {
+    log::info!(
+        "request={} resumes={} service={} version={} proof={proof}",
+        record.attributes.attempt,
+        record.attributes.resumes.as_deref().unwrap_or("-"),
+        source.service,
+        source.version
+    );
+}
+
 /// Returns the service of the route, and its version, whose origin a record names.
 fn source_of(traffic: &Traffic, record: &RequestRecord, origin: u64) -> Option<StreamSource> {
     let now = traffic.shared.now();
--- a/packages/turnford-serve/src/stream_directory.rs
+++ b/packages/turnford-serve/src/stream_directory.rs
@@ -17,6 +17,7 @@
 use turnford_fleet::StreamLookup;
 use turnford_fleet::StreamRecord;
 use turnford_fleet::StreamTable;
+use turnford_fleet::StreamVerdict;
 use turnford_policy::Moment;
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
@@ -155,24 +156,23 @@
         }
     }
 
-    /// Asks other nodes for the origin of a stream, and returns their answers with this node's own.
-    pub(crate) async fn ask(
+    /// Finds the origin of a stream from this node's own answer and those of others.
+    pub(crate) async fn find_origin(
         &self,
         key: StreamKey,
         services: &[String],
         own: StreamAnswer,
-    ) -> StreamEvidence {
+    ) -> StreamVerdict {
         let mut evidence = StreamEvidence::default();
         evidence.add_own(own);
         let ranked = self.holders(key, HOLDER_COUNT + FALLBACK_COUNT);
         let (first, further) = ranked.split_at(HOLDER_COUNT.min(ranked.len()));
-        for peers in [first, further] {
-            if evidence.has_record() {
-                break;
-            }
-            self.ask_nodes(peers, key, services, &mut evidence).await;
+        self.ask_nodes(first, key, services, &mut evidence).await;
+        let has_peers = !self.peers.shared.view.load().members.is_empty();
+        if evidence.verdict(services.len(), has_peers) == StreamVerdict::Unknown {
+            self.ask_nodes(further, key, services, &mut evidence).await;
         }
-        evidence
+        evidence.verdict(services.len(), has_peers)
     }
 
     async fn ask_nodes(
