--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -236,6 +236,10 @@
     } else {
         None
     };
+    let now = traffic.shared.now();
+    if let Some(error) = context.refuses_work(now, &target.id, purpose) {
+        return Err(error);
+    }
     let connection = match connection {
         Some(opened) if attempt.is_some() => {
             Some(check_process(traffic, context, target, opened).await?)
--- a/packages/turnford-serve/src/process_check.rs
+++ b/packages/turnford-serve/src/process_check.rs
@@ -69,7 +69,14 @@
 }
 
 fn needs_check(context: &ServiceContext, target: &TargetSpec) -> bool {
-    target.process_start != 0 && !context.version_window.get().is_zero()
+    // The report would count towards a target's limit.
+    let is_limited = context
+        .limits
+        .table
+        .borrow()
+        .state(&target.id)
+        .needs_permit();
+    target.process_start != 0 && !context.version_window.get().is_zero() && !is_limited
 }
 
 /// Returns the start of the process behind a connection, `None` if the target does not report it.
