Show how responses are framed and whether their streams end between events

Cause: no line told how a target marks the end of its response, so the hypotheses of the incident of truncated responses could not be told apart. Change: BodyFraming and EventScanner, both pure; the line of a request has http=, framing= and events=. No decision reads them.

--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -33,6 +33,7 @@
 use crate::service_context::InFlightGuard;
 use crate::service_context::ServiceContext;
 use crate::signals::process_signals;
+use crate::target_body::BodySource;
 use crate::target_body::TargetBody;
 use crate::traffic::Traffic;
 use crate::wait::wait_until;
@@ -270,7 +271,8 @@
             );
             let (parts, body) = sent.await?;
             let link = ResponseLink::Direct(DirectLink::new(connection, &parts));
-            (parts, TargetBody::Direct(body), link)
+            let body = TargetBody::new(BodySource::Direct(body), &parts);
+            (parts, body, link)
         }
         None => {
             let relayed = relay_call(traffic, target, request, purpose, deadline).await;
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -267,7 +267,7 @@
     job: &ForwardJob<'_>,
     log: &mut AttemptLog,
     placed: PlacedRun,
-    response: TargetResponse,
+    mut response: TargetResponse,
 ) -> Option<ForwardOutcome> {
     let target = placed.target.clone();
     let record = job.record;
@@ -276,8 +276,10 @@
         Some(peer) => record.trace(format_args!("response {status} relayed by {peer}")),
         None => record.trace(format_args!("response {status}")),
     }
+    record.framing.set(Some(response.body.framing()));
     let is_stream = record.route.kind == CallKind::Stream && status.is_success();
     if is_stream {
+        response.body.expect_events();
         record.target_version.replace(target.version.clone());
         job.context.record_success(traffic.shared.now(), &target.id);
         let response = relay_stream(traffic, job.record, job.context, placed, response);
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::Version;
+
+use turnford_http::BodyFraming;
 use turnford_policy::AccountId;
 use turnford_policy::CallAttributes;
 use turnford_policy::Moment;
@@ -42,6 +45,12 @@
     pub(crate) source: RefCell<Option<StreamSource>>,
     /// Software version of the target whose response is relayed.
     pub(crate) target_version: RefCell<Option<SoftwareVersion>>,
+    /// HTTP version of the client.
+    client_http: Version,
+    /// How the target whose response is relayed marks the end of its body.
+    pub(crate) framing: Cell<Option<BodyFraming>>,
+    /// Whether that body ended between two events, if it is an event stream.
+    pub(crate) ends_between_events: Cell<bool>,
     /// Digest of the request, set once its body has been read.
     pub(crate) digest: Cell<RequestDigest>,
     /// Time from the start of the final call to its first event, as estimated on arrival.
@@ -65,6 +74,7 @@
         account: Option<AccountId>,
         rank: u8,
         version: u64,
+        client_http: Version,
     ) -> Rc<Self> {
         let started_at = shared.now();
         let client_timeout = attributes.client_timeout.unwrap_or(route.timeout);
@@ -82,6 +92,9 @@
             version,
             source: RefCell::default(),
             target_version: RefCell::default(),
+            client_http,
+            framing: Cell::default(),
+            ends_between_events: Cell::new(true),
             digest: Cell::default(),
             final_call_time: Cell::new(Duration::ZERO),
             final_call_start: Cell::new(started_at),
@@ -199,7 +212,7 @@
         let trace = if is_normal { "" } else { trace.as_str() };
         log::log!(
             level,
-            "request={} asks={} route={} account={} rank={} config={} resumes={} version={} pause_ms={} code={} end={} head_ms={} ms={}{}{}{}",
+            "request={} asks={} route={} account={} rank={} config={} resumes={} version={} http={:?} framing={} events={} pause_ms={} code={} end={} head_ms={} ms={}{}{}{}",
             self.attributes.attempt,
             self.digest.get(),
             self.route.name,
@@ -208,6 +221,13 @@
             self.version,
             self.attributes.resumes.as_deref().unwrap_or("-"),
             self.target_version.borrow().as_deref().unwrap_or("-"),
+            self.client_http,
+            self.framing.get().map_or("-", BodyFraming::name),
+            if self.ends_between_events.get() {
+                "whole"
+            } else {
+                "partial"
+            },
             self.longest_pause().as_millis(),
             code.number(),
             code.name(),
--- a/packages/turnford-serve/src/relay.rs
+++ b/packages/turnford-serve/src/relay.rs
@@ -35,6 +35,7 @@
 use crate::metrics::ServiceEvent;
 use crate::peers::WaitingGuard;
 use crate::peers::SILENCE_TIMEOUT;
+use crate::target_body::BodySource;
 use crate::target_body::TargetBody;
 use crate::traffic::Traffic;
 use crate::wait::wait_until;
@@ -179,11 +180,8 @@
             };
             let metrics = &traffic.shared.metrics;
             metrics.record_service_event(&target.service, ServiceEvent::Relayed);
-            RelayAttempt::Response(Box::new(RelayedResponse {
-                parts,
-                body: TargetBody::Relayed(body),
-                peer,
-            }))
+            let body = TargetBody::new(BodySource::Relayed(body), &parts);
+            RelayAttempt::Response(Box::new(RelayedResponse { parts, body, peer }))
         }
         RelayReply::NotReached { is_isolated: true } => {
             let until = traffic.shared.now() + ISOLATION_PERIOD;
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -14,7 +14,6 @@
 use hyper::body::Incoming;
 
 use turnford_adapter::decode_call;
-use turnford_policy::CallAttributes;
 use turnford_policy::FlowRefusal;
 use turnford_policy::RequestDigest;
 use turnford_policy::ResultCode;
@@ -133,28 +132,16 @@
     let rank = grant.as_ref().and_then(|grant| grant.rank);
     let rank = rank.unwrap_or(route.rank);
     let account = grant.map(|grant| grant.account);
-    Ok(start_record(
-        traffic, view, attributes, route, account, rank,
-    ))
-}
-
-fn start_record(
-    traffic: &Traffic,
-    view: &RouteView,
-    attributes: CallAttributes,
-    route: std::sync::Arc<RouteSpec>,
-    account: Option<turnford_policy::AccountId>,
-    rank: u8,
-) -> Rc<RequestRecord> {
     let version = view.config.version;
-    RequestRecord::new(
+    Ok(RequestRecord::new(
         traffic.shared.clone(),
         attributes,
         route,
         account,
         rank,
         version,
-    )
+        parts.version,
+    ))
 }
 
 fn find_route(view: &RouteView, parts: &Parts) -> Result<std::sync::Arc<RouteSpec>, EarlyRefusal> {
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -116,10 +116,14 @@
         let frame = match next.or(late).await {
             Some(Some(Ok(frame))) => frame,
             Some(Some(Err(error))) => {
+                record.ends_between_events.set(body.is_between_events());
                 record.trace(format_args!("the target disconnected: {error}"));
                 return RelayOutcome::TargetDisconnected;
             }
-            Some(None) => return RelayOutcome::Completed,
+            Some(None) => {
+                record.ends_between_events.set(body.is_between_events());
+                return RelayOutcome::Completed;
+            }
             None => {
                 record.trace(format_args!("the deadline passed during the stream"));
                 return RelayOutcome::Stopped;
--- a/packages/turnford-serve/src/target_body.rs
+++ b/packages/turnford-serve/src/target_body.rs
@@ -6,18 +6,30 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use http::response::Parts;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use turnford_http::BodyFraming;
+use turnford_policy::EventScanner;
 use turnford_wire::PeerBody;
 
-/// Body of a target's response, which arrives on a connection to the target or through another
-/// node.
-pub(crate) enum TargetBody {
+/// Where a body arrives.
+pub(crate) enum BodySource {
+    /// On a connection to the target.
     Direct(Incoming),
+    /// Through another node.
     Relayed(PeerBody),
 }
 
+/// Body of a target's response.
+pub(crate) struct TargetBody {
+    source: BodySource,
+    framing: BodyFraming,
+    /// Follows the events of an event stream.
+    scanner: Option<EventScanner>,
+}
+
 /// Why a body ended before it was complete.
 #[derive(Debug)]
 pub(crate) struct TargetBodyError(String);
@@ -30,6 +42,33 @@
 
 impl std::error::Error for TargetBodyError {}
 
+impl TargetBody {
+    /// Creates the body of the response with the head `parts`.
+    pub(crate) fn new(source: BodySource, parts: &Parts) -> Self {
+        Self {
+            source,
+            framing: BodyFraming::of_response(parts),
+            scanner: None,
+        }
+    }
+
+    /// Declares the body an event stream. Must be called before the body is read.
+    pub(crate) fn expect_events(&mut self) {
+        self.scanner = Some(EventScanner::default());
+    }
+
+    /// Returns how the target marks the end of the body.
+    pub(crate) fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
+    /// Returns whether the part read so far ends between two events, which all bodies but event streams do.
+    pub(crate) fn is_between_events(&self) -> bool {
+        self.scanner
+            .is_none_or(|scanner| scanner.is_between_events())
+    }
+}
+
 impl Body for TargetBody {
     type Data = Bytes;
     type Error = TargetBodyError;
@@ -38,23 +77,37 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TargetBodyError>>> {
-        match self.get_mut() {
-            TargetBody::Direct(body) => {
+        let body = self.get_mut();
+        let frame = body.source.poll_frame(context);
+        if let (Poll::Ready(Some(Ok(frame))), Some(scanner)) = (&frame, &mut body.scanner) {
+            scanner.read(frame.data_ref().map_or(&[], |bytes| &bytes[..]));
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            BodySource::Direct(body) => body.is_end_stream(),
+            BodySource::Relayed(_) => false,
+        }
+    }
+}
+
+impl BodySource {
+    fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, TargetBodyError>>> {
+        match self {
+            BodySource::Direct(body) => {
                 let frame = Pin::new(body).poll_frame(context);
                 frame.map_err(|error| TargetBodyError(error.to_string()))
             }
-            TargetBody::Relayed(body) => {
+            BodySource::Relayed(body) => {
                 let chunk = body.poll_chunk(context);
                 let frame = chunk.map_ok(Frame::data);
                 frame.map_err(|error| TargetBodyError(format!("relaying node: {error}")))
             }
         }
     }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            TargetBody::Direct(body) => body.is_end_stream(),
-            TargetBody::Relayed(_) => false,
-        }
-    }
 }
