Add tests for truncated responses that reach clients as complete

Cause: callers received the beginning of a stream in a message that ended as a complete one does. Change: stand-in targets send raw responses with any framing and end; truncated_responses cuts a stream at each byte in six framings, for clients of HTTP/1.1 and 1.0, direct and through another node.

--- a/packages/turnford-standin/src/lib.rs
+++ b/packages/turnford-standin/src/lib.rs
@@ -42,6 +42,8 @@
 pub use route::EndpointState;
 pub use route::MetaSnapshot;
 pub use route::MetaStore;
+pub use route::RawEnd;
+pub use route::RawResponse;
 pub use route::RouteCall;
 pub use route::RouteJournal;
 pub use route::RouteRun;
--- a/packages/turnford-standin/src/route.rs
+++ b/packages/turnford-standin/src/route.rs
@@ -6,6 +6,7 @@
 mod listener;
 mod meta;
 mod piece;
+mod raw;
 mod run;
 mod signals;
 mod site;
@@ -14,6 +15,8 @@
 pub use meta::EndpointState;
 pub use meta::MetaSnapshot;
 pub use meta::MetaStore;
+pub use raw::RawEnd;
+pub use raw::RawResponse;
 pub use run::RouteJournal;
 pub use run::RouteRun;
 pub use run::RunKind;
--- a/packages/turnford-standin/src/route/listener.rs
+++ b/packages/turnford-standin/src/route/listener.rs
@@ -15,15 +15,21 @@
 use turnford_http::HttpResponse;
 use turnford_http::DEFAULT_BODY_LIMIT;
 
+use super::raw::serve_raw;
+use super::raw::RawResponse;
 use crate::SharedExecutor;
 
 /// Tasks of an open listener and its connections; dropping a task cancels it at once.
 type ListenerTasks = Arc<Mutex<Vec<Task<()>>>>;
 
+/// Response to all requests on new connections, instead of the handler's.
+type SharedResponse = Arc<Mutex<Option<RawResponse>>>;
+
 /// The listener of one target and its connections.
 pub(crate) struct TargetListener {
     executor: SharedExecutor,
     tasks: ListenerTasks,
+    raw: SharedResponse,
 }
 
 impl TargetListener {
@@ -32,9 +38,15 @@
         Self {
             executor: executor.clone(),
             tasks: ListenerTasks::default(),
+            raw: SharedResponse::default(),
         }
     }
 
+    /// Sets the response to all requests on new connections.
+    pub(crate) fn respond_raw(&self, response: Option<RawResponse>) {
+        *lock(&self.raw) = response;
+    }
+
     /// Listens on an address and serves all connections; with port 0 the system chooses the port.
     ///
     /// # Errors
@@ -47,7 +59,8 @@
     {
         let listener = bind_listener(address)?;
         let address = listener.local_addr()?;
-        let accept = accept(self.executor.clone(), self.tasks.clone(), listener, handler);
+        let (tasks, raw) = (self.tasks.clone(), self.raw.clone());
+        let accept = accept(self.executor.clone(), tasks, raw, listener, handler);
         let task = self.executor.spawn(accept);
         lock(&self.tasks).push(task);
         Ok(address)
@@ -63,6 +76,7 @@
 async fn accept<F, Fut>(
     executor: SharedExecutor,
     tasks: ListenerTasks,
+    raw: SharedResponse,
     listener: TcpListener,
     handler: F,
 ) where
@@ -70,7 +84,15 @@
     Fut: Future<Output = Option<HttpResponse>> + Send + 'static,
 {
     while let Ok((stream, _)) = listener.accept().await {
-        let serve = serve_connection(stream, DEFAULT_BODY_LIMIT, handler.clone());
+        let response = lock(&raw).clone();
+        let handler = handler.clone();
+        let serve = async move {
+            match response {
+                // The caller has ended the connection.
+                Some(response) => drop(serve_raw(stream, response).await),
+                None => serve_connection(stream, DEFAULT_BODY_LIMIT, handler).await,
+            }
+        };
         let task = executor.spawn(serve);
         let mut tasks = lock(&tasks);
         tasks.retain(|task| !task.is_finished());
@@ -78,6 +100,6 @@
     }
 }
 
-fn lock(tasks: &ListenerTasks) -> std::sync::MutexGuard<'_, Vec<Task<()>>> {
-    tasks.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -27,6 +27,7 @@
 use super::listener::TargetListener;
 use super::meta::json_response;
 use super::meta::MetaStore;
+use super::raw::RawResponse;
 use super::run::RouteJournal;
 use super::run::RouteRun;
 use super::run::RunKind;
@@ -365,6 +366,11 @@
         self.state.signals.arrivals()
     }
 
+    /// Sets the response to all requests of clients on new connections, which the journal doesn't see.
+    pub fn respond_raw(&self, response: Option<RawResponse>) {
+        self.state.listener.respond_raw(response);
+    }
+
     /// Injects faults into the next calls, one per call.
     pub fn inject_faults(&self, faults: impl IntoIterator<Item = TargetFault>) {
         lock(&self.state.faults).extend(faults);
