--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -46,7 +46,7 @@
     /// Software version of the target whose response is relayed.
     pub(crate) target_version: RefCell<Option<SoftwareVersion>>,
     /// HTTP version of the client.
-    client_http: Version,
+    pub(crate) client_http: Cell<Version>,
     /// How the target whose response is relayed marks the end of its body.
     pub(crate) framing: Cell<Option<BodyFraming>>,
     /// Whether that body ended between two events, if it is an event stream.
@@ -74,7 +74,6 @@
         account: Option<AccountId>,
         rank: u8,
         version: u64,
-        client_http: Version,
     ) -> Rc<Self> {
         let started_at = shared.now();
         let client_timeout = attributes.client_timeout.unwrap_or(route.timeout);
@@ -92,7 +91,7 @@
             version,
             source: RefCell::default(),
             target_version: RefCell::default(),
-            client_http,
+            client_http: Cell::new(Version::HTTP_11),
             framing: Cell::default(),
             ends_between_events: Cell::new(true),
             digest: Cell::default(),
@@ -221,7 +220,7 @@
             self.version,
             self.attributes.resumes.as_deref().unwrap_or("-"),
             self.target_version.borrow().as_deref().unwrap_or("-"),
-            self.client_http,
+            self.client_http.get(),
             self.framing.get().map_or("-", BodyFraming::name),
             if self.ends_between_events.get() {
                 "whole"
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -133,15 +133,16 @@
     let rank = rank.unwrap_or(route.rank);
     let account = grant.map(|grant| grant.account);
     let version = view.config.version;
-    Ok(RequestRecord::new(
+    let record = RequestRecord::new(
         traffic.shared.clone(),
         attributes,
         route,
         account,
         rank,
         version,
-        parts.version,
-    ))
+    );
+    record.client_http.set(parts.version);
+    Ok(record)
 }
 
 fn find_route(view: &RouteView, parts: &Parts) -> Result<std::sync::Arc<RouteSpec>, EarlyRefusal> {
