--- a/packages/turnford-http/src/message.rs
+++ b/packages/turnford-http/src/message.rs
@@ -63,6 +63,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: Vec<(String, String)>,
     pub(crate) body: HttpBody,
+    /// Whether the body has neither a length nor chunks.
+    pub(crate) ends_with_connection: bool,
 }
 
 impl HttpResponse {
@@ -72,6 +74,7 @@
             status,
             headers: Vec::new(),
             body: HttpBody::Full(Bytes::new()),
+            ends_with_connection: false,
         }
     }
 
@@ -90,6 +93,15 @@
         self.body = body.into();
     }
 
+    /// Sends the body without a length and chunks; for testing clients.
+    pub fn end_with_connection(&mut self) {
+        self.ends_with_connection = true;
+        if let HttpBody::Full(bytes) = &mut self.body {
+            let bytes = std::mem::take(bytes).to_vec();
+            self.body = HttpBody::stream(futures_lite::stream::once(bytes));
+        }
+    }
+
     /// Returns the status.
     pub fn status(&self) -> StatusCode {
         self.status
--- a/packages/turnford-http/src/server.rs
+++ b/packages/turnford-http/src/server.rs
@@ -11,6 +11,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
@@ -111,6 +112,10 @@
 fn build_response(source: HttpResponse) -> io::Result<Response<HttpBody>> {
     let mut response = Response::new(source.body);
     *response.status_mut() = source.status;
+    if source.ends_with_connection {
+        // `hyper` frames a response of this version by the end of its connection.
+        *response.version_mut() = Version::HTTP_10;
+    }
     for (name, value) in source.headers {
         let name = HeaderName::try_from(name).map_err(io::Error::other)?;
         let value = HeaderValue::try_from(value).map_err(io::Error::other)?;
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -57,6 +57,9 @@
 /// Additional time for which a brittle target stays down.
 const BRITTLE_DOWNTIME: Duration = Duration::from_secs(2);
 
+/// A stream that ends inside an event.
+const PARTIAL_STREAM: &str = "id: 1\ndata: token 1\n\nid: 2\nda";
+
 /// Time that a request runs before it crashes its target.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 
@@ -92,6 +95,8 @@
     Disconnect,
     /// The call runs, and its response is truncated.
     Truncate,
+    /// The call runs, and its response has neither a length nor chunks; a stream ends inside an event.
+    Unframed,
     /// The call runs, and its response carries the id of another attempt.
     AttemptMismatch,
     /// The call runs and fails.
@@ -574,7 +579,7 @@
                     index,
                     event_gap,
                     last_event + 1..=events,
-                    fault == Some(TargetFault::Truncate),
+                    fault.as_ref(),
                     occupied,
                 )
             }
@@ -588,6 +593,9 @@
         if fault == Some(TargetFault::Disconnect) {
             return None;
         }
+        if fault == Some(TargetFault::Unframed) {
+            response.end_with_connection();
+        }
         let response_attempt = if fault == Some(TargetFault::AttemptMismatch) {
             "ffffffffffffffff"
         } else {
@@ -621,7 +629,7 @@
         index: usize,
         pause: Duration,
         numbers: RangeInclusive<u64>,
-        is_truncated: bool,
+        fault: Option<&TargetFault>,
         occupied: Occupied,
     ) -> HttpResponse {
         let journal = self.journal.clone();
@@ -642,11 +650,13 @@
         });
         let mut response = HttpResponse::new(StatusCode::OK);
         response.insert_header("content-type", "text/event-stream");
-        if is_truncated {
-            response.set_body(HttpBody::truncated("id: 1\ndata: token 1\n\nid: 2\nda"));
-        } else {
-            response.set_body(HttpBody::stream(events));
-        }
+        response.set_body(match fault {
+            Some(TargetFault::Truncate) => HttpBody::truncated(PARTIAL_STREAM),
+            Some(TargetFault::Unframed) => {
+                HttpBody::stream(stream::once(PARTIAL_STREAM.as_bytes().to_vec()))
+            }
+            _ => HttpBody::stream(events),
+        });
         response
     }
 }
--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -266,6 +266,7 @@
         TargetFault::Reject,
         TargetFault::Disconnect,
         TargetFault::Truncate,
+        TargetFault::Unframed,
         TargetFault::AttemptMismatch,
         TargetFault::Fail,
         TargetFault::Slow(slow),
