--- a/packages/turnford-serve/src/crash.rs
+++ b/packages/turnford-serve/src/crash.rs
@@ -37,6 +37,9 @@
 /// stream.
 const MAX_DEPARTED: usize = 256;
 
+/// Maximum number of prompt segments in a log line.
+const MAX_LOGGED_SEGMENTS: usize = 8;
+
 /// A broken call, with what has to be recorded if its target turns out to have crashed.
 #[derive(Clone)]
 pub(crate) struct BrokenCall {
@@ -46,6 +49,8 @@
     pub(crate) is_alone: bool,
     /// Whether the target had started to run the request, as far as the node can tell.
     pub(crate) has_started: bool,
+    /// Ids of the shared segments of its prompt.
+    pub(crate) segments: Vec<u64>,
     /// Time at which the call broke.
     pub(crate) at: Moment,
 }
@@ -156,9 +161,10 @@
     traffic.shared.metrics.target_crashes.inc();
     let (digest, target) = (&call.digest, &call.target);
     log::warn!(
-        "target={} born={} crashed under asks={digest} alone={} begun={}: {evidence}",
+        "target={} born={} crashed under asks={digest} segments={} alone={} begun={}: {evidence}",
         target.id,
         target.process_start,
+        format_segments(&call.segments),
         call.is_alone,
         call.has_started
     );
@@ -178,6 +184,12 @@
     record_event(traffic, digest, event, age);
 }
 
+fn format_segments(segments: &[u64]) -> String {
+    let ids = segments.iter().take(MAX_LOGGED_SEGMENTS);
+    let ids: Vec<String> = ids.map(|id| format!("{id:x}")).collect();
+    ids.join(",")
+}
+
 /// Records that a request ended cleanly, which clears it if targets crashed during earlier runs of
 /// it.
 pub(crate) fn record_clean_end(traffic: &Rc<Traffic>, digest: &RequestDigest) {
--- a/packages/turnford-serve/src/crash_check.rs
+++ b/packages/turnford-serve/src/crash_check.rs
@@ -51,6 +51,7 @@
         target: target.clone(),
         is_alone,
         has_started: true,
+        segments: Vec::new(),
         at,
     });
     check_broken_calls(traffic, context, calls.collect()).await;
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -341,6 +341,7 @@
         target: placed.target.clone(),
         is_alone: placed.is_alone,
         has_started,
+        segments: job.record.shared_segments(),
         at: traffic.shared.now(),
     };
     let check = check_broken_call(traffic.clone(), job.context.clone(), call, placed);
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -112,6 +112,13 @@
         })
     }
 
+    /// Returns the ids of the prompt's segments but the last, which is the request's own.
+    pub(crate) fn shared_segments(&self) -> Vec<u64> {
+        let segments = self.attributes.segments.split_last();
+        let shared = segments.map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|segment| segment.id).collect()
+    }
+
     /// Returns when the first event must arrive so that the client still waits and this node still
     /// runs.
     pub(crate) fn first_event_deadline(&self) -> Moment {
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -76,6 +76,7 @@
                     target: placed.target.clone(),
                     is_alone: placed.is_alone,
                     has_started: true,
+                    segments: record.shared_segments(),
                     at: traffic.shared.now(),
                 };
                 // The check goes on after the client's response has ended.
