--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -123,6 +123,8 @@
     version: Mutex<String>,
     /// Body of the requests, or key of the pieces, that crash the target.
     pub(super) crash_body: Mutex<Option<String>>,
+    /// Id of the prompt segment that crashes the target.
+    crash_segment: Mutex<Option<String>>,
     /// State in the target's last store entry, `ready` or `draining`.
     listed_state: Mutex<String>,
     /// Number of crashes.
@@ -231,6 +233,7 @@
             process_start: AtomicU64::new(time_of_day()),
             version: Mutex::new(identity.version.to_owned()),
             crash_body: Mutex::default(),
+            crash_segment: Mutex::default(),
             listed_state: Mutex::default(),
             crashes: AtomicU64::new(0),
             entry_changes: AtomicU64::new(0),
@@ -287,6 +290,11 @@
         *lock(&self.state.crash_body) = Some(body.to_owned());
     }
 
+    /// Makes the target crash whenever it runs a request with this prompt segment.
+    pub fn crash_on_segment(&self, segment: &str) {
+        *lock(&self.state.crash_segment) = Some(segment.to_owned());
+    }
+
     /// Crashes the target at once; it restarts under the same id after a short time.
     pub fn crash(&self) {
         self.state.crash();
@@ -453,8 +461,17 @@
 
     fn crashes_on(&self, call: &BufferedRequest) -> bool {
         let body = lock(&self.crash_body);
-        body.as_ref()
-            .is_some_and(|body| body.as_bytes() == call.body)
+        let is_body = body
+            .as_ref()
+            .is_some_and(|body| body.as_bytes() == call.body);
+        is_body || self.has_crash_segment(call)
+    }
+
+    fn has_crash_segment(&self, call: &BufferedRequest) -> bool {
+        let segment = lock(&self.crash_segment);
+        let prompt = call.header("x-turnford-prompt-prefix").unwrap_or("");
+        let mut ids = prompt.split(',').filter_map(|part| part.split_once(':'));
+        ids.any(|(id, _)| segment.as_deref() == Some(id))
     }
 
     async fn handle(self: &Arc<Self>, call: BufferedRequest) -> Option<HttpResponse> {
