Refuse requests with a prompt segment that crashes targets

Crashes were recorded by the digest of the whole request; what these requests share, a segment of their prompts, had no record. Class: evidence is kept by what came, not by what may be to blame. Change: CrashKeys: a request's digest and each segment but the last, by service, in the one CrashTable. A trial tests all suspected keys of its request; one with a suspected key runs at a time. A segment is a suspect from its second crash on. A good end clears a key; one not long before the first crash vouches for it (SuccessMemory), and more evidence is needed then; what isn't vouched for is the likelier cause of a shared crash. Refused with code 128, also just before it would be sent.

--- a/packages/turnford-fleet/src/crash.rs
+++ b/packages/turnford-fleet/src/crash.rs
@@ -1,8 +1,9 @@
 //! Fleet-wide record of requests during which targets crashed.
 //!
 //! A request that crashes its targets is retried on any node and under a different id. Crashes are
-//! therefore shared with all nodes, keyed by a digest of the request's content. Every request that
-//! ran on a target when it crashed is a suspect. Suspects run one at a time
+//! therefore shared with all nodes, keyed by a digest of the request's content, and by the prompt
+//! segments that it shares with other requests ([`CrashKeys`]): one of these may be what crashes
+//! targets. Every request that ran on a target when it crashed is a suspect. Suspects run one at a time
 //! ([`TrialTable`](crate::TrialTable)), because only then does a crash identify its cause. A
 //! suspect that succeeds is cleared; a suspect whose targets crash during its trials is refused.
 
@@ -18,6 +19,8 @@
 
 use crate::crash_entry::CrashEntry;
 use crate::crash_entry::CrashRecord;
+use crate::crash_keys::CrashKey;
+use crate::crash_keys::CrashKeys;
 use crate::crash_update::CrashEvent;
 use crate::crash_update::CrashPart;
 use crate::crash_update::CrashUpdate;
@@ -30,6 +33,10 @@
 /// there before it became a suspect.
 const REFUSAL_SCORE: u32 = 4;
 
+/// Score at which a request is refused that ended well not long before its crashes. What crashes targets
+/// does so always, so another request is more likely to have caused them.
+const VOUCHED_REFUSAL_SCORE: u32 = 8;
+
 /// Number of other targets whose simultaneous crash indicates a common cause. Without this rule, a
 /// power failure in a hall would get innocent requests refused.
 const CORRELATED_TARGETS: usize = 2;
@@ -77,6 +84,26 @@
     Refused(Moment),
 }
 
+/// Number of crashes that count against a key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CrashCounts {
+    /// All of them.
+    pub crashes: usize,
+    /// Those of a target on which it was the only suspect.
+    pub trials: usize,
+}
+
+/// A request that is refused or on trial.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashSuspect {
+    /// The verdict, which is not [`CrashVerdict::Clear`].
+    pub verdict: CrashVerdict,
+    /// The key that the verdict is about; of several, the first.
+    pub key: CrashKey,
+    /// Suspected keys. A trial of the request tests all of them.
+    pub members: Vec<(RequestDigest, CrashCounts)>,
+}
+
 /// All requests during which targets crashed.
 #[derive(Clone, Debug, Default)]
 pub struct CrashTable {
@@ -145,11 +172,13 @@
         true
     }
 
-    /// Records that a request succeeded, which clears all of its earlier crashes.
+    /// Records that a request succeeded, which clears all of its earlier crashes. Returns true if it
+    /// cleared one, or is the first known success.
     fn record_success(&mut self, digest: RequestDigest, ended_at: Moment) -> bool {
         let Some(entry) = self.entries.get_mut(&digest) else {
             return false;
         };
+        let is_first = entry.succeeded_at.is_none();
         entry.succeeded_at = entry.succeeded_at.max(Some(ended_at));
         let crashes = entry.crashes.iter_mut();
         let open = crashes.filter(|crash| !crash.is_cleared && crash.crashed_at <= ended_at);
@@ -157,11 +186,32 @@
         if cleared > 0 {
             self.trial_crashes.retain(|_, on_trial| *on_trial != digest);
         }
-        cleared > 0
+        cleared > 0 || is_first
     }
 
-    /// Returns the assessment of a request.
+    /// Returns the keys that a trial of a request tests: those suspected, or else the request itself.
+    pub fn tested(&self, now: Moment, keys: &CrashKeys) -> Vec<RequestDigest> {
+        let suspect = self.suspect(now, keys);
+        let members = suspect.into_iter().flat_map(|suspect| suspect.members);
+        let tested: Vec<RequestDigest> = members.map(|(digest, _)| digest).collect();
+        if tested.is_empty() {
+            return vec![keys.request];
+        }
+        tested
+    }
+
+    /// Returns the assessment of a request by its digest alone.
     pub fn verdict(&self, now: Moment, digest: &RequestDigest) -> CrashVerdict {
+        self.verdict_within(now, digest, &CrashKeys::of_request(*digest))
+    }
+
+    /// Returns the assessment of one key of a request with the given keys.
+    fn verdict_within(
+        &self,
+        now: Moment,
+        digest: &RequestDigest,
+        keys: &CrashKeys,
+    ) -> CrashVerdict {
         let Some(entry) = self.entries.get(digest) else {
             return CrashVerdict::Clear;
         };
@@ -173,7 +223,7 @@
             trials += usize::from(crash.part.is_trial());
             if crash.part.is_trial()
                 && !self.is_correlated(digest, crash)
-                && !self.is_ambiguous(digest, crash)
+                && !self.is_ambiguous(digest, crash, keys)
             {
                 score += crash.part.score();
             }
@@ -182,8 +232,13 @@
         if count == 0 {
             return CrashVerdict::Clear;
         }
-        if score >= REFUSAL_SCORE {
-            let doublings = (score - REFUSAL_SCORE) / STARTED_SCORE;
+        let needed = if entry.is_vouched() {
+            VOUCHED_REFUSAL_SCORE
+        } else {
+            REFUSAL_SCORE
+        };
+        if score >= needed {
+            let doublings = (score - needed) / STARTED_SCORE;
             let until = last_crash + REFUSAL_DURATION * 2_u32.pow(doublings.min(MAX_DOUBLINGS));
             if now < until {
                 return CrashVerdict::Refused(until);
@@ -196,6 +251,44 @@
         }
     }
 
+    /// Returns what a request is refused or on trial for, if anything.
+    pub fn suspect(&self, now: Moment, keys: &CrashKeys) -> Option<CrashSuspect> {
+        if self.entries.is_empty() {
+            return None;
+        }
+        let mut suspect: Option<CrashSuspect> = None;
+        for key in keys.iter() {
+            let verdict = self.verdict_within(now, &key.digest, keys);
+            let (is_alone, counts) = match verdict {
+                CrashVerdict::Clear => continue,
+                CrashVerdict::Refused(_) => {
+                    let members = vec![(key.digest, CrashCounts::default())];
+                    return Some(CrashSuspect {
+                        verdict,
+                        key,
+                        members,
+                    });
+                }
+                CrashVerdict::Suspect { crashes, .. } if crashes < key.min_crashes() => continue,
+                CrashVerdict::Suspect {
+                    is_alone,
+                    crashes,
+                    trials,
+                } => (is_alone, CrashCounts { crashes, trials }),
+            };
+            let suspect = suspect.get_or_insert_with(|| CrashSuspect {
+                verdict,
+                key,
+                members: Vec::new(),
+            });
+            suspect.members.push((key.digest, counts));
+            if is_alone {
+                suspect.verdict = verdict;
+            }
+        }
+        suspect
+    }
+
     /// Returns whether a crash counts against a request: it must be recent, and no request with
     /// more crashes may have been on trial on the target.
     fn counts_against(
@@ -218,16 +311,24 @@
 
     /// Returns whether another request may have caused the same crash. Either it was on trial there
     /// as well, which happens while the placing node changes, or it ran there without being a
-    /// suspect and was involved in at least as many crashes.
-    fn is_ambiguous(&self, digest: &RequestDigest, crash: &CrashRecord) -> bool {
+    /// suspect and was involved in at least as many crashes. One that ended well not long before is
+    /// less likely to be the cause than one that did not. Another key of the same request makes no
+    /// difference to that request.
+    fn is_ambiguous(&self, digest: &RequestDigest, crash: &CrashRecord, keys: &CrashKeys) -> bool {
         let own = self.entries.get(digest);
+        let is_vouched = own.is_some_and(CrashEntry::is_vouched);
         let own = own.map_or(0, |entry| entry.open_crashes().count());
-        let mut others = self.entries.iter().filter(|(other, _)| *other != digest);
+        let others = self.entries.iter().filter(|(other, _)| *other != digest);
+        let mut others = others.filter(|(other, _)| !keys.contains(other));
         others.any(|(_, entry)| {
             let mut there = entry
                 .open_crashes()
                 .filter(|other| other.process == crash.process);
-            there.any(|other| other.part.is_trial() || entry.open_crashes().count() >= own)
+            there.any(|other| match (is_vouched, entry.is_vouched()) {
+                (false, true) => false,
+                (true, false) => entry.open_crashes().count() > 1,
+                _ => other.part.is_trial() || entry.open_crashes().count() >= own,
+            })
         })
     }
 
@@ -266,7 +367,9 @@
         let entry = self.entries.get(digest);
         let crashes = entry.into_iter().flat_map(CrashEntry::open_crashes);
         let updates = crashes.map(|crash| {
-            let is_doubtful = self.is_correlated(digest, crash) || self.is_ambiguous(digest, crash);
+            let keys = CrashKeys::of_request(*digest);
+            let is_doubtful =
+                self.is_correlated(digest, crash) || self.is_ambiguous(digest, crash, &keys);
             let part = if is_doubtful {
                 CrashPart::Shared
             } else {
@@ -278,7 +381,8 @@
             };
             reported.update(now, digest)
         });
-        updates.collect()
+        let vouching = entry.and_then(|entry| entry.vouching_update(now, digest));
+        updates.chain(vouching).collect()
     }
 
     /// Returns the number of requests whose score reaches the refusal threshold.
@@ -310,11 +414,11 @@
     pub fn snapshot(&self, now: Moment) -> Vec<CrashUpdate> {
         let mut entries: Vec<(&RequestDigest, &CrashEntry)> = self.entries.iter().collect();
         entries.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.priority()));
-        let crashes = entries.into_iter().flat_map(|(digest, entry)| {
+        let updates = entries.into_iter().flat_map(|(digest, entry)| {
             let crashes = entry.crashes.iter();
-            crashes.map(move |crash| (digest, crash))
+            let crashes = crashes.map(move |crash| crash.update(now, digest));
+            crashes.chain(entry.vouching_update(now, digest))
         });
-        let updates = crashes.map(|(digest, crash)| crash.update(now, digest));
         updates.take(MAX_SNAPSHOT_UPDATES).collect()
     }
 
--- a/packages/turnford-fleet/src/crash_entry.rs
+++ b/packages/turnford-fleet/src/crash_entry.rs
@@ -8,6 +8,7 @@
 use crate::crash_update::CrashPart;
 use crate::crash_update::CrashUpdate;
 use crate::crash_update::TargetProcess;
+use crate::success_memory::SUCCESS_RETENTION;
 use crate::Moment;
 
 /// A crash of a target while it ran a request.
@@ -41,7 +42,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashEntry {
     pub(crate) crashes: Vec<CrashRecord>,
-    /// Time of the latest success after a crash.
+    /// Time of the latest known success.
     pub(crate) succeeded_at: Option<Moment>,
 }
 
@@ -57,6 +58,27 @@
         self.crashes.iter().filter(|crash| !crash.is_cleared)
     }
 
+    /// Returns whether the request succeeded not long before the first crash that is not cleared.
+    pub(crate) fn is_vouched(&self) -> bool {
+        let first = self.open_crashes().map(|crash| crash.crashed_at).min();
+        let success = self.succeeded_at.zip(first);
+        success.is_some_and(|(success, first)| first < success + SUCCESS_RETENTION)
+    }
+
+    /// Returns the last success as an update for other nodes, if it vouches for the request.
+    pub(crate) fn vouching_update(
+        &self,
+        now: Moment,
+        digest: &RequestDigest,
+    ) -> Option<CrashUpdate> {
+        let success = self.succeeded_at.filter(|_| self.is_vouched())?;
+        Some(CrashUpdate {
+            digest: digest.0,
+            event: CrashEvent::EndedWell,
+            age_ms: saturating_millis(now.saturating_sub(success)),
+        })
+    }
+
     /// Returns the evidence against the request.
     pub(crate) fn score(&self) -> u32 {
         self.open_crashes().map(|crash| crash.part.score()).sum()
--- a/packages/turnford-fleet/src/trial.rs
+++ b/packages/turnford-fleet/src/trial.rs
@@ -6,6 +6,8 @@
 use turnford_policy::RequestDigest;
 use turnford_policy::TargetId;
 
+use crate::CrashCounts;
+use crate::CrashSuspect;
 use crate::CrashVerdict;
 use crate::Moment;
 
@@ -37,23 +39,16 @@
 /// A running suspect.
 #[derive(Clone, Debug)]
 struct TrialRun {
-    digest: RequestDigest,
+    /// Its suspected keys, with the crashes known for them at its start.
+    members: Vec<(RequestDigest, CrashCounts)>,
     target: TargetId,
     /// Whether no other suspect may share its target.
     is_alone: bool,
     /// Latest end of the run, also if its node fails and reports nothing.
     deadline: Moment,
-    known: CrashCounts,
-}
-
-/// Number of crashes known for a request.
-#[derive(Clone, Copy, Debug, Default)]
-struct CrashCounts {
-    crashes: usize,
-    trials: usize,
 }
 
-/// A trial that has ended but whose outcome is unknown.
+/// A trial of a key that has ended but whose outcome is unknown.
 #[derive(Clone, Debug)]
 struct UnresolvedTrial {
     is_alone: bool,
@@ -71,47 +66,45 @@
     }
 }
 
-/// Running suspects of one service. At most one copy of each runs at a time in the whole fleet, so
-/// that a harmful request crashes one target instead of one per copy.
+/// Running suspects of one service. At most one request with a suspected key runs at a time in the whole
+/// fleet, so that a harmful one crashes one target instead of one per copy.
 #[derive(Clone, Debug, Default)]
 pub struct TrialTable {
     runs: HashMap<TrialId, TrialRun>,
     unresolved: HashMap<RequestDigest, UnresolvedTrial>,
-    /// Crashes known for the request that was admitted last.
-    admitted: CrashCounts,
 }
 
 impl TrialTable {
-    /// Decides whether a request may run now. After a trial, the next copy waits until the outcome
-    /// is known, because a crash may be the one that gets the request refused.
-    pub fn admit(
-        &mut self,
-        now: Moment,
-        digest: &RequestDigest,
-        verdict: CrashVerdict,
-    ) -> TrialAdmission {
+    /// Decides whether a request may run now. After a trial, the next request with the same suspected
+    /// key waits until the outcome is known, because a crash may be the one that gets it refused.
+    pub fn admit(&mut self, now: Moment, suspect: Option<&CrashSuspect>) -> TrialAdmission {
         self.expire(now);
-        let (is_alone, crashes, trials) = match verdict {
-            CrashVerdict::Clear => {
-                self.unresolved.remove(digest);
-                return TrialAdmission::Unrestricted;
-            }
+        let Some(suspect) = suspect else {
+            return TrialAdmission::Unrestricted;
+        };
+        let is_alone = match suspect.verdict {
+            CrashVerdict::Clear => return TrialAdmission::Unrestricted,
             CrashVerdict::Refused(until) => return TrialAdmission::Refused(until),
-            CrashVerdict::Suspect {
-                is_alone,
-                crashes,
-                trials,
-            } => (is_alone, crashes, trials),
+            CrashVerdict::Suspect { is_alone, .. } => is_alone,
         };
-        if self.runs.values().any(|run| run.digest == *digest) {
+        let shares_key = |run: &TrialRun| {
+            let mut own = suspect.members.iter();
+            own.any(|(digest, _)| run.members.iter().any(|(other, _)| other == digest))
+        };
+        if self.runs.values().any(shares_key) {
             return TrialAdmission::Wait;
         }
-        self.admitted = CrashCounts { crashes, trials };
-        let unresolved = self.unresolved.get(digest);
-        if unresolved.is_some_and(|unresolved| !unresolved.has_crashed(self.admitted)) {
+        let mut members = suspect.members.iter();
+        let is_unresolved = members.any(|(digest, known)| {
+            let unresolved = self.unresolved.get(digest);
+            unresolved.is_some_and(|unresolved| !unresolved.has_crashed(*known))
+        });
+        if is_unresolved {
             return TrialAdmission::Wait;
         }
-        self.unresolved.remove(digest);
+        for (digest, _) in &suspect.members {
+            self.unresolved.remove(digest);
+        }
         let runs = self.runs.values();
         let taken = runs.filter(|run| is_alone || run.is_alone);
         TrialAdmission::OnTrial {
@@ -124,17 +117,16 @@
     pub fn start(
         &mut self,
         trial_id: TrialId,
-        digest: RequestDigest,
+        suspect: CrashSuspect,
         target: TargetId,
         is_alone: bool,
         deadline: Moment,
     ) {
         let run = TrialRun {
-            digest,
+            members: suspect.members,
             target,
             is_alone,
             deadline,
-            known: self.admitted,
         };
         self.runs.insert(trial_id, run);
     }
@@ -144,12 +136,14 @@
         let Some(run) = self.runs.remove(&trial_id) else {
             return;
         };
-        let unresolved = UnresolvedTrial {
-            is_alone: run.is_alone,
-            known: run.known,
-            seen_at: None,
-        };
-        self.unresolved.insert(run.digest, unresolved);
+        for (digest, known) in run.members {
+            let unresolved = UnresolvedTrial {
+                is_alone: run.is_alone,
+                known,
+                seen_at: None,
+            };
+            self.unresolved.insert(digest, unresolved);
+        }
     }
 
     fn expire(&mut self, now: Moment) {
--- a/packages/turnford-fleet/tests/trial_news.rs
+++ b/packages/turnford-fleet/tests/trial_news.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use turnford_fleet::CrashEvent;
+use turnford_fleet::CrashKeys;
 use turnford_fleet::CrashPart;
+use turnford_fleet::CrashSuspect;
 use turnford_fleet::CrashTable;
 use turnford_fleet::CrashUpdate;
 use turnford_fleet::Moment;
@@ -46,8 +48,12 @@
     }
 
     fn admit(&mut self, now: Moment) -> TrialAdmission {
-        let verdict = self.table.verdict(now, &DIGEST);
-        self.trials.admit(now, &DIGEST, verdict)
+        let suspect = self.suspect(now);
+        self.trials.admit(now, suspect.as_ref())
+    }
+
+    fn suspect(&self, now: Moment) -> Option<CrashSuspect> {
+        self.table.suspect(now, &CrashKeys::of_request(DIGEST))
     }
 
     /// Runs a copy on trial that ends without an update about its outcome.
@@ -60,8 +66,9 @@
             TrialAdmission::OnTrial { is_alone: true, .. }
         ));
         let ends_by = START + 10_000 * MS;
+        let suspect = self.suspect(START).expect("a suspect");
         self.trials
-            .start(1, DIGEST, Arc::from("three"), true, ends_by);
+            .start(1, suspect, Arc::from("three"), true, ends_by);
         self.trials.end(1);
     }
 }
--- a/packages/turnford-policy/src/code.rs
+++ b/packages/turnford-policy/src/code.rs
@@ -41,6 +41,8 @@
     StreamUnknown = 126,
     /// No target of the software version that began the resumed stream is left.
     VersionGone = 127,
+    /// Targets crash when they run requests with a segment of this one's prompt.
+    CrashingSegment = 128,
     /// The platform can't record the claim at the moment.
     ClaimUnavailable = 130,
     /// A request with the same id is running.
@@ -71,7 +73,7 @@
 
 impl ResultCode {
     /// All codes in ascending order.
-    pub const ALL: [ResultCode; 31] = [
+    pub const ALL: [ResultCode; 32] = [
         ResultCode::Done,
         ResultCode::DoneLate,
         ResultCode::DoneBefore,
@@ -90,6 +92,7 @@
         ResultCode::OnTrial,
         ResultCode::StreamUnknown,
         ResultCode::VersionGone,
+        ResultCode::CrashingSegment,
         ResultCode::ClaimUnavailable,
         ResultCode::ClaimRunning,
         ResultCode::ClaimFinished,
@@ -131,6 +134,7 @@
             ResultCode::OnTrial => "on-trial",
             ResultCode::StreamUnknown => "stream-unknown",
             ResultCode::VersionGone => "version-gone",
+            ResultCode::CrashingSegment => "crashing-segment",
             ResultCode::ClaimUnavailable => "claim-unavailable",
             ResultCode::ClaimRunning => "claim-running",
             ResultCode::ClaimFinished => "claim-finished",
--- a/packages/turnford-policy/src/route/digest.rs
+++ b/packages/turnford-policy/src/route/digest.rs
@@ -27,6 +27,19 @@
             hash.update(part);
         }
         hash.update(body);
+        Self::from_hash(hash)
+    }
+
+    /// Computes the digest that stands for all requests to a service with a prompt segment.
+    pub fn of_segment(service: &str, segment: u64) -> Self {
+        let mut hash = Sha256::new();
+        hash.update(b"prompt segment");
+        hash.update(segment.to_le_bytes());
+        hash.update(service.as_bytes());
+        Self::from_hash(hash)
+    }
+
+    fn from_hash(hash: Sha256) -> Self {
         let mut bytes = [0; DIGEST_BYTES];
         bytes.copy_from_slice(&hash.finalize()[..DIGEST_BYTES]);
         Self(bytes)
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -279,6 +279,9 @@
         CallError::NotSent(reason) | CallError::Unavailable(reason) => {
             cell.requeue_pieces(plan, reason, false);
         }
+        CallError::CrashesTargets(_) => {
+            cell.requeue_pieces(plan, "its request crashes targets", false);
+        }
         CallError::NoRelay(reason) => {
             let mut scheduler = cell.queue.scheduler.borrow_mut();
             scheduler.record_refusal(now, &target.id);
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -18,6 +18,8 @@
 use turnford_adapter::decode_response;
 use turnford_adapter::set_remaining;
 use turnford_adapter::ResponseAttributes;
+use turnford_fleet::CrashKeys;
+use turnford_fleet::CrashVerdict;
 use turnford_http::HttpConnection;
 use turnford_http::HttpError;
 use turnford_policy::Moment;
@@ -64,6 +66,8 @@
     Unavailable(&'static str),
     /// No byte was sent, because the target's rate limit across all nodes allows no further call.
     Limited,
+    /// No byte was sent: the request has come to be refused for this time because it crashes targets.
+    CrashesTargets(Duration),
     /// No byte was sent: this node reaches no targets, and no other node could send the call for it.
     NoRelay(&'static str),
     /// The target reports that it did not run the request.
@@ -84,6 +88,8 @@
         is_repeatable: bool,
         /// Software version that the target must have, if the request resumes a stream.
         version: Option<&'a str>,
+        /// What it may crash targets by.
+        keys: &'a CrashKeys,
     },
     /// Pieces of stages.
     Pieces,
@@ -108,6 +114,18 @@
         }
     }
 
+    /// Returns the time for which the call is refused because it crashes targets.
+    fn refused_for(self, traffic: &Traffic) -> Option<Duration> {
+        let CallPurpose::Request { keys, .. } = self else {
+            return None;
+        };
+        let now = traffic.shared.now();
+        match traffic.crashes.suspect(now, keys)?.verdict {
+            CrashVerdict::Refused(until) => Some(until.saturating_sub(now)),
+            CrashVerdict::Clear | CrashVerdict::Suspect { .. } => None,
+        }
+    }
+
     /// Returns whether the call may be sent again after its link was lost.
     fn is_repeatable(self) -> bool {
         match self {
@@ -249,6 +267,9 @@
         None => None,
     };
     // Checked last before sending: the call may have waited, and another node may have placed it.
+    if let Some(retry_after) = purpose.refused_for(traffic) {
+        return Err(CallError::CrashesTargets(retry_after));
+    }
     let now = traffic.shared.now();
     if let Some(error) = context.rejection_reason(now, &target.id, purpose) {
         return Err(error);
--- a/packages/turnford-serve/src/crash.rs
+++ b/packages/turnford-serve/src/crash.rs
@@ -9,10 +9,14 @@
 use std::time::Duration;
 
 use turnford_fleet::CrashEvent;
+use turnford_fleet::CrashKey;
+use turnford_fleet::CrashKeys;
 use turnford_fleet::CrashPart;
+use turnford_fleet::CrashSuspect;
 use turnford_fleet::CrashTable;
 use turnford_fleet::CrashUpdate;
 use turnford_fleet::CrashVerdict;
+use turnford_fleet::SuccessMemory;
 use turnford_policy::Moment;
 use turnford_policy::ProcessStart;
 use turnford_policy::RequestDigest;
@@ -43,14 +47,12 @@
 /// A broken call, with what has to be recorded if its target turns out to have crashed.
 #[derive(Clone)]
 pub(crate) struct BrokenCall {
-    pub(crate) digest: RequestDigest,
+    pub(crate) keys: Rc<CrashKeys>,
     pub(crate) target: TargetSpec,
     /// Whether it was the only suspect at the target.
     pub(crate) is_alone: bool,
     /// Whether the target had started to run the request, as far as the node can tell.
     pub(crate) has_started: bool,
-    /// Ids of the shared segments of its prompt.
-    pub(crate) segments: Vec<u64>,
     /// Time at which the call broke.
     pub(crate) at: Moment,
 }
@@ -59,6 +61,8 @@
 #[derive(Default)]
 pub(crate) struct CrashTracker {
     pub(crate) table: RefCell<CrashTable>,
+    /// Good ends of this node's requests.
+    successes: RefCell<SuccessMemory>,
     /// Updates that have not been sent to other nodes yet.
     pub(crate) pending: UpdateQueue<CrashUpdate>,
     /// Earliest time at which a full snapshot may be sent again.
@@ -72,11 +76,16 @@
 }
 
 impl CrashTracker {
-    /// Returns the verdict on a request.
+    /// Returns the verdict on a request, regardless of its prompt.
     pub(crate) fn verdict(&self, now: Moment, digest: &RequestDigest) -> CrashVerdict {
         self.table.borrow().verdict(now, digest)
     }
 
+    /// Returns what a request is refused or on trial for, if anything.
+    pub(crate) fn suspect(&self, now: Moment, keys: &CrashKeys) -> Option<CrashSuspect> {
+        self.table.borrow().suspect(now, keys)
+    }
+
     /// Records that the entry of a target disappeared after the target had announced that it
     /// leaves.
     pub(crate) fn record_departure(&self, target: &TargetSpec) {
@@ -94,9 +103,11 @@
         departed.any(|(id, born)| *id == target.id && *born == target.process_start)
     }
 
-    /// Returns whether a copy of a request is in flight at this node.
-    pub(crate) fn is_running(&self, digest: &RequestDigest) -> bool {
-        self.running.borrow().contains_key(digest)
+    /// Returns whether a request with one of the same suspected keys is in flight at this node.
+    pub(crate) fn is_running(&self, suspect: &CrashSuspect) -> bool {
+        let running = self.running.borrow();
+        let mut members = suspect.members.iter();
+        members.any(|(digest, _)| running.contains_key(digest))
     }
 
     /// Tracks a broken call until it is known whether its target crashed.
@@ -128,17 +139,21 @@
 /// Counts a suspect as in flight at this node until dropped.
 pub(crate) struct SuspectGuard {
     traffic: Rc<Traffic>,
-    digest: RequestDigest,
+    digests: Vec<RequestDigest>,
 }
 
 impl SuspectGuard {
-    pub(crate) fn new(traffic: &Rc<Traffic>, digest: RequestDigest) -> Self {
+    pub(crate) fn new(traffic: &Rc<Traffic>, suspect: &CrashSuspect) -> Self {
+        let members = suspect.members.iter();
+        let digests: Vec<RequestDigest> = members.map(|(digest, _)| *digest).collect();
         let mut running = traffic.crashes.running.borrow_mut();
-        *running.entry(digest).or_default() += 1;
+        for digest in &digests {
+            *running.entry(*digest).or_default() += 1;
+        }
         drop(running);
         Self {
             traffic: traffic.clone(),
-            digest,
+            digests,
         }
     }
 }
@@ -146,10 +161,12 @@
 impl Drop for SuspectGuard {
     fn drop(&mut self) {
         let mut running = self.traffic.crashes.running.borrow_mut();
-        if let Some(count) = running.get_mut(&self.digest) {
-            *count -= 1;
-            if *count == 0 {
-                running.remove(&self.digest);
+        for digest in &self.digests {
+            if let Some(count) = running.get_mut(digest) {
+                *count -= 1;
+                if *count == 0 {
+                    running.remove(digest);
+                }
             }
         }
     }
@@ -159,63 +176,92 @@
 /// target with others and had not started to run is ruled out as the cause.
 pub(crate) fn record_crash(traffic: &Rc<Traffic>, call: &BrokenCall, evidence: &str) {
     traffic.shared.metrics.target_crashes.inc();
-    let (digest, target) = (&call.digest, &call.target);
+    let (keys, target) = (&call.keys, &call.target);
     log::warn!(
-        "target={} born={} crashed under asks={digest} segments={} alone={} begun={}: {evidence}",
+        "target={} born={} crashed under asks={} segments={} alone={} begun={}: {evidence}",
         target.id,
         target.process_start,
-        format_segments(&call.segments),
+        keys.request,
+        format_segments(keys),
         call.is_alone,
         call.has_started
     );
-    let part = match (call.is_alone, call.has_started) {
-        (false, false) => return,
-        (false, true) => CrashPart::Shared,
-        (true, false) => CrashPart::QueuedTrial,
-        (true, true) => CrashPart::BegunTrial,
-    };
-    let event = CrashEvent::Crashed {
-        target: target.id.to_string(),
-        born: target.process_start,
-        part,
-        is_cleared: false,
-    };
-    let age = traffic.shared.now().saturating_sub(call.at);
-    record_event(traffic, digest, event, age);
+    if !call.is_alone && !call.has_started {
+        return;
+    }
+    let now = traffic.shared.now();
+    let tested = traffic.crashes.table.borrow().tested(now, keys);
+    let mut events = Vec::new();
+    let age = now.saturating_sub(call.at);
+    for key in keys.iter() {
+        let is_tested = call.is_alone && tested.contains(&key.digest);
+        let part = match (is_tested, call.has_started) {
+            (false, _) => CrashPart::Shared,
+            (true, false) => CrashPart::QueuedTrial,
+            (true, true) => CrashPart::BegunTrial,
+        };
+        let event = CrashEvent::Crashed {
+            target: target.id.to_string(),
+            born: target.process_start,
+            part,
+            is_cleared: false,
+        };
+        events.push((key, event, age));
+        if let Some(age) = traffic.crashes.successes.borrow().age(now, &key.digest) {
+            events.push((key, CrashEvent::EndedWell, age));
+        }
+    }
+    record_events(traffic, events);
 }
 
-fn format_segments(segments: &[u64]) -> String {
-    let ids = segments.iter().take(MAX_LOGGED_SEGMENTS);
+fn format_segments(keys: &CrashKeys) -> String {
+    let ids = keys.iter().filter_map(|key| key.segment);
+    let ids = ids.take(MAX_LOGGED_SEGMENTS);
     let ids: Vec<String> = ids.map(|id| format!("{id:x}")).collect();
     ids.join(",")
 }
 
-/// Records that a request ended cleanly, which clears it if targets crashed during earlier runs of
-/// it.
-pub(crate) fn record_clean_end(traffic: &Rc<Traffic>, digest: &RequestDigest) {
-    if !traffic.crashes.table.borrow().is_empty() {
-        record_event(traffic, digest, CrashEvent::EndedWell, Duration::ZERO);
+/// Records that a request ended cleanly, which clears it and its prompt segments if targets crashed
+/// under them earlier.
+pub(crate) fn record_clean_end(traffic: &Rc<Traffic>, keys: &CrashKeys) {
+    let now = traffic.shared.now();
+    let digests = keys.iter().map(|key| key.digest);
+    traffic.crashes.successes.borrow_mut().record(now, digests);
+    if traffic.crashes.table.borrow().is_empty() {
+        return;
     }
+    let events = keys.iter();
+    let events = events.map(|key| (key, CrashEvent::EndedWell, Duration::ZERO));
+    record_events(traffic, events.collect());
 }
 
-fn record_event(traffic: &Rc<Traffic>, digest: &RequestDigest, event: CrashEvent, age: Duration) {
+/// Applies events of one call, each with its age, and notifies other nodes of those that are new.
+fn record_events(traffic: &Rc<Traffic>, events: Vec<(CrashKey, CrashEvent, Duration)>) {
     let now = traffic.shared.now();
-    let crashes = traffic.crashes.table.borrow().crashes(now, digest).count();
-    let has_ended_well = event == CrashEvent::EndedWell;
-    let update = CrashUpdate {
-        digest: digest.0,
-        event,
-        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-    };
-    if !apply_crash(traffic, &update) {
-        return;
+    let mut updates = Vec::new();
+    for (key, event, age) in events {
+        let table = traffic.crashes.table.borrow();
+        let crashes = table.crashes(now, &key.digest).count();
+        drop(table);
+        let has_ended_well = event == CrashEvent::EndedWell;
+        let update = CrashUpdate {
+            digest: key.digest.0,
+            event,
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        };
+        if !apply_crash(traffic, &update) {
+            continue;
+        }
+        updates.push(update);
+        if has_ended_well {
+            delete_cleared(traffic, key, crashes);
+        } else {
+            persist_crashed(traffic, key);
+        }
     }
-    notify_placers(traffic, &update);
-    notify_crashes(traffic, vec![update]);
-    if has_ended_well {
-        delete_cleared(traffic, *digest, crashes);
-    } else {
-        persist_crashed(traffic, *digest);
+    if !updates.is_empty() {
+        notify_placers(traffic, &updates);
+        notify_crashes(traffic, updates);
     }
 }
 
--- a/packages/turnford-serve/src/crash_check.rs
+++ b/packages/turnford-serve/src/crash_check.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use turnford_fleet::CrashKeys;
 use turnford_policy::BatchPlan;
 use turnford_policy::RequestDigest;
 use turnford_policy::TargetSpec;
@@ -47,11 +48,10 @@
     let is_alone = is_suspect && digests.len() == 1;
     let at = traffic.shared.now();
     let calls = digests.into_iter().map(|digest| BrokenCall {
-        digest,
+        keys: Rc::new(CrashKeys::of_request(digest)),
         target: target.clone(),
         is_alone,
         has_started: true,
-        segments: Vec::new(),
         at,
     });
     check_broken_calls(traffic, context, calls.collect()).await;
--- a/packages/turnford-serve/src/crash_updates.rs
+++ b/packages/turnford-serve/src/crash_updates.rs
@@ -57,10 +57,10 @@
     }
 }
 
-/// Notifies the placing nodes of a crash. They decide whether the next copy runs, and other paths
+/// Notifies the placing nodes of the events of a call. They decide whether the next copy runs, and other paths
 /// of the update may be slower or lose it.
-pub(crate) fn notify_placers(traffic: &Rc<Traffic>, update: &CrashUpdate) {
-    let request = WorkRequest::Crashes(vec![update.clone()]);
+pub(crate) fn notify_placers(traffic: &Rc<Traffic>, updates: &[CrashUpdate]) {
+    let request = WorkRequest::Crashes(updates.to_vec());
     let owned = traffic.clone();
     // A crash can be detected while the services are being replaced, when they can't be listed.
     let send = async move {
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -43,6 +43,7 @@
 use crate::service_context::ServiceContext;
 use crate::stream::relay_stream;
 use crate::traffic::Traffic;
+use crate::trial::SuspectRefusal;
 use crate::wait_queue::QueuePosition;
 
 /// Maximum size of a response that is buffered before it is sent to the client, in bytes. Nothing
@@ -156,6 +157,7 @@
                 if !matches!(
                     error,
                     CallError::Unavailable(_)
+                        | CallError::CrashesTargets(_)
                         | CallError::NoRelay(_)
                         | CallError::Limited
                         | CallError::NotRun(StatusCode::CONFLICT)
@@ -247,10 +249,12 @@
     ));
     drop(position);
     let source = record.source.borrow().clone();
+    let keys = record.crash_keys();
     let purpose = CallPurpose::Request {
         attempt: &record.attributes.attempt,
         is_repeatable: record.route.is_repeatable(),
         version: source.as_ref().map(|source| &*source.version),
+        keys: &keys,
     };
     let call = call_target(traffic, job.context, target, request, purpose, remaining);
     let fetched = async {
@@ -307,7 +311,7 @@
     }
     record.record_first_byte();
     if status.is_success() {
-        record_clean_end(traffic, &record.digest.get());
+        record_clean_end(traffic, &record.crash_keys());
         job.context.record_final_call(
             record.attributes.unique_tokens(),
             record.final_call_elapsed(),
@@ -337,11 +341,10 @@
     has_started: bool,
 ) {
     let call = BrokenCall {
-        digest: job.record.digest.get(),
+        keys: job.record.crash_keys(),
         target: placed.target.clone(),
         is_alone: placed.is_alone,
         has_started,
-        segments: job.record.shared_segments(),
         at: traffic.shared.now(),
     };
     let check = check_broken_call(traffic.clone(), job.context.clone(), call, placed);
@@ -387,6 +390,19 @@
                 log.tried.retain(|tried| *tried != target.id);
             }
         }
+        CallError::CrashesTargets(retry_after) => {
+            if log.sent > 0 {
+                job.context.allowance.borrow_mut().release();
+            }
+            if !log.may_have_run {
+                let refusal = SuspectRefusal::crashes_targets(traffic, job.record, *retry_after);
+                return Some(ForwardOutcome::Response(refuse_suspect(
+                    job.record, &refusal,
+                )));
+            }
+            job.record
+                .trace(format_args!("not sent again: it crashes targets"));
+        }
         CallError::NotSent(reason) | CallError::NoRelay(reason) => {
             log.unreached += 1;
             job.record
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -12,12 +12,11 @@
 use async_io::Timer;
 use siphasher::sip::SipHasher13;
 
-use turnford_fleet::CrashVerdict;
+use turnford_fleet::CrashKeys;
 use turnford_fleet::QueuedRequest;
 use turnford_policy::PlacementRequest;
 use turnford_policy::PromptAffinity;
 use turnford_policy::PromptSegment;
-use turnford_policy::RequestDigest;
 use turnford_policy::TargetId;
 
 use crate::availability::wait_for_target;
@@ -128,7 +127,8 @@
             PlacementAttempt::Full(retry_after) => return PlacementOutcome::Full(retry_after),
             PlacementAttempt::NoTarget => return PlacementOutcome::NoTarget,
             PlacementAttempt::Refused(retry_after) => {
-                return PlacementOutcome::Suspect(SuspectRefusal::crashes_targets(retry_after));
+                let refusal = SuspectRefusal::crashes_targets(traffic, record, retry_after);
+                return PlacementOutcome::Suspect(refusal);
             }
             PlacementAttempt::Held if traffic.shared.now() >= hold_until => {
                 return PlacementOutcome::Suspect(SuspectRefusal::on_trial());
@@ -181,9 +181,9 @@
     placement: &PlacementRequest,
     queued: &QueuedRequest,
 ) -> PlacementAttempt {
-    let digest = record.digest.get();
+    let keys = record.crash_keys();
     let now = traffic.shared.now();
-    let is_clear = traffic.crashes.verdict(now, &digest) == CrashVerdict::Clear;
+    let is_clear = traffic.crashes.suspect(now, &keys).is_none();
     let is_brittle = context.brittleness.is_brittle(now);
     if is_clear && !is_brittle && context.spec.borrow().engine.is_none() {
         if let Ok(target) = choose_limited(traffic, context, &placement.tried).await {
@@ -199,7 +199,7 @@
     }
     if let Some(placer) = context.limits.placer() {
         if let Some(found) =
-            request_placement(traffic, context, digest, placement, queued, placer).await
+            request_placement(traffic, context, keys.request, placement, queued, placer).await
         {
             if matches!(found, PlacementAttempt::Placed(_)) {
                 record.trace(format_args!("placed by {placer}"));
@@ -211,25 +211,25 @@
         ));
         if context.limits.placer().is_some() {
             // Another node allocates the limits.
-            return place_locally(traffic, context, digest, placement, queued);
+            return place_locally(traffic, context, &keys, placement, queued);
         }
     }
     if context.limits.table.borrow().has_limits() {
         let term = context.limits.election.borrow().term().cloned();
         context.limits.resolve_role(term.as_ref());
     }
-    place_locally(traffic, context, digest, placement, queued)
+    place_locally(traffic, context, &keys, placement, queued)
 }
 
 /// Places a request by what this node knows.
 fn place_locally(
     traffic: &Rc<Traffic>,
     context: &Rc<ServiceContext>,
-    digest: RequestDigest,
+    keys: &CrashKeys,
     placement: &PlacementRequest,
     queued: &QueuedRequest,
 ) -> PlacementAttempt {
-    let (place, is_alone) = match place_checked(traffic, context, digest, placement, queued) {
+    let (place, is_alone) = match place_checked(traffic, context, keys, placement, queued) {
         CheckedPlacement::Found { place, is_alone } => (place, is_alone),
         CheckedPlacement::Held => return PlacementAttempt::Held,
         CheckedPlacement::Refused(retry_after) => return PlacementAttempt::Refused(retry_after),
--- a/packages/turnford-serve/src/placer.rs
+++ b/packages/turnford-serve/src/placer.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use turnford_fleet::AllocationRole;
+use turnford_fleet::CrashKeys;
 use turnford_fleet::QueuedRequest;
 use turnford_policy::Moment;
 use turnford_policy::PlacementRequest;
@@ -173,10 +174,13 @@
         }
     }
     let now = traffic.shared.now();
+    let segments = place_request.segments.iter();
+    let segments: Vec<u64> = segments.map(|(id, _)| *id).collect();
     let digest = RequestDigest(place_request.digest);
+    let keys = CrashKeys::new(digest, &place_request.service, &segments);
     let queued = decode_queue_entry(&place_request, now);
     let placement = decode_placement(place_request, now);
-    let reply = match place_checked(traffic, &context, digest, &placement, &queued) {
+    let reply = match place_checked(traffic, &context, &keys, &placement, &queued) {
         CheckedPlacement::Found { place, is_alone } => encode_place_reply(place, is_alone),
         CheckedPlacement::Held => PlaceReply::Held,
         CheckedPlacement::Refused(retry_after) => PlaceReply::Refused {
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -9,6 +9,7 @@
 
 use http::Version;
 
+use turnford_fleet::CrashKeys;
 use turnford_http::BodyFraming;
 use turnford_policy::AccountId;
 use turnford_policy::CallAttributes;
@@ -53,6 +54,8 @@
     pub(crate) ends_between_events: Cell<bool>,
     /// Digest of the request, set once its body has been read.
     pub(crate) digest: Cell<RequestDigest>,
+    /// What the request may crash its targets by, set once its service is known.
+    pub(crate) crash_keys: RefCell<Rc<CrashKeys>>,
     /// Time from the start of the final call to its first event, as estimated on arrival.
     pub(crate) final_call_time: Cell<Duration>,
     final_call_start: Cell<Moment>,
@@ -95,6 +98,7 @@
             framing: Cell::default(),
             ends_between_events: Cell::new(true),
             digest: Cell::default(),
+            crash_keys: RefCell::default(),
             final_call_time: Cell::new(Duration::ZERO),
             final_call_start: Cell::new(started_at),
             trace: RefCell::new(String::new()),
@@ -112,11 +116,17 @@
         })
     }
 
-    /// Returns the ids of the prompt's segments but the last, which is the request's own.
-    pub(crate) fn shared_segments(&self) -> Vec<u64> {
-        let segments = self.attributes.segments.split_last();
-        let shared = segments.map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|segment| segment.id).collect()
+    /// Returns what the request may crash its targets by.
+    pub(crate) fn crash_keys(&self) -> Rc<CrashKeys> {
+        self.crash_keys.borrow().clone()
+    }
+
+    /// Sets the service that the request is sent to.
+    pub(crate) fn set_service(&self, service: &str) {
+        let segments = self.attributes.segments.iter();
+        let segments: Vec<u64> = segments.map(|segment| segment.id).collect();
+        let keys = CrashKeys::new(self.digest.get(), service, &segments);
+        self.crash_keys.replace(Rc::new(keys));
     }
 
     /// Returns when the first event must arrive so that the client still waits and this node still
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -93,13 +93,7 @@
         }
     };
     record.digest.set(request_digest(&record, &parts, &body));
-    let suspect = match admit_suspect(&traffic, &record).await {
-        Ok(suspect) => suspect,
-        Err(refusal) => return refuse_suspect(&record, &refusal),
-    };
-    let response = run_request(&traffic, &record, &parts, &body).await;
-    drop(suspect);
-    response
+    run_request(&traffic, &record, &parts, &body).await
 }
 
 /// Checks a request against its route and account, and starts its record.
@@ -236,6 +230,11 @@
         let reason = "the service is not known";
         return refuse_admitted(record, ResultCode::NoTarget, reason, RETRY_AFTER);
     };
+    record.set_service(&context.spec.borrow().name);
+    let _suspect = match admit_suspect(traffic, record).await {
+        Ok(suspect) => suspect,
+        Err(refusal) => return refuse_suspect(record, &refusal),
+    };
     if source.is_some_and(|source| !context.has_open_version(&source.version)) {
         return refuse_resume(record, &ResumeRefusal::version_gone());
     }
@@ -265,7 +264,7 @@
                 return refuse_admitted(record, ResultCode::Shed, reason, RETRY_AFTER);
             }
             Err(StageError::CrashesTargets(retry_after)) => {
-                let refusal = SuspectRefusal::crashes_targets(retry_after);
+                let refusal = SuspectRefusal::crashes_targets(traffic, record, retry_after);
                 return refuse_suspect(record, &refusal);
             }
             Err(StageError::Infeasible { retry_after }) => {
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -65,18 +65,17 @@
             if outcome == RelayOutcome::Completed {
                 complete_stream(&traffic, &record);
                 remainder.finish(&traffic);
-                record_clean_end(&traffic, &record.digest.get());
+                record_clean_end(&traffic, &record.crash_keys());
                 record.end(ResultCode::Done, "");
                 return;
             }
             if outcome == RelayOutcome::TargetDisconnected {
                 record_broken_stream(&traffic, &context, &placed.target);
                 let call = BrokenCall {
-                    digest: record.digest.get(),
+                    keys: record.crash_keys(),
                     target: placed.target.clone(),
                     is_alone: placed.is_alone,
                     has_started: true,
-                    segments: record.shared_segments(),
                     at: traffic.shared.now(),
                 };
                 // The check goes on after the client's response has ended.
--- a/packages/turnford-serve/src/trial.rs
+++ b/packages/turnford-serve/src/trial.rs
@@ -6,11 +6,11 @@
 
 use async_io::Timer;
 
+use turnford_fleet::CrashKeys;
 use turnford_fleet::CrashVerdict;
 use turnford_fleet::QueuedRequest;
 use turnford_fleet::TrialAdmission;
 use turnford_policy::PlacementRequest;
-use turnford_policy::RequestDigest;
 use turnford_policy::ResultCode;
 
 use crate::crash::SuspectGuard;
@@ -59,12 +59,23 @@
         }
     }
 
-    /// Creates the refusal of a request that crashes targets.
-    pub(crate) fn crashes_targets(retry_after: Duration) -> Self {
-        Self {
-            code: ResultCode::CrashesTargets,
-            retry_after,
-        }
+    /// Creates the refusal of a request that crashes targets, and traces what of it does.
+    pub(crate) fn crashes_targets(
+        traffic: &Traffic,
+        record: &RequestRecord,
+        retry_after: Duration,
+    ) -> Self {
+        let now = traffic.shared.now();
+        let suspect = traffic.crashes.suspect(now, &record.crash_keys());
+        let segment = suspect.and_then(|suspect| Some((suspect.key.segment?, suspect.key.digest)));
+        let code = match segment {
+            Some((id, digest)) => {
+                record.trace(format_args!("segment {id:x} asks={digest} crashes targets"));
+                ResultCode::CrashingSegment
+            }
+            None => ResultCode::CrashesTargets,
+        };
+        Self { code, retry_after }
     }
 
     /// Returns the reason as it is sent to the client.
@@ -72,6 +83,9 @@
         if self.code == ResultCode::OnTrial {
             return "a target crashed while it ran such a request, and another copy is being tried";
         }
+        if self.code == ResultCode::CrashingSegment {
+            return "targets crash when they run requests with a segment of its prompt";
+        }
         "targets crash when they run such a request"
     }
 }
@@ -88,19 +102,19 @@
     traffic: &Rc<Traffic>,
     record: &RequestRecord,
 ) -> Result<Option<SuspectGuard>, SuspectRefusal> {
-    let digest = record.digest.get();
+    let keys = record.crash_keys();
     loop {
         let now = traffic.shared.now();
-        match traffic.crashes.verdict(now, &digest) {
-            CrashVerdict::Clear => return Ok(None),
-            CrashVerdict::Refused(until) => {
-                let retry_after = until.saturating_sub(now);
-                return Err(SuspectRefusal::crashes_targets(retry_after));
-            }
-            CrashVerdict::Suspect { .. } if !traffic.crashes.is_running(&digest) => {
-                return Ok(Some(SuspectGuard::new(traffic, digest)));
-            }
-            CrashVerdict::Suspect { .. } => {}
+        let Some(suspect) = traffic.crashes.suspect(now, &keys) else {
+            return Ok(None);
+        };
+        if let CrashVerdict::Refused(until) = suspect.verdict {
+            let retry_after = until.saturating_sub(now);
+            let refusal = SuspectRefusal::crashes_targets(traffic, record, retry_after);
+            return Err(refusal);
+        }
+        if !traffic.crashes.is_running(&suspect) {
+            return Ok(Some(SuspectGuard::new(traffic, &suspect)));
         }
         if now.saturating_sub(record.started_at) >= SUSPECT_WAIT_TIMEOUT {
             return Err(SuspectRefusal::on_trial());
@@ -114,14 +128,14 @@
 pub(crate) fn place_checked(
     traffic: &Traffic,
     context: &ServiceContext,
-    digest: RequestDigest,
+    keys: &CrashKeys,
     request: &PlacementRequest,
     queued: &QueuedRequest,
 ) -> CheckedPlacement {
     let now = traffic.shared.now();
-    let verdict = traffic.crashes.verdict(now, &digest);
+    let suspect = traffic.crashes.suspect(now, keys);
     let mut trials = context.trials.borrow_mut();
-    let (is_alone, taken) = match trials.admit(now, &digest, verdict) {
+    let (is_alone, taken) = match trials.admit(now, suspect.as_ref()) {
         TrialAdmission::Unrestricted => {
             return CheckedPlacement::Found {
                 place: place_with_room(traffic, context, request, queued),
@@ -140,13 +154,10 @@
     let place = place_with_room(traffic, context, &request, queued);
     match &place {
         LimitedPlacement::Assigned { target, ticket, .. } => {
-            trials.start(
-                *ticket,
-                digest,
-                target.id.clone(),
-                is_alone,
-                request.deadline,
-            );
+            if let Some(suspect) = suspect {
+                let target = target.id.clone();
+                trials.start(*ticket, suspect, target, is_alone, request.deadline);
+            }
         }
         LimitedPlacement::NoTarget if is_any_taken => return CheckedPlacement::Held,
         LimitedPlacement::NoTarget | LimitedPlacement::Wait(_) | LimitedPlacement::Full(_) => {}
