--- a/packages/turnford-fleet/examples/crash_cost.rs
+++ b/packages/turnford-fleet/examples/crash_cost.rs
@@ -5,9 +5,11 @@
 use std::time::Instant;
 
 use turnford_fleet::CrashEvent;
+use turnford_fleet::CrashKeys;
 use turnford_fleet::CrashPart;
 use turnford_fleet::CrashTable;
 use turnford_fleet::CrashUpdate;
+use turnford_fleet::SuccessMemory;
 use turnford_policy::RequestDigest;
 
 /// Number of requests in a full table.
@@ -78,6 +80,20 @@
     measure("look-up of a request that crashes targets", || {
         std::hint::black_box(table.verdict(now, &known));
     });
+    let segments: Vec<u64> = (0..11).collect();
+    measure("keys of a prompt with ten shared segments", || {
+        std::hint::black_box(CrashKeys::new(other, "service", &segments));
+    });
+    let keys = CrashKeys::new(other, "service", &segments);
+    measure("look-up of all of its keys", || {
+        std::hint::black_box(table.suspect(now, &keys));
+    });
+    let mut memory_of_ends = SuccessMemory::default();
+    let mut at = now;
+    measure("record of a good end", || {
+        at += Duration::from_millis(1);
+        memory_of_ends.record(at, keys.iter().map(|key| key.digest));
+    });
     measure("sum of the table", || {
         std::hint::black_box(table.checksum());
     });
--- a/packages/turnford-serve/src/placer.rs
+++ b/packages/turnford-serve/src/placer.rs
@@ -174,10 +174,7 @@
         }
     }
     let now = traffic.shared.now();
-    let segments = place_request.segments.iter();
-    let segments: Vec<u64> = segments.map(|(id, _)| *id).collect();
-    let digest = RequestDigest(place_request.digest);
-    let keys = CrashKeys::new(digest, &place_request.service, &segments);
+    let keys = crash_keys(traffic, &place_request);
     let queued = decode_queue_entry(&place_request, now);
     let placement = decode_placement(place_request, now);
     let reply = match place_checked(traffic, &context, &keys, &placement, &queued) {
@@ -190,6 +187,18 @@
     WorkReply::Placed(reply)
 }
 
+/// Returns what a request may crash its targets by. A node that places many requests leaves out their
+/// segments as long as it knows of no crashes.
+fn crash_keys(traffic: &Traffic, place_request: &PlaceRequest) -> CrashKeys {
+    let digest = RequestDigest(place_request.digest);
+    if traffic.crashes.table.borrow().is_empty() {
+        return CrashKeys::of_request(digest);
+    }
+    let segments = place_request.segments.iter();
+    let segments: Vec<u64> = segments.map(|(id, _)| *id).collect();
+    CrashKeys::new(digest, &place_request.service, &segments)
+}
+
 fn encode_place_reply(place: LimitedPlacement, is_alone: bool) -> PlaceReply {
     match place {
         LimitedPlacement::Assigned {
