Wrap comments, and subtract times of good ends without a panic

Cause: reading the change as a newcomer. Change: comments of the changed code; saturating subtraction in SuccessMemory.

--- a/packages/turnford-fleet/src/crash_keys.rs
+++ b/packages/turnford-fleet/src/crash_keys.rs
@@ -33,8 +33,8 @@
         }
     }
 
-    /// Creates the keys of a request from the segments of its prompt. The last one is the request's own, and is left
-    /// out.
+    /// Creates the keys of a request from the segments of its prompt. The last one is the request's own, and
+    /// is left out.
     pub fn new(request: RequestDigest, service: &str, segments: &[u64]) -> Self {
         let shared = segments.split_last().map_or(&[][..], |(_, shared)| shared);
         let shared = shared.iter().take(MAX_SEGMENTS);
@@ -65,8 +65,8 @@
 }
 
 impl CrashKey {
-    /// Returns the number of crashes from which on the key is suspected. A crash counts against the segments of all
-    /// requests at its target, which are many.
+    /// Returns the number of crashes from which on the key is suspected. A crash counts against the segments
+    /// of all requests at its target, which are many.
     pub fn min_crashes(&self) -> usize {
         match self.segment {
             None => 1,
--- a/packages/turnford-fleet/src/success_memory.rs
+++ b/packages/turnford-fleet/src/success_memory.rs
@@ -38,10 +38,11 @@
 
     /// Drops the older half of the keys.
     fn evict(&mut self, now: Moment) {
-        let mut ages: Vec<Duration> = self.times.values().map(|at| now - *at).collect();
+        let ages = self.times.values().map(|at| now.saturating_sub(*at));
+        let mut ages: Vec<Duration> = ages.collect();
         let middle = ages.len() / 2;
         let (_, limit, _) = ages.select_nth_unstable(middle);
         let limit = *limit;
-        self.times.retain(|_, at| now - *at < limit);
+        self.times.retain(|_, at| now.saturating_sub(*at) < limit);
     }
 }
--- a/packages/turnford-http/src/listen.rs
+++ b/packages/turnford-http/src/listen.rs
@@ -34,10 +34,10 @@
 /// Serves a client's connection until it closes.
 ///
 /// The handler's future and the body it returned are dropped as soon as the client disconnects. A body that
-/// ends with an error ends the connection once everything before the error was sent, without the end that the
-/// response's framing requires; where that is the end of the connection, by a reset. Once `closing` resolves, the connection closes after the current response, or at once if it
-/// is idle. A connection is also closed if it stays idle or receives a request head for too long; `limits` is
-/// evaluated again for each phase.
+/// ends with an error ends the connection once everything before the error was sent, without the end that
+/// the response's framing requires; where that is the end of the connection, by a reset. Once `closing`
+/// resolves, the connection closes after the current response, or at once if it is idle. A connection is also
+/// closed if it stays idle or receives a request head for too long; `limits` is evaluated again for each phase.
 pub async fn serve_client<L, F, Fut, B>(
     stream: TcpStream,
     limits: L,
--- a/packages/turnford-serve/src/crash_updates.rs
+++ b/packages/turnford-serve/src/crash_updates.rs
@@ -57,8 +57,8 @@
     }
 }
 
-/// Notifies the placing nodes of the events of a call. They decide whether the next copy runs, and other paths
-/// of the update may be slower or lose it.
+/// Notifies the placing nodes of the events of a call. They decide whether the next copy runs, and
+/// other paths of the updates may be slower or lose them.
 pub(crate) fn notify_placers(traffic: &Rc<Traffic>, updates: &[CrashUpdate]) {
     let request = WorkRequest::Crashes(updates.to_vec());
     let owned = traffic.clone();
