Show that an unreadable store entry keeps restarted nodes from becoming ready

Cause: the list of an object kind goes on after the last readable object of a page, not after its last item.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -195,6 +195,203 @@
     Ok(i32::from(!twice.is_empty()))
 }
 
+// ---------------------------------------------------------------------------------------------
+// Case 3: a planned stop while clients read long answers
+
+/// Bytes of an answer, and the bytes that a client reads a second: a link of 16 Mbit/s. Reading an answer takes
+/// less than the grace time of 8 s.
+const ANSWER_BYTES: usize = 14_000_000;
+const CLIENT_PACE: u64 = 2_000_000;
+
+fn serve_documents(stream: TcpStream, id: &str, record: &Record) {
+    let Ok(clone) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(clone);
+    let mut stream = stream;
+    while let Ok(Some(request)) = read_message(&mut reader, None) {
+        let attempt = request.header("x-turnford-attempt-id").unwrap_or("").to_owned();
+        let stamp = format!("stamp.{id}.{attempt}");
+        let headers = [
+            ("X-Turnford-Attempt-Id", attempt.as_str()),
+            ("X-Turnford-Server-Stamp", stamp.as_str()),
+            ("Keep-Alive", "timeout=10"),
+        ];
+        record.line(&format!("{id} runs {attempt}"));
+        let bytes = response("200 OK", &headers, &vec![b'x'; ANSWER_BYTES]);
+        let is_sent = stream.write_all(&bytes).is_ok();
+        record.line(&format!("{id} has answered {attempt} with {ANSWER_BYTES} bytes: {is_sent}"));
+    }
+}
+
+fn run_slow_readers(folder: &str) -> io::Result<i32> {
+    let record = Record::create(folder)?;
+    let store = Store::start()?;
+    let routes = "{\"name\":\"r-doc\",\"host\":\"shop.example\",\"path_prefix\":\"/doc/\",\"kind\":\"unsafe\",\
+                  \"timeout_ms\":20000,\"target_latency_ms\":2000,\"priority\":1,\"service\":\"booking\",\
+                  \"max_attempts\":1,\"stages\":[],\"allow_anonymous\":true}";
+    store.put("config", "main", configuration(routes).ok_or(io::ErrorKind::InvalidData)?);
+    for (index, zone) in ["hal-a", "hal-b"].iter().enumerate() {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let id = format!("i-{index}");
+        register_runner(&store, &id, "booking", listener.local_addr()?, zone, 6);
+        let record = record.clone();
+        serve(listener, move |stream| serve_documents(stream, &id, &record));
+    }
+    let mut fleet = Fleet::new(2, store.address)?;
+    fleet.start()?;
+    if fleet.wait_ready(Duration::from_secs(25)) < fleet.nodes.len() {
+        record.line("not all nodes became ready");
+        return Ok(2);
+    }
+    // The links are left alone for longer than `contact_ms`.
+    thread::sleep(Duration::from_secs(4));
+    let front = fleet.nodes[0].front;
+    let mut clients = Vec::new();
+    for index in 0..3 {
+        let record = record.clone();
+        clients.push(thread::spawn(move || -> io::Result<bool> {
+            let id = new_id();
+            let mut connection = ClientConnection::open(front)?;
+            set_small_window(&connection.stream);
+            record.line(&format!("client {index} sends {id} to front-0: POST /doc/all"));
+            connection.send("POST", "/doc/all", &id, 20_000, b"all=1")?;
+            let answer = connection.receive(Some(CLIENT_PACE))?;
+            let (status, read, is_whole) =
+                answer.map_or((0, 0, false), |answer| (answer.status(), answer.body.len(), answer.is_whole));
+            let end = if is_whole { "whole" } else { "LOST: it ends early" };
+            record.line(&format!("client {index} gets {status} for {id}, {read} bytes of the body, {end}"));
+            Ok(is_whole)
+        }));
+    }
+    thread::sleep(Duration::from_millis(800));
+    if has_trouble() {
+        if let Some(child) = &fleet.nodes[0].child {
+            record.line("SIGTERM to front-0");
+            send_signal(child, "TERM");
+        }
+    }
+    let started = Instant::now();
+    let mut exit = None;
+    while started.elapsed() < Duration::from_secs(9) {
+        if let Some(child) = &mut fleet.nodes[0].child {
+            if exit.is_none() && child.try_wait()?.is_some() {
+                exit = Some(started.elapsed());
+                record.line("front-0 has ended by itself");
+            }
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let ends: Vec<bool> = clients.into_iter().map(|client| matches!(client.join(), Ok(Ok(true)))).collect();
+    let lost = ends.iter().filter(|is_whole| !**is_whole).count();
+    let exit = exit.map_or("-".to_owned(), |after| format!("{:.1} s after SIGTERM", after.as_secs_f64()));
+    let summary = format!("answers {}, lost {lost}, end of the node {exit}", ends.len());
+    record.line(&summary);
+    println!("{summary}");
+    Ok(i32::from(lost > 0))
+}
+
+// ---------------------------------------------------------------------------------------------
+// Case 2: a large entry of another writer that can't be read, and a restart of all nodes
+
+/// Sends requests to all nodes for a time. Returns how many were sent and how many were served.
+fn send_for(fleet: &Fleet, record: &Arc<Record>, time: Duration) -> (usize, usize) {
+    let until = Instant::now() + time;
+    let clients: Vec<_> = fleet
+        .nodes
+        .iter()
+        .map(|node| {
+            let (front, name, record) = (node.front, node.name.clone(), record.clone());
+            thread::spawn(move || {
+                let (mut sent, mut served) = (0, 0);
+                while Instant::now() < until {
+                    let id = new_id();
+                    record.line(&format!("client sends {id} to {name}: GET /price/7"));
+                    let answer = ClientConnection::open(front).and_then(|mut connection| {
+                        connection.send("GET", "/price/7", &id, 3000, b"")?;
+                        connection.receive(None)
+                    });
+                    sent += 1;
+                    let text = match answer {
+                        Ok(Some(answer)) if answer.is_whole => {
+                            served += usize::from(answer.status() == 200);
+                            answer.status().to_string()
+                        }
+                        Ok(_) => "no whole answer".to_owned(),
+                        Err(error) => error.to_string(),
+                    };
+                    record.line(&format!("client gets {text} for {id}"));
+                    thread::sleep(Duration::from_millis(200));
+                }
+                (sent, served)
+            })
+        })
+        .collect();
+    let counts = clients.into_iter().filter_map(|client| client.join().ok());
+    counts.fold((0, 0), |sum, counts| (sum.0 + counts.0, sum.1 + counts.1))
+}
+
+fn run_foreign_entry(folder: &str) -> io::Result<i32> {
+    let record = Record::create(folder)?;
+    let store = Store::start()?;
+    let table = Arc::new(RunTable::default());
+    let routes = "{\"name\":\"r-price\",\"host\":\"shop.example\",\"path_prefix\":\"/price/\",\"kind\":\"safe\",\
+                  \"timeout_ms\":3000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"booking\",\
+                  \"max_attempts\":2,\"stages\":[],\"allow_anonymous\":true}";
+    store.put("config", "main", configuration(routes).ok_or(io::ErrorKind::InvalidData)?);
+    for index in 1..=4 {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let runner = Arc::new(PlainRunner {
+            id: format!("i-{index}000"),
+            slots: 6,
+            work: Duration::from_millis(15),
+            running: AtomicUsize::new(0),
+            repeats_refusals: false,
+            strays: AtomicUsize::new(0),
+            record: record.clone(),
+            table: table.clone(),
+        });
+        register_runner(&store, &runner.id, "booking", listener.local_addr()?, "hal-a", 6);
+        serve(listener, move |stream| runner.serve_connection(stream));
+    }
+    let mut fleet = Fleet::new(3, store.address)?;
+    fleet.start()?;
+    if fleet.wait_ready(Duration::from_secs(25)) < fleet.nodes.len() {
+        record.line("not all nodes became ready");
+        return Ok(2);
+    }
+    let before = send_for(&fleet, &record, Duration::from_secs(4));
+    if has_trouble() {
+        // Within `value_bytes`; the text ends in half of a pair of surrogates, as cut texts do.
+        let name = std::env::var("FOREIGN_NAME").unwrap_or_else(|_| "i-2500".to_owned());
+        let text = format!("{}\\ud83d", "x".repeat(1_000_000));
+        store.put("servers", &name, Json::Object(vec![("note".to_owned(), Json::Text(text))]));
+        record.line(&format!("another writer writes servers/{name}, about 1 MB that can't be read"));
+    }
+    let while_there = send_for(&fleet, &record, Duration::from_secs(4));
+    record.line("all processes are killed");
+    fleet.kill_all();
+    thread::sleep(Duration::from_secs(1));
+    let lists_before = store.lists.load(Ordering::SeqCst);
+    fleet.start()?;
+    record.line("all processes are started again");
+    // `recovery_s`
+    thread::sleep(Duration::from_secs(12));
+    let ready = fleet.nodes.iter().filter(|node| is_ready(node.ready)).count();
+    record.line(&format!("12 s later {ready} of {} nodes say that they are ready", fleet.nodes.len()));
+    let after = send_for(&fleet, &record, Duration::from_secs(8));
+    let lists = store.lists.load(Ordering::SeqCst) - lists_before;
+    let summary = format!(
+        "served before {} of {}, with the entry there {} of {}, later than 12 s after the restart {} of {}; \
+         ready {ready}, lists read since the restart {lists}",
+        before.1, before.0, while_there.1, while_there.0, after.1, after.0
+    );
+    record.line(&summary);
+    println!("{summary}");
+    if before.1 * 4 < before.0 {
+        return Ok(2);
+    }
+    Ok(i32::from(after.1 * 4 < after.0))
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let (Some(case), Some(folder)) = (arguments.get(1), arguments.get(2)) else {
@@ -204,6 +401,8 @@
     start_watchdog();
     let result = match case.as_str() {
         "stray-refusals" => run_stray_refusals(folder),
+        "slow-readers" => run_slow_readers(folder),
+        "foreign-entry" => run_foreign_entry(folder),
         _ => Err(io::ErrorKind::NotFound.into()),
     };
     let status = result.unwrap_or_else(|error| {
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -746,6 +746,20 @@
     ask().unwrap_or(false)
 }
 
+extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+}
+
+/// Gives a client's socket a small receive window, as the links of the platform have them.
+fn set_small_window(stream: &TcpStream) -> bool {
+    use std::os::fd::AsRawFd;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    let bytes: i32 = 64 * 1024;
+    // SAFETY: the descriptor is open, and the value is an `int` of the given length.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) == 0 }
+}
+
 /// A client's connection to a node.
 struct ClientConnection {
     stream: TcpStream,
