Show that a runner that hangs in the middle of its answer leaves a request unanswered

Cause: the body of a plain response is read without a time limit. Change: add case 2 of the review, move the unreadable entry to case 3, and take the cut answers of a planned stop out of the cases; its stand-in stays. Nothing else is changed.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Another writer leaves a large entry that can't be read beside those of the runners, and all nodes are restarted.
+# A runner hangs in the middle of some of its answers; its health check is good.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the fault.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 if [ ! -x target/review/standin ]; then bash review/build.sh || exit 2; fi
 [ -x target/release/turnford ] || { echo "target/release/turnford is not built" >&2; exit 2; }
-exec target/review/standin foreign-entry review/2
+exec target/review/standin hanging-answers review/2
--- a/review/cases.rs
+++ b/review/cases.rs
@@ -23,6 +23,9 @@
     /// Whether it repeats each refusal once, late: where the answer to the next request is due.
     repeats_refusals: bool,
     strays: AtomicUsize,
+    /// Of so many requests that run, one hangs in the middle of its answer; 0 for none.
+    hangs_every: usize,
+    runs: AtomicUsize,
     record: Arc<Record>,
     table: Arc<RunTable>,
 }
@@ -81,7 +84,20 @@
                 ("X-Turnford-Server-Stamp", stamp.as_str()),
                 ("Keep-Alive", "timeout=10"),
             ];
-            let _ = stream.write_all(&response("200 OK", &headers, b"done"));
+            let bytes = response("200 OK", &headers, &[b'x'; 800]);
+            let run = self.runs.fetch_add(1, Ordering::SeqCst) + 1;
+            if self.hangs_every > 0 && run % self.hangs_every == 0 {
+                self.record.line(&format!("{} hangs in the middle of its answer to {id}", self.id));
+                let _ = stream.write_all(&bytes[..bytes.len() - 400]);
+                let started = Instant::now();
+                let _ = stream.set_read_timeout(Some(Duration::from_secs(30)));
+                // Nothing more comes on this connection until it is closed.
+                let _ = read_head(&mut reader);
+                let after = started.elapsed().as_secs_f64();
+                self.record.line(&format!("{}: the connection of {id} was closed {after:.1} s later", self.id));
+                return;
+            }
+            let _ = stream.write_all(&bytes);
         }
     }
 }
@@ -107,6 +123,8 @@
             running: AtomicUsize::new(0),
             repeats_refusals: index == 0 && has_trouble(),
             strays: AtomicUsize::new(0),
+            hangs_every: 0,
+            runs: AtomicUsize::new(0),
             record: record.clone(),
             table: table.clone(),
         });
@@ -196,7 +214,7 @@
 }
 
 // ---------------------------------------------------------------------------------------------
-// Case 3: a planned stop while clients read long answers
+// Further: a planned stop while clients read long answers
 
 /// Bytes of an answer, and the bytes that a client reads a second: a link of 16 Mbit/s. Reading an answer takes
 /// less than the grace time of 8 s.
@@ -290,7 +308,7 @@
 }
 
 // ---------------------------------------------------------------------------------------------
-// Case 2: a large entry of another writer that can't be read, and a restart of all nodes
+// Case 3: a large entry of another writer that can't be read, and a restart of all nodes
 
 /// Sends requests to all nodes for a time. Returns how many were sent and how many were served.
 fn send_for(fleet: &Fleet, record: &Arc<Record>, time: Duration) -> (usize, usize) {
@@ -346,6 +364,8 @@
             running: AtomicUsize::new(0),
             repeats_refusals: false,
             strays: AtomicUsize::new(0),
+            hangs_every: 0,
+            runs: AtomicUsize::new(0),
             record: record.clone(),
             table: table.clone(),
         });
@@ -392,6 +412,103 @@
     Ok(i32::from(after.1 * 4 < after.0))
 }
 
+// ---------------------------------------------------------------------------------------------
+// Case 2: a runner that hangs in the middle of some of its answers
+
+/// `timeout_ms` of the route, and how long a client waits for an answer.
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(2000);
+const CLIENT_PATIENCE: Duration = Duration::from_millis(5000);
+
+fn run_hanging_answers(folder: &str) -> io::Result<i32> {
+    let record = Record::create(folder)?;
+    let store = Store::start()?;
+    let table = Arc::new(RunTable::default());
+    let routes = "{\"name\":\"r-hold\",\"host\":\"shop.example\",\"path_prefix\":\"/hold/\",\"kind\":\"unsafe\",\
+                  \"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"booking\",\
+                  \"max_attempts\":1,\"stages\":[],\"allow_anonymous\":true},\
+                  {\"name\":\"r-price\",\"host\":\"shop.example\",\"path_prefix\":\"/price/\",\"kind\":\"safe\",\
+                  \"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"booking\",\
+                  \"max_attempts\":2,\"stages\":[],\"allow_anonymous\":true}";
+    store.put("config", "main", configuration(routes).ok_or(io::ErrorKind::InvalidData)?);
+    for (index, zone) in ["hal-a", "hal-b", "hal-c", "hal-c"].iter().enumerate() {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let runner = Arc::new(PlainRunner {
+            id: format!("i-{index}"),
+            slots: 24,
+            work: Duration::from_millis(15),
+            running: AtomicUsize::new(0),
+            repeats_refusals: false,
+            strays: AtomicUsize::new(0),
+            hangs_every: if index == 0 && has_trouble() { 4 } else { 0 },
+            runs: AtomicUsize::new(0),
+            record: record.clone(),
+            table: table.clone(),
+        });
+        register_runner(&store, &runner.id, "booking", listener.local_addr()?, zone, 24);
+        serve(listener, move |stream| runner.serve_connection(stream));
+    }
+    let mut fleet = Fleet::new(3, store.address)?;
+    fleet.start()?;
+    if fleet.wait_ready(Duration::from_secs(25)) < fleet.nodes.len() {
+        record.line("not all nodes became ready");
+        return Ok(2);
+    }
+    // The nodes are left alone for longer than `contact_ms`.
+    thread::sleep(Duration::from_secs(4));
+    let is_over = Arc::new(AtomicBool::new(false));
+    // Time until the whole answer, or `None`.
+    let ends: Arc<Mutex<Vec<Option<Duration>>>> = Arc::default();
+    let mut clients = Vec::new();
+    for index in 0..24 {
+        let node = &fleet.nodes[index % fleet.nodes.len()];
+        let (front, node) = (node.front, node.name.clone());
+        let (is_over, ends, record) = (is_over.clone(), ends.clone(), record.clone());
+        clients.push(thread::spawn(move || {
+            while !is_over.load(Ordering::SeqCst) {
+                let id = new_id();
+                let (method, path) = if index % 2 == 0 { ("POST", "/hold/now") } else { ("GET", "/price/7") };
+                let body: &[u8] = if index % 2 == 0 { b"amount=1" } else { b"" };
+                record.line(&format!("client {index} sends {id} to {node}: {method} {path}"));
+                let started = Instant::now();
+                let answer = ClientConnection::open(front).and_then(|mut connection| {
+                    connection.send(method, path, &id, 10_000, body)?;
+                    connection.stream.set_read_timeout(Some(CLIENT_PATIENCE))?;
+                    connection.receive(None)
+                });
+                let after = started.elapsed();
+                let (end, text) = match answer {
+                    Ok(Some(answer)) if answer.is_whole => (Some(after), answer.status().to_string()),
+                    Ok(_) => (None, "no whole answer".to_owned()),
+                    Err(_) => (None, "no answer".to_owned()),
+                };
+                record.line(&format!("client {index} gets {text} for {id} after {:.2} s", after.as_secs_f64()));
+                ends.lock().unwrap().push(end);
+                thread::sleep(Duration::from_millis(150));
+            }
+        }));
+    }
+    thread::sleep(Duration::from_secs(20));
+    is_over.store(true, Ordering::SeqCst);
+    for client in clients {
+        let _ = client.join();
+    }
+    let ends = ends.lock().unwrap();
+    let open_at = |time: Duration| ends.iter().filter(|end| end.is_none_or(|end| end > time)).count();
+    let outlast = open_at(ROUTE_TIMEOUT);
+    let late = open_at(ROUTE_TIMEOUT + Duration::from_millis(500));
+    let never = ends.iter().filter(|end| end.is_none()).count();
+    let summary = format!(
+        "requests {}, without an answer at timeout_ms {outlast}, 0.5 s later {late}, 3 s later {never}",
+        ends.len()
+    );
+    record.line(&summary);
+    println!("{summary}");
+    if ends.len() < 200 {
+        return Ok(2);
+    }
+    Ok(i32::from(late >= 8 && late * 4 > outlast))
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let (Some(case), Some(folder)) = (arguments.get(1), arguments.get(2)) else {
@@ -402,6 +519,7 @@
     let result = match case.as_str() {
         "stray-refusals" => run_stray_refusals(folder),
         "slow-readers" => run_slow_readers(folder),
+        "hanging-answers" => run_hanging_answers(folder),
         "foreign-entry" => run_foreign_entry(folder),
         _ => Err(io::ErrorKind::NotFound.into()),
     };
