Show unanswered requests by connections that go silent in an answer

Cause: the body of a plain response is read without a time limit. Change: case 2 of the review has connections go silent for 0.8 s at a time, so that the nodes are in touch at the timeouts.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A runner hangs in the middle of some of its answers; its health check is good.
+# Connections to a runner go silent for good in the middle of its answers; new ones work, and its health is good.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the fault.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
--- a/review/cases.rs
+++ b/review/cases.rs
@@ -23,9 +23,8 @@
     /// Whether it repeats each refusal once, late: where the answer to the next request is due.
     repeats_refusals: bool,
     strays: AtomicUsize,
-    /// Of so many requests that run, one hangs in the middle of its answer; 0 for none.
-    hangs_every: usize,
-    runs: AtomicUsize,
+    /// Whether its connections go silent in the middle of the answers that it gives now.
+    falls_silent: AtomicBool,
     record: Arc<Record>,
     table: Arc<RunTable>,
 }
@@ -85,8 +84,7 @@
                 ("Keep-Alive", "timeout=10"),
             ];
             let bytes = response("200 OK", &headers, &[b'x'; 800]);
-            let run = self.runs.fetch_add(1, Ordering::SeqCst) + 1;
-            if self.hangs_every > 0 && run % self.hangs_every == 0 {
+            if self.falls_silent.load(Ordering::SeqCst) {
                 self.record.line(&format!("{} hangs in the middle of its answer to {id}", self.id));
                 let _ = stream.write_all(&bytes[..bytes.len() - 400]);
                 let started = Instant::now();
@@ -123,8 +121,7 @@
             running: AtomicUsize::new(0),
             repeats_refusals: index == 0 && has_trouble(),
             strays: AtomicUsize::new(0),
-            hangs_every: 0,
-            runs: AtomicUsize::new(0),
+            falls_silent: AtomicBool::new(false),
             record: record.clone(),
             table: table.clone(),
         });
@@ -364,8 +361,7 @@
             running: AtomicUsize::new(0),
             repeats_refusals: false,
             strays: AtomicUsize::new(0),
-            hangs_every: 0,
-            runs: AtomicUsize::new(0),
+            falls_silent: AtomicBool::new(false),
             record: record.clone(),
             table: table.clone(),
         });
@@ -413,23 +409,29 @@
 }
 
 // ---------------------------------------------------------------------------------------------
-// Case 2: a runner that hangs in the middle of some of its answers
+// Case 2: connections to a runner that go silent in the middle of its answers
 
 /// `timeout_ms` of the route, and how long a client waits for an answer.
-const ROUTE_TIMEOUT: Duration = Duration::from_millis(2000);
-const CLIENT_PATIENCE: Duration = Duration::from_millis(5000);
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(4000);
+const CLIENT_PATIENCE: Duration = Duration::from_millis(9000);
+
+/// Times from the first request on at which connections fall silent, and for how long each time. By the timeout
+/// of the last request that is hit, this is over for longer than `contact_ms`.
+const SILENT_AT: [Duration; 2] = [Duration::from_secs(3), Duration::from_secs(14)];
+const SILENT_FOR: Duration = Duration::from_millis(800);
 
 fn run_hanging_answers(folder: &str) -> io::Result<i32> {
     let record = Record::create(folder)?;
     let store = Store::start()?;
     let table = Arc::new(RunTable::default());
     let routes = "{\"name\":\"r-hold\",\"host\":\"shop.example\",\"path_prefix\":\"/hold/\",\"kind\":\"unsafe\",\
-                  \"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"booking\",\
+                  \"timeout_ms\":4000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"booking\",\
                   \"max_attempts\":1,\"stages\":[],\"allow_anonymous\":true},\
                   {\"name\":\"r-price\",\"host\":\"shop.example\",\"path_prefix\":\"/price/\",\"kind\":\"safe\",\
-                  \"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"booking\",\
+                  \"timeout_ms\":4000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"booking\",\
                   \"max_attempts\":2,\"stages\":[],\"allow_anonymous\":true}";
     store.put("config", "main", configuration(routes).ok_or(io::ErrorKind::InvalidData)?);
+    let mut runners = Vec::new();
     for (index, zone) in ["hal-a", "hal-b", "hal-c", "hal-c"].iter().enumerate() {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let runner = Arc::new(PlainRunner {
@@ -439,12 +441,12 @@
             running: AtomicUsize::new(0),
             repeats_refusals: false,
             strays: AtomicUsize::new(0),
-            hangs_every: if index == 0 && has_trouble() { 4 } else { 0 },
-            runs: AtomicUsize::new(0),
+            falls_silent: AtomicBool::new(false),
             record: record.clone(),
             table: table.clone(),
         });
         register_runner(&store, &runner.id, "booking", listener.local_addr()?, zone, 24);
+        runners.push(runner.clone());
         serve(listener, move |stream| runner.serve_connection(stream));
     }
     let mut fleet = Fleet::new(3, store.address)?;
@@ -487,7 +489,19 @@
             }
         }));
     }
-    thread::sleep(Duration::from_secs(20));
+    let started = Instant::now();
+    for at in SILENT_AT {
+        thread::sleep(at.saturating_sub(started.elapsed()));
+        let set_silent = |is_silent: bool| {
+            for runner in &runners[..2] {
+                runner.falls_silent.store(is_silent, Ordering::SeqCst);
+            }
+        };
+        set_silent(has_trouble());
+        thread::sleep(SILENT_FOR);
+        set_silent(false);
+    }
+    thread::sleep(Duration::from_secs(20).saturating_sub(started.elapsed()));
     is_over.store(true, Ordering::SeqCst);
     for client in clients {
         let _ = client.join();
@@ -498,7 +512,7 @@
     let late = open_at(ROUTE_TIMEOUT + Duration::from_millis(500));
     let never = ends.iter().filter(|end| end.is_none()).count();
     let summary = format!(
-        "requests {}, without an answer at timeout_ms {outlast}, 0.5 s later {late}, 3 s later {never}",
+        "requests {}, without an answer at timeout_ms {outlast}, 0.5 s later {late}, 5 s later {never}",
         ends.len()
     );
     record.line(&summary);
