--- a/review/cases.rs
+++ b/review/cases.rs
@@ -534,6 +534,110 @@
     Ok(i32::from(late >= 8 && late * 4 > outlast))
 }
 
+// ---------------------------------------------------------------------------------------------
+// Further: many clients with the largest bodies that the configuration allows
+
+/// Memory of a machine, above which the platform kills a process, and `max_body_bytes`.
+const MEMORY_BYTES: u64 = 260_000_000;
+const LARGEST_BODY: usize = 4_194_304;
+
+/// Returns the resident memory of a process in bytes.
+fn resident_bytes(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
+
+fn run_large_bodies(folder: &str) -> io::Result<i32> {
+    let record = Record::create(folder)?;
+    let store = Store::start()?;
+    let table = Arc::new(RunTable::default());
+    let routes = "{\"name\":\"r-scan\",\"host\":\"shop.example\",\"path_prefix\":\"/scan/\",\"kind\":\"unsafe\",\
+                  \"timeout_ms\":20000,\"target_latency_ms\":3000,\"priority\":1,\"service\":\"booking\",\
+                  \"max_attempts\":1,\"stages\":[],\"allow_anonymous\":true}";
+    store.put("config", "main", configuration(routes).ok_or(io::ErrorKind::InvalidData)?);
+    for index in 0..4 {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let runner = Arc::new(PlainRunner {
+            id: format!("i-{index}"),
+            slots: 64,
+            work: Duration::from_millis(2000),
+            running: AtomicUsize::new(0),
+            repeats_refusals: false,
+            strays: AtomicUsize::new(0),
+            falls_silent: AtomicBool::new(false),
+            record: record.clone(),
+            table: table.clone(),
+        });
+        register_runner(&store, &runner.id, "booking", listener.local_addr()?, "hal-a", 64);
+        serve(listener, move |stream| runner.serve_connection(stream));
+    }
+    let mut fleet = Fleet::new(3, store.address)?;
+    fleet.start()?;
+    if fleet.wait_ready(Duration::from_secs(25)) < fleet.nodes.len() {
+        record.line("not all nodes became ready");
+        return Ok(2);
+    }
+    let clients_per_node = if has_trouble() { 40 } else { 8 };
+    let mut ends = vec![0; fleet.nodes.len()];
+    let mut most = 0;
+    let mut counts = (0, 0);
+    for _ in 0..3 {
+        let mut clients = Vec::new();
+        for node in &fleet.nodes[..2] {
+            for _ in 0..clients_per_node {
+                let (front, name, record) = (node.front, node.name.clone(), record.clone());
+                clients.push(thread::spawn(move || {
+                    let id = new_id();
+                    record.line(&format!("client sends {id} to {name}: POST /scan/1, {LARGEST_BODY} bytes"));
+                    let answer = ClientConnection::open(front).and_then(|mut connection| {
+                        connection.send("POST", "/scan/1", &id, 15_000, &vec![b'x'; LARGEST_BODY])?;
+                        connection.receive(None)
+                    });
+                    let status = answer.ok().flatten().map_or(0, |answer| answer.status());
+                    record.line(&format!("client gets {status} for {id}"));
+                    status == 200
+                }));
+            }
+        }
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(8) {
+            for (index, node) in fleet.nodes.iter_mut().enumerate() {
+                let Some(child) = &mut node.child else { continue };
+                let resident = resident_bytes(child.id());
+                most = most.max(resident);
+                if resident > MEMORY_BYTES {
+                    let text = format!("{} uses {} MB and is killed", node.name, resident / 1_000_000);
+                    record.line(&text);
+                    let _ = child.kill();
+                    let _ = child.wait();
+                    node.child = None;
+                    ends[index] += 1;
+                }
+            }
+            if started.elapsed() > Duration::from_secs(3) {
+                fleet.start()?;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        for client in clients {
+            counts.0 += 1;
+            counts.1 += usize::from(matches!(client.join(), Ok(true)));
+        }
+        fleet.wait_ready(Duration::from_secs(10));
+    }
+    let summary = format!(
+        "served {} of {}, most memory {} MB, ends of the nodes {ends:?}",
+        counts.1,
+        counts.0,
+        most / 1_000_000
+    );
+    record.line(&summary);
+    println!("{summary}");
+    Ok(i32::from(ends.iter().filter(|count| **count >= 3).count() >= 2))
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let (Some(case), Some(folder)) = (arguments.get(1), arguments.get(2)) else {
@@ -545,6 +649,7 @@
         "stray-refusals" => run_stray_refusals(folder),
         "slow-readers" => run_slow_readers(folder),
         "hanging-answers" => run_hanging_answers(folder),
+        "large-bodies" => run_large_bodies(folder),
         "foreign-entry" => run_foreign_entry(folder),
         _ => Err(io::ErrorKind::NotFound.into()),
     };
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -673,13 +674,21 @@
     fn start(&mut self) -> io::Result<()> {
         for node in self.nodes.iter_mut().filter(|node| node.child.is_none()) {
             let log = File::options().create(true).append(true).open(&node.log)?;
-            let child = Command::new("target/release/turnford")
+            let mut command = Command::new("target/release/turnford");
+            command
                 .arg("serve")
                 .env("TURNFORD_BOOT", &node.settings)
                 .stdin(Stdio::null())
                 .stdout(log.try_clone()?)
-                .stderr(log)
-                .spawn()?;
+                .stderr(log);
+            // SAFETY: the call is allowed between fork and exec.
+            unsafe {
+                command.pre_exec(|| {
+                    prctl(PR_SET_PDEATHSIG, SIGKILL);
+                    Ok(())
+                });
+            }
+            let child = command.spawn()?;
             PROCESSES.lock().unwrap().push(child.id());
             node.child = Some(child);
         }
@@ -759,9 +768,14 @@
 }
 
 extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
+/// Has a process killed when the one that started it ends, however that ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// Gives a client's socket a small receive window, as the links of the platform have them.
 fn set_small_window(stream: &TcpStream) -> bool {
     use std::os::fd::AsRawFd;
