--- a/review/cases.rs
+++ b/review/cases.rs
@@ -10,7 +10,9 @@
 impl RunTable {
     fn record(&self, id: &str, runner: &str) {
         let mut runs = self.runs.lock().unwrap();
-        runs.entry(id.to_owned()).or_default().push(runner.to_owned());
+        runs.entry(id.to_owned())
+            .or_default()
+            .push(runner.to_owned());
     }
 }
 
@@ -31,7 +33,9 @@
 
 impl PlainRunner {
     fn serve_connection(&self, stream: TcpStream) {
-        let Ok(clone) = stream.try_clone() else { return };
+        let Ok(clone) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(clone);
         let mut stream = stream;
         let mut stray: Option<(String, Vec<u8>)> = None;
@@ -42,7 +46,10 @@
                 let _ = stream.write_all(&response("200 OK", &headers, b"{}"));
                 continue;
             }
-            let id = request.header("x-turnford-attempt-id").unwrap_or("").to_owned();
+            let id = request
+                .header("x-turnford-attempt-id")
+                .unwrap_or("")
+                .to_owned();
             let expected = request.header("x-turnford-expect-instance");
             if expected.is_some_and(|expected| expected != self.id) {
                 let headers = [("X-Turnford-Attempt-Id", id.as_str())];
@@ -56,7 +63,10 @@
             }
             if let Some((of, bytes)) = stray.take() {
                 self.strays.fetch_add(1, Ordering::SeqCst);
-                let text = format!("{} sends the refusal of {of} once more, before the answer to {id}", self.id);
+                let text = format!(
+                    "{} sends the refusal of {of} once more, before the answer to {id}",
+                    self.id
+                );
                 self.record.line(&text);
                 let _ = stream.write_all(&bytes);
             }
@@ -68,7 +78,8 @@
                     ("Keep-Alive", "timeout=10"),
                 ];
                 let bytes = response("503 Service Unavailable", &headers, b"");
-                self.record.line(&format!("{} is full and refuses {id}", self.id));
+                self.record
+                    .line(&format!("{} is full and refuses {id}", self.id));
                 let _ = stream.write_all(&bytes);
                 if self.repeats_refusals {
                     stray = Some((id, bytes));
@@ -85,14 +96,20 @@
             ];
             let bytes = response("200 OK", &headers, &[b'x'; 800]);
             if self.falls_silent.load(Ordering::SeqCst) {
-                self.record.line(&format!("{} hangs in the middle of its answer to {id}", self.id));
+                self.record.line(&format!(
+                    "{} hangs in the middle of its answer to {id}",
+                    self.id
+                ));
                 let _ = stream.write_all(&bytes[..bytes.len() - 400]);
                 let started = Instant::now();
                 let _ = stream.set_read_timeout(Some(Duration::from_secs(30)));
                 // Nothing more comes on this connection until it is closed.
                 let _ = read_head(&mut reader);
                 let after = started.elapsed().as_secs_f64();
-                self.record.line(&format!("{}: the connection of {id} was closed {after:.1} s later", self.id));
+                self.record.line(&format!(
+                    "{}: the connection of {id} was closed {after:.1} s later",
+                    self.id
+                ));
                 return;
             }
             let _ = stream.write_all(&bytes);
@@ -110,7 +127,11 @@
                   {\"name\":\"r-hold\",\"host\":\"shop.example\",\"path_prefix\":\"/hold/\",\"kind\":\"unsafe\",\
                   \"timeout_ms\":3000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"booking\",\
                   \"max_attempts\":1,\"stages\":[],\"allow_anonymous\":true}";
-    store.put("config", "main", configuration(routes).ok_or(io::ErrorKind::InvalidData)?);
+    store.put(
+        "config",
+        "main",
+        configuration(routes).ok_or(io::ErrorKind::InvalidData)?,
+    );
     let mut runners = Vec::new();
     for (index, zone) in ["hal-a", "hal-b", "hal-c"].iter().enumerate() {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -125,7 +146,14 @@
             record: record.clone(),
             table: table.clone(),
         });
-        register_runner(&store, &runner.id, "booking", listener.local_addr()?, zone, 6);
+        register_runner(
+            &store,
+            &runner.id,
+            "booking",
+            listener.local_addr()?,
+            zone,
+            6,
+        );
         let served = runner.clone();
         serve(listener, move |stream| served.serve_connection(stream));
         runners.push(runner);
@@ -146,7 +174,11 @@
         clients.push(thread::spawn(move || {
             let mut connection = None;
             while !is_over.load(Ordering::SeqCst) {
-                let path = if index % 2 == 0 { "/pay/now" } else { "/hold/now" };
+                let path = if index % 2 == 0 {
+                    "/pay/now"
+                } else {
+                    "/hold/now"
+                };
                 let id = new_id();
                 if connection.is_none() {
                     connection = ClientConnection::open(front).ok();
@@ -156,14 +188,25 @@
                     continue;
                 };
                 record.line(&format!("client {index} sends {id} to {node}: POST {path}"));
-                let answer = open.send("POST", path, &id, 3000, b"amount=1").and_then(|()| open.receive(None));
+                let answer = open
+                    .send("POST", path, &id, 3000, b"amount=1")
+                    .and_then(|()| open.receive(None));
                 match answer {
                     Ok(Some(answer)) if answer.is_whole => {
                         let has_stamp = answer.header("x-turnford-server-stamp").is_some();
-                        let text = format!("client {index} gets {} for {id}, stamp {has_stamp}", answer.status());
+                        let text = format!(
+                            "client {index} gets {} for {id}, stamp {has_stamp}",
+                            answer.status()
+                        );
                         record.line(&text);
-                        answers.lock().unwrap().push((id, answer.status(), has_stamp));
-                        if answer.header("connection").is_some_and(|text| text.contains("close")) {
+                        answers
+                            .lock()
+                            .unwrap()
+                            .push((id, answer.status(), has_stamp));
+                        if answer
+                            .header("connection")
+                            .is_some_and(|text| text.contains("close"))
+                        {
                             connection = None;
                         }
                     }
@@ -184,18 +227,29 @@
     thread::sleep(Duration::from_millis(300));
     let runs = table.runs.lock().unwrap();
     let answers = answers.lock().unwrap();
-    let twice: Vec<(&String, &Vec<String>)> = runs.iter().filter(|(_, runners)| runners.len() > 1).collect();
+    let twice: Vec<(&String, &Vec<String>)> = runs
+        .iter()
+        .filter(|(_, runners)| runners.len() > 1)
+        .collect();
     for (id, runners) in &twice {
         record.line(&format!("TWICE: {id} ran at {}", runners.join(" and ")));
     }
     let is_promise = |status: u16| [408, 421, 429, 503].contains(&status);
-    let refused = answers.iter().filter(|(id, status, _)| is_promise(*status) && runs.contains_key(id));
+    let refused = answers
+        .iter()
+        .filter(|(id, status, _)| is_promise(*status) && runs.contains_key(id));
     let refused: Vec<&(String, u16, bool)> = refused.collect();
     for (id, status, _) in &refused {
         record.line(&format!("REFUSED: {id} was answered {status}, and has run"));
     }
-    let served = answers.iter().filter(|(_, status, _)| *status == 200).count();
-    let strays: usize = runners.iter().map(|runner| runner.strays.load(Ordering::SeqCst)).sum();
+    let served = answers
+        .iter()
+        .filter(|(_, status, _)| *status == 200)
+        .count();
+    let strays: usize = runners
+        .iter()
+        .map(|runner| runner.strays.load(Ordering::SeqCst))
+        .sum();
     let summary = format!(
         "requests answered {}, served {served}, answers too many {strays}, ran twice {}, refused though run {}",
         answers.len(),
@@ -219,11 +273,16 @@
 const CLIENT_PACE: u64 = 2_000_000;
 
 fn serve_documents(stream: TcpStream, id: &str, record: &Record) {
-    let Ok(clone) = stream.try_clone() else { return };
+    let Ok(clone) = stream.try_clone() else {
+        return;
+    };
     let mut reader = BufReader::new(clone);
     let mut stream = stream;
     while let Ok(Some(request)) = read_message(&mut reader, None) {
-        let attempt = request.header("x-turnford-attempt-id").unwrap_or("").to_owned();
+        let attempt = request
+            .header("x-turnford-attempt-id")
+            .unwrap_or("")
+            .to_owned();
         let stamp = format!("stamp.{id}.{attempt}");
         let headers = [
             ("X-Turnford-Attempt-Id", attempt.as_str()),
@@ -233,7 +292,9 @@
         record.line(&format!("{id} runs {attempt}"));
         let bytes = response("200 OK", &headers, &vec![b'x'; ANSWER_BYTES]);
         let is_sent = stream.write_all(&bytes).is_ok();
-        record.line(&format!("{id} has answered {attempt} with {ANSWER_BYTES} bytes: {is_sent}"));
+        record.line(&format!(
+            "{id} has answered {attempt} with {ANSWER_BYTES} bytes: {is_sent}"
+        ));
     }
 }
 
@@ -243,13 +304,19 @@
     let routes = "{\"name\":\"r-doc\",\"host\":\"shop.example\",\"path_prefix\":\"/doc/\",\"kind\":\"unsafe\",\
                   \"timeout_ms\":20000,\"target_latency_ms\":2000,\"priority\":1,\"service\":\"booking\",\
                   \"max_attempts\":1,\"stages\":[],\"allow_anonymous\":true}";
-    store.put("config", "main", configuration(routes).ok_or(io::ErrorKind::InvalidData)?);
+    store.put(
+        "config",
+        "main",
+        configuration(routes).ok_or(io::ErrorKind::InvalidData)?,
+    );
     for (index, zone) in ["hal-a", "hal-b"].iter().enumerate() {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let id = format!("i-{index}");
         register_runner(&store, &id, "booking", listener.local_addr()?, zone, 6);
         let record = record.clone();
-        serve(listener, move |stream| serve_documents(stream, &id, &record));
+        serve(listener, move |stream| {
+            serve_documents(stream, &id, &record)
+        });
     }
     let mut fleet = Fleet::new(2, store.address)?;
     fleet.start()?;
@@ -267,13 +334,22 @@
             let id = new_id();
             let mut connection = ClientConnection::open(front)?;
             set_small_window(&connection.stream);
-            record.line(&format!("client {index} sends {id} to front-0: POST /doc/all"));
+            record.line(&format!(
+                "client {index} sends {id} to front-0: POST /doc/all"
+            ));
             connection.send("POST", "/doc/all", &id, 20_000, b"all=1")?;
             let answer = connection.receive(Some(CLIENT_PACE))?;
-            let (status, read, is_whole) =
-                answer.map_or((0, 0, false), |answer| (answer.status(), answer.body.len(), answer.is_whole));
-            let end = if is_whole { "whole" } else { "LOST: it ends early" };
-            record.line(&format!("client {index} gets {status} for {id}, {read} bytes of the body, {end}"));
+            let (status, read, is_whole) = answer.map_or((0, 0, false), |answer| {
+                (answer.status(), answer.body.len(), answer.is_whole)
+            });
+            let end = if is_whole {
+                "whole"
+            } else {
+                "LOST: it ends early"
+            };
+            record.line(&format!(
+                "client {index} gets {status} for {id}, {read} bytes of the body, {end}"
+            ));
             Ok(is_whole)
         }));
     }
@@ -295,10 +371,18 @@
         }
         thread::sleep(Duration::from_millis(20));
     }
-    let ends: Vec<bool> = clients.into_iter().map(|client| matches!(client.join(), Ok(Ok(true)))).collect();
+    let ends: Vec<bool> = clients
+        .into_iter()
+        .map(|client| matches!(client.join(), Ok(Ok(true))))
+        .collect();
     let lost = ends.iter().filter(|is_whole| !**is_whole).count();
-    let exit = exit.map_or("-".to_owned(), |after| format!("{:.1} s after SIGTERM", after.as_secs_f64()));
-    let summary = format!("answers {}, lost {lost}, end of the node {exit}", ends.len());
+    let exit = exit.map_or("-".to_owned(), |after| {
+        format!("{:.1} s after SIGTERM", after.as_secs_f64())
+    });
+    let summary = format!(
+        "answers {}, lost {lost}, end of the node {exit}",
+        ends.len()
+    );
     record.line(&summary);
     println!("{summary}");
     Ok(i32::from(lost > 0))
@@ -351,7 +435,11 @@
     let routes = "{\"name\":\"r-price\",\"host\":\"shop.example\",\"path_prefix\":\"/price/\",\"kind\":\"safe\",\
                   \"timeout_ms\":3000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"booking\",\
                   \"max_attempts\":2,\"stages\":[],\"allow_anonymous\":true}";
-    store.put("config", "main", configuration(routes).ok_or(io::ErrorKind::InvalidData)?);
+    store.put(
+        "config",
+        "main",
+        configuration(routes).ok_or(io::ErrorKind::InvalidData)?,
+    );
     for index in 1..=4 {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let runner = Arc::new(PlainRunner {
@@ -365,7 +453,14 @@
             record: record.clone(),
             table: table.clone(),
         });
-        register_runner(&store, &runner.id, "booking", listener.local_addr()?, "hal-a", 6);
+        register_runner(
+            &store,
+            &runner.id,
+            "booking",
+            listener.local_addr()?,
+            "hal-a",
+            6,
+        );
         serve(listener, move |stream| runner.serve_connection(stream));
     }
     let mut fleet = Fleet::new(3, store.address)?;
@@ -379,8 +474,14 @@
         // Within `value_bytes`; the text ends in half of a pair of surrogates, as cut texts do.
         let name = std::env::var("FOREIGN_NAME").unwrap_or_else(|_| "i-2500".to_owned());
         let text = format!("{}\\ud83d", "x".repeat(1_000_000));
-        store.put("servers", &name, Json::Object(vec![("note".to_owned(), Json::Text(text))]));
-        record.line(&format!("another writer writes servers/{name}, about 1 MB that can't be read"));
+        store.put(
+            "servers",
+            &name,
+            Json::Object(vec![("note".to_owned(), Json::Text(text))]),
+        );
+        record.line(&format!(
+            "another writer writes servers/{name}, about 1 MB that can't be read"
+        ));
     }
     if std::env::var_os("COMPACT").is_some() {
         // The store changes and forgets its history, so that running nodes list again.
@@ -393,7 +494,9 @@
     let lists_before = store.lists.load(Ordering::SeqCst);
     let while_there = send_for(&fleet, &record, Duration::from_secs(4));
     let lists = store.lists.load(Ordering::SeqCst) - lists_before;
-    record.line(&format!("the running nodes have read lists {lists} times since"));
+    record.line(&format!(
+        "the running nodes have read lists {lists} times since"
+    ));
     record.line("all processes are killed");
     fleet.kill_all();
     thread::sleep(Duration::from_secs(1));
@@ -402,8 +505,15 @@
     record.line("all processes are started again");
     // `recovery_s`
     thread::sleep(Duration::from_secs(12));
-    let ready = fleet.nodes.iter().filter(|node| is_ready(node.ready)).count();
-    record.line(&format!("12 s later {ready} of {} nodes say that they are ready", fleet.nodes.len()));
+    let ready = fleet
+        .nodes
+        .iter()
+        .filter(|node| is_ready(node.ready))
+        .count();
+    record.line(&format!(
+        "12 s later {ready} of {} nodes say that they are ready",
+        fleet.nodes.len()
+    ));
     let after = send_for(&fleet, &record, Duration::from_secs(8));
     let lists = store.lists.load(Ordering::SeqCst) - lists_before;
     let summary = format!(
@@ -441,7 +551,11 @@
                   {\"name\":\"r-price\",\"host\":\"shop.example\",\"path_prefix\":\"/price/\",\"kind\":\"safe\",\
                   \"timeout_ms\":4000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"booking\",\
                   \"max_attempts\":2,\"stages\":[],\"allow_anonymous\":true}";
-    store.put("config", "main", configuration(routes).ok_or(io::ErrorKind::InvalidData)?);
+    store.put(
+        "config",
+        "main",
+        configuration(routes).ok_or(io::ErrorKind::InvalidData)?,
+    );
     let mut runners = Vec::new();
     for (index, zone) in ["hal-a", "hal-b", "hal-c", "hal-c"].iter().enumerate() {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -456,7 +570,14 @@
             record: record.clone(),
             table: table.clone(),
         });
-        register_runner(&store, &runner.id, "booking", listener.local_addr()?, zone, 24);
+        register_runner(
+            &store,
+            &runner.id,
+            "booking",
+            listener.local_addr()?,
+            zone,
+            24,
+        );
         runners.push(runner.clone());
         serve(listener, move |stream| runner.serve_connection(stream));
     }
@@ -479,9 +600,15 @@
         clients.push(thread::spawn(move || {
             while !is_over.load(Ordering::SeqCst) {
                 let id = new_id();
-                let (method, path) = if index % 2 == 0 { ("POST", "/hold/now") } else { ("GET", "/price/7") };
+                let (method, path) = if index % 2 == 0 {
+                    ("POST", "/hold/now")
+                } else {
+                    ("GET", "/price/7")
+                };
                 let body: &[u8] = if index % 2 == 0 { b"amount=1" } else { b"" };
-                record.line(&format!("client {index} sends {id} to {node}: {method} {path}"));
+                record.line(&format!(
+                    "client {index} sends {id} to {node}: {method} {path}"
+                ));
                 let started = Instant::now();
                 let answer = ClientConnection::open(front).and_then(|mut connection| {
                     connection.send(method, path, &id, 10_000, body)?;
@@ -490,11 +617,16 @@
                 });
                 let after = started.elapsed();
                 let (end, text) = match answer {
-                    Ok(Some(answer)) if answer.is_whole => (Some(after), answer.status().to_string()),
+                    Ok(Some(answer)) if answer.is_whole => {
+                        (Some(after), answer.status().to_string())
+                    }
                     Ok(_) => (None, "no whole answer".to_owned()),
                     Err(_) => (None, "no answer".to_owned()),
                 };
-                record.line(&format!("client {index} gets {text} for {id} after {:.2} s", after.as_secs_f64()));
+                record.line(&format!(
+                    "client {index} gets {text} for {id} after {:.2} s",
+                    after.as_secs_f64()
+                ));
                 ends.lock().unwrap().push(end);
                 thread::sleep(Duration::from_millis(150));
             }
@@ -518,7 +650,11 @@
         let _ = client.join();
     }
     let ends = ends.lock().unwrap();
-    let open_at = |time: Duration| ends.iter().filter(|end| end.is_none_or(|end| end > time)).count();
+    let open_at = |time: Duration| {
+        ends.iter()
+            .filter(|end| end.is_none_or(|end| end > time))
+            .count()
+    };
     let outlast = open_at(ROUTE_TIMEOUT);
     let late = open_at(ROUTE_TIMEOUT + Duration::from_millis(500));
     let never = ends.iter().filter(|end| end.is_none()).count();
@@ -556,7 +692,11 @@
     let routes = "{\"name\":\"r-scan\",\"host\":\"shop.example\",\"path_prefix\":\"/scan/\",\"kind\":\"unsafe\",\
                   \"timeout_ms\":20000,\"target_latency_ms\":3000,\"priority\":1,\"service\":\"booking\",\
                   \"max_attempts\":1,\"stages\":[],\"allow_anonymous\":true}";
-    store.put("config", "main", configuration(routes).ok_or(io::ErrorKind::InvalidData)?);
+    store.put(
+        "config",
+        "main",
+        configuration(routes).ok_or(io::ErrorKind::InvalidData)?,
+    );
     for index in 0..4 {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let runner = Arc::new(PlainRunner {
@@ -570,7 +710,14 @@
             record: record.clone(),
             table: table.clone(),
         });
-        register_runner(&store, &runner.id, "booking", listener.local_addr()?, "hal-a", 64);
+        register_runner(
+            &store,
+            &runner.id,
+            "booking",
+            listener.local_addr()?,
+            "hal-a",
+            64,
+        );
         serve(listener, move |stream| runner.serve_connection(stream));
     }
     let mut fleet = Fleet::new(3, store.address)?;
@@ -590,9 +737,17 @@
                 let (front, name, record) = (node.front, node.name.clone(), record.clone());
                 clients.push(thread::spawn(move || {
                     let id = new_id();
-                    record.line(&format!("client sends {id} to {name}: POST /scan/1, {LARGEST_BODY} bytes"));
+                    record.line(&format!(
+                        "client sends {id} to {name}: POST /scan/1, {LARGEST_BODY} bytes"
+                    ));
                     let answer = ClientConnection::open(front).and_then(|mut connection| {
-                        connection.send("POST", "/scan/1", &id, 15_000, &vec![b'x'; LARGEST_BODY])?;
+                        connection.send(
+                            "POST",
+                            "/scan/1",
+                            &id,
+                            15_000,
+                            &vec![b'x'; LARGEST_BODY],
+                        )?;
                         connection.receive(None)
                     });
                     let status = answer.ok().flatten().map_or(0, |answer| answer.status());
@@ -604,11 +759,17 @@
         let started = Instant::now();
         while started.elapsed() < Duration::from_secs(8) {
             for (index, node) in fleet.nodes.iter_mut().enumerate() {
-                let Some(child) = &mut node.child else { continue };
+                let Some(child) = &mut node.child else {
+                    continue;
+                };
                 let resident = resident_bytes(child.id());
                 most = most.max(resident);
                 if resident > MEMORY_BYTES {
-                    let text = format!("{} uses {} MB and is killed", node.name, resident / 1_000_000);
+                    let text = format!(
+                        "{} uses {} MB and is killed",
+                        node.name,
+                        resident / 1_000_000
+                    );
                     record.line(&text);
                     let _ = child.kill();
                     let _ = child.wait();
@@ -635,7 +796,9 @@
     );
     record.line(&summary);
     println!("{summary}");
-    Ok(i32::from(ends.iter().filter(|count| **count >= 3).count() >= 2))
+    Ok(i32::from(
+        ends.iter().filter(|count| **count >= 3).count() >= 2,
+    ))
 }
 
 fn main() {
