--- a/review/cases.rs
+++ b/review/cases.rs
@@ -16,23 +16,79 @@
     }
 }
 
-/// A runner of a plain service.
+/// Calls that wait for a slot at a runner, beyond which it refuses.
+const RUNNER_QUEUE: usize = 1;
+
+/// A runner of a plain service. It works on `slots` requests at once and queues [`RUNNER_QUEUE`] more.
 struct PlainRunner {
     id: String,
     slots: usize,
     work: Duration,
-    running: AtomicUsize,
-    /// Whether it repeats each refusal once, late: where the answer to the next request is due.
-    repeats_refusals: bool,
+    /// Numbers of requests that are worked on and that wait.
+    load: Mutex<(usize, usize)>,
+    freed: Condvar,
+    /// Of so many refusals, one is sent once more, late: where the answer to the next request is due; 0 for none.
+    repeats_every: usize,
+    refusals: AtomicUsize,
+    answers: AtomicUsize,
     strays: AtomicUsize,
-    /// Whether its connections go silent in the middle of the answers that it gives now.
-    falls_silent: AtomicBool,
+    /// Connections opened before this go silent in the middle of the next answer on them.
+    silent_before: Mutex<Option<Instant>>,
     record: Arc<Record>,
     table: Arc<RunTable>,
 }
 
 impl PlainRunner {
+    fn new(
+        id: String,
+        slots: usize,
+        work: Duration,
+        record: &Arc<Record>,
+        table: &Arc<RunTable>,
+    ) -> Self {
+        Self {
+            id,
+            slots,
+            work,
+            load: Mutex::new((0, 0)),
+            freed: Condvar::new(),
+            repeats_every: 0,
+            refusals: AtomicUsize::new(0),
+            answers: AtomicUsize::new(0),
+            strays: AtomicUsize::new(0),
+            silent_before: Mutex::new(None),
+            record: record.clone(),
+            table: table.clone(),
+        }
+    }
+
+    /// Takes a place. Returns `false` if the runner is full.
+    fn admit(&self) -> bool {
+        let mut load = self.load.lock().unwrap();
+        if load.0 + load.1 >= self.slots + RUNNER_QUEUE {
+            return false;
+        }
+        load.1 += 1;
+        true
+    }
+
+    /// Waits for a slot and works on a request.
+    fn run(&self, id: &str) {
+        let mut load = self.load.lock().unwrap();
+        while load.0 >= self.slots {
+            load = self.freed.wait(load).unwrap();
+        }
+        *load = (load.0 + 1, load.1 - 1);
+        drop(load);
+        self.table.record(id, &self.id);
+        self.record.line(&format!("{} runs {id}", self.id));
+        thread::sleep(self.work);
+        self.load.lock().unwrap().0 -= 1;
+        self.freed.notify_one();
+    }
+
     fn serve_connection(&self, stream: TcpStream) {
+        let opened_at = Instant::now();
         let Ok(clone) = stream.try_clone() else {
             return;
         };
@@ -52,15 +108,14 @@
                 .to_owned();
             let expected = request.header("x-turnford-expect-instance");
             if expected.is_some_and(|expected| expected != self.id) {
-                let headers = [("X-Turnford-Attempt-Id", id.as_str())];
+                let headers = [
+                    ("X-Turnford-Attempt-Id", id.as_str()),
+                    ("X-Turnford-Instance-Id", self.id.as_str()),
+                ];
                 let _ = stream.write_all(&response("421 Misdirected Request", &headers, b""));
                 continue;
             }
-            let is_free = self.running.fetch_add(1, Ordering::SeqCst) < self.slots;
-            if is_free {
-                self.table.record(&id, &self.id);
-                self.record.line(&format!("{} runs {id}", self.id));
-            }
+            self.answers.fetch_add(1, Ordering::SeqCst);
             if let Some((of, bytes)) = stray.take() {
                 self.strays.fetch_add(1, Ordering::SeqCst);
                 let text = format!(
@@ -70,8 +125,7 @@
                 self.record.line(&text);
                 let _ = stream.write_all(&bytes);
             }
-            if !is_free {
-                self.running.fetch_sub(1, Ordering::SeqCst);
+            if !self.admit() {
                 let headers = [
                     ("X-Turnford-Attempt-Id", id.as_str()),
                     ("X-Turnford-Not-Run", "1"),
@@ -81,13 +135,13 @@
                 self.record
                     .line(&format!("{} is full and refuses {id}", self.id));
                 let _ = stream.write_all(&bytes);
-                if self.repeats_refusals {
+                let refusals = self.refusals.fetch_add(1, Ordering::SeqCst) + 1;
+                if self.repeats_every > 0 && refusals % self.repeats_every == 0 {
                     stray = Some((id, bytes));
                 }
                 continue;
             }
-            thread::sleep(self.work);
-            self.running.fetch_sub(1, Ordering::SeqCst);
+            self.run(&id);
             let stamp = format!("stamp.{}.{id}", self.id);
             let headers = [
                 ("X-Turnford-Attempt-Id", id.as_str()),
@@ -95,9 +149,10 @@
                 ("Keep-Alive", "timeout=10"),
             ];
             let bytes = response("200 OK", &headers, &[b'x'; 800]);
-            if self.falls_silent.load(Ordering::SeqCst) {
+            let silent_before = *self.silent_before.lock().unwrap();
+            if silent_before.is_some_and(|at| opened_at < at) {
                 self.record.line(&format!(
-                    "{} hangs in the middle of its answer to {id}",
+                    "{}: a connection goes silent in its answer to {id}",
                     self.id
                 ));
                 let _ = stream.write_all(&bytes[..bytes.len() - 400]);
@@ -135,24 +190,24 @@
     let mut runners = Vec::new();
     for (index, zone) in ["hal-a", "hal-b", "hal-c"].iter().enumerate() {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let runner = Arc::new(PlainRunner {
-            id: format!("i-{index}"),
-            slots: if index == 0 { 1 } else { 6 },
-            work: Duration::from_millis(50),
-            running: AtomicUsize::new(0),
-            repeats_refusals: index == 0 && has_trouble(),
-            strays: AtomicUsize::new(0),
-            falls_silent: AtomicBool::new(false),
-            record: record.clone(),
-            table: table.clone(),
-        });
+        let mut runner = PlainRunner::new(
+            format!("i-{index}"),
+            2,
+            Duration::from_millis(50),
+            &record,
+            &table,
+        );
+        if index == 0 && has_trouble() {
+            runner.repeats_every = 2;
+        }
+        let runner = Arc::new(runner);
         register_runner(
             &store,
             &runner.id,
             "booking",
             listener.local_addr()?,
             zone,
-            6,
+            runner.slots,
         );
         let served = runner.clone();
         serve(listener, move |stream| served.serve_connection(stream));
@@ -167,7 +222,7 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let answers: Arc<Mutex<Vec<(String, u16, bool)>>> = Arc::default();
     let mut clients = Vec::new();
-    for index in 0..8 {
+    for index in 0..13 {
         let front = fleet.nodes[index % fleet.nodes.len()].front;
         let node = fleet.nodes[index % fleet.nodes.len()].name.clone();
         let (is_over, answers, record) = (is_over.clone(), answers.clone(), record.clone());
@@ -250,8 +305,10 @@
         .iter()
         .map(|runner| runner.strays.load(Ordering::SeqCst))
         .sum();
+    let given = runners[0].answers.load(Ordering::SeqCst);
     let summary = format!(
-        "requests answered {}, served {served}, answers too many {strays}, ran twice {}, refused though run {}",
+        "requests answered {}, served {served}, answers too many {strays} of {given} of that runner, ran twice {}, \
+         refused though run {}",
         answers.len(),
         twice.len(),
         refused.len()
@@ -442,24 +499,21 @@
     );
     for index in 1..=4 {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let runner = Arc::new(PlainRunner {
-            id: format!("i-{index}000"),
-            slots: 6,
-            work: Duration::from_millis(15),
-            running: AtomicUsize::new(0),
-            repeats_refusals: false,
-            strays: AtomicUsize::new(0),
-            falls_silent: AtomicBool::new(false),
-            record: record.clone(),
-            table: table.clone(),
-        });
+        let runner = PlainRunner::new(
+            format!("i-{index}000"),
+            6,
+            Duration::from_millis(15),
+            &record,
+            &table,
+        );
+        let runner = Arc::new(runner);
         register_runner(
             &store,
             &runner.id,
             "booking",
             listener.local_addr()?,
             "hal-a",
-            6,
+            runner.slots,
         );
         serve(listener, move |stream| runner.serve_connection(stream));
     }
@@ -559,24 +613,21 @@
     let mut runners = Vec::new();
     for (index, zone) in ["hal-a", "hal-b", "hal-c", "hal-c"].iter().enumerate() {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let runner = Arc::new(PlainRunner {
-            id: format!("i-{index}"),
-            slots: 24,
-            work: Duration::from_millis(15),
-            running: AtomicUsize::new(0),
-            repeats_refusals: false,
-            strays: AtomicUsize::new(0),
-            falls_silent: AtomicBool::new(false),
-            record: record.clone(),
-            table: table.clone(),
-        });
+        let runner = PlainRunner::new(
+            format!("i-{index}"),
+            24,
+            Duration::from_millis(60),
+            &record,
+            &table,
+        );
+        let runner = Arc::new(runner);
         register_runner(
             &store,
             &runner.id,
             "booking",
             listener.local_addr()?,
             zone,
-            24,
+            runner.slots,
         );
         runners.push(runner.clone());
         serve(listener, move |stream| runner.serve_connection(stream));
@@ -635,14 +686,14 @@
     let started = Instant::now();
     for at in SILENT_AT {
         thread::sleep(at.saturating_sub(started.elapsed()));
-        let set_silent = |is_silent: bool| {
+        let set_silent = |before: Option<Instant>| {
             for runner in &runners[..2] {
-                runner.falls_silent.store(is_silent, Ordering::SeqCst);
+                *runner.silent_before.lock().unwrap() = before;
             }
         };
-        set_silent(has_trouble());
+        set_silent(has_trouble().then(Instant::now));
         thread::sleep(SILENT_FOR);
-        set_silent(false);
+        set_silent(None);
     }
     thread::sleep(Duration::from_secs(20).saturating_sub(started.elapsed()));
     is_over.store(true, Ordering::SeqCst);
@@ -699,24 +750,21 @@
     );
     for index in 0..4 {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let runner = Arc::new(PlainRunner {
-            id: format!("i-{index}"),
-            slots: 64,
-            work: Duration::from_millis(2000),
-            running: AtomicUsize::new(0),
-            repeats_refusals: false,
-            strays: AtomicUsize::new(0),
-            falls_silent: AtomicBool::new(false),
-            record: record.clone(),
-            table: table.clone(),
-        });
+        let runner = PlainRunner::new(
+            format!("i-{index}"),
+            64,
+            Duration::from_millis(2000),
+            &record,
+            &table,
+        );
+        let runner = Arc::new(runner);
         register_runner(
             &store,
             &runner.id,
             "booking",
             listener.local_addr()?,
             "hal-a",
-            64,
+            runner.slots,
         );
         serve(listener, move |stream| runner.serve_connection(stream));
     }
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -612,6 +612,8 @@
     front: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
+    /// Settings of a later start, once the node has started.
+    restart_settings: Option<String>,
     log: PathBuf,
     child: Option<Child>,
 }
@@ -647,7 +649,7 @@
             let text = format!(
                 "name = \"{name}\"\nhall = \"hal-{}\"\nregion = \"dk\"\nlisten = \"{}\"\nready = \"{}\"\n\
                  inner = \"{}\"\nwork = \"{}\"\nmetrics = \"{}\"\nstore = \"{store}\"\npeers = [{}]\n\
-                 first_start = false\nstop_grace_s = 8\n\n[repeats]\nwindow_s = 10\nratio = 0.2\n\
+                 first_start = true\nstop_grace_s = 8\n\n[repeats]\nwindow_s = 10\nratio = 0.2\n\
                  slack = 52\n\n[log]\nlevel = \"info\"\n",
                 (b'a' + index as u8) as char,
                 own[0],
@@ -664,6 +666,7 @@
                 front: own[0],
                 ready: own[1],
                 settings,
+                restart_settings: None,
                 child: None,
             });
         }
@@ -673,6 +676,9 @@
     /// Starts all nodes that are not running, with the command of the deploy file.
     fn start(&mut self) -> io::Result<()> {
         for node in self.nodes.iter_mut().filter(|node| node.child.is_none()) {
+            if let Some(text) = &node.restart_settings {
+                fs::write(&node.settings, text)?;
+            }
             let log = File::options().create(true).append(true).open(&node.log)?;
             let mut command = Command::new("target/release/turnford");
             command
@@ -690,6 +696,9 @@
             }
             let child = command.spawn()?;
             PROCESSES.lock().unwrap().push(child.id());
+            // Later starts of the process are not the first of the whole system.
+            let text = fs::read_to_string(&node.settings)?;
+            node.restart_settings = Some(text.replace("first_start = true", "first_start = false"));
             node.child = Some(child);
         }
         Ok(())
