Measure how late the thread that serves clients runs

Cause: log lines and metrics could not tell a node that lacks processor time from one with a full link, nor its own delay from the silence of other nodes. Change: a timer measures the delay of the traffic thread, connections of clients are counted, and the line about a node that does not reply tells how long it was waited for.

--- a/packages/turnford-serve/src/accept.rs
+++ b/packages/turnford-serve/src/accept.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -33,17 +34,46 @@
 /// Maximum interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Accepts connections and serves each in a task. Once `closing` is closed, connections end after
-/// their responses. Calls `beat` whenever a connection was accepted or the accept loop found none
-/// for a while.
-pub(crate) async fn accept_connections<F, Fut>(
-    executor: Rc<LocalExecutor<'static>>,
-    listener: TcpListener,
+/// A listener and what its connections need.
+pub(crate) struct Acceptor {
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) listener: TcpListener,
+    /// Closed when connections have to end after their responses.
+    pub(crate) closing: Receiver<()>,
+}
+
+/// Counts an open connection of a client.
+pub(crate) struct ClientGuard {
+    shared: Arc<ServeShared>,
+}
+
+impl ClientGuard {
+    pub(crate) fn new(shared: &Arc<ServeShared>) -> Self {
+        shared.metrics.accepted_connections.inc();
+        shared.metrics.client_connections.inc();
+        Self {
+            shared: shared.clone(),
+        }
+    }
+}
+
+impl Drop for ClientGuard {
+    fn drop(&mut self) {
+        self.shared.metrics.client_connections.dec();
+    }
+}
+
+/// Accepts connections and serves each in a task. Calls `beat` whenever a connection was accepted or
+/// the accept loop found none for a while, and keeps what `on_accept` returns while a connection is
+/// open.
+pub(crate) async fn accept_connections<G, F, Fut>(
+    acceptor: Acceptor,
     limits: impl Fn() -> ClientLimits + Clone + 'static,
-    closing: Receiver<()>,
     beat: impl Fn(),
+    on_accept: impl Fn() -> G,
     handler: F,
 ) where
+    G: 'static,
     F: Fn(Request<Incoming>) -> Fut + 'static,
     Fut: Future<Output = Response<ResponseBody>> + 'static,
 {
@@ -53,7 +83,7 @@
             Timer::after(HEARTBEAT_INTERVAL).await;
             None
         };
-        let accepted = async { Some(listener.accept().await) };
+        let accepted = async { Some(acceptor.listener.accept().await) };
         let stream = match accepted.or(over).await {
             None => {
                 beat();
@@ -71,8 +101,13 @@
         };
         let limits = limits.clone();
         let limits = move || connection_limits(&limits());
-        let serve = serve_client(stream, limits, closing.clone(), handler.clone());
-        executor.spawn(serve).detach();
+        let serve = serve_client(stream, limits, acceptor.closing.clone(), handler.clone());
+        let guard = on_accept();
+        let serve = async move {
+            serve.await;
+            drop(guard);
+        };
+        acceptor.executor.spawn(serve).detach();
     }
 }
 
--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -22,6 +22,7 @@
 use crate::accept::accept_connections;
 use crate::accept::answer_metrics;
 use crate::accept::answer_readiness;
+use crate::accept::Acceptor;
 use crate::shared::ServeShared;
 use context::ControlContext;
 
@@ -60,27 +61,23 @@
         let response = answer_readiness(&probe_shared, request);
         async move { response }
     };
-    let probes = accept_connections(
-        executor.clone(),
-        listeners.ready,
-        probe_limits,
-        closing.clone(),
-        || (),
-        handler,
-    );
+    let acceptor = Acceptor {
+        executor: executor.clone(),
+        listener: listeners.ready,
+        closing: closing.clone(),
+    };
+    let probes = accept_connections(acceptor, probe_limits, || (), || (), handler);
     executor.spawn(probes).detach();
     let handler = move |request| {
         let response = answer_metrics(&shared, request);
         async move { response }
     };
-    let readers = accept_connections(
-        executor.clone(),
-        listeners.metrics,
-        probe_limits,
+    let acceptor = Acceptor {
+        executor: executor.clone(),
+        listener: listeners.metrics,
         closing,
-        || (),
-        handler,
-    );
+    };
+    let readers = accept_connections(acceptor, probe_limits, || (), || (), handler);
     executor.spawn(readers).detach();
     let peers = peers::serve_peers(context.clone(), listeners.inner);
     executor.spawn(peers).detach();
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -27,6 +27,7 @@
 mod limit_updates;
 mod limits;
 mod links;
+mod loop_monitor;
 mod metrics;
 mod node;
 mod peers;
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -20,6 +20,12 @@
 /// Number of buckets of time histograms; each is twice as wide as the one before.
 const BUCKET_COUNT: u16 = 13;
 
+/// Upper bound of the smallest bucket of the loop delay, in seconds.
+const SMALLEST_DELAY_BUCKET: f64 = 0.001;
+
+/// Number of buckets of the loop delay; each is twice as wide as the one before.
+const DELAY_BUCKET_COUNT: u16 = 12;
+
 /// Labels of a request's end. Accounts and ranks come from the configuration, so their set is
 /// bounded.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -143,6 +149,12 @@
     /// Services whose targets fail when they reject too many requests.
     pub(crate) brittle_services: Gauge<u64, AtomicU64>,
     pub(crate) log_drops: Gauge<u64, AtomicU64>,
+    /// Open connections of clients.
+    pub(crate) client_connections: Gauge<u64, AtomicU64>,
+    /// Connections of clients that were accepted.
+    pub(crate) accepted_connections: Counter,
+    /// Delay of timers on the traffic thread.
+    loop_delay: Histogram,
 }
 
 impl ServeMetrics {
@@ -169,6 +181,13 @@
             isolated: Gauge::default(),
             brittle_services: Gauge::default(),
             log_drops: Gauge::default(),
+            client_connections: Gauge::default(),
+            accepted_connections: Counter::default(),
+            loop_delay: Histogram::new(exponential_buckets(
+                SMALLEST_DELAY_BUCKET,
+                2.0,
+                DELAY_BUCKET_COUNT,
+            )),
         };
         metrics.register();
         metrics
@@ -264,6 +283,21 @@
             "Log lines that the full queue dropped",
             self.log_drops.clone(),
         );
+        registry.register(
+            "client_connections",
+            "Open connections of clients",
+            self.client_connections.clone(),
+        );
+        registry.register(
+            "accepted_connections",
+            "Connections of clients that were accepted",
+            self.accepted_connections.clone(),
+        );
+        registry.register(
+            "loop_delay_seconds",
+            "Delay of timers on the thread that serves clients",
+            self.loop_delay.clone(),
+        );
     }
 
     /// Records the end of a request.
@@ -286,6 +320,11 @@
         histogram.observe(time.as_secs_f64());
     }
 
+    /// Records the delay of a timer on the traffic thread.
+    pub(crate) fn record_loop_delay(&self, delay: Duration) {
+        self.loop_delay.observe(delay.as_secs_f64());
+    }
+
     /// Records an event of a service.
     pub(crate) fn record_service_event(&self, service: &str, event: ServiceEvent) {
         let labels = ServiceLabels {
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -26,6 +26,8 @@
 
 use crate::accept::accept_connections;
 use crate::accept::handle_client;
+use crate::accept::Acceptor;
+use crate::accept::ClientGuard;
 use crate::control::run_control;
 use crate::control::ControlListeners;
 use crate::crash_updates::pull_initial_crashes;
@@ -33,6 +35,7 @@
 use crate::leaving::probe_leaving;
 use crate::limit_sync::maintain_limits;
 use crate::links::probe_lost_links;
+use crate::loop_monitor::monitor_loop;
 use crate::metrics::ServeMetrics;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
@@ -254,14 +257,21 @@
     executor.spawn(probe_leaving(traffic.clone())).detach();
     executor.spawn(maintain_limits(traffic.clone())).detach();
     executor.spawn(probe_lost_links(traffic.clone())).detach();
+    executor.spawn(monitor_loop(traffic.clone())).detach();
     let listener = listeners.listener;
     let limits_traffic = traffic.clone();
     let limits = move || limits_traffic.current_view().config.limits;
     let beat_shared = traffic.shared.clone();
     let beat = move || beat_shared.heartbeat.beat(beat_shared.now());
+    let opened_shared = traffic.shared.clone();
+    let on_accept = move || ClientGuard::new(&opened_shared);
     let handler = move |request| handle_client(traffic.clone(), request);
-    let closing = signals.closing;
-    let accept = accept_connections(executor.clone(), listener, limits, closing, beat, handler);
+    let acceptor = Acceptor {
+        executor: executor.clone(),
+        listener,
+        closing: signals.closing,
+    };
+    let accept = accept_connections(acceptor, limits, beat, on_accept, handler);
     executor.spawn(accept).detach();
     async_io::block_on(executor.run(stop));
 }
--- a/packages/turnford-serve/src/peers.rs
+++ b/packages/turnford-serve/src/peers.rs
@@ -121,6 +121,7 @@
         timeout: Duration,
     ) -> Option<WorkReply> {
         let state = self.state(peer);
+        let sent_at = self.shared.now();
         match self.client.call(peer, request, timeout).await {
             Ok(WorkReply::Refused) => {
                 log::info!("node at {peer} refuses work");
@@ -132,7 +133,12 @@
                 Some(reply)
             }
             Err(error) => {
-                log::info!("node at {peer} does not reply: {error}");
+                let waited = self.shared.now().saturating_sub(sent_at);
+                log::info!(
+                    "node at {peer} does not reply: {error}, waited_ms={} timeout_ms={}",
+                    waited.as_millis(),
+                    timeout.as_millis()
+                );
                 self.mark_down(&state);
                 None
             }
