--- a/packages/turnford/tests/soak/process.rs
+++ b/packages/turnford/tests/soak/process.rs
@@ -117,6 +117,11 @@
         self.started = Some(Instant::now());
     }
 
+    /// Returns the process id if the process is running.
+    pub(crate) fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     pub(crate) fn is_running(&self) -> bool {
         self.child.is_some()
     }
