Don't take the thread's own delay for the silence of other processes

Cause: a thread that ran late found the timer of a call expired before it had read a reply that had arrived. The class is that of nodes without targets: a node takes what it can't tell for what isn't there. Change: timeouts for nodes, targets and the store are waited for in eight parts, each of which starts when the end of the one before was noticed (wait_timeout).

--- a/packages/turnford-http/src/client.rs
+++ b/packages/turnford-http/src/client.rs
@@ -11,7 +11,6 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use async_io::Timer;
 use async_net::TcpStream;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -33,6 +32,7 @@
 
 use crate::open_stream;
 use crate::read_chunks;
+use crate::wait_timeout;
 use crate::HttpError;
 use crate::HttpRequest;
 use crate::ReceiveError;
@@ -429,7 +429,7 @@
     step: impl Future<Output = Result<T, HttpError>>,
 ) -> Result<T, HttpError> {
     let timer = async {
-        Timer::after(timeout).await;
+        wait_timeout(timeout).await;
         Err(error)
     };
     step.or(timer).await
--- a/packages/turnford-http/src/connection.rs
+++ b/packages/turnford-http/src/connection.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
-use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::Request;
@@ -16,6 +15,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::open_stream;
+use crate::wait_timeout;
 use crate::HttpError;
 
 /// A connection that carries one request at a time.
@@ -38,7 +38,7 @@
     ) -> Result<Self, HttpError> {
         let connect = async { open_stream(address).await.ok() };
         let expired = async {
-            Timer::after(timeout).await;
+            wait_timeout(timeout).await;
             None
         };
         let stream = connect.or(expired).await.ok_or(HttpError::NotConnected)?;
--- a/packages/turnford-http/src/lib.rs
+++ b/packages/turnford-http/src/lib.rs
@@ -13,6 +13,7 @@
 mod reset;
 mod server;
 mod stream;
+mod timeout;
 
 pub use client::BufferedResponse;
 pub use client::HttpClient;
@@ -39,6 +40,7 @@
 pub use stream::open_stream;
 pub use stream::probe_port;
 pub use stream::PortState;
+pub use timeout::wait_timeout;
 
 /// Default size limit of a message, in bytes. Values of the platform are at most one megabyte; the rest
 /// leaves room for framing.
--- a/packages/turnford-http/src/receive.rs
+++ b/packages/turnford-http/src/receive.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 
+use crate::wait_timeout;
+
 /// Maximum idle time while a response is being received. Long enough for lost packets to be retransmitted;
 /// short enough to detect a dead connection before a configuration change has to be in force.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -68,7 +70,7 @@
         let mut bytes = Vec::new();
         loop {
             let stalled = async {
-                Timer::after(timeouts.idle).await;
+                wait_timeout(timeouts.idle).await;
                 Some(Err(ReceiveError::Stalled(received.get())))
             };
             let chunk = async {
--- a/packages/turnford-http/src/stream.rs
+++ b/packages/turnford-http/src/stream.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::FutureExt;
 use rustix::net::sockopt::set_socket_keepalive;
@@ -13,6 +12,8 @@
 use rustix::net::sockopt::set_tcp_keepintvl;
 use rustix::net::sockopt::set_tcp_user_timeout;
 
+use crate::wait_timeout;
+
 /// Idle time after which keepalive probes are sent.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
@@ -41,7 +42,7 @@
 pub async fn probe_port(address: SocketAddr, timeout: Duration) -> PortState {
     let connect = async { Some(TcpStream::connect(address).await) };
     let expired = async {
-        Timer::after(timeout).await;
+        wait_timeout(timeout).await;
         None
     };
     match connect.or(expired).await {
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -12,6 +12,7 @@
 use turnford_adapter::PieceItem;
 use turnford_adapter::PieceStatus;
 use turnford_adapter::StageReport;
+use turnford_http::wait_timeout;
 use turnford_policy::BatchPlan;
 use turnford_policy::Moment;
 use turnford_policy::TargetSpec;
@@ -93,7 +94,7 @@
         response.collect(&cell.traffic, MAX_RESPONSE_BYTES).await
     };
     let late = async {
-        Timer::after(timeout).await;
+        wait_timeout(timeout).await;
         Err(CallError::Unknown("the report timed out"))
     };
     let (_, body) = read.or(late).await.map_err(|error| format!("{error:?}"))?;
--- a/packages/turnford-serve/src/process_check.rs
+++ b/packages/turnford-serve/src/process_check.rs
@@ -6,13 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::Timer;
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 
 use turnford_adapter::decode_process_start;
 use turnford_adapter::encode_report;
+use turnford_http::wait_timeout;
 use turnford_http::HttpConnection;
 use turnford_policy::ProcessStart;
 use turnford_policy::TargetSpec;
@@ -45,7 +45,7 @@
         return Ok(connection);
     }
     let late = async {
-        Timer::after(REPORT_TIMEOUT).await;
+        wait_timeout(REPORT_TIMEOUT).await;
         Err(CallError::NotSent("the target gave no status report"))
     };
     let reported = read_process_start(&mut connection, target).or(late).await?;
--- a/packages/turnford-wire/src/client.rs
+++ b/packages/turnford-wire/src/client.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
-use async_io::Timer;
 use bincode::Decode;
 use bincode::Encode;
 use bytes::Bytes;
@@ -20,6 +19,7 @@
 use http::Response;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 use turnford_http::open_stream;
+use turnford_http::wait_timeout;
 use turnford_http::ReceiveCounter;
 use turnford_http::ResponseTimeouts;
 
@@ -155,7 +155,7 @@
         let frame = encode_frame(request).map_err(PeerError::Frame)?;
         *self.frame_bytes.borrow_mut() += frame.len() as u64;
         let late = async {
-            Timer::after(connect_timeout).await;
+            wait_timeout(connect_timeout).await;
             Err(PeerError::NotConnected)
         };
         let response = match self.ready_connection(to).or(late).await {
@@ -184,7 +184,7 @@
         timeouts: &ResponseTimeouts,
     ) -> Result<Vec<u8>, PeerError> {
         let timeout = async {
-            Timer::after(timeouts.first_byte).await;
+            wait_timeout(timeouts.first_byte).await;
             Err(PeerError::Timeout)
         };
         let response = self.begin_exchange(to, frame).or(timeout).await?;
--- a/packages/turnford/tests/hot_node/quota.rs
+++ b/packages/turnford/tests/hot_node/quota.rs
@@ -27,7 +27,7 @@
 
 impl CpuQuota {
     /// Limits the process `pid` to `share` of a core.
-    pub(crate) fn start(pid: u32, share: f64) -> Self {
+    pub(crate) fn start(pid: Pid, share: f64) -> Self {
         let is_over = Arc::new(AtomicBool::new(false));
         let watched = is_over.clone();
         let thread = std::thread::spawn(move || limit_process(pid, share, &watched));
@@ -48,7 +48,7 @@
     }
 }
 
-fn limit_process(pid: u32, share: f64, is_over: &AtomicBool) {
+fn limit_process(pid: Pid, share: f64, is_over: &AtomicBool) {
     let mut checked_at = Instant::now();
     let mut used_before = cpu_time(pid);
     // Processor time that the process may use, negative after it has used too much.
@@ -73,17 +73,14 @@
     signal(pid, Signal::CONT);
 }
 
-fn signal(pid: u32, signal: Signal) {
-    let pid = i32::try_from(pid).ok().and_then(Pid::from_raw);
-    if let Some(pid) = pid {
-        // The process may have exited already.
-        let _ = kill_process(pid, signal);
-    }
+fn signal(pid: Pid, signal: Signal) {
+    // The process may have exited already.
+    let _ = kill_process(pid, signal);
 }
 
 /// Returns the processor time that all threads of a process have used.
-pub(crate) fn cpu_time(pid: u32) -> Duration {
-    let Ok(threads) = fs::read_dir(format!("/proc/{pid}/task")) else {
+pub(crate) fn cpu_time(pid: Pid) -> Duration {
+    let Ok(threads) = fs::read_dir(format!("/proc/{}/task", pid.as_raw_nonzero())) else {
         return Duration::ZERO;
     };
     let times = threads.flatten().filter_map(|thread| {
--- a/packages/turnford/tests/soak/process.rs
+++ b/packages/turnford/tests/soak/process.rs
@@ -118,8 +118,8 @@
     }
 
     /// Returns the process id if the process is running.
-    pub(crate) fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
+    pub(crate) fn pid(&self) -> Option<Pid> {
+        self.child.as_ref().map(Pid::from_child)
     }
 
     pub(crate) fn is_running(&self) -> bool {
@@ -128,8 +128,7 @@
 
     /// Sends a signal if the process is running.
     pub(crate) fn signal(&self, signal: Signal) {
-        let pid = self.child.as_ref().map(Pid::from_child);
-        if let Some(pid) = pid {
+        if let Some(pid) = self.pid() {
             // The process may have exited already, which shows in its exit status.
             let _ = kill_process(pid, signal);
         }
