Report a saturated hall as not ready while other halls have processor time

Cause: a node that is alone in its hall, or whose hall is saturated as a whole, stayed ready. Its clients, also those that it would reject, come back to it. Change: a saturated node asks two nodes of its hall and two of others whether they have time (LoadQuery, appended to the inner protocol).

--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -38,6 +38,7 @@
 mod plain_choice;
 mod process_check;
 mod progress;
+mod readiness;
 mod record;
 mod relay;
 mod relay_handler;
--- a/packages/turnford-serve/src/loop_monitor.rs
+++ b/packages/turnford-serve/src/loop_monitor.rs
@@ -8,6 +8,7 @@
 
 use turnford_policy::GateChange;
 
+use crate::readiness::update_readiness;
 use crate::shared::ServeShared;
 use crate::traffic::Traffic;
 
@@ -35,6 +36,7 @@
         if let Some(change) = change {
             report_change(&traffic.shared, change);
         }
+        update_readiness(&traffic);
         longest = longest.max(delay);
         if now.saturating_sub(reported_at) >= REPORT_INTERVAL {
             if longest >= REPORTED_DELAY {
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -102,6 +102,7 @@
             has_queried_members: AtomicBool::new(false),
             has_crash_snapshot: AtomicBool::new(false),
             has_view_snapshot: AtomicBool::new(false),
+            is_relieved: AtomicBool::new(false),
             suspects: SuspectChannel::default(),
             was_suspended: AtomicBool::new(false),
             running: AtomicU64::new(0),
--- a/packages/turnford-serve/src/peers.rs
+++ b/packages/turnford-serve/src/peers.rs
@@ -12,6 +12,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use rand::Rng;
 use rand::SeedableRng;
 
@@ -22,6 +23,7 @@
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
+use crate::shared::FleetMember;
 use crate::shared::ServeShared;
 
 /// Silence of a node with pending calls after which it is probed.
@@ -174,6 +176,18 @@
         usable.into_iter().map(|(_, _, address)| address).collect()
     }
 
+    /// Returns up to `count` other nodes that are `eligible`, chosen at random.
+    pub(crate) fn sample_members(
+        &self,
+        count: usize,
+        eligible: impl Fn(&FleetMember) -> bool,
+    ) -> Vec<FleetMember> {
+        let view = self.shared.view.load();
+        let eligible = view.members.iter().filter(|member| eligible(member));
+        let mut rng = self.rng.borrow_mut();
+        eligible.cloned().choose_multiple(&mut *rng, count)
+    }
+
     /// Returns the addresses of `count` other nodes, chosen at random.
     pub(crate) fn sample(&self, count: usize) -> Vec<SocketAddr> {
         let view = self.shared.view.load();
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -104,6 +104,8 @@
     pub(crate) has_view_snapshot: AtomicBool,
     /// Whether the machine was suspended and this node's knowledge has not been confirmed since.
     pub(crate) was_suspended: AtomicBool,
+    /// Whether other halls take the connections of this node because it is saturated.
+    pub(crate) is_relieved: AtomicBool,
     /// Channel for suspects that are stored.
     pub(crate) suspects: SuspectChannel,
     /// Number of requests and relayed calls in flight.
@@ -192,7 +194,8 @@
             && self.has_view_snapshot.load(Ordering::SeqCst);
         let is_awake = !self.was_suspended.load(Ordering::SeqCst);
         let is_complete = has_snapshots && is_awake && self.view.load().is_complete();
-        !self.is_draining() && is_complete && self.heartbeat.is_alive(self.now())
+        let takes_connections = !self.is_draining() && !self.is_relieved.load(Ordering::SeqCst);
+        takes_connections && is_complete && self.heartbeat.is_alive(self.now())
     }
 
     /// Replaces the view and wakes the traffic thread.
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -15,6 +15,7 @@
 use turnford_policy::CallKind;
 use turnford_policy::ConnectionGate;
 use turnford_policy::LinkTable;
+use turnford_policy::ReadinessGate;
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceId;
 use turnford_policy::ServiceSpec;
@@ -48,6 +49,9 @@
     pub(crate) links: RefCell<LinkTable>,
     /// Admission of clients' connections.
     pub(crate) gate: RefCell<ConnectionGate>,
+    pub(crate) readiness: RefCell<ReadinessGate>,
+    /// Whether the load of other nodes is being sampled.
+    pub(crate) samples_peers: Cell<bool>,
     /// Number of calls in flight that this node relays for others.
     pub(crate) relayed: Cell<usize>,
     pub(crate) releaser: ResultReleaser,
@@ -80,6 +84,8 @@
             pool: RefCell::default(),
             links: RefCell::default(),
             gate: RefCell::default(),
+            readiness: RefCell::default(),
+            samples_peers: Cell::default(),
             relayed: Cell::default(),
             releaser: ResultReleaser::default(),
             streams: StreamDirectory::new(peers.clone()),
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -56,6 +56,9 @@
 async fn answer_unary(traffic: &Rc<Traffic>, request: WorkRequest) -> WorkReply {
     match request {
         WorkRequest::Probe => WorkReply::Ack,
+        WorkRequest::LoadQuery => WorkReply::Load {
+            is_saturated: traffic.gate.borrow().is_saturated(),
+        },
         // The requesting node or another one runs these pieces with fewer hops.
         WorkRequest::Pieces(_) if traffic.links.borrow().is_isolated() => WorkReply::Refused,
         // Another node takes over this work.
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -453,6 +453,8 @@
         /// Services that may have begun the stream.
         services: Vec<String>,
     },
+    /// Asks whether the node has processor time left.
+    LoadQuery,
 }
 
 /// A call to a target that the receiver sends for the sender.
@@ -581,4 +583,9 @@
     Reached(ReachState),
     /// Reply to a question for the origin of a stream.
     Stream(StreamAnswer),
+    /// Reply to a question for the load.
+    Load {
+        /// Whether the node has less processor time than its clients need.
+        is_saturated: bool,
+    },
 }
--- a/packages/turnford/tests/hot_node/main.rs
+++ b/packages/turnford/tests/hot_node/main.rs
@@ -11,9 +11,12 @@
 
 use std::collections::HashSet;
 use std::path::PathBuf;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -73,6 +76,13 @@
 /// Time within which nodes start.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
+/// Number of runs that this process has started; gives each run its own addresses.
+static RUNS: AtomicU16 = AtomicU16::new(0);
+
+/// Interval of the balancer's readiness probes, and the failed ones after which a node is out.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const MAX_FAILED_PROBES: u32 = 2;
+
 /// A fleet of separate processes before the targets of a site.
 struct HotSite {
     calls: Vec<RouteCall>,
@@ -83,15 +93,17 @@
 }
 
 impl HotSite {
-    fn start() -> Self {
+    /// Starts the nodes; `hall` names the hall of each.
+    fn start(hall: fn(usize) -> &'static str) -> Self {
         let executor = start_threads("standin", 2);
         let config = include_str!("../../../../scenarios/routes.json");
         let site = RouteSite::start(config, &executor).expect("a site on loopback");
-        let folder = std::env::temp_dir().join(format!("turnford-hot-{}", std::process::id()));
+        let run = RUNS.fetch_add(1, Ordering::SeqCst) + (std::process::id() % 60_000) as u16;
+        let folder =
+            std::env::temp_dir().join(format!("turnford-hot-{}-{run}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder for logs");
-        let run = (std::process::id() % 60_000) as u16;
         let mut nodes: Vec<NodeProcess> = (0..NODES)
-            .map(|number| NodeProcess::new(&folder, run, number, site.address, &[]))
+            .map(|number| NodeProcess::new(&folder, run, number, hall(number), site.address, &[]))
             .collect();
         nodes.iter_mut().for_each(NodeProcess::start);
         for node in &nodes {
@@ -166,21 +178,32 @@
     }
 }
 
+fn is_ready(node: &NodeProcess) -> bool {
+    let request = HttpClient::request(Method::GET, node.ready(), "/v1/readiness");
+    let request = request.expect("a path");
+    let client = HttpClient::new();
+    let response = client.send(node.ready(), request, PROBE_INTERVAL);
+    async_io::block_on(response).is_ok_and(|response| response.status == 200)
+}
+
 fn wait_ready(node: &NodeProcess) {
     let started_at = Instant::now();
-    loop {
-        let request = HttpClient::request(Method::GET, node.ready(), "/v1/readiness");
-        let request = request.expect("a path");
-        let client = HttpClient::new();
-        let response = client.send(node.ready(), request, START_LIMIT);
-        if async_io::block_on(response).is_ok_and(|response| response.status == 200) {
-            return;
-        }
+    while !is_ready(node) {
         assert!(started_at.elapsed() < START_LIMIT, "{} is ready", node.name);
         std::thread::sleep(Duration::from_millis(20));
     }
 }
 
+/// Probes a node as the balancer does, and records whether it gets new connections.
+fn probe_node(node: &NodeProcess, is_in: &AtomicBool, is_over: &AtomicBool) {
+    let mut failed = 0;
+    while !is_over.load(Ordering::SeqCst) {
+        failed = if is_ready(node) { 0 } else { failed + 1 };
+        is_in.store(failed < MAX_FAILED_PROBES, Ordering::SeqCst);
+        std::thread::sleep(PROBE_INTERVAL);
+    }
+}
+
 /// Returns the ratio of requests that were served at the first attempt that a node read. A request
 /// whose attempts were all left unread counts as not served.
 fn served_ratio(requests: &[&SentRequest], read: &HashSet<String>) -> f64 {
@@ -206,20 +229,25 @@
     used.as_secs_f64() / started_at.elapsed().as_secs_f64() / NODES as f64
 }
 
-#[test]
-fn most_connections() {
-    let site = HotSite::start();
+/// Hands most new connections to the first node, for as long as it is in, and checks what is served.
+fn check_hot_node(hall: fn(usize) -> &'static str) {
+    let site = HotSite::start(hall);
     let share = even_cpu_share(&site) * CPU_RATIO;
     let pids = site.nodes.iter().filter_map(NodeProcess::pid);
     let _quotas: Vec<CpuQuota> = pids.map(|pid| CpuQuota::start(pid, share)).collect();
     let even = site.send(EVEN_PERIOD, || rand::rng().random_range(0..NODES));
     let hot_since = Instant::now();
-    let hot = site.send(CONTACT_TIME + HOT_PERIOD, || {
-        if rand::rng().random_bool(HOT_RATIO) {
-            0
-        } else {
-            rand::rng().random_range(0..NODES)
-        }
+    let (is_in, is_over) = (AtomicBool::new(true), AtomicBool::new(false));
+    let choose = || match is_in.load(Ordering::SeqCst) {
+        true if rand::rng().random_bool(HOT_RATIO) => 0,
+        true => rand::rng().random_range(0..NODES),
+        false => rand::rng().random_range(1..NODES),
+    };
+    let hot = std::thread::scope(|scope| {
+        scope.spawn(|| probe_node(&site.nodes[0], &is_in, &is_over));
+        let hot = site.send(CONTACT_TIME + HOT_PERIOD, choose);
+        is_over.store(true, Ordering::SeqCst);
+        hot
     });
     let read = site.read_attempts();
     let before = served_ratio(&even.iter().collect::<Vec<_>>(), &read);
@@ -247,3 +275,19 @@
     let is_quick = slow_hold.is_none_or(|held| held <= MAX_UNREAD_HOLD);
     assert!(is_quick, "{summary}");
 }
+
+/// The tests measure processor time, so they run one at a time.
+static ALONE: Mutex<()> = Mutex::new(());
+
+#[test]
+fn most_connections() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    check_hot_node(|_| "hal-a");
+}
+
+/// A node without others in its hall, whose clients have nowhere to go while it is ready.
+#[test]
+fn lone_node() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    check_hot_node(|number| if number == 0 { "hal-a" } else { "hal-b" });
+}
--- a/packages/turnford/tests/soak/process.rs
+++ b/packages/turnford/tests/soak/process.rs
@@ -42,6 +42,7 @@
         folder: &Path,
         run: u16,
         number: usize,
+        hall: &str,
         store: SocketAddr,
         targets: &[(SocketAddr, SocketAddr)],
     ) -> Self {
@@ -52,7 +53,7 @@
         let settings = folder.join(format!("{name}.toml"));
         let at = |port: u16| format!("{ip}:{port}");
         let text = format!(
-            "name = \"{name}\"\nhall = \"hal-a\"\nregion = \"dk-vest\"\nlisten = \"{}\"\n\
+            "name = \"{name}\"\nhall = \"{hall}\"\nregion = \"dk-vest\"\nlisten = \"{}\"\n\
              ready = \"{}\"\ninner = \"{}\"\nwork = \"{}\"\nmetrics = \"{}\"\nstore = \"{store}\"\n\
              peers = []\nstop_grace_s = {GRACE_PERIOD_S}\n\n[log]\nlevel = \"info\"\n",
             at(LISTEN_PORT),
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -228,7 +228,8 @@
             let addresses = site.targets.iter().map(RouteTarget::address);
             let own_addresses = own_targets.iter().map(|link| link.address);
             let addresses: Vec<_> = addresses.zip(own_addresses).collect();
-            let mut process = NodeProcess::new(&folder, run, node, store.address, &addresses);
+            let mut process =
+                NodeProcess::new(&folder, run, node, "hal-a", store.address, &addresses);
             targets.push(own_targets);
             links.push(LinkProxy::start(&executor, process.listen()).expect("a free port"));
             process.start();
