--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -19,10 +19,10 @@
 
 use turnford_policy::ClientLimits;
 
-use crate::accept::accept_connections;
 use crate::accept::answer_metrics;
 use crate::accept::answer_readiness;
-use crate::accept::Acceptor;
+use crate::acceptor::accept_connections;
+use crate::acceptor::Acceptor;
 use crate::shared::ServeShared;
 use context::ControlContext;
 
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -5,6 +5,7 @@
 //! from snapshots of the control thread's knowledge.
 
 mod accept;
+mod acceptor;
 mod admission;
 mod answer;
 mod availability;
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -24,11 +24,11 @@
 use turnford_policy::SystemClock;
 use turnford_policy::ThreadHeartbeat;
 
-use crate::accept::accept_connections;
 use crate::accept::admit_client;
 use crate::accept::handle_client;
 use crate::accept::record_accept;
-use crate::accept::Acceptor;
+use crate::acceptor::accept_connections;
+use crate::acceptor::Acceptor;
 use crate::control::run_control;
 use crate::control::ControlListeners;
 use crate::crash_updates::pull_initial_crashes;
