Hand most connections of the soak to one node with a part of a core

Cause: the soak handed connections to its nodes evenly, and each had a whole core. Change: twice a run, a node gets nine in ten new connections and 0.04 of a core for 1.5 to 5 s, beside the other faults; the plans of existing seeds keep their steps. The quota signals through a descriptor of the process, which no other process can inherit.

--- a/packages/turnford/tests/hot_node/main.rs
+++ b/packages/turnford/tests/hot_node/main.rs
@@ -233,8 +233,8 @@
 fn check_hot_node(hall: fn(usize) -> &'static str) {
     let site = HotSite::start(hall);
     let share = even_cpu_share(&site) * CPU_RATIO;
-    let pids = site.nodes.iter().filter_map(NodeProcess::pid);
-    let _quotas: Vec<CpuQuota> = pids.map(|pid| CpuQuota::start(pid, share)).collect();
+    let quotas = site.nodes.iter().map(|node| node.limit_cpu(share));
+    let _quotas: Vec<CpuQuota> = quotas.map(|quota| quota.expect("a process")).collect();
     let even = site.send(EVEN_PERIOD, || rand::rng().random_range(0..NODES));
     let hot_since = Instant::now();
     let (is_in, is_over) = (AtomicBool::new(true), AtomicBool::new(false));
--- a/packages/turnford/tests/hot_node/quota.rs
+++ b/packages/turnford/tests/hot_node/quota.rs
@@ -2,6 +2,7 @@
 //! processor time than its part of the elapsed time.
 
 use std::fs;
+use std::os::fd::OwnedFd;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -9,8 +10,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rustix::process::kill_process;
+use rustix::process::pidfd_open;
+use rustix::process::pidfd_send_signal;
 use rustix::process::Pid;
+use rustix::process::PidfdFlags;
 use rustix::process::Signal;
 
 /// Unused processor time that a process may save up.
@@ -26,15 +29,17 @@
 }
 
 impl CpuQuota {
-    /// Limits the process `pid` to `share` of a core.
-    pub(crate) fn start(pid: Pid, share: f64) -> Self {
+    /// Limits the process `pid` to `share` of a core. Returns `None` if it has exited.
+    pub(crate) fn start(pid: Pid, share: f64) -> Option<Self> {
+        // Signals through a descriptor never reach another process that gets the same id.
+        let process = pidfd_open(pid, PidfdFlags::empty()).ok()?;
         let is_over = Arc::new(AtomicBool::new(false));
         let watched = is_over.clone();
-        let thread = std::thread::spawn(move || limit_process(pid, share, &watched));
-        Self {
+        let thread = std::thread::spawn(move || limit_process(pid, &process, share, &watched));
+        Some(Self {
             is_over,
             thread: Some(thread),
-        }
+        })
     }
 }
 
@@ -48,7 +53,7 @@
     }
 }
 
-fn limit_process(pid: Pid, share: f64, is_over: &AtomicBool) {
+fn limit_process(pid: Pid, process: &OwnedFd, share: f64, is_over: &AtomicBool) {
     let mut checked_at = Instant::now();
     let mut used_before = cpu_time(pid);
     // Processor time that the process may use, negative after it has used too much.
@@ -64,18 +69,18 @@
         used_before = used;
         if !is_stopped && allowance < 0.0 {
             is_stopped = true;
-            signal(pid, Signal::STOP);
+            signal(process, Signal::STOP);
         } else if is_stopped && allowance >= 0.0 {
             is_stopped = false;
-            signal(pid, Signal::CONT);
+            signal(process, Signal::CONT);
         }
     }
-    signal(pid, Signal::CONT);
+    signal(process, Signal::CONT);
 }
 
-fn signal(pid: Pid, signal: Signal) {
+fn signal(process: &OwnedFd, signal: Signal) {
     // The process may have exited already.
-    let _ = kill_process(pid, signal);
+    let _ = pidfd_send_signal(process, signal);
 }
 
 /// Returns the processor time that all threads of a process have used.
--- a/packages/turnford/tests/soak/client.rs
+++ b/packages/turnford/tests/soak/client.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -29,6 +30,12 @@
 /// Pause of a client if no node is ready.
 const NO_NODE_PAUSE: Duration = Duration::from_millis(200);
 
+/// Number that stands for no preferred node.
+pub(crate) const NO_NODE: usize = usize::MAX;
+
+/// Ratio of the new connections that go to the preferred node while it is ready.
+const PREFERRED_RATIO: f64 = 0.9;
+
 /// Body of the request that crashes the targets that run it.
 pub(crate) const CRASHING_BODY: &str = "what no target survives";
 
@@ -81,6 +88,8 @@
     pub(crate) links: Vec<LinkProxy>,
     /// For each node, whether the platform would route new connections to it.
     pub(crate) ready: Vec<AtomicBool>,
+    /// Node that gets most new connections.
+    preferred: AtomicUsize,
     pub(crate) calls: Vec<RouteCall>,
     records: Mutex<Vec<CallRecord>>,
     /// Requests that crash targets.
@@ -95,6 +104,7 @@
         Arc::new(Self {
             links,
             ready: (0..node_count()).map(|_| AtomicBool::new(false)).collect(),
+            preferred: AtomicUsize::new(NO_NODE),
             calls,
             records: Mutex::default(),
             crashing: Mutex::default(),
@@ -135,12 +145,21 @@
         format!("{number:016x}")
     }
 
+    /// Has most new connections go to a node, or to none in particular.
+    pub(crate) fn prefer(&self, node: usize) {
+        self.preferred.store(node, Ordering::SeqCst);
+    }
+
     fn choose_node(&self) -> Option<usize> {
         let ready = (0..node_count()).filter(|&node| self.ready[node].load(Ordering::SeqCst));
         let ready: Vec<usize> = ready.collect();
         if ready.is_empty() {
             return None;
         }
+        let preferred = self.preferred.load(Ordering::SeqCst);
+        if ready.contains(&preferred) && rand::rng().random_bool(PREFERRED_RATIO) {
+            return Some(preferred);
+        }
         Some(ready[rand::rng().random_range(0..ready.len())])
     }
 }
--- a/packages/turnford/tests/soak/main.rs
+++ b/packages/turnford/tests/soak/main.rs
@@ -8,6 +8,8 @@
 mod client;
 mod plan;
 mod process;
+#[path = "../hot_node/quota.rs"]
+mod quota;
 mod run;
 mod word;
 
--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -48,6 +48,9 @@
 const TARGET_CUTS: usize = 3;
 const BRITTLE: usize = 2;
 
+/// Periods per run in which most new connections go to one node that gets a part of a core.
+const HOT_NODES: usize = 2;
+
 /// Processes of engines that are replaced per run, by one of these software versions.
 const REPLACED: usize = 6;
 const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
@@ -103,6 +106,8 @@
     /// The target's process is replaced by one of this software version; its store entry follows after
     /// this time.
     Replace(usize, &'static str, Duration),
+    /// Most new connections go to the node for this time, in which it gets a part of a core.
+    HotNode(usize, Duration),
     /// The target announces for this time that it fails when it rejects too many requests.
     Brittle(usize, Duration),
 }
@@ -162,6 +167,13 @@
             let at = WARM_UP + FAULT_PERIOD.mul_f64(rng.random());
             steps.push((at, random_replacement(&mut rng)));
         }
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(5));
+        for _ in 0..HOT_NODES {
+            let at = WARM_UP + FAULT_PERIOD.mul_f64(rng.random());
+            let duration = Duration::from_millis(rng.random_range(1500..5000));
+            let node = rng.random_range(0..node_count());
+            steps.push((at, Fault::HotNode(node, duration)));
+        }
         steps.sort_by_key(|(at, _)| *at);
         let mut rng = StdRng::seed_from_u64(seed.rotate_left(17));
         Self {
--- a/packages/turnford/tests/soak/process.rs
+++ b/packages/turnford/tests/soak/process.rs
@@ -15,6 +15,8 @@
 use rustix::process::Pid;
 use rustix::process::Signal;
 
+use crate::quota::CpuQuota;
+
 /// Ports of a node; each node has its own loopback address.
 const LISTEN_PORT: u16 = 7740;
 const READY_PORT: u16 = 7741;
@@ -123,6 +125,11 @@
         self.child.as_ref().map(Pid::from_child)
     }
 
+    /// Limits the process to a part of a core until the quota is dropped, if it is running.
+    pub(crate) fn limit_cpu(&self, share: f64) -> Option<CpuQuota> {
+        CpuQuota::start(self.pid()?, share)
+    }
+
     pub(crate) fn is_running(&self) -> bool {
         self.child.is_some()
     }
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -34,6 +34,7 @@
 use crate::client::run_resuming;
 use crate::client::ClientContext;
 use crate::client::CRASHING_BODY;
+use crate::client::NO_NODE;
 use crate::client::RESUMED_ROUTE;
 use crate::plan::node_count;
 use crate::plan::Fault;
@@ -42,6 +43,7 @@
 use crate::plan::BRITTLE_ROOM;
 use crate::process::NodeProcess;
 use crate::process::GRACE_PERIOD_S;
+use crate::quota::CpuQuota;
 use crate::word::check_backoff;
 use crate::word::check_leaving;
 use crate::word::check_limit;
@@ -97,6 +99,9 @@
 /// Time after a restore until the operator and the targets have rewritten what was lost.
 const REWRITE_TIME: Duration = Duration::from_millis(1200);
 
+/// Part of a core that a node gets while most new connections go to it: less than they need.
+const HOT_CPU_SHARE: f64 = 0.04;
+
 /// Number of runs that this process has started; gives each run its own addresses.
 static RUNS: AtomicU16 = AtomicU16::new(0);
 
@@ -107,6 +112,8 @@
     StoreLink(Option<usize>),
     ClientLink(usize),
     TargetLinks(usize),
+    /// The node is no longer preferred for new connections and gets a whole core again.
+    EndHot(usize),
     /// The target no longer announces that it is brittle.
     EndBrittle(usize),
     Relist(usize),
@@ -148,6 +155,8 @@
     snapshots: Vec<(Instant, MetaSnapshot)>,
     /// Restarts of targets under the same id.
     restarts: Vec<(String, Instant)>,
+    /// Nodes that get a part of a core.
+    quotas: HashMap<usize, CpuQuota>,
     /// Limits that targets announced.
     limits: Vec<LimitInterval>,
     /// Last configuration version that each node reported, with the number of the process's start.
@@ -260,6 +269,7 @@
             interruptions: Vec::new(),
             snapshots: Vec::new(),
             restarts: Vec::new(),
+            quotas: HashMap::new(),
             limits: Vec::new(),
             reported: HashMap::new(),
             violations: Vec::new(),
@@ -368,6 +378,13 @@
                 self.site.targets[target].announce_brittle(Some(BRITTLE_REJECTIONS), BRITTLE_ROOM);
                 self.after(duration, ScheduledStep::EndBrittle(target));
             }
+            Fault::HotNode(node, duration) => {
+                self.context.prefer(node);
+                if let Some(quota) = self.nodes[node].limit_cpu(HOT_CPU_SHARE) {
+                    self.quotas.insert(node, quota);
+                }
+                self.after(duration, ScheduledStep::EndHot(node));
+            }
             Fault::Replace(target, version, delay) => {
                 let target = &self.site.targets[target];
                 target.replace_process(version, delay);
@@ -473,6 +490,10 @@
                     link.heal().expect("a port");
                 }
             }
+            ScheduledStep::EndHot(node) => {
+                self.context.prefer(NO_NODE);
+                self.quotas.remove(&node);
+            }
             ScheduledStep::EndBrittle(target) => {
                 self.site.targets[target].announce_brittle(None, 0);
             }
