Attribute responses to calls before anything in them is used

Cause: Three places decided in part whether a response belongs to a call. The id of a response was not compared if it said "not run", as stand-ins refused without an id; responses to reports, probes and pieces were taken whatever they named; the load in the head was recorded before the comparison.

Change: belongs_to and check_attribution decide once, right after the head, at the node that calls the target and at the one that gets a relayed response. A response that names another call, or none where an id is due, is used for nothing, and its connection ends. A request that may be repeated goes on over a new connection. Stand-ins name the id in all responses and can repeat them. The port joins the log line.

--- a/packages/turnford-http/src/connection.rs
+++ b/packages/turnford-http/src/connection.rs
@@ -22,6 +22,7 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     address: SocketAddr,
+    local_port: u16,
     sender: SendRequest<Full<Bytes>>,
 }
 
@@ -42,6 +43,7 @@
             None
         };
         let stream = connect.or(expired).await.ok_or(HttpError::NotConnected)?;
+        let local = stream.local_addr().map_err(|_| HttpError::NotConnected)?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER);
         let (sender, connection) = builder
@@ -55,7 +57,11 @@
             }
         };
         executor.spawn(drive).detach();
-        Ok(Self { address, sender })
+        Ok(Self {
+            address,
+            local_port: local.port(),
+            sender,
+        })
     }
 
     /// Returns the address of the server.
@@ -63,6 +69,11 @@
         self.address
     }
 
+    /// Returns this end's port, which tells the connections to a server apart.
+    pub fn local_port(&self) -> u16 {
+        self.local_port
+    }
+
     /// Returns whether the connection can carry a request now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/packages/turnford-http/src/lib.rs
+++ b/packages/turnford-http/src/lib.rs
@@ -35,6 +35,7 @@
 pub use reset::reset_unread;
 pub use server::bind_listener;
 pub use server::serve_connection;
+pub use server::serve_stream;
 pub use server::BufferedRequest;
 pub use stream::configure_stream;
 pub use stream::open_stream;
--- a/packages/turnford-http/src/message.rs
+++ b/packages/turnford-http/src/message.rs
@@ -88,6 +88,11 @@
         self.headers.push((name.to_owned(), value.into()));
     }
 
+    /// Returns whether a header was added, by its name in lower case.
+    pub fn has_header(&self, name: &str) -> bool {
+        self.headers.iter().any(|(key, _)| key == name)
+    }
+
     /// Sets the body.
     pub fn set_body(&mut self, body: impl Into<HttpBody>) {
         self.body = body.into();
--- a/packages/turnford-http/src/server.rs
+++ b/packages/turnford-http/src/server.rs
@@ -6,6 +6,8 @@
 
 use async_net::TcpListener;
 use async_net::TcpStream;
+use futures_lite::AsyncRead;
+use futures_lite::AsyncWrite;
 use http::header::HeaderName;
 use http::header::HeaderValue;
 use http::Request;
@@ -79,6 +81,16 @@
         log::debug!("failed to configure a connection of a caller: {error}");
         return;
     }
+    serve_stream(stream, body_limit, handler).await;
+}
+
+/// Serves the requests of a stream until it closes, as [`serve_connection`] does.
+pub async fn serve_stream<S, F, Fut>(stream: S, body_limit: usize, handler: F)
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    F: Fn(BufferedRequest) -> Fut,
+    Fut: Future<Output = Option<HttpResponse>>,
+{
     let service = service_fn(|request| respond(request, body_limit, &handler));
     let mut builder = http1::Builder::new();
     builder.auto_date_header(false);
--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -102,6 +102,7 @@
 pub use route::ProcessStart;
 pub use route::PromptAffinity;
 pub use route::PromptSegment;
+pub use route::RepeatTable;
 pub use route::RequestDigest;
 pub use route::RetryAllowance;
 pub use route::RouteConfig;
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -302,7 +302,8 @@
                 .record_refusal(now, &target.id);
             cell.requeue_pieces(plan, "the target refused it", false);
         }
-        CallError::Disconnected(reason) | CallError::Unknown(reason) => {
+        CallError::Disconnected(_) | CallError::OtherResponse | CallError::Unknown(_) => {
+            let reason = error.reason();
             log::info!("target={} pieces={count} call failed: {reason}", target.id);
             let metrics = &traffic.shared.metrics;
             metrics.record_service_event(&target.service, ServiceEvent::CallFailed);
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -17,7 +17,6 @@
 
 use turnford_adapter::decode_response;
 use turnford_adapter::set_remaining;
-use turnford_adapter::ResponseAttributes;
 use turnford_fleet::CrashKeys;
 use turnford_fleet::CrashVerdict;
 use turnford_http::HttpConnection;
@@ -25,6 +24,7 @@
 use turnford_policy::Moment;
 use turnford_policy::TargetSpec;
 
+use crate::attribution::check_attribution;
 use crate::links::is_direct;
 use crate::links::record_contact;
 use crate::links::record_failure;
@@ -74,10 +74,39 @@
     NotRun(StatusCode),
     /// The request was sent, and the connection closed or the target stopped responding.
     Disconnected(&'static str),
+    /// The request was sent, and a response to another call arrived in place of its own.
+    OtherResponse,
     /// The request was sent, and its outcome is not known.
     Unknown(&'static str),
 }
 
+impl CallError {
+    /// Returns the reason for logs.
+    pub(crate) fn reason(&self) -> &'static str {
+        match self {
+            CallError::NotSent(reason)
+            | CallError::Unavailable(reason)
+            | CallError::NoRelay(reason)
+            | CallError::Disconnected(reason)
+            | CallError::Unknown(reason) => reason,
+            CallError::Limited => "its rate limit is used up",
+            CallError::CrashesTargets(_) => "its request crashes targets",
+            CallError::NotRun(_) => "the target refused it",
+            CallError::OtherResponse => "a response to another call arrived",
+        }
+    }
+}
+
+/// Connections that a call may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionChoice {
+    Any,
+    /// Idle ones only to targets that are not known to repeat responses.
+    AvoidRepeats,
+    /// A new connection, which carries no response to an earlier call.
+    New,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallPurpose<'a> {
     /// A client's request.
@@ -86,6 +115,8 @@
         attempt: &'a str,
         /// Whether the request may run more than once.
         is_repeatable: bool,
+        /// Connections that the request may be sent on.
+        connection: ConnectionChoice,
         /// Software version that the target must have, if the request resumes a stream.
         version: Option<&'a str>,
         /// What it may crash targets by.
@@ -126,6 +157,15 @@
         }
     }
 
+    pub(crate) fn connection_choice(self) -> ConnectionChoice {
+        match self {
+            CallPurpose::Request { connection, .. } => connection,
+            // The results of other pieces look like its own.
+            CallPurpose::Pieces => ConnectionChoice::AvoidRepeats,
+            CallPurpose::Maintenance => ConnectionChoice::Any,
+        }
+    }
+
     /// Returns whether the call may be sent again after its link was lost.
     fn is_repeatable(self) -> bool {
         match self {
@@ -160,15 +200,15 @@
 }
 
 impl DirectLink {
-    pub(crate) fn new(connection: HttpConnection, parts: &Parts) -> Self {
+    pub(crate) fn new(opened: TargetConnection, parts: &Parts) -> Self {
         let keep_alive = match decode_response(parts) {
-            Ok(attributes) if !attributes.closes => attributes
+            Ok(attributes) if opened.is_reusable && !attributes.closes => attributes
                 .keep_alive
                 .map_or(DEFAULT_KEEP_ALIVE, |time| time.mul_f64(KEEP_ALIVE_RATIO)),
             _ => Duration::ZERO,
         };
         Self {
-            connection,
+            connection: opened.connection,
             keep_alive,
         }
     }
@@ -251,7 +291,7 @@
     let in_flight = InFlightGuard::new(context, target);
     let deadline = traffic.shared.now() + timeout;
     let connection = if is_direct(traffic, &target.id) {
-        open_connection(traffic, target, timeout).await
+        open_connection(traffic, target, timeout, purpose.connection_choice()).await
     } else {
         None
     };
@@ -263,8 +303,7 @@
         Some(opened) if attempt.is_some() => {
             Some(check_process(traffic, context, target, opened).await?)
         }
-        Some(opened) => Some(opened.connection),
-        None => None,
+        opened => opened,
     };
     // Checked last before sending: the call may have waited, and another node may have placed it.
     if let Some(retry_after) = purpose.refused_for(traffic) {
@@ -279,19 +318,27 @@
         .metrics
         .record_service_event(&target.service, ServiceEvent::Sent);
     let (parts, body, link) = match connection {
-        Some(mut connection) => {
+        Some(mut opened) => {
             set_remaining(&mut request, deadline.saturating_sub(now));
             let is_repeatable = purpose.is_repeatable();
             let sent = send_request(
                 traffic,
                 target,
-                &mut connection,
+                &mut opened.connection,
                 request,
                 deadline,
                 is_repeatable,
             );
             let (parts, body) = sent.await?;
-            let link = ResponseLink::Direct(DirectLink::new(connection, &parts));
+            let port = opened.connection.local_port();
+            check_attribution(
+                traffic,
+                target,
+                &parts,
+                attempt,
+                format_args!("port={port}"),
+            )?;
+            let link = ResponseLink::Direct(DirectLink::new(opened, &parts));
             let body = TargetBody::new(BodySource::Direct(body), &parts);
             (parts, body, link)
         }
@@ -303,7 +350,10 @@
                     context.targets.borrow_mut().record_refusal(now, &target.id);
                 }
             })?;
-            let link = ResponseLink::Relayed(response.peer);
+            let peer = response.peer;
+            let origin = format_args!("relay={peer}");
+            check_attribution(traffic, target, &response.parts, attempt, origin)?;
+            let link = ResponseLink::Relayed(peer);
             (response.parts, response.body, link)
         }
     };
@@ -317,9 +367,6 @@
         let mut table = context.targets.borrow_mut();
         table.record_load(now, &target.id, sample);
     }
-    if attempt.is_some() && !attributes.not_run && attributes.attempt.as_deref() != attempt {
-        return Err(attempt_mismatch(traffic, target, &attributes));
-    }
     let is_complete = attempt.is_none() || (attributes.is_signed && !attributes.is_encoded);
     if parts.status.is_success() && !is_complete {
         return Err(CallError::Unknown("the response is unsigned or encoded"));
@@ -377,29 +424,13 @@
     Ok((parts, body))
 }
 
-/// Records a response that belongs to another request. Its connection is not reused.
-fn attempt_mismatch(
-    traffic: &Traffic,
-    target: &TargetSpec,
-    attributes: &ResponseAttributes,
-) -> CallError {
-    log::warn!(
-        "target={} discarded a response for request={}",
-        target.id,
-        attributes.attempt.as_deref().unwrap_or("-")
-    );
-    traffic
-        .shared
-        .metrics
-        .record_service_event(&target.service, ServiceEvent::AttemptMismatch);
-    CallError::Unknown("the response belongs to another request")
-}
-
 /// A connection to a target.
 pub(crate) struct TargetConnection {
     pub(crate) connection: HttpConnection,
     /// Whether it was opened for this call.
     pub(crate) is_new: bool,
+    /// Whether later calls may use it.
+    is_reusable: bool,
 }
 
 /// Returns a connection to a target, an idle one if there is any, or `None` if the target is not
@@ -408,16 +439,21 @@
     traffic: &Traffic,
     target: &TargetSpec,
     timeout: Duration,
+    choice: ConnectionChoice,
 ) -> Option<TargetConnection> {
     let address = traffic.shared.settings.target_address(target.address);
-    let idle = traffic
-        .pool
-        .borrow_mut()
-        .take(traffic.shared.now(), address, Duration::MAX);
-    if let Some(connection) = idle {
+    let now = traffic.shared.now();
+    let is_reusable = match choice {
+        ConnectionChoice::Any => true,
+        ConnectionChoice::AvoidRepeats => !traffic.repeats.borrow().is_expected(now, &target.id),
+        ConnectionChoice::New => false,
+    };
+    let idle = is_reusable.then(|| traffic.pool.borrow_mut().take(now, address, Duration::MAX));
+    if let Some(connection) = idle.flatten() {
         return Some(TargetConnection {
             connection,
             is_new: false,
+            is_reusable,
         });
     }
     // Half of the time is left for another node.
@@ -431,6 +467,7 @@
     opened.ok().map(|connection| TargetConnection {
         connection,
         is_new: true,
+        is_reusable,
     })
 }
 
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -25,6 +25,7 @@
 use crate::call::call_target;
 use crate::call::CallError;
 use crate::call::CallPurpose;
+use crate::call::ConnectionChoice;
 use crate::call::TargetResponse;
 use crate::crash::record_clean_end;
 use crate::crash::BrokenCall;
@@ -88,6 +89,8 @@
     sent: u32,
     /// Whether any of them may have run.
     may_have_run: bool,
+    /// Whether a response to another call arrived in place of one of theirs.
+    has_other_response: bool,
     /// Number of targets that were not reached.
     unreached: usize,
     /// Number of times that a target's rate limit was used up when the request was to be sent.
@@ -102,6 +105,7 @@
         tried: Vec::new(),
         sent: 0,
         may_have_run: false,
+        has_other_response: false,
         unreached: 0,
         limited: 0,
         failed: None,
@@ -145,7 +149,8 @@
         }
         // The call counts as in flight from its first poll. Only then may the next waiting request
         // check for a slot.
-        let call = try_target(traffic, job, &target, placed.position.take());
+        let connection = connection_choice(job, &log);
+        let call = try_target(traffic, job, &target, placed.position.take(), connection);
         match call.await {
             Ok(response) => {
                 if let Some(end) = handle_response(traffic, job, &mut log, *placed, response).await
@@ -197,6 +202,19 @@
         && log.unreached < MAX_UNREACHED
 }
 
+/// Returns the connections that the next attempt may use. If its response is lost to a repeated one, another
+/// attempt may not be allowed.
+fn connection_choice(job: &ForwardJob<'_>, log: &AttemptLog) -> ConnectionChoice {
+    if log.has_other_response {
+        return ConnectionChoice::New;
+    }
+    let is_last = log.sent + 1 >= job.record.route.max_targets;
+    if is_last || !job.record.route.is_repeatable() {
+        return ConnectionChoice::AvoidRepeats;
+    }
+    ConnectionChoice::Any
+}
+
 /// Takes a retry from the service's allowance.
 fn try_take_retry(traffic: &Traffic, job: &ForwardJob<'_>, target: &TargetSpec) -> bool {
     let now = traffic.shared.now();
@@ -220,6 +238,7 @@
     job: &ForwardJob<'_>,
     target: &TargetSpec,
     position: Option<QueuePosition>,
+    connection: ConnectionChoice,
 ) -> Result<TargetResponse, CallError> {
     let record = job.record;
     let remaining = record.remaining();
@@ -253,6 +272,7 @@
     let purpose = CallPurpose::Request {
         attempt: &record.attributes.attempt,
         is_repeatable: record.route.is_repeatable(),
+        connection,
         version: source.as_ref().map(|source| &*source.version),
         keys: &keys,
     };
@@ -417,9 +437,11 @@
             }
             table.record_refusal(now, &target.id);
         }
-        CallError::Disconnected(reason) | CallError::Unknown(reason) => {
+        CallError::Disconnected(_) | CallError::OtherResponse | CallError::Unknown(_) => {
+            let reason = error.reason();
             log.sent += 1;
             log.may_have_run = true;
+            log.has_other_response |= *error == CallError::OtherResponse;
             job.record
                 .trace(format_args!("{} gave no response: {reason}", target.id));
             table.record_failure(&target.id);
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -8,6 +8,7 @@
 mod acceptor;
 mod admission;
 mod answer;
+mod attribution;
 mod availability;
 mod backoff;
 mod batch;
--- a/packages/turnford-serve/src/process_check.rs
+++ b/packages/turnford-serve/src/process_check.rs
@@ -13,10 +13,10 @@
 use turnford_adapter::decode_process_start;
 use turnford_adapter::encode_report;
 use turnford_http::wait_timeout;
-use turnford_http::HttpConnection;
 use turnford_policy::ProcessStart;
 use turnford_policy::TargetSpec;
 
+use crate::attribution::check_attribution;
 use crate::call::CallError;
 use crate::call::TargetConnection;
 use crate::metrics::ServiceEvent;
@@ -38,20 +38,21 @@
     traffic: &Rc<Traffic>,
     context: &ServiceContext,
     target: &TargetSpec,
-    opened: TargetConnection,
-) -> Result<HttpConnection, CallError> {
-    let mut connection = opened.connection;
+    mut opened: TargetConnection,
+) -> Result<TargetConnection, CallError> {
     if !opened.is_new || !needs_check(context, target) {
-        return Ok(connection);
+        return Ok(opened);
     }
     let late = async {
         wait_timeout(REPORT_TIMEOUT).await;
         Err(CallError::NotSent("the target gave no status report"))
     };
-    let reported = read_process_start(&mut connection, target).or(late).await?;
+    let reported = read_process_start(traffic, &mut opened, target)
+        .or(late)
+        .await?;
     // A target whose report does not name its process can't be checked.
     if reported.is_none_or(|reported| reported == target.process_start) {
-        return Ok(connection);
+        return Ok(opened);
     }
     log::info!(
         "target={} process was replaced: born={} in its entry, {} in its report",
@@ -81,15 +82,19 @@
 
 /// Returns the start of the process behind a connection, `None` if the target does not report it.
 async fn read_process_start(
-    connection: &mut HttpConnection,
+    traffic: &Traffic,
+    opened: &mut TargetConnection,
     target: &TargetSpec,
 ) -> Result<Option<ProcessStart>, CallError> {
     let lost = CallError::NotSent("the connection was lost before the request was sent");
     let request = encode_report(&target.address.to_string(), &target.id)
         .map_err(|_| CallError::NotSent("the request for a status report can't be encoded"))?;
-    let response = connection.send(request).await.map_err(|_| lost.clone())?;
-    let is_success = response.status().is_success();
-    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
+    let response = opened.connection.send(request).await;
+    let (parts, body) = response.map_err(|_| lost.clone())?.into_parts();
+    let port = opened.connection.local_port();
+    check_attribution(traffic, target, &parts, None, format_args!("port={port}"))
+        .map_err(|_| CallError::NotSent("the target gave no status report of its own"))?;
+    let body = Limited::new(body, MAX_REPORT_BYTES);
     let body = body.collect().await.map_err(|_| lost)?.to_bytes();
-    Ok(decode_process_start(&body).filter(|_| is_success))
+    Ok(decode_process_start(&body).filter(|_| parts.status.is_success()))
 }
--- a/packages/turnford-serve/src/relay_handler.rs
+++ b/packages/turnford-serve/src/relay_handler.rs
@@ -21,6 +21,7 @@
 use turnford_wire::StreamedReply;
 use turnford_wire::WorkReply;
 
+use crate::attribution::check_attribution;
 use crate::call::open_connection;
 use crate::call::recycle_connection;
 use crate::call::send_request;
@@ -102,14 +103,13 @@
     };
     let attempt = relay.attempt.clone();
     let mut request = decode_request(relay).ok_or(RelayReply::Unavailable)?;
-    let connection = open_connection(traffic, &target, remaining).await;
-    let opened = connection.ok_or_else(not_reached)?;
-    let mut connection = if attempt.is_some() {
+    let choice = purpose.connection_choice();
+    let connection = open_connection(traffic, &target, remaining, choice).await;
+    let mut opened = connection.ok_or_else(not_reached)?;
+    if attempt.is_some() {
         let checked = check_process(traffic, &context, &target, opened).await;
-        checked.map_err(|_| RelayReply::Unavailable)?
-    } else {
-        opened.connection
-    };
+        opened = checked.map_err(|_| RelayReply::Unavailable)?;
+    }
     let now = traffic.shared.now();
     if context.refuses_work(now, &target.id, purpose).is_some() {
         return Err(RelayReply::Unavailable);
@@ -117,14 +117,19 @@
     let metrics = &traffic.shared.metrics;
     metrics.record_service_event(&target.service, ServiceEvent::RelayedForPeer);
     set_remaining(&mut request, deadline.saturating_sub(now));
-    let sent = send_request(traffic, &target, &mut connection, request, deadline, false).await;
+    let connection = &mut opened.connection;
+    let sent = send_request(traffic, &target, connection, request, deadline, false).await;
     let (parts, body) = sent.map_err(|error| match error {
         CallError::NotSent(_) => not_reached(),
         CallError::Disconnected(_) => RelayReply::Disconnected,
         _ => RelayReply::Unknown,
     })?;
+    let port = opened.connection.local_port();
+    let origin = format_args!("port={port}");
+    check_attribution(traffic, &target, &parts, attempt.as_deref(), origin)
+        .map_err(|_| RelayReply::Unknown)?;
     process_signals(traffic, &context, &target, &parts, attempt.as_deref(), now);
-    let link = DirectLink::new(connection, &parts);
+    let link = DirectLink::new(opened, &parts);
     let reply = RelayReply::Response {
         status: parts.status.as_u16(),
         headers: encode_headers(&parts.headers),
--- a/packages/turnford-serve/src/signals.rs
+++ b/packages/turnford-serve/src/signals.rs
@@ -21,8 +21,8 @@
 use crate::service_context::ServiceContext;
 use crate::traffic::Traffic;
 
-/// Processes what a target reports about itself in the response to a call sent at `sent_at`, whatever
-/// becomes of the response.
+/// Processes what a target reports about itself in the response that belongs to a call sent at
+/// `sent_at`, whatever becomes of the response.
 pub(crate) fn process_signals(
     traffic: &Rc<Traffic>,
     context: &Rc<ServiceContext>,
@@ -31,7 +31,7 @@
     attempt: Option<&str>,
     sent_at: Moment,
 ) -> TargetSignal {
-    let signal = decode_signal(parts, attempt).unwrap_or_else(|(signal, error)| {
+    let signal = decode_signal(parts).unwrap_or_else(|(signal, error)| {
         log::warn!("target={} sent an invalid backoff: {error}", target.id);
         signal
     });
@@ -66,7 +66,7 @@
     attempt: Option<&str>,
     sent_at: Moment,
 ) {
-    let signal = match decode_limit(parts, attempt) {
+    let signal = match decode_limit(parts) {
         Ok(Some(signal)) => signal,
         Ok(None) => return,
         Err(error) => {
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -16,6 +16,7 @@
 use turnford_policy::ConnectionGate;
 use turnford_policy::LinkTable;
 use turnford_policy::ReadinessGate;
+use turnford_policy::RepeatTable;
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceId;
 use turnford_policy::ServiceSpec;
@@ -47,6 +48,8 @@
     pub(crate) pool: RefCell<ConnectionPool>,
     /// Links of this node to targets.
     pub(crate) links: RefCell<LinkTable>,
+    /// Targets that repeated a response to this node.
+    pub(crate) repeats: RefCell<RepeatTable>,
     /// Admission of clients' connections.
     pub(crate) gate: RefCell<ConnectionGate>,
     pub(crate) readiness: RefCell<ReadinessGate>,
@@ -83,6 +86,7 @@
             shared,
             pool: RefCell::default(),
             links: RefCell::default(),
+            repeats: RefCell::default(),
             gate: RefCell::default(),
             readiness: RefCell::default(),
             samples_peers: Cell::default(),
--- a/packages/turnford-serve/tests/common/mod.rs
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -335,6 +335,7 @@
         "routes": [
             route("hold", "/hold/", "unsafe", "booking", 1, &json!([])),
             route("pay", "/pay/", "safe", "booking", 2, &json!([])),
+            route("book", "/book/", "unsafe", "booking", 3, &json!([])),
             route("draft", "/draft/", "streaming", "sprog", 1, &json!([])),
             route("chat", "/chat/", "streaming", "sprog", 2, &json!([
                 { "service": "kort", "after_revision": [], "byte_count": 8000 },
--- a/packages/turnford-standin/src/lib.rs
+++ b/packages/turnford-standin/src/lib.rs
@@ -50,6 +50,7 @@
 pub use route::RouteSite;
 pub use route::RouteTarget;
 pub use route::RunKind;
+pub use route::StallPoint;
 pub use route::TargetArrival;
 pub use route::TargetFault;
 pub use route::TargetIdentity;
--- a/packages/turnford-standin/src/route.rs
+++ b/packages/turnford-standin/src/route.rs
@@ -3,6 +3,7 @@
 //! They implement the platform's wire protocol and therefore use its names. Apart from the protocol
 //! they only inject faults and record what they receive.
 
+mod faulty_stream;
 mod listener;
 mod meta;
 mod piece;
@@ -12,6 +13,7 @@
 mod site;
 mod target;
 
+pub use faulty_stream::StallPoint;
 pub use meta::EndpointState;
 pub use meta::MetaSnapshot;
 pub use meta::MetaStore;
--- a/packages/turnford-standin/src/route/listener.rs
+++ b/packages/turnford-standin/src/route/listener.rs
@@ -10,11 +10,13 @@
 use async_executor::Task;
 use async_net::TcpListener;
 use turnford_http::bind_listener;
-use turnford_http::serve_connection;
+use turnford_http::serve_stream;
 use turnford_http::BufferedRequest;
 use turnford_http::HttpResponse;
 use turnford_http::DEFAULT_BODY_LIMIT;
 
+use super::faulty_stream::FaultyStream;
+use super::faulty_stream::StreamFaults;
 use super::raw::serve_raw;
 use super::raw::RawResponse;
 use crate::SharedExecutor;
@@ -30,6 +32,7 @@
     executor: SharedExecutor,
     tasks: ListenerTasks,
     raw: SharedResponse,
+    pub(super) faults: Arc<StreamFaults>,
 }
 
 impl TargetListener {
@@ -39,6 +42,7 @@
             executor: executor.clone(),
             tasks: ListenerTasks::default(),
             raw: SharedResponse::default(),
+            faults: Arc::default(),
         }
     }
 
@@ -59,8 +63,12 @@
     {
         let listener = bind_listener(address)?;
         let address = listener.local_addr()?;
-        let (tasks, raw) = (self.tasks.clone(), self.raw.clone());
-        let accept = accept(self.executor.clone(), tasks, raw, listener, handler);
+        let connections = Connections {
+            tasks: self.tasks.clone(),
+            raw: self.raw.clone(),
+            faults: self.faults.clone(),
+        };
+        let accept = accept(self.executor.clone(), connections, listener, handler);
         let task = self.executor.spawn(accept);
         lock(&self.tasks).push(task);
         Ok(address)
@@ -73,10 +81,16 @@
     }
 }
 
-async fn accept<F, Fut>(
-    executor: SharedExecutor,
+/// What the connections of a listener share.
+struct Connections {
     tasks: ListenerTasks,
     raw: SharedResponse,
+    faults: Arc<StreamFaults>,
+}
+
+async fn accept<F, Fut>(
+    executor: SharedExecutor,
+    connections: Connections,
     listener: TcpListener,
     handler: F,
 ) where
@@ -84,17 +98,25 @@
     Fut: Future<Output = Option<HttpResponse>> + Send + 'static,
 {
     while let Ok((stream, _)) = listener.accept().await {
-        let response = lock(&raw).clone();
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("failed to configure a connection of a caller: {error}");
+            continue;
+        }
+        let response = lock(&connections.raw).clone();
+        let faults = connections.faults.clone();
         let handler = handler.clone();
         let serve = async move {
             match response {
                 // The caller has ended the connection.
                 Some(response) => drop(serve_raw(stream, response).await),
-                None => serve_connection(stream, DEFAULT_BODY_LIMIT, handler).await,
+                None => {
+                    let stream = FaultyStream::new(stream, &faults);
+                    serve_stream(stream, DEFAULT_BODY_LIMIT, handler).await;
+                }
             }
         };
         let task = executor.spawn(serve);
-        let mut tasks = lock(&tasks);
+        let mut tasks = lock(&connections.tasks);
         tasks.retain(|task| !task.is_finished());
         tasks.push(task);
     }
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -24,6 +24,7 @@
 use turnford_http::HttpBody;
 use turnford_http::HttpResponse;
 
+use super::faulty_stream::StallPoint;
 use super::listener::TargetListener;
 use super::meta::json_response;
 use super::meta::MetaStore;
@@ -384,6 +385,27 @@
         self.state.listener.respond_raw(response);
     }
 
+    /// Makes the target send one of `every` responses once more, where the response to the next request on its
+    /// connection is due; 0 for none.
+    pub fn repeat_responses(&self, every: usize) {
+        self.state.listener.faults.repeat(every);
+    }
+
+    /// Returns the number of responses that were sent once more.
+    pub fn repeat_count(&self) -> usize {
+        self.state.listener.faults.repeat_count()
+    }
+
+    /// Makes one of `every` responses fall silent for good, with its connection open; 0 for none.
+    pub fn stall_responses(&self, every: usize, point: StallPoint) {
+        self.state.listener.faults.stall(every, point);
+    }
+
+    /// Returns the number of responses that fell silent.
+    pub fn stall_count(&self) -> usize {
+        self.state.listener.faults.stall_count()
+    }
+
     /// Injects faults into the next calls, one per call.
     pub fn inject_faults(&self, faults: impl IntoIterator<Item = TargetFault>) {
         lock(&self.state.faults).extend(faults);
@@ -479,6 +501,16 @@
             Timer::after(UNRESPONSIVE_TIME).await;
             return None;
         }
+        let mut response = self.respond(&call).await?;
+        if let Some(attempt) = call.header("x-turnford-attempt-id") {
+            if !response.has_header("x-turnford-attempt-id") {
+                response.insert_header("x-turnford-attempt-id", attempt);
+            }
+        }
+        Some(response)
+    }
+
+    async fn respond(self: &Arc<Self>, call: &BufferedRequest) -> Option<HttpResponse> {
         if call
             .header("x-turnford-expect-instance")
             .is_some_and(|id| id != self.id)
@@ -487,10 +519,10 @@
             response.insert_header("x-turnford-instance-id", self.id.as_str());
             return Some(response);
         }
-        let backoff = self.signals.record_arrival(&call);
+        let backoff = self.signals.record_arrival(call);
         let mut response = match backoff {
             Some(backoff) => rejection_with_backoff(&backoff),
-            None => self.dispatch(&call).await?,
+            None => self.dispatch(call).await?,
         };
         self.signals.add_headers(&mut response);
         Some(response)
