Give every read of a target's response a deadline

Cause: Each place that reads from a target brought its own timer. Buffered responses, probes, releases and relayed bodies had none, and a stream whose client read nothing held its target for good.

Change: TargetBody fails at a deadline that it is made with. A request has a response 150 ms after its deadline whatever it waits for. A stream ends at its deadline although its client reads nothing; the bytes that follow a reply between nodes have a timeout. A buffered call that may be repeated is given up once it has made no progress for eight times the usual time of a call, where another target is left and a retry is taken from the allowance at that moment. Calls that may not be repeated are waited for.

--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -1,5 +1,6 @@
 //! One call to one target.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,6 +38,7 @@
 use crate::signals::process_signals;
 use crate::target_body::BodySource;
 use crate::target_body::TargetBody;
+use crate::target_body::TargetBodyError;
 use crate::traffic::Traffic;
 use crate::wait::wait_until;
 
@@ -117,6 +119,8 @@
         is_repeatable: bool,
         /// Connections that the request may be sent on.
         connection: ConnectionChoice,
+        /// Set once the request is sent.
+        is_sent: &'a Cell<bool>,
         /// Software version that the target must have, if the request resumes a stream.
         version: Option<&'a str>,
         /// What it may crash targets by.
@@ -157,6 +161,12 @@
         }
     }
 
+    fn record_sent(self) {
+        if let CallPurpose::Request { is_sent, .. } = self {
+            is_sent.set(true);
+        }
+    }
+
     pub(crate) fn connection_choice(self) -> ConnectionChoice {
         match self {
             CallPurpose::Request { connection, .. } => connection,
@@ -221,10 +231,39 @@
         traffic: &Traffic,
         limit: usize,
     ) -> Result<(Parts, Bytes), CallError> {
-        let body = Limited::new(self.body, limit).collect().await;
-        let body = body.map_err(|_| CallError::Disconnected("the response body was truncated"))?;
+        self.collect_unless(traffic, limit, std::future::pending)
+            .await
+    }
+
+    /// Reads the whole body, unless `stalled` resolves before the next part of it has arrived, and
+    /// returns the connection to the pool.
+    pub(crate) async fn collect_unless(
+        self,
+        traffic: &Traffic,
+        limit: usize,
+        stalled: impl AsyncFn(),
+    ) -> Result<(Parts, Bytes), CallError> {
+        let mut body = Limited::new(self.body, limit);
+        let mut chunks = Vec::new();
+        loop {
+            let next = async { Ok(body.frame().await) };
+            let stalled = async {
+                stalled().await;
+                Err(CallError::Unknown("the response stalled"))
+            };
+            match next.or(stalled).await? {
+                // Trailers are ignored.
+                Some(Ok(frame)) => chunks.extend(frame.into_data()),
+                Some(Err(error)) => return Err(body_error(&*error)),
+                None => break,
+            }
+        }
         recycle_link(traffic, self.link);
-        Ok((self.parts, body.to_bytes()))
+        let body = match <[Bytes; 1]>::try_from(chunks) {
+            Ok([chunk]) => chunk,
+            Err(chunks) => Bytes::from(chunks.concat()),
+        };
+        Ok((self.parts, body))
     }
 
     /// Returns the address of the node that relays the response, `None` if it comes directly from
@@ -246,6 +285,13 @@
     }
 }
 
+fn body_error(error: &(dyn std::error::Error + 'static)) -> CallError {
+    match error.downcast_ref() {
+        Some(TargetBodyError::Late) => CallError::Unknown("the response timed out"),
+        _ => CallError::Disconnected("the response body was truncated"),
+    }
+}
+
 /// What is needed to recycle the connection after the body of a stream has ended.
 pub(crate) struct StreamRemainder {
     link: ResponseLink,
@@ -317,6 +363,7 @@
         .shared
         .metrics
         .record_service_event(&target.service, ServiceEvent::Sent);
+    purpose.record_sent();
     let (parts, body, link) = match connection {
         Some(mut opened) => {
             set_remaining(&mut request, deadline.saturating_sub(now));
@@ -339,7 +386,8 @@
                 format_args!("port={port}"),
             )?;
             let link = ResponseLink::Direct(DirectLink::new(opened, &parts));
-            let body = TargetBody::new(BodySource::Direct(body), &parts);
+            let source = BodySource::Direct(body);
+            let body = TargetBody::new(&traffic.shared, source, &parts, deadline);
             (parts, body, link)
         }
         None => {
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -1,5 +1,6 @@
 //! The final call of a request: to one target, and to further ones where the route allows it.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,6 +43,7 @@
 use crate::results::StageResults;
 use crate::resume::unsuitable_targets;
 use crate::service_context::ServiceContext;
+use crate::stall::wait_stalled;
 use crate::stream::relay_stream;
 use crate::traffic::Traffic;
 use crate::trial::SuspectRefusal;
@@ -82,15 +84,25 @@
     InputMissing,
 }
 
+/// How a request is sent to one target.
+struct AttemptOptions<'a> {
+    connection: ConnectionChoice,
+    is_sent: &'a Cell<bool>,
+}
+
 /// State of the attempts so far.
-struct AttemptLog {
-    tried: Vec<TargetId>,
+pub(crate) struct AttemptLog {
+    pub(crate) tried: Vec<TargetId>,
     /// Number of requests sent to a target.
-    sent: u32,
+    pub(crate) sent: u32,
     /// Whether any of them may have run.
     may_have_run: bool,
     /// Whether a response to another call arrived in place of one of theirs.
     has_other_response: bool,
+    /// Whether the request of the current attempt has been sent.
+    pub(crate) is_sent: Cell<bool>,
+    /// Whether the retry of the next attempt was already taken from the service's allowance.
+    pub(crate) has_retry: Cell<bool>,
     /// Number of targets that were not reached.
     unreached: usize,
     /// Number of times that a target's rate limit was used up when the request was to be sent.
@@ -106,6 +118,8 @@
         sent: 0,
         may_have_run: false,
         has_other_response: false,
+        is_sent: Cell::new(false),
+        has_retry: Cell::new(false),
         unreached: 0,
         limited: 0,
         failed: None,
@@ -144,14 +158,23 @@
         };
         let target = placed.target.clone();
         log.tried.push(target.id.clone());
-        if log.sent > 0 && !try_take_retry(traffic, job, &target) {
+        if log.sent > 0 && !log.has_retry.take() && !try_take_retry(traffic, job) {
             break;
         }
         // The call counts as in flight from its first poll. Only then may the next waiting request
         // check for a slot.
         let connection = connection_choice(job, &log);
-        let call = try_target(traffic, job, &target, placed.position.take(), connection);
-        match call.await {
+        log.is_sent.set(false);
+        let sending = AttemptOptions {
+            connection,
+            is_sent: &log.is_sent,
+        };
+        let call = try_target(traffic, job, &target, placed.position.take(), sending);
+        let stalled = async {
+            wait_stalled(traffic, job, &log).await;
+            Err(CallError::Unknown("the response stalled"))
+        };
+        match call.or(stalled).await {
             Ok(response) => {
                 if let Some(end) = handle_response(traffic, job, &mut log, *placed, response).await
                 {
@@ -216,7 +239,7 @@
 }
 
 /// Takes a retry from the service's allowance.
-fn try_take_retry(traffic: &Traffic, job: &ForwardJob<'_>, target: &TargetSpec) -> bool {
+pub(crate) fn try_take_retry(traffic: &Traffic, job: &ForwardJob<'_>) -> bool {
     let now = traffic.shared.now();
     let allowed = job.context.allowance.borrow_mut().try_take(now);
     let event = if allowed {
@@ -229,7 +252,7 @@
     traffic
         .shared
         .metrics
-        .record_service_event(&target.service, event);
+        .record_service_event(&job.context.spec.borrow().name, event);
     allowed
 }
 
@@ -238,7 +261,7 @@
     job: &ForwardJob<'_>,
     target: &TargetSpec,
     position: Option<QueuePosition>,
-    connection: ConnectionChoice,
+    options: AttemptOptions<'_>,
 ) -> Result<TargetResponse, CallError> {
     let record = job.record;
     let remaining = record.remaining();
@@ -272,7 +295,8 @@
     let purpose = CallPurpose::Request {
         attempt: &record.attributes.attempt,
         is_repeatable: record.route.is_repeatable(),
-        connection,
+        connection: options.connection,
+        is_sent: options.is_sent,
         version: source.as_ref().map(|source| &*source.version),
         keys: &keys,
     };
@@ -309,11 +333,15 @@
         let response = relay_stream(traffic, job.record, job.context, placed, response);
         return Some(ForwardOutcome::Response(response));
     }
-    let (parts, body) = match response.collect(traffic, MAX_RESPONSE_BYTES).await {
+    let stalled = async || wait_stalled(traffic, job, log).await;
+    let read = response.collect_unless(traffic, MAX_RESPONSE_BYTES, stalled);
+    let (parts, body) = match read.await {
         Ok(whole) => whole,
         Err(error) => {
             let end = record_error(traffic, job, log, &target, &error);
-            check_crash(traffic, job, log, placed, true).await;
+            if matches!(error, CallError::Disconnected(_)) {
+                check_crash(traffic, job, log, placed, true).await;
+            }
             return end;
         }
     };
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -53,6 +53,7 @@
 mod signals;
 mod stage;
 mod stages;
+mod stall;
 mod stream;
 mod stream_directory;
 mod suspect_channel;
--- a/packages/turnford-serve/src/relay.rs
+++ b/packages/turnford-serve/src/relay.rs
@@ -93,7 +93,7 @@
             break;
         }
         relay.remaining_ms = millis_u32(deadline.saturating_sub(now));
-        let attempt = relay_at(traffic, target, &relay, peer);
+        let attempt = relay_at(traffic, target, &relay, peer, deadline);
         let late = async {
             wait_until(&traffic.shared, deadline).await;
             RelayAttempt::Failed(CallError::Unknown("the response timed out"))
@@ -122,6 +122,7 @@
     target: &TargetSpec,
     relay: &RelayRequest,
     peer: SocketAddr,
+    deadline: Moment,
 ) -> RelayAttempt {
     let request = WorkRequest::Relay(relay.clone());
     let state = traffic.peers.state(peer);
@@ -151,7 +152,7 @@
             return RelayAttempt::Failed(error);
         }
     };
-    decode_reply(traffic, target, peer, reply)
+    decode_reply(traffic, target, peer, deadline, reply)
 }
 
 fn relay_error(peer: SocketAddr, error: PeerError) -> RelayAttempt {
@@ -168,6 +169,7 @@
     traffic: &Rc<Traffic>,
     target: &TargetSpec,
     peer: SocketAddr,
+    deadline: Moment,
     (reply, body): (RelayReply, Option<PeerBody>),
 ) -> RelayAttempt {
     match reply {
@@ -180,7 +182,8 @@
             };
             let metrics = &traffic.shared.metrics;
             metrics.record_service_event(&target.service, ServiceEvent::Relayed);
-            let body = TargetBody::new(BodySource::Relayed(body), &parts);
+            let source = BodySource::Relayed(body);
+            let body = TargetBody::new(&traffic.shared, source, &parts, deadline);
             RelayAttempt::Response(Box::new(RelayedResponse { parts, body, peer }))
         }
         RelayReply::NotReached { is_isolated: true } => {
--- a/packages/turnford-serve/src/relay_handler.rs
+++ b/packages/turnford-serve/src/relay_handler.rs
@@ -10,10 +10,8 @@
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Incoming;
 
 use turnford_adapter::set_remaining;
-use turnford_policy::EventScanner;
 use turnford_policy::TargetSpec;
 use turnford_wire::RelayReply;
 use turnford_wire::RelayRequest;
@@ -37,6 +35,9 @@
 use crate::service_context::InFlightGuard;
 use crate::service_context::ServiceContext;
 use crate::signals::process_signals;
+use crate::target_body::BodySource;
+use crate::target_body::TargetBody;
+use crate::target_body::TargetBodyError;
 use crate::traffic::Traffic;
 
 /// Maximum number of calls that a node relays at the same time.
@@ -134,11 +135,14 @@
         status: parts.status.as_u16(),
         headers: encode_headers(&parts.headers),
     };
+    let mut body = TargetBody::new(&traffic.shared, BodySource::Direct(body), &parts, deadline);
+    if is_event_stream(&parts) {
+        body.expect_events();
+    }
     let stream = RelayedStream {
         traffic: traffic.clone(),
         target,
         body,
-        scanner: is_event_stream(&parts).then(EventScanner::default),
         link,
         _guard: guard,
         _in_flight: in_flight,
@@ -146,6 +150,7 @@
     Ok(StreamedReply {
         reply: WorkReply::Relayed(reply),
         body: Some(stream.into_body()),
+        timeout: deadline.saturating_sub(traffic.shared.now()),
     })
 }
 
@@ -175,9 +180,7 @@
 struct RelayedStream {
     traffic: Rc<Traffic>,
     target: TargetSpec,
-    body: Incoming,
-    /// Follows the events of an event stream.
-    scanner: Option<EventScanner>,
+    body: TargetBody,
     link: DirectLink,
     _guard: RelayGuard,
     _in_flight: InFlightGuard,
@@ -194,18 +197,13 @@
                         let Ok(chunk) = frame.into_data() else {
                             continue;
                         };
-                        if let Some(scanner) = &mut relayed.scanner {
-                            scanner.read(&chunk);
-                        }
                         return Some((Some(chunk), Some(relayed)));
                     }
+                    // The node that took the request finds that too, once it has read everything.
+                    Some(Err(TargetBodyError::PartialEvent)) => return None,
                     Some(Err(_)) => return Some((None, None)),
                     None => {
-                        let scanner = relayed.scanner;
-                        if scanner.is_none_or(|scanner| scanner.is_between_events()) {
-                            recycle_connection(&relayed.traffic, relayed.link);
-                        }
-                        // The node that took the request decides whether a stream is complete.
+                        recycle_connection(&relayed.traffic, relayed.link);
                         return None;
                     }
                 }
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::request::Parts;
@@ -45,6 +46,9 @@
 /// used.
 const MAX_STAGE_ROUNDS: u32 = 5;
 
+/// Time after the deadline within which a request usually ends by itself, as its calls do.
+const RESPONSE_GRACE: Duration = Duration::from_millis(150);
+
 /// Retry time after a refusal by a node that is stopping: another node accepts the request at once.
 pub(crate) const REDIRECT_RETRY_AFTER: Duration = Duration::from_millis(20);
 
@@ -93,7 +97,19 @@
         }
     };
     record.digest.set(request_digest(&record, &parts, &body));
-    run_request(&traffic, &record, &parts, &body).await
+    let served = run_request(&traffic, &record, &parts, &body);
+    served.or(wait_expired(&record)).await
+}
+
+/// Waits until a request has no response although its deadline has passed, and returns one. Whatever
+/// the request waits for, its client doesn't wait longer.
+async fn wait_expired(record: &RequestRecord) -> Response<ResponseBody> {
+    record.wait_deadline().await;
+    Timer::after(RESPONSE_GRACE).await;
+    let (code, reason) = (ResultCode::DeadlinePassed, "no response by the deadline");
+    record.end(code, reason);
+    let attempt = &record.attributes.attempt;
+    error_response(attempt, code, RanStatus::Unknown, reason, None)
 }
 
 /// Checks a request against its route and account, and starts its record.
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -26,6 +26,7 @@
 use crate::resume::record_source;
 use crate::service_context::ServiceContext;
 use crate::target_body::TargetBody;
+use crate::target_body::TargetBodyError;
 use crate::traffic::Traffic;
 
 /// Number of chunks buffered for a slow client before the target is throttled.
@@ -61,7 +62,16 @@
             };
             // Once the client has an event, other nodes have to know which version began the stream.
             recorded.await;
-            let outcome = relay_chunks(&record, &context, &placed, body, &sender, on_chunk).await;
+            let relayed = relay_chunks(&record, &context, &placed, body, &sender, on_chunk);
+            // A client that doesn't read must not hold the target either.
+            let late = async {
+                record.wait_deadline().await;
+                RelayOutcome::Late
+            };
+            let outcome = relayed.or(late).await;
+            if outcome == RelayOutcome::Late {
+                record.trace(format_args!("the deadline passed during the stream"));
+            }
             if outcome == RelayOutcome::Completed {
                 complete_stream(&traffic, &record);
                 remainder.finish(&traffic);
@@ -83,6 +93,7 @@
                 traffic.executor.spawn(check).detach();
             }
             record.end(ResultCode::StreamBroken, "the stream was truncated");
+            drop(remainder);
             // The client may have disconnected.
             let _ = sender.send(Err(BodyTruncated)).await;
         }
@@ -102,11 +113,13 @@
 enum RelayOutcome {
     Completed,
     TargetDisconnected,
-    /// The deadline passed, or the client disconnected.
+    /// The deadline passed.
+    Late,
+    /// The client disconnected.
     Stopped,
 }
 
-/// Relays a body until its end or the deadline.
+/// Relays a body until it ends.
 async fn relay_chunks(
     record: &RequestRecord,
     context: &ServiceContext,
@@ -117,26 +130,18 @@
 ) -> RelayOutcome {
     let mut is_first = true;
     loop {
-        let next = async { Some(body.frame().await) };
-        let late = async {
-            record.wait_deadline().await;
-            None
-        };
-        let frame = match next.or(late).await {
-            Some(Some(Ok(frame))) => frame,
-            Some(Some(Err(error))) => {
+        let frame = match body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(TargetBodyError::Late)) => return RelayOutcome::Late,
+            Some(Err(error)) => {
                 record.ends_between_events.set(body.is_between_events());
                 record.trace(format_args!("the target disconnected: {error}"));
                 return RelayOutcome::TargetDisconnected;
             }
-            Some(None) => {
+            None => {
                 record.ends_between_events.set(body.is_between_events());
                 return RelayOutcome::Completed;
             }
-            None => {
-                record.trace(format_args!("the deadline passed during the stream"));
-                return RelayOutcome::Stopped;
-            }
         };
         let Ok(chunk) = frame.into_data() else {
             continue;
--- a/packages/turnford-serve/src/target_body.rs
+++ b/packages/turnford-serve/src/target_body.rs
@@ -1,7 +1,9 @@
 //! Bodies of targets' responses.
 
 use std::fmt;
+use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -12,8 +14,12 @@
 use hyper::body::Incoming;
 use turnford_http::BodyFraming;
 use turnford_policy::EventScanner;
+use turnford_policy::Moment;
 use turnford_wire::PeerBody;
 
+use crate::shared::ServeShared;
+use crate::wait::wait_until;
+
 /// Where a body arrives.
 pub(crate) enum BodySource {
     /// On a connection to the target.
@@ -23,31 +29,51 @@
 }
 
 /// Body of a target's response. It ends without an error only if it is complete: by its framing, or by an
-/// orderly close if it has none, and between two events if it is an event stream.
+/// orderly close if it has none, and between two events if it is an event stream. It ends at its deadline
+/// whether or not its peer sends anything.
 pub(crate) struct TargetBody {
     source: BodySource,
+    deadline: Pin<Box<dyn Future<Output = ()>>>,
     framing: BodyFraming,
     /// Follows the events of an event stream.
     scanner: Option<EventScanner>,
 }
 
 /// Why a body ended before it was complete.
-#[derive(Debug)]
-pub(crate) struct TargetBodyError(String);
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum TargetBodyError {
+    /// Its source failed.
+    Broken(String),
+    /// It ended inside an event.
+    PartialEvent,
+    /// Its deadline passed.
+    Late,
+}
 
 impl fmt::Display for TargetBodyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        match self {
+            TargetBodyError::Broken(error) => f.write_str(error),
+            TargetBodyError::PartialEvent => f.write_str("the stream ended inside an event"),
+            TargetBodyError::Late => f.write_str("the deadline passed"),
+        }
     }
 }
 
 impl std::error::Error for TargetBodyError {}
 
 impl TargetBody {
-    /// Creates the body of the response with the head `parts`.
-    pub(crate) fn new(source: BodySource, parts: &Parts) -> Self {
+    /// Creates the body of the response with the head `parts`, which fails at `deadline`.
+    pub(crate) fn new(
+        shared: &Arc<ServeShared>,
+        source: BodySource,
+        parts: &Parts,
+        deadline: Moment,
+    ) -> Self {
+        let shared = shared.clone();
         Self {
             source,
+            deadline: Box::pin(async move { wait_until(&shared, deadline).await }),
             framing: BodyFraming::of_response(parts),
             scanner: None,
         }
@@ -80,12 +106,15 @@
     ) -> Poll<Option<Result<Frame<Bytes>, TargetBodyError>>> {
         let body = self.get_mut();
         let frame = body.source.poll_frame(context);
+        if frame.is_pending() {
+            let late = body.deadline.as_mut().poll(context);
+            return late.map(|()| Some(Err(TargetBodyError::Late)));
+        }
         if let (Poll::Ready(Some(Ok(frame))), Some(scanner)) = (&frame, &mut body.scanner) {
             scanner.read(frame.data_ref().map_or(&[], |bytes| &bytes[..]));
         }
         if matches!(frame, Poll::Ready(None)) && !body.is_between_events() {
-            let error = TargetBodyError("the stream ended inside an event".to_owned());
-            return Poll::Ready(Some(Err(error)));
+            return Poll::Ready(Some(Err(TargetBodyError::PartialEvent)));
         }
         frame
     }
@@ -106,12 +135,12 @@
         match self {
             BodySource::Direct(body) => {
                 let frame = Pin::new(body).poll_frame(context);
-                frame.map_err(|error| TargetBodyError(error.to_string()))
+                frame.map_err(|error| TargetBodyError::Broken(error.to_string()))
             }
             BodySource::Relayed(body) => {
                 let chunk = body.poll_chunk(context);
                 let frame = chunk.map_ok(Frame::data);
-                frame.map_err(|error| TargetBodyError(format!("relaying node: {error}")))
+                frame.map_err(|error| TargetBodyError::Broken(format!("relaying node: {error}")))
             }
         }
     }
--- a/packages/turnford-serve/tests/common/mod.rs
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -35,6 +35,9 @@
 /// Timeout that clients set for their requests.
 pub(crate) const CLIENT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Timeout of the routes whose paths end in `-soon/`.
+pub(crate) const SHORT_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// A plain service with short calls.
 pub(crate) const QUICK: TargetRole = TargetRole::Plain(Duration::from_millis(5));
 
@@ -336,6 +339,9 @@
             route("hold", "/hold/", "unsafe", "booking", 1, &json!([])),
             route("pay", "/pay/", "safe", "booking", 2, &json!([])),
             route("book", "/book/", "unsafe", "booking", 3, &json!([])),
+            short_route("hold-soon", "unsafe", "booking", 1),
+            short_route("pay-soon", "safe", "booking", 2),
+            short_route("draft-soon", "streaming", "sprog", 1),
             route("draft", "/draft/", "streaming", "sprog", 1, &json!([])),
             route("chat", "/chat/", "streaming", "sprog", 2, &json!([
                 { "service": "kort", "after_revision": [], "byte_count": 8000 },
@@ -367,6 +373,14 @@
     })
 }
 
+/// Returns a route whose prefix is its name and whose timeout is [`SHORT_TIMEOUT`].
+fn short_route(name: &str, kind: &str, service: &str, limit: u32) -> Value {
+    let prefix = format!("/{name}/");
+    let mut route = route(name, &prefix, kind, service, limit, &json!([]));
+    route["timeout_ms"] = json!(SHORT_TIMEOUT.as_millis());
+    route
+}
+
 fn stage_service(name: &str, batch: u32) -> Value {
     json!({
         "name": name, "health_check_path": "/health", "connection_limit": 600,
--- a/packages/turnford-standin/src/route/raw.rs
+++ b/packages/turnford-standin/src/route/raw.rs
@@ -29,6 +29,8 @@
 /// A response as it is sent to each request of a client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RawResponse {
+    /// Status code.
+    pub status: u16,
     /// Header lines that frame the body, each with its line end.
     pub framing: String,
     /// Everything after the head.
@@ -53,9 +55,9 @@
         }
         let attempt = attempt_of(&head);
         let start = format!(
-            "HTTP/1.1 200 OK\r\nx-turnford-attempt-id: {attempt}\r\n\
+            "HTTP/1.1 {} -\r\nx-turnford-attempt-id: {attempt}\r\n\
              x-turnford-server-stamp: stamp-{attempt}\r\n{}\r\n",
-            response.framing
+            response.status, response.framing
         );
         stream.write_all(start.as_bytes()).await?;
         stream.write_all(&response.body).await?;
--- a/packages/turnford-wire/src/server.rs
+++ b/packages/turnford-wire/src/server.rs
@@ -168,6 +168,9 @@
     // A send error means that the peer has disconnected, so no reply is needed.
     let sent = stream.send_data(Bytes::from(frame), reply.body.is_none());
     if let (Ok(()), Some(body)) = (sent, reply.body) {
-        send_body(stream, body).await;
+        let expired = async {
+            Timer::after(reply.timeout).await;
+        };
+        send_body(stream, body).or(expired).await;
     }
 }
--- a/packages/turnford-wire/src/streamed.rs
+++ b/packages/turnford-wire/src/streamed.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_lite::Stream;
@@ -25,11 +26,17 @@
     pub reply: R,
     /// Bytes that follow it.
     pub body: Option<ReplyBody>,
+    /// Time after which these bytes end as incomplete, even if the caller does not read them.
+    pub timeout: Duration,
 }
 
 impl<R> From<R> for StreamedReply<R> {
     fn from(reply: R) -> Self {
-        Self { reply, body: None }
+        Self {
+            reply,
+            body: None,
+            timeout: Duration::ZERO,
+        }
     }
 }
 
