Believe only refusals that name the attempt at targets of the own interface

Callers of the own interface could see a call run twice where a refusal of another attempt arrived in place of its response.

Change: Refusals name their attempt, as all other parts of a response do; one that names another or none leaves the outcome unknown, and its stream's connection is closed. The stand-in names it.

Result: foreign_refusals: other_refusal failed with the earlier client, passes now.

--- a/packages/turnford-standin/src/target.rs
+++ b/packages/turnford-standin/src/target.rs
@@ -175,14 +175,14 @@
             return Some(HttpResponse::new(StatusCode::BAD_REQUEST));
         };
         if self.fault(FaultKind::Leave).is_some() {
-            return Some(rejection("leaving"));
+            return Some(rejection("leaving", &body.attempt));
         }
         if self.fault(FaultKind::FastError).is_some() {
             return Some(HttpResponse::new(StatusCode::INTERNAL_SERVER_ERROR));
         }
         let limit = self.spec.slots * QUEUE_PER_SLOT;
         if self.queued.load(Ordering::SeqCst) >= limit {
-            return Some(rejection("full"));
+            return Some(rejection("full", &body.attempt));
         }
         let slot = self.acquire_slot(body).await;
         let (prompt, cached) = self.prompt_time(&slot.body);
@@ -402,8 +402,8 @@
     }
 }
 
-fn rejection(reason: &str) -> HttpResponse {
-    let mut response = json_response(&json!({ "refused": reason }));
+fn rejection(reason: &str, attempt: &str) -> HttpResponse {
+    let mut response = json_response(&json!({ "attempt": attempt, "refused": reason }));
     response.set_status(StatusCode::SERVICE_UNAVAILABLE);
     response
 }
--- a/packages/turnford-target/src/call.rs
+++ b/packages/turnford-target/src/call.rs
@@ -56,6 +56,7 @@
 /// Response body of a refusal.
 #[derive(Deserialize)]
 struct RefusalBody {
+    attempt: Option<String>,
     refused: Option<String>,
 }
 
@@ -77,12 +78,17 @@
     }
 }
 
-/// Returns the error for a response with a status other than 200.
+/// Returns the error for a response with a status other than 200 to a call of `attempt`.
 ///
-/// Only an explicit refusal proves that the call did not start. With any other response the target may have
-/// started it.
-pub(crate) fn parse_error(status: u16, body: &[u8]) -> TargetError {
+/// Only an explicit refusal of this attempt proves that the call did not start. With any other response the
+/// target may have started it.
+pub(crate) fn parse_error(attempt: AttemptId, status: u16, body: &[u8]) -> TargetError {
     let refusal: Option<RefusalBody> = serde_json::from_slice(body).ok();
+    let refusal = refusal.filter(|body| body.refused.is_some());
+    let named = refusal.as_ref().and_then(|body| body.attempt.as_deref());
+    if refusal.is_some() && named.and_then(|named| named.parse().ok()) != Some(attempt) {
+        return TargetError::AttemptMismatch;
+    }
     let reason = refusal.and_then(|body| body.refused);
     match (status, reason.as_deref()) {
         (503, Some("full")) => TargetError::Full,
--- a/packages/turnford-target/src/engine.rs
+++ b/packages/turnford-target/src/engine.rs
@@ -71,8 +71,10 @@
         let mut stream = self.http.open(to, request, call.limit).await?;
         if stream.status != 200 {
             let body = stream.read_body().await?;
-            let error = parse_error(stream.status, &body);
-            stream.recycle();
+            let error = parse_error(call.attempt, stream.status, &body);
+            if error != TargetError::AttemptMismatch {
+                stream.recycle();
+            }
             return Err(error);
         }
         Ok(EngineStream {
--- a/packages/turnford-target/src/unary.rs
+++ b/packages/turnford-target/src/unary.rs
@@ -35,7 +35,7 @@
         let request = call.request(to, false)?;
         let response = self.http.send(to, request, call.limit).await?;
         if response.status != 200 {
-            return Err(parse_error(response.status, &response.body));
+            return Err(parse_error(call.attempt, response.status, &response.body));
         }
         let parsed: Result<ResponseBody, _> = serde_json::from_slice(&response.body);
         let body = parsed.map_err(|_| TargetError::Malformed)?;
