End all reads of an engine's response at the call's timeout

A call of the own interface to an engine outlasted its timeout for good where the engine fell silent in the body of an error or after the last line of its stream.

--- a/packages/turnford-target/src/engine.rs
+++ b/packages/turnford-target/src/engine.rs
@@ -1,5 +1,6 @@
 //! Token streams of model engines.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -70,7 +71,8 @@
         let clock = SystemClock::new();
         let mut stream = self.http.open(to, request, call.limit).await?;
         if stream.status != 200 {
-            let body = stream.read_body().await?;
+            let remaining = call.limit.saturating_sub(clock.now());
+            let body = within(remaining, stream.read_body()).await?;
             let error = parse_error(call.attempt, stream.status, &body);
             if error != TargetError::AttemptMismatch {
                 stream.recycle();
@@ -98,7 +100,7 @@
     pub async fn next(&mut self) -> Result<StreamStep, TargetError> {
         let stream = self.stream.as_mut().ok_or(TargetError::Disconnected)?;
         let remaining = self.timeout.saturating_sub(self.clock.now());
-        let line = next_line_within(stream, remaining).await?;
+        let line = within(remaining, stream.next_line()).await?;
         let line = line.ok_or(TargetError::Disconnected)?;
         let parsed: Result<StreamLine, _> = serde_json::from_str(&line);
         let line = parsed.map_err(|_| TargetError::Malformed)?;
@@ -130,7 +132,8 @@
         let Some(mut stream) = self.stream.take() else {
             return Ok(());
         };
-        if stream.next_line().await?.is_some() {
+        let remaining = self.timeout.saturating_sub(self.clock.now());
+        if within(remaining, stream.next_line()).await?.is_some() {
             return Err(TargetError::Malformed);
         }
         stream.recycle();
@@ -138,13 +141,13 @@
     }
 }
 
-async fn next_line_within(
-    stream: &mut HttpStream<'_>,
+async fn within<T>(
     timeout: Duration,
-) -> Result<Option<String>, HttpError> {
+    read: impl Future<Output = Result<T, HttpError>>,
+) -> Result<T, HttpError> {
     let timer = async {
         Timer::after(timeout).await;
         Err(HttpError::TimeoutAfterSend)
     };
-    stream.next_line().or(timer).await
+    read.or(timer).await
 }
