Repeat and stall targets' responses in the soak

Change: Two periods a run in which a target repeats one of six responses, and two in which one of six stalls before or in its head or in its body. A check of the ends of requests whose route's timeout is short, with the platform's bounds.

--- a/packages/turnford-standin/src/route/faulty_stream.rs
+++ b/packages/turnford-standin/src/route/faulty_stream.rs
@@ -51,6 +51,11 @@
         *lock(&self.stall_every) = (every, Some(point));
     }
 
+    /// Returns whether responses are repeated or stall at present.
+    pub(super) fn is_active(&self) -> bool {
+        self.repeat_every.load(Ordering::SeqCst) > 0 || lock(&self.stall_every).0 > 0
+    }
+
     /// Returns the number of responses that were sent once more.
     pub(super) fn repeat_count(&self) -> usize {
         self.repeats.load(Ordering::SeqCst)
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -388,6 +388,7 @@
     /// Makes the target send one of `every` responses once more, where the response to the next request on its
     /// connection is due; 0 for none.
     pub fn repeat_responses(&self, every: usize) {
+        self.state.journal.mark_unfinished_faulted(&self.state.id);
         self.state.listener.faults.repeat(every);
     }
 
@@ -398,6 +399,7 @@
 
     /// Makes one of `every` responses fall silent for good, with its connection open; 0 for none.
     pub fn stall_responses(&self, every: usize, point: StallPoint) {
+        self.state.journal.mark_unfinished_faulted(&self.state.id);
         self.state.listener.faults.stall(every, point);
     }
 
@@ -605,7 +607,7 @@
         }
         let crashes = self.crashes_on(call);
         let run = RouteRun {
-            is_faulted: fault.is_some() || crashes,
+            is_faulted: fault.is_some() || crashes || self.listener.faults.is_active(),
             ..self.run(call, attempt.clone(), RunKind::Request)
         };
         let last_event = run.last_event.unwrap_or(0);
--- a/packages/turnford/tests/soak/check.rs
+++ b/packages/turnford/tests/soak/check.rs
@@ -17,6 +17,17 @@
 /// Statuses that state that a request hasn't run and won't run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
+/// Routes whose timeout is far below that of clients.
+const SHORT: [&str; 2] = ["hold", "pay"];
+
+/// Timeout of these routes, and the time after it within which a request must have ended.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(600);
+const END_MARGIN: Duration = Duration::from_millis(500);
+
+/// Requests that may end later, and the ratio of those that outlast their timeout; specified by the platform.
+const LATE_LIMIT: usize = 7;
+const LATE_RATIO: f64 = 0.25;
+
 /// Events of a complete stream.
 const EVENTS: usize = 8;
 
@@ -101,6 +112,33 @@
     })
 }
 
+/// Returns a violation if too many requests at undisturbed nodes ended late after their route's timeout.
+pub(crate) fn check_ends(
+    records: &HashMap<String, CallRecord>,
+    disturbances: &[NodeInterval],
+) -> Option<String> {
+    let elapsed = |record: &CallRecord| record.ended.duration_since(record.sent);
+    let outlasting: Vec<&CallRecord> = records
+        .values()
+        .filter(|record| SHORT.contains(&record.route.as_str()))
+        .filter(|record| elapsed(record) > SHORT_TIMEOUT)
+        .filter(|record| !disturbances.iter().any(|one| one.overlaps(record)))
+        .collect();
+    let late = outlasting
+        .iter()
+        .filter(|record| elapsed(record) > SHORT_TIMEOUT + END_MARGIN);
+    let late: Vec<_> = late.collect();
+    let is_violated =
+        late.len() > LATE_LIMIT && late.len() as f64 > LATE_RATIO * outlasting.len() as f64;
+    is_violated.then(|| {
+        let all = outlasting.len();
+        format!(
+            "{} of {all} that outlast their timeout ended late: {late:?}",
+            late.len()
+        )
+    })
+}
+
 /// Returns a violation if more streams than allowed hold events of two software versions.
 pub(crate) fn check_versions(resumed: &[ResumedStream], runs: &[RouteRun]) -> Option<String> {
     let version_of = |attempt: &str| {
--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -7,6 +7,7 @@
 use rand::SeedableRng;
 use turnford_standin::LinkCut;
 use turnford_standin::LinkState;
+use turnford_standin::StallPoint;
 use turnford_standin::TargetFault;
 
 /// Default number of nodes.
@@ -48,6 +49,14 @@
 const TARGET_CUTS: usize = 3;
 const BRITTLE: usize = 2;
 
+/// Periods per run in which a target repeats some of its responses, and in which some stall: one in so many.
+const REPEAT_PERIODS: usize = 2;
+const STALL_PERIODS: usize = 2;
+const FAULTY_RESPONSES: usize = 6;
+
+/// The targets that repeat responses: those of the services whose calls name an attempt.
+const REPEATING: std::ops::Range<usize> = 0..4;
+
 /// Periods per run in which most new connections go to one node that gets a part of a core.
 const HOT_NODES: usize = 2;
 
@@ -108,6 +117,10 @@
     Replace(usize, &'static str, Duration),
     /// Most new connections go to the node for this time, in which it gets a part of a core.
     HotNode(usize, Duration),
+    /// For this time the target repeats one in so many of its responses where the next one is due.
+    Repeat(usize, usize, Duration),
+    /// For this time one in so many of the target's responses stalls.
+    Stall(usize, usize, StallPoint, Duration),
     /// The target announces for this time that it fails when it rejects too many requests.
     Brittle(usize, Duration),
 }
@@ -174,6 +187,15 @@
             let node = rng.random_range(0..node_count());
             steps.push((at, Fault::HotNode(node, duration)));
         }
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(53));
+        for _ in 0..REPEAT_PERIODS {
+            let at = WARM_UP + FAULT_PERIOD.mul_f64(rng.random());
+            steps.push((at, random_repeat(&mut rng)));
+        }
+        for _ in 0..STALL_PERIODS {
+            let at = WARM_UP + FAULT_PERIOD.mul_f64(rng.random());
+            steps.push((at, random_stall(&mut rng)));
+        }
         steps.sort_by_key(|(at, _)| *at);
         let mut rng = StdRng::seed_from_u64(seed.rotate_left(17));
         Self {
@@ -245,6 +267,23 @@
     Fault::Limit(target, rate, duration)
 }
 
+fn random_repeat(rng: &mut StdRng) -> Fault {
+    let duration = Duration::from_millis(rng.random_range(1000..4000));
+    Fault::Repeat(rng.random_range(REPEATING), FAULTY_RESPONSES, duration)
+}
+
+fn random_stall(rng: &mut StdRng) -> Fault {
+    let points = [StallPoint::Start, StallPoint::Head, StallPoint::Body];
+    let point = points[rng.random_range(0..points.len())];
+    let duration = Duration::from_millis(rng.random_range(1000..4000));
+    Fault::Stall(
+        rng.random_range(0..TARGETS),
+        FAULTY_RESPONSES,
+        point,
+        duration,
+    )
+}
+
 fn random_replacement(rng: &mut StdRng) -> Fault {
     let target = ENGINES[rng.random_range(0..ENGINES.len())];
     let version = VERSIONS[rng.random_range(0..VERSIONS.len())];
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -21,9 +21,11 @@
 use turnford_standin::RouteTarget;
 use turnford_standin::RunKind;
 use turnford_standin::SharedExecutor;
+use turnford_standin::StallPoint;
 
 use crate::check::check_calls;
 use crate::check::check_crashing;
+use crate::check::check_ends;
 use crate::check::check_recovery;
 use crate::check::check_stops;
 use crate::check::check_versions;
@@ -114,6 +116,8 @@
     TargetLinks(usize),
     /// The node is no longer preferred for new connections and gets a whole core again.
     EndHot(usize),
+    /// The target's responses are sound again.
+    EndFaultyResponses(usize),
     /// The target no longer announces that it is brittle.
     EndBrittle(usize),
     Relist(usize),
@@ -378,6 +382,14 @@
                 self.site.targets[target].announce_brittle(Some(BRITTLE_REJECTIONS), BRITTLE_ROOM);
                 self.after(duration, ScheduledStep::EndBrittle(target));
             }
+            Fault::Repeat(target, every, duration) => {
+                self.site.targets[target].repeat_responses(every);
+                self.after(duration, ScheduledStep::EndFaultyResponses(target));
+            }
+            Fault::Stall(target, every, point, duration) => {
+                self.site.targets[target].stall_responses(every, point);
+                self.after(duration, ScheduledStep::EndFaultyResponses(target));
+            }
             Fault::HotNode(node, duration) => {
                 self.context.prefer(node);
                 if let Some(quota) = self.nodes[node].limit_cpu(HOT_CPU_SHARE) {
@@ -494,6 +506,10 @@
                 self.context.prefer(NO_NODE);
                 self.quotas.remove(&node);
             }
+            ScheduledStep::EndFaultyResponses(target) => {
+                self.site.targets[target].repeat_responses(0);
+                self.site.targets[target].stall_responses(0, StallPoint::Start);
+            }
             ScheduledStep::EndBrittle(target) => {
                 self.site.targets[target].announce_brittle(None, 0);
             }
@@ -675,6 +691,8 @@
         self.violations.extend(check_calls(&records, &runs));
         let stops = check_stops(&records, &runs, &self.stops, &self.disturbances);
         self.violations.extend(stops);
+        self.violations
+            .extend(check_ends(&records, &self.disturbances));
         self.violations
             .extend(check_recovery(&records, recovered_by));
         let served = records
