Watch only attempts for stalls that another attempt may follow

Cause: Each attempt of a request had timers for stalls, also where its route allows no other, and a retry that was taken for a stall but not used stayed spent.

Change: The route is checked first; an unused retry is given back.

--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -97,7 +97,7 @@
     pub(crate) sent: u32,
     /// Whether any of them may have run.
     may_have_run: bool,
-    /// Whether a response to another call arrived in place of one of theirs.
+    /// Whether a response to another call arrived in place of that of an earlier attempt.
     has_other_response: bool,
     /// Whether the request of the current attempt has been sent.
     pub(crate) is_sent: Cell<bool>,
@@ -203,6 +203,9 @@
             }
         }
     }
+    if log.has_retry.get() {
+        job.context.allowance.borrow_mut().release();
+    }
     ForwardOutcome::Response(final_response(traffic, job, log))
 }
 
--- a/packages/turnford-serve/src/stall.rs
+++ b/packages/turnford-serve/src/stall.rs
@@ -23,30 +23,34 @@
 const SENT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Waits until an attempt that was sent has made no progress for much longer than usual and another one
-/// may follow, for which a retry has been taken then. An attempt that none may replace never counts as stalled: it
-/// may still respond.
+/// may follow, for which a retry has then been taken. An attempt that none may follow never counts as
+/// stalled: it may still respond.
 pub(crate) async fn wait_stalled(traffic: &Rc<Traffic>, job: &ForwardJob<'_>, log: &AttemptLog) {
-    while !log.is_sent.get() {
-        Timer::after(SENT_POLL_INTERVAL).await;
+    if may_follow(job, log) {
+        while !log.is_sent.get() {
+            Timer::after(SENT_POLL_INTERVAL).await;
+        }
+        let usual = job.context.predict_final_call(0);
+        wait_timeout((usual * STALL_FACTOR).max(MIN_STALL_TIMEOUT)).await;
+        if has_other_target(job, log, usual) && try_take_retry(traffic, job) {
+            log.has_retry.set(true);
+            return;
+        }
     }
-    let usual = job.context.predict_final_call(0);
-    let timeout = (usual * STALL_FACTOR).max(MIN_STALL_TIMEOUT);
-    wait_timeout(timeout).await;
-    if !may_replace(job, log, usual) || !try_take_retry(traffic, job) {
-        std::future::pending::<()>().await;
-    }
-    log.has_retry.set(true);
+    std::future::pending().await
 }
 
-/// Returns whether another target may still respond in time.
-fn may_replace(job: &ForwardJob<'_>, log: &AttemptLog, usual: Duration) -> bool {
+/// Returns whether the request's route allows another attempt. Streams are waited for until their
+/// deadline.
+fn may_follow(job: &ForwardJob<'_>, log: &AttemptLog) -> bool {
     let route = &job.record.route;
-    // Streams have limits of their own for the time until an event.
-    let is_buffered = route.kind != CallKind::Stream;
-    let is_allowed = is_buffered && route.is_repeatable() && log.sent + 1 < route.max_targets;
+    route.kind == CallKind::Safe && log.sent + 1 < route.max_targets
+}
+
+/// Returns whether another target may still respond in time.
+fn has_other_target(job: &ForwardJob<'_>, log: &AttemptLog, usual: Duration) -> bool {
     let table = job.context.targets.borrow();
-    let mut others = table.open_targets();
-    is_allowed
-        && job.record.remaining() > usual
-        && others.any(|target| !log.tried.contains(&target.id))
+    let mut targets = table.open_targets();
+    let has_other = targets.any(|target| !log.tried.contains(&target.id));
+    has_other && job.record.remaining() > usual
 }
