Split calls to targets into modules of one job each

Cause: call.rs and forward.rs held errors, purposes, connections, responses and the log of attempts beside the calls themselves. Change: they move to call_error, call_purpose, target_connection, target_response and attempt_log; no logic changes. Result: none for callers; the tests of lost targets, repeated, stalled and truncated responses pass before and after.

--- a/packages/turnford-serve/src/attribution.rs
+++ b/packages/turnford-serve/src/attribution.rs
@@ -9,7 +9,7 @@
 use turnford_adapter::response_attempt;
 use turnford_policy::TargetSpec;
 
-use crate::call::CallError;
+use crate::call_error::CallError;
 use crate::metrics::ServiceEvent;
 use crate::traffic::Traffic;
 
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -18,8 +18,8 @@
 use turnford_policy::TargetSpec;
 
 use crate::call::call_target;
-use crate::call::CallError;
-use crate::call::CallPurpose;
+use crate::call_error::CallError;
+use crate::call_purpose::CallPurpose;
 use crate::crash_check::check_broken_pieces;
 use crate::metrics::ServiceEvent;
 use crate::pieces::PieceCell;
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -22,16 +22,18 @@
 use crate::answer::proxied_response;
 use crate::answer::RanStatus;
 use crate::answer::ResponseBody;
+use crate::attempt_log::connection_choice;
+use crate::attempt_log::may_attempt;
+use crate::attempt_log::record_error;
+use crate::attempt_log::try_take_retry;
+use crate::attempt_log::AttemptLog;
 use crate::availability::suggest_retry_after;
 use crate::call::call_target;
-use crate::call::CallError;
-use crate::call::CallPurpose;
-use crate::call::ConnectionChoice;
-use crate::call::TargetResponse;
+use crate::call_error::CallError;
+use crate::call_purpose::CallPurpose;
 use crate::crash::record_clean_end;
 use crate::crash::BrokenCall;
 use crate::crash_check::check_broken_call;
-use crate::metrics::ServiceEvent;
 use crate::placed_run::PlacedRun;
 use crate::placement::place_request;
 use crate::placement::PlacementOptions;
@@ -45,22 +47,15 @@
 use crate::service_context::ServiceContext;
 use crate::stall::wait_stalled;
 use crate::stream::relay_stream;
+use crate::target_connection::ConnectionChoice;
+use crate::target_response::TargetResponse;
 use crate::traffic::Traffic;
-use crate::trial::SuspectRefusal;
 use crate::wait_queue::QueuePosition;
 
 /// Maximum size of a response that is buffered before it is sent to the client, in bytes. Nothing
 /// else bounds responses.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
-/// Maximum number of targets that a request tries without reaching one. Fewer than this are
-/// normally down together.
-const MAX_UNREACHED: usize = 8;
-
-/// Number of times that a request returns to a target whose rate limit was used up when it was to
-/// be sent.
-const MAX_LIMITED_RETRIES: usize = 3;
-
 /// Time after which a target has fetched the inputs of a request: it does so before it reads the
 /// prompt.
 const INPUT_FETCH_TIME: Duration = Duration::from_millis(80);
@@ -90,40 +85,9 @@
     is_sent: &'a Cell<bool>,
 }
 
-/// State of the attempts so far.
-pub(crate) struct AttemptLog {
-    pub(crate) tried: Vec<TargetId>,
-    /// Number of requests sent to a target.
-    pub(crate) sent: u32,
-    /// Whether any of them may have run.
-    may_have_run: bool,
-    /// Whether a response to another call arrived in place of that of an earlier attempt.
-    has_other_response: bool,
-    /// Whether the request of the current attempt has been sent.
-    pub(crate) is_sent: Cell<bool>,
-    /// Whether the retry of the next attempt was already taken from the service's allowance.
-    pub(crate) has_retry: Cell<bool>,
-    /// Number of targets that were not reached.
-    unreached: usize,
-    /// Number of times that a target's rate limit was used up when the request was to be sent.
-    limited: usize,
-    /// A target's error response, returned if no better one follows.
-    failed: Option<Response<ResponseBody>>,
-}
-
 /// Calls targets until one responds or no further attempt is allowed.
 pub(crate) async fn forward(traffic: &Rc<Traffic>, job: &ForwardJob<'_>) -> ForwardOutcome {
-    let mut log = AttemptLog {
-        tried: Vec::new(),
-        sent: 0,
-        may_have_run: false,
-        has_other_response: false,
-        is_sent: Cell::new(false),
-        has_retry: Cell::new(false),
-        unreached: 0,
-        limited: 0,
-        failed: None,
-    };
+    let mut log = AttemptLog::default();
     let now = traffic.shared.now();
     job.context.allowance.borrow_mut().record_first_attempt(now);
     job.record.record_final_call_start();
@@ -219,46 +183,6 @@
     [&log.tried[..], &others.unwrap_or_default()].concat()
 }
 
-fn may_attempt(traffic: &Traffic, job: &ForwardJob<'_>, log: &AttemptLog) -> bool {
-    let may_retry = !log.may_have_run || job.record.route.is_repeatable();
-    let has_time = traffic.shared.now() < job.record.deadline;
-    may_retry
-        && has_time
-        && log.sent < job.record.route.max_targets
-        && log.unreached < MAX_UNREACHED
-}
-
-/// Returns the connections that the next attempt may use. If its response is lost to a repeated one, another
-/// attempt may not be allowed.
-fn connection_choice(job: &ForwardJob<'_>, log: &AttemptLog) -> ConnectionChoice {
-    if log.has_other_response {
-        return ConnectionChoice::New;
-    }
-    let is_last = log.sent + 1 >= job.record.route.max_targets;
-    if is_last || !job.record.route.is_repeatable() {
-        return ConnectionChoice::AvoidRepeats;
-    }
-    ConnectionChoice::Any
-}
-
-/// Takes a retry from the service's allowance.
-pub(crate) fn try_take_retry(traffic: &Traffic, job: &ForwardJob<'_>) -> bool {
-    let now = traffic.shared.now();
-    let allowed = job.context.allowance.borrow_mut().try_take(now);
-    let event = if allowed {
-        ServiceEvent::Repeated
-    } else {
-        job.record
-            .trace(format_args!("no retry allowed for another target"));
-        ServiceEvent::RepeatDenied
-    };
-    traffic
-        .shared
-        .metrics
-        .record_service_event(&job.context.spec.borrow().name, event);
-    allowed
-}
-
 async fn try_target(
     traffic: &Rc<Traffic>,
     job: &ForwardJob<'_>,
@@ -407,82 +331,6 @@
     }
 }
 
-fn record_error(
-    traffic: &Traffic,
-    job: &ForwardJob<'_>,
-    log: &mut AttemptLog,
-    target: &TargetSpec,
-    error: &CallError,
-) -> Option<ForwardOutcome> {
-    let now = traffic.shared.now();
-    let mut table = job.context.targets.borrow_mut();
-    match error {
-        CallError::Unavailable(reason) => {
-            // This does not count as an attempt: nothing was sent to the target.
-            job.record
-                .trace(format_args!("{} not called: {reason}", target.id));
-            if log.sent > 0 {
-                job.context.allowance.borrow_mut().release();
-            }
-        }
-        CallError::Limited => {
-            // This does not count as an attempt either; the same target may have a permit later.
-            let metrics = &traffic.shared.metrics;
-            metrics.record_service_event(&target.service, ServiceEvent::Limited);
-            job.record.trace(format_args!(
-                "{} not called: its rate limit is used up",
-                target.id
-            ));
-            if log.sent > 0 {
-                job.context.allowance.borrow_mut().release();
-            }
-            log.limited += 1;
-            if log.limited <= MAX_LIMITED_RETRIES {
-                log.tried.retain(|tried| *tried != target.id);
-            }
-        }
-        CallError::CrashesTargets(retry_after) => {
-            if log.sent > 0 {
-                job.context.allowance.borrow_mut().release();
-            }
-            if !log.may_have_run {
-                let refusal = SuspectRefusal::crashes_targets(traffic, job.record, *retry_after);
-                return Some(ForwardOutcome::Response(refuse_suspect(
-                    job.record, &refusal,
-                )));
-            }
-            job.record
-                .trace(format_args!("not sent again: it crashes targets"));
-        }
-        CallError::NotSent(reason) | CallError::NoRelay(reason) => {
-            log.unreached += 1;
-            job.record
-                .trace(format_args!("{} not reached: {reason}", target.id));
-        }
-        CallError::NotRun(status) => {
-            log.sent += 1;
-            job.record
-                .trace(format_args!("{} did not run it: {status}", target.id));
-            if *status == StatusCode::CONFLICT {
-                return Some(ForwardOutcome::InputMissing);
-            }
-            table.record_refusal(now, &target.id);
-        }
-        CallError::Disconnected(_) | CallError::OtherResponse | CallError::Unknown(_) => {
-            let reason = error.reason();
-            log.sent += 1;
-            log.may_have_run = true;
-            log.has_other_response |= *error == CallError::OtherResponse;
-            job.record
-                .trace(format_args!("{} gave no response: {reason}", target.id));
-            table.record_failure(&target.id);
-            let metrics = &traffic.shared.metrics;
-            metrics.record_service_event(&target.service, ServiceEvent::CallFailed);
-        }
-    }
-    None
-}
-
 /// Returns the final response if no target gave one.
 fn final_response(
     traffic: &Traffic,
--- a/packages/turnford-serve/src/leaving.rs
+++ b/packages/turnford-serve/src/leaving.rs
@@ -21,8 +21,8 @@
 use turnford_wire::WorkRequest;
 
 use crate::call::call_target;
-use crate::call::CallError;
-use crate::call::CallPurpose;
+use crate::call_error::CallError;
+use crate::call_purpose::CallPurpose;
 use crate::fanout::notify_peers;
 use crate::fanout::notify_sample;
 use crate::fanout::UpdateQueue;
--- a/packages/turnford-serve/src/process_check.rs
+++ b/packages/turnford-serve/src/process_check.rs
@@ -17,10 +17,10 @@
 use turnford_policy::TargetSpec;
 
 use crate::attribution::check_attribution;
-use crate::call::CallError;
-use crate::call::TargetConnection;
+use crate::call_error::CallError;
 use crate::metrics::ServiceEvent;
 use crate::service_context::ServiceContext;
+use crate::target_connection::TargetConnection;
 use crate::traffic::Traffic;
 
 /// Timeout for a target's status report.
--- a/packages/turnford-serve/src/relay.rs
+++ b/packages/turnford-serve/src/relay.rs
@@ -29,8 +29,8 @@
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
-use crate::call::CallError;
-use crate::call::CallPurpose;
+use crate::call_error::CallError;
+use crate::call_purpose::CallPurpose;
 use crate::links::record_peer_contact;
 use crate::metrics::ServiceEvent;
 use crate::peers::WaitingGuard;
--- a/packages/turnford-serve/src/relay_handler.rs
+++ b/packages/turnford-serve/src/relay_handler.rs
@@ -20,12 +20,9 @@
 use turnford_wire::WorkReply;
 
 use crate::attribution::check_attribution;
-use crate::call::open_connection;
-use crate::call::recycle_connection;
 use crate::call::send_request;
-use crate::call::CallError;
-use crate::call::CallPurpose;
-use crate::call::DirectLink;
+use crate::call_error::CallError;
+use crate::call_purpose::CallPurpose;
 use crate::links::is_direct;
 use crate::links::record_contact;
 use crate::metrics::ServiceEvent;
@@ -38,6 +35,9 @@
 use crate::target_body::BodySource;
 use crate::target_body::TargetBody;
 use crate::target_body::TargetBodyError;
+use crate::target_connection::open_connection;
+use crate::target_connection::recycle_connection;
+use crate::target_connection::DirectLink;
 use crate::traffic::Traffic;
 
 /// Maximum number of calls that a node relays at the same time.
--- a/packages/turnford-serve/src/release.rs
+++ b/packages/turnford-serve/src/release.rs
@@ -15,7 +15,7 @@
 
 use crate::batching::release_at_peer;
 use crate::call::call_target;
-use crate::call::CallPurpose;
+use crate::call_purpose::CallPurpose;
 use crate::service_context::ServiceContext;
 use crate::traffic::Traffic;
 use crate::wait::wait_until;
--- a/packages/turnford-serve/src/service_context.rs
+++ b/packages/turnford-serve/src/service_context.rs
@@ -28,8 +28,8 @@
 use turnford_policy::RANK_COUNT;
 
 use crate::brittle::BrittleState;
-use crate::call::CallError;
-use crate::call::CallPurpose;
+use crate::call_error::CallError;
+use crate::call_purpose::CallPurpose;
 use crate::limits::ServiceLimits;
 use crate::pieces::CellQueue;
 use crate::wait_queue::WaitQueue;
--- a/packages/turnford-serve/src/stall.rs
+++ b/packages/turnford-serve/src/stall.rs
@@ -8,8 +8,8 @@
 use turnford_http::wait_timeout;
 use turnford_policy::CallKind;
 
-use crate::forward::try_take_retry;
-use crate::forward::AttemptLog;
+use crate::attempt_log::try_take_retry;
+use crate::attempt_log::AttemptLog;
 use crate::forward::ForwardJob;
 use crate::traffic::Traffic;
 
--- a/packages/turnford-serve/src/stream.rs
+++ b/packages/turnford-serve/src/stream.rs
@@ -14,7 +14,6 @@
 use crate::answer::proxied_response;
 use crate::answer::BodyTruncated;
 use crate::answer::ResponseBody;
-use crate::call::TargetResponse;
 use crate::crash::record_clean_end;
 use crate::crash::BrokenCall;
 use crate::crash_check::check_broken_call;
@@ -27,6 +26,7 @@
 use crate::service_context::ServiceContext;
 use crate::target_body::TargetBody;
 use crate::target_body::TargetBodyError;
+use crate::target_response::TargetResponse;
 use crate::traffic::Traffic;
 
 /// Number of chunks buffered for a slow client before the target is throttled.
