Guard against signals in responses to other calls, and count stalled ones

Cause: the tests of repeated responses compared no signals but limits, and no test counted how many requests are served while responses stall. Change: foreign_signals and relayed_signals send all signals in responses to other calls, also to reports, probes and pieces; silent_twelfth lets one response in twelve stall.

--- a/packages/turnford-serve/tests/repeated_responses.rs
+++ b/packages/turnford-serve/tests/repeated_responses.rs
@@ -6,11 +6,17 @@
 use std::time::Duration;
 
 use common::text;
+use common::wait_until;
 use common::ClientRequest;
 use common::RouteSite;
 use common::ENGINE;
 use common::QUICK;
+use common::STAGE;
+use common::STAGED;
+use turnford_http::HttpError;
 use turnford_standin::LinkCut;
+use turnford_standin::RawEnd;
+use turnford_standin::RawResponse;
 use turnford_standin::RouteTarget;
 use turnford_standin::TargetFault;
 use turnford_standin::TargetRole;
@@ -185,6 +191,110 @@
     assert!(site.metrics(node).contains(announced));
 }
 
+/// Signals that a target must not be believed to send in a response to another call.
+const SIGNALS: &str = "x-turnford-not-run: 1\r\nserver-leaving: 1\r\nretry-after: 30\r\n\
+    server-limit: 0.01\r\nserver-brittle: 1\r\nx-turnford-server-load: 9,9,1\r\n\
+    content-length: 2\r\n";
+
+/// Events that are counted when such signals are believed.
+const BELIEVED: [&str; 4] = ["not-run", "said-leaving", "asked-for-rest", "named-limit"];
+
+/// Returns a response to another call with all signals.
+fn other_response(status: u16) -> RawResponse {
+    RawResponse {
+        attempt: Some("ffffffffffffffff"),
+        status,
+        framing: SIGNALS.to_owned(),
+        body: b"{}".to_vec(),
+        end: RawEnd::KeepOpen,
+    }
+}
+
+/// Starts a target of each service.
+fn all_targets(site: &RouteSite) -> Vec<RouteTarget> {
+    let roles = [
+        ("b1", "booking", QUICK),
+        ("s1", "sprog", ENGINE),
+        ("k1", "kort", STAGE),
+        ("e1", "ejer", STAGE),
+    ];
+    let targets = roles.map(|(id, service, role)| site.target(id, service, role));
+    targets.to_vec()
+}
+
+/// Sends a request and returns the status of its response.
+fn status_of(
+    site: &RouteSite,
+    node: usize,
+    attempt: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> Result<u16, HttpError> {
+    let request = ClientRequest {
+        headers,
+        ..ClientRequest::new(attempt, path)
+    };
+    site.call(node, request).map(|response| response.status)
+}
+
+/// Sends requests whose calls, reports and probes all get responses to other calls, and checks that
+/// nothing in these is believed.
+fn assert_unbelieved(site: &RouteSite, node: usize, targets: &[RouteTarget]) {
+    let paths = [("/hold/", &[][..]), ("/draft/", &[]), ("/chat/", STAGED)];
+    for status in [200, 409, 421, 429, 500, 503] {
+        for target in targets {
+            target.respond_raw(Some(other_response(status)));
+            // Open connections get the responses of before.
+            target.restart();
+        }
+        for (path, headers) in paths {
+            let short = [headers, &[("x-turnford-deadline-ms", "600")]].concat();
+            let end = status_of(site, node, &format!("{status}{path}"), path, &short);
+            assert_ne!(end, Ok(200), "{status} {path}");
+        }
+    }
+    for number in 0..site.nodes.len() {
+        let metrics = site.metrics(number);
+        for event in BELIEVED {
+            let line = format!("event=\"{event}\"");
+            assert!(!metrics.contains(&line), "{event}: {metrics}");
+        }
+        assert!(metrics.contains("turnford_limited_targets 0\n"));
+    }
+    for target in targets {
+        target.respond_raw(None);
+        target.restart();
+    }
+    for (path, headers) in paths {
+        let mut number = 0;
+        wait_until("requests are served again", || {
+            number += 1;
+            status_of(site, node, &format!("again-{number}{path}"), path, headers) == Ok(200)
+        });
+    }
+}
+
+#[test]
+fn foreign_signals() {
+    let mut site = RouteSite::new();
+    let targets = all_targets(&site);
+    let node = site.node("one");
+    assert_unbelieved(&site, node, &targets);
+}
+
+#[test]
+fn relayed_signals() {
+    let mut site = RouteSite::new();
+    let targets = all_targets(&site);
+    let (node, links) = site.node_behind("one", &targets);
+    site.node("two");
+    site.settle();
+    for link in &links {
+        link.cut(LinkCut::Reset).expect("a port");
+    }
+    assert_unbelieved(&site, node, &targets);
+}
+
 #[test]
 fn repeated_streams() {
     let mut site = RouteSite::new();
--- a/packages/turnford-serve/tests/stalled_responses.rs
+++ b/packages/turnford-serve/tests/stalled_responses.rs
@@ -4,6 +4,8 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -147,6 +149,7 @@
     let site = StallSite::direct();
     for target in &site.targets {
         target.respond_raw(Some(RawResponse {
+            attempt: None,
             status: 500,
             framing: "content-length: 20\r\n".to_owned(),
             body: b"half".to_vec(),
@@ -173,6 +176,44 @@
     }
 }
 
+#[test]
+fn silent_twelfth() {
+    // One response in twelve stalls at all targets: requests that may run twice are served all the same.
+    const REQUESTS: usize = 240;
+    let mut site = RouteSite::new();
+    let targets: Vec<RouteTarget> = (0..8)
+        .map(|number| site.target(&format!("b{number}"), "booking", QUICK))
+        .collect();
+    let node = site.node("one");
+    for target in &targets {
+        target.stall_responses(12, StallPoint::Body);
+    }
+    let served = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for client in 0..8 {
+            let (site, served) = (&site, &served);
+            scope.spawn(move || {
+                for number in 0..REQUESTS / 8 {
+                    let attempt = format!("{client}-{number}");
+                    let response = site.call(node, ClientRequest::new(&attempt, "/pay-soon/"));
+                    let is_served = response.expect("a response").status == 200;
+                    served.fetch_add(usize::from(is_served), Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    let stalls: usize = targets.iter().map(RouteTarget::stall_count).sum();
+    assert!(stalls > REQUESTS / 24, "{stalls}");
+    let served = served.into_inner();
+    assert!(served as f64 >= 0.97 * REQUESTS as f64, "{served} served");
+    let runs = site.journal.runs().len();
+    // The allowance of `common::settings`: a ratio of 0.2 and a slack of 40.
+    assert!(runs <= REQUESTS + REQUESTS / 5 + 40, "{runs} runs");
+    wait_until("all requests have ended", || {
+        site.metrics(node).contains("turnford_running 0\n")
+    });
+}
+
 #[test]
 fn lone_target() {
     // A slow response is waited for where no other target is left.
@@ -204,6 +245,7 @@
     let engine = site.target("s1", "sprog", ENGINE);
     let node = site.node("one");
     engine.respond_raw(Some(RawResponse {
+        attempt: None,
         status: 200,
         framing: "transfer-encoding: chunked\r\n".to_owned(),
         body: [&b"800000\r\n"[..], &[b':'; 0x80_0000][..]].concat(),
--- a/packages/turnford-serve/tests/truncated_responses.rs
+++ b/packages/turnford-serve/tests/truncated_responses.rs
@@ -181,6 +181,7 @@
             Cut::Close | Cut::Reset => (String::new(), part.to_vec()),
         };
         RawResponse {
+            attempt: None,
             status: 200,
             framing: format!("{framing}connection: close\r\n"),
             body: bytes,
@@ -394,6 +395,7 @@
     // An engine that crashes inside an event of a stream without a length has not ended it well.
     let site = CutSite::direct();
     site.engine.respond_raw(Some(RawResponse {
+        attempt: None,
         status: 200,
         framing: "connection: close\r\n".to_owned(),
         body: STREAM[..FIRST_EVENT + 3].to_vec(),
@@ -419,6 +421,7 @@
     let site = CutSite::direct();
     let body = [&chunks(&STREAM[..FIRST_EVENT + 3])[..], b"0\r\n\r\n"].concat();
     site.engine.respond_raw(Some(RawResponse {
+        attempt: None,
         status: 200,
         framing: "transfer-encoding: chunked\r\nkeep-alive: timeout=5\r\n".to_owned(),
         body,
--- a/packages/turnford-standin/src/route/raw.rs
+++ b/packages/turnford-standin/src/route/raw.rs
@@ -29,9 +29,12 @@
 /// A response as it is sent to each request of a client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RawResponse {
+    /// Attempt that the response names, to calls that are not requests of clients as well; `None` for the
+    /// attempt of each request.
+    pub attempt: Option<&'static str>,
     /// Status code.
     pub status: u16,
-    /// Header lines that frame the body, each with its line end.
+    /// Further header lines, which frame the body, each with its line end.
     pub framing: String,
     /// Everything after the head.
     pub body: Vec<u8>,
@@ -49,11 +52,11 @@
         let Some(head) = read_head(&mut stream).await? else {
             return Ok(());
         };
-        if is_internal(&head) {
+        if response.attempt.is_none() && is_internal(&head) {
             stream.write_all(EMPTY_REPORT).await?;
             continue;
         }
-        let attempt = attempt_of(&head);
+        let attempt = response.attempt.unwrap_or(attempt_of(&head));
         let start = format!(
             "HTTP/1.1 {} -\r\nx-turnford-attempt-id: {attempt}\r\n\
              x-turnford-server-stamp: stamp-{attempt}\r\n{}\r\n",
