Tell in logs and metrics whether a request may have run

Cause: nothing in logs and metrics told a refusal that a target had marked from a response that merely has its status, nor what the node itself knew of whether a request had run. No decision changes. Result: none for callers yet.

--- a/packages/turnford-serve/src/attempt_log.rs
+++ b/packages/turnford-serve/src/attempt_log.rs
@@ -36,8 +36,8 @@
     pub(crate) may_have_run: bool,
     /// Whether a response to another call arrived in place of that of an earlier attempt.
     has_other_response: bool,
-    /// Whether the request of the current attempt has been sent.
-    pub(crate) is_sent: Cell<bool>,
+    /// Number of the request's sends before the current attempt.
+    pub(crate) sends_before: u32,
     /// Whether the retry of the next attempt was already taken from the service's allowance.
     pub(crate) has_retry: Cell<bool>,
     /// Number of targets that were not reached.
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use turnford_adapter::decode_response;
+use turnford_adapter::promises_not_run;
 use turnford_adapter::set_remaining;
 use turnford_http::HttpConnection;
 use turnford_http::HttpError;
@@ -33,6 +34,7 @@
 use crate::target_body::TargetBody;
 use crate::target_connection::open_connection;
 use crate::target_connection::DirectLink;
+use crate::target_connection::TargetConnection;
 use crate::target_response::drain_refusal;
 use crate::target_response::ResponseLink;
 use crate::target_response::TargetResponse;
@@ -45,7 +47,7 @@
     traffic: &Rc<Traffic>,
     context: &Rc<ServiceContext>,
     target: &TargetSpec,
-    mut request: Request<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
     purpose: CallPurpose<'_>,
     timeout: Duration,
 ) -> Result<TargetResponse, CallError> {
@@ -79,28 +81,61 @@
         .shared
         .metrics
         .record_service_event(&target.service, ServiceEvent::Sent);
-    purpose.record_sent();
+    let call = OutgoingCall {
+        target,
+        request,
+        purpose,
+        deadline,
+    };
+    purpose.record_send();
+    let response = exchange(traffic, context, call, connection, in_flight).await;
+    if response.as_ref().is_err_and(CallError::is_not_run) {
+        purpose.record_not_run();
+    }
+    response
+}
+
+/// A call that is about to be sent.
+struct OutgoingCall<'a> {
+    target: &'a TargetSpec,
+    request: Request<Full<Bytes>>,
+    purpose: CallPurpose<'a>,
+    deadline: Moment,
+}
+
+/// Sends a call on a connection to its target, or through another node if there is none.
+async fn exchange(
+    traffic: &Rc<Traffic>,
+    context: &Rc<ServiceContext>,
+    call: OutgoingCall<'_>,
+    connection: Option<TargetConnection>,
+    in_flight: InFlightGuard,
+) -> Result<TargetResponse, CallError> {
+    let OutgoingCall {
+        target,
+        mut request,
+        purpose,
+        deadline,
+    } = call;
+    let attempt = purpose.attempt();
+    let sent_at = traffic.shared.now();
     let (parts, body, link) = match connection {
         Some(mut opened) => {
-            set_remaining(&mut request, deadline.saturating_sub(now));
+            set_remaining(&mut request, deadline.saturating_sub(sent_at));
+            let connection = &mut opened.connection;
             let is_repeatable = purpose.is_repeatable();
             let sent = send_request(
                 traffic,
                 target,
-                &mut opened.connection,
+                connection,
                 request,
                 deadline,
                 is_repeatable,
             );
             let (parts, body) = sent.await?;
             let port = opened.connection.local_port();
-            check_attribution(
-                traffic,
-                target,
-                &parts,
-                attempt,
-                format_args!("port={port}"),
-            )?;
+            let origin = format_args!("port={port}");
+            check_attribution(traffic, target, &parts, attempt, origin)?;
             let link = ResponseLink::Direct(DirectLink::new(opened, &parts));
             let source = BodySource::Direct(body);
             let body = TargetBody::new(&traffic.shared, source, &parts, deadline);
@@ -121,8 +156,28 @@
             (response.parts, response.body, link)
         }
     };
-    let signal = process_signals(traffic, context, target, &parts, attempt, now);
-    let attributes = decode_response(&parts).map_err(|error| {
+    let signal = process_signals(traffic, context, target, &parts, attempt, sent_at);
+    let response = TargetResponse {
+        parts,
+        is_leaving: signal.is_leaving,
+        body,
+        link,
+        _in_flight: in_flight,
+    };
+    accept_response(traffic, context, target, attempt, response).await
+}
+
+/// Checks what the head of a response says of the call: whether the target ran it, and whether the response
+/// is the target's own.
+async fn accept_response(
+    traffic: &Rc<Traffic>,
+    context: &Rc<ServiceContext>,
+    target: &TargetSpec,
+    attempt: Option<&str>,
+    response: TargetResponse,
+) -> Result<TargetResponse, CallError> {
+    let status = response.parts.status;
+    let attributes = decode_response(&response.parts).map_err(|error| {
         log::warn!("target={} invalid response: {error}", target.id);
         CallError::Unknown("the response head is invalid")
     })?;
@@ -132,24 +187,27 @@
         table.record_load(now, &target.id, sample);
     }
     let is_complete = attempt.is_none() || (attributes.is_signed && !attributes.is_encoded);
-    if parts.status.is_success() && !is_complete {
+    if status.is_success() && !is_complete {
         return Err(CallError::Unknown("the response is unsigned or encoded"));
     }
+    let metrics = &traffic.shared.metrics;
     if attributes.not_run {
-        drain_refusal(traffic, link, body).await;
-        traffic
-            .shared
-            .metrics
-            .record_service_event(&target.service, ServiceEvent::NotRun);
-        return Err(CallError::NotRun(parts.status));
+        drain_refusal(traffic, response.link, response.body).await;
+        metrics.record_service_event(&target.service, ServiceEvent::NotRun);
+        return Err(CallError::NotRun(status));
     }
-    Ok(TargetResponse {
-        parts,
-        is_leaving: signal.is_leaving,
-        body,
-        link,
-        _in_flight: in_flight,
-    })
+    if promises_not_run(status) {
+        log::warn!(
+            "target={} request={} status={} marked={} signed={}: the request may have run",
+            target.id,
+            attempt.unwrap_or("-"),
+            status.as_u16(),
+            attributes.is_marked,
+            attributes.is_signed,
+        );
+        metrics.record_service_event(&target.service, ServiceEvent::UnmarkedRefusal);
+    }
+    Ok(response)
 }
 
 /// Sends a request on a connection to a target and waits for the head of the response. A request
--- a/packages/turnford-serve/src/call_error.rs
+++ b/packages/turnford-serve/src/call_error.rs
@@ -28,6 +28,19 @@
 }
 
 impl CallError {
+    /// Returns whether it is known that the call did not run and never will.
+    pub(crate) fn is_not_run(&self) -> bool {
+        match self {
+            CallError::NotSent(_)
+            | CallError::Unavailable(_)
+            | CallError::Limited
+            | CallError::CrashesTargets(_)
+            | CallError::NoRelay(_)
+            | CallError::NotRun(_) => true,
+            CallError::Disconnected(_) | CallError::OtherResponse | CallError::Unknown(_) => false,
+        }
+    }
+
     /// Returns the reason for logs.
     pub(crate) fn reason(&self) -> &'static str {
         match self {
--- a/packages/turnford-serve/src/call_purpose.rs
+++ b/packages/turnford-serve/src/call_purpose.rs
@@ -1,11 +1,11 @@
 //! What calls to targets are for, which decides what they may do.
 
-use std::cell::Cell;
 use std::time::Duration;
 
 use turnford_fleet::CrashKeys;
 use turnford_fleet::CrashVerdict;
 
+use crate::send_log::SendLog;
 use crate::target_connection::ConnectionChoice;
 use crate::traffic::Traffic;
 
@@ -19,8 +19,8 @@
         is_repeatable: bool,
         /// Connections that the request may be sent on.
         connection: ConnectionChoice,
-        /// Set once the request is sent.
-        is_sent: &'a Cell<bool>,
+        /// Sends of the request, this one included once it begins.
+        sends: &'a SendLog,
         /// Software version that the target must have, if the request resumes a stream.
         version: Option<&'a str>,
         /// What it may crash targets by.
@@ -61,9 +61,15 @@
         }
     }
 
-    pub(crate) fn record_sent(self) {
-        if let CallPurpose::Request { is_sent, .. } = self {
-            is_sent.set(true);
+    pub(crate) fn record_send(self) {
+        if let CallPurpose::Request { sends, .. } = self {
+            sends.record_send();
+        }
+    }
+
+    pub(crate) fn record_not_run(self) {
+        if let CallPurpose::Request { sends, .. } = self {
+            sends.record_not_run();
         }
     }
 
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -1,6 +1,5 @@
 //! The final call of a request: to one target, and to further ones where the route allows it.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -79,12 +78,6 @@
     InputMissing,
 }
 
-/// How a request is sent to one target.
-struct AttemptOptions<'a> {
-    connection: ConnectionChoice,
-    is_sent: &'a Cell<bool>,
-}
-
 /// Calls targets until one responds or no further attempt is allowed.
 pub(crate) async fn forward(traffic: &Rc<Traffic>, job: &ForwardJob<'_>) -> ForwardOutcome {
     let mut log = AttemptLog::default();
@@ -128,12 +121,8 @@
         // The call counts as in flight from its first poll. Only then may the next waiting request
         // check for a slot.
         let connection = connection_choice(job, &log);
-        log.is_sent.set(false);
-        let sending = AttemptOptions {
-            connection,
-            is_sent: &log.is_sent,
-        };
-        let call = try_target(traffic, job, &target, placed.position.take(), sending);
+        log.sends_before = job.record.sends.sent();
+        let call = try_target(traffic, job, &target, placed.position.take(), connection);
         let stalled = async {
             wait_stalled(traffic, job, &log).await;
             Err(CallError::Unknown("the response stalled"))
@@ -188,7 +177,7 @@
     job: &ForwardJob<'_>,
     target: &TargetSpec,
     position: Option<QueuePosition>,
-    options: AttemptOptions<'_>,
+    connection: ConnectionChoice,
 ) -> Result<TargetResponse, CallError> {
     let record = job.record;
     let remaining = record.remaining();
@@ -222,8 +211,8 @@
     let purpose = CallPurpose::Request {
         attempt: &record.attributes.attempt,
         is_repeatable: record.route.is_repeatable(),
-        connection: options.connection,
-        is_sent: options.is_sent,
+        connection,
+        sends: &record.sends,
         version: source.as_ref().map(|source| &*source.version),
         keys: &keys,
     };
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -51,6 +51,7 @@
 mod request;
 mod results;
 mod resume;
+mod send_log;
 mod service_context;
 mod shared;
 mod signals;
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -60,6 +60,8 @@
     RepeatDenied,
     /// A target refused a call without running it.
     NotRun,
+    /// A response has a status that promises that the request has not run, but the target did not say so.
+    UnmarkedRefusal,
     /// A response was missing, truncated or malformed.
     CallFailed,
     /// A response belonged to another request.
@@ -99,6 +101,7 @@
             ServiceEvent::Repeated => "repeated",
             ServiceEvent::RepeatDenied => "repeat-denied",
             ServiceEvent::NotRun => "not-run",
+            ServiceEvent::UnmarkedRefusal => "unmarked-refusal",
             ServiceEvent::CallFailed => "broken",
             ServiceEvent::AttemptMismatch => "other-attempt",
             ServiceEvent::Connected => "connected",
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -21,6 +21,7 @@
 use turnford_policy::StageGraph;
 
 use crate::resume::StreamSource;
+use crate::send_log::SendLog;
 use crate::shared::ServeShared;
 use crate::wait::wait_until;
 
@@ -58,6 +59,8 @@
     pub(crate) crash_keys: RefCell<Rc<CrashKeys>>,
     /// Time from the start of the final call to its first event, as estimated on arrival.
     pub(crate) final_call_time: Cell<Duration>,
+    /// Sends of the request to targets.
+    pub(crate) sends: SendLog,
     final_call_start: Cell<Moment>,
     trace: RefCell<String>,
     /// Time until the first byte of the response.
@@ -100,6 +103,7 @@
             digest: Cell::default(),
             crash_keys: RefCell::default(),
             final_call_time: Cell::new(Duration::ZERO),
+            sends: SendLog::default(),
             final_call_start: Cell::new(started_at),
             trace: RefCell::new(String::new()),
             first_byte: Cell::new(None),
@@ -228,7 +232,7 @@
         let trace = if is_normal { "" } else { trace.as_str() };
         log::log!(
             level,
-            "request={} asks={} route={} account={} rank={} config={} resumes={} version={} http={:?} framing={} events={} pause_ms={} code={} end={} head_ms={} ms={}{}{}{}",
+            "request={} asks={} route={} account={} rank={} config={} resumes={} version={} http={:?} framing={} events={} pause_ms={} code={} end={} ran={} head_ms={} ms={}{}{}{}",
             self.attributes.attempt,
             self.digest.get(),
             self.route.name,
@@ -247,6 +251,7 @@
             self.longest_pause().as_millis(),
             code.number(),
             code.name(),
+            self.run_status(code),
             first_byte.map_or(-1, |first_byte| first_byte.as_millis() as i64),
             time.as_millis(),
             if reason.is_empty() { "" } else { " reason=" },
@@ -255,6 +260,17 @@
         );
     }
 
+    /// Returns whether the request ran, for its log line.
+    fn run_status(&self, code: ResultCode) -> &'static str {
+        if code.is_complete() {
+            "yes"
+        } else if self.sends.may_have_run() {
+            "unknown"
+        } else {
+            "no"
+        }
+    }
+
     fn account_name(&self) -> &str {
         self.account.as_deref().unwrap_or("-")
     }
--- a/packages/turnford-serve/src/stall.rs
+++ b/packages/turnford-serve/src/stall.rs
@@ -27,7 +27,7 @@
 /// stalled: it may still respond.
 pub(crate) async fn wait_stalled(traffic: &Rc<Traffic>, job: &ForwardJob<'_>, log: &AttemptLog) {
     if may_follow(job, log) {
-        while !log.is_sent.get() {
+        while job.record.sends.sent() == log.sends_before {
             Timer::after(SENT_POLL_INTERVAL).await;
         }
         let usual = job.context.predict_final_call(0);
