--- a/packages/turnford-serve/tests/repeated_responses.rs
+++ b/packages/turnford-serve/tests/repeated_responses.rs
@@ -203,6 +203,7 @@
 fn other_response(status: u16) -> RawResponse {
     RawResponse {
         attempt: Some("ffffffffffffffff"),
+        is_signed: true,
         status,
         framing: SIGNALS.to_owned(),
         body: b"{}".to_vec(),
--- a/packages/turnford-serve/tests/stalled_responses.rs
+++ b/packages/turnford-serve/tests/stalled_responses.rs
@@ -150,6 +150,7 @@
     for target in &site.targets {
         target.respond_raw(Some(RawResponse {
             attempt: None,
+            is_signed: true,
             status: 500,
             framing: "content-length: 20\r\n".to_owned(),
             body: b"half".to_vec(),
@@ -246,6 +247,7 @@
     let node = site.node("one");
     engine.respond_raw(Some(RawResponse {
         attempt: None,
+        is_signed: true,
         status: 200,
         framing: "transfer-encoding: chunked\r\n".to_owned(),
         body: [&b"800000\r\n"[..], &[b':'; 0x80_0000][..]].concat(),
--- a/packages/turnford-serve/tests/truncated_responses.rs
+++ b/packages/turnford-serve/tests/truncated_responses.rs
@@ -182,6 +182,7 @@
         };
         RawResponse {
             attempt: None,
+            is_signed: true,
             status: 200,
             framing: format!("{framing}connection: close\r\n"),
             body: bytes,
@@ -396,6 +397,7 @@
     let site = CutSite::direct();
     site.engine.respond_raw(Some(RawResponse {
         attempt: None,
+        is_signed: true,
         status: 200,
         framing: "connection: close\r\n".to_owned(),
         body: STREAM[..FIRST_EVENT + 3].to_vec(),
@@ -422,6 +424,7 @@
     let body = [&chunks(&STREAM[..FIRST_EVENT + 3])[..], b"0\r\n\r\n"].concat();
     site.engine.respond_raw(Some(RawResponse {
         attempt: None,
+        is_signed: true,
         status: 200,
         framing: "transfer-encoding: chunked\r\nkeep-alive: timeout=5\r\n".to_owned(),
         body,
--- a/packages/turnford-standin/src/route/listener.rs
+++ b/packages/turnford-standin/src/route/listener.rs
@@ -32,6 +32,8 @@
     executor: SharedExecutor,
     tasks: ListenerTasks,
     raw: SharedResponse,
+    /// Attempts of the requests that got a raw response.
+    raw_attempts: Arc<Mutex<Vec<String>>>,
     pub(super) faults: Arc<StreamFaults>,
 }
 
@@ -42,6 +44,7 @@
             executor: executor.clone(),
             tasks: ListenerTasks::default(),
             raw: SharedResponse::default(),
+            raw_attempts: Arc::default(),
             faults: Arc::default(),
         }
     }
@@ -51,6 +54,11 @@
         *lock(&self.raw) = response;
     }
 
+    /// Returns the attempts of the requests that got a raw response.
+    pub(crate) fn raw_attempts(&self) -> Vec<String> {
+        lock(&self.raw_attempts).clone()
+    }
+
     /// Listens on an address and serves all connections; with port 0 the system chooses the port.
     ///
     /// # Errors
@@ -66,6 +74,7 @@
         let connections = Connections {
             tasks: self.tasks.clone(),
             raw: self.raw.clone(),
+            raw_attempts: self.raw_attempts.clone(),
             faults: self.faults.clone(),
         };
         let accept = accept(self.executor.clone(), connections, listener, handler);
@@ -85,6 +94,7 @@
 struct Connections {
     tasks: ListenerTasks,
     raw: SharedResponse,
+    raw_attempts: Arc<Mutex<Vec<String>>>,
     faults: Arc<StreamFaults>,
 }
 
@@ -103,12 +113,16 @@
             continue;
         }
         let response = lock(&connections.raw).clone();
+        let raw_attempts = connections.raw_attempts.clone();
         let faults = connections.faults.clone();
         let handler = handler.clone();
         let serve = async move {
             match response {
                 // The caller has ended the connection.
-                Some(response) => drop(serve_raw(stream, response).await),
+                Some(response) => {
+                    let record = |attempt: &str| lock(&raw_attempts).push(attempt.to_owned());
+                    drop(serve_raw(stream, response, record).await);
+                }
                 None => {
                     let stream = FaultyStream::new(stream, &faults);
                     serve_stream(stream, DEFAULT_BODY_LIMIT, handler).await;
--- a/packages/turnford-standin/src/route/raw.rs
+++ b/packages/turnford-standin/src/route/raw.rs
@@ -32,6 +32,8 @@
     /// Attempt that the response names, to calls that are not requests of clients as well; `None` for the
     /// attempt of each request.
     pub attempt: Option<&'static str>,
+    /// Whether the response is signed by the target.
+    pub is_signed: bool,
     /// Status code.
     pub status: u16,
     /// Further header lines, which frame the body, each with its line end.
@@ -42,12 +44,16 @@
     pub end: RawEnd,
 }
 
-/// Serves one connection with raw responses.
+/// Serves one connection with raw responses, and records the attempts of the requests that get one.
 ///
 /// # Errors
 ///
 /// Returns the error of the connection.
-pub(super) async fn serve_raw(mut stream: TcpStream, response: RawResponse) -> io::Result<()> {
+pub(super) async fn serve_raw(
+    mut stream: TcpStream,
+    response: RawResponse,
+    record_attempt: impl Fn(&str),
+) -> io::Result<()> {
     loop {
         let Some(head) = read_head(&mut stream).await? else {
             return Ok(());
@@ -56,10 +62,15 @@
             stream.write_all(EMPTY_REPORT).await?;
             continue;
         }
+        record_attempt(attempt_of(&head));
         let attempt = response.attempt.unwrap_or(attempt_of(&head));
+        let stamp = if response.is_signed {
+            format!("x-turnford-server-stamp: stamp-{attempt}\r\n")
+        } else {
+            String::new()
+        };
         let start = format!(
-            "HTTP/1.1 {} -\r\nx-turnford-attempt-id: {attempt}\r\n\
-             x-turnford-server-stamp: stamp-{attempt}\r\n{}\r\n",
+            "HTTP/1.1 {} -\r\nx-turnford-attempt-id: {attempt}\r\n{stamp}{}\r\n",
             response.status, response.framing
         );
         stream.write_all(start.as_bytes()).await?;
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -385,6 +385,11 @@
         self.state.listener.respond_raw(response);
     }
 
+    /// Returns the attempts of the requests that got a raw response.
+    pub fn raw_attempts(&self) -> Vec<String> {
+        self.state.listener.raw_attempts()
+    }
+
     /// Makes the target send one of `every` responses once more, where the response to the next request on its
     /// connection is due; 0 for none.
     pub fn repeat_responses(&self, every: usize) {
