Promise that a request has not run only on evidence

Cause: whether a request ran and the status of its response were two decisions, and a target's response was a third: any status of a target was passed on, also 503, 429 and 408, which promise a client that its request has not run, and the mark of a refusal was believed in any response. Change: NotRun is the proof that a request has not run; only its SendLog gives one, and no refusal is written without it. Failures are an enum without a status that promises anything. A target's response with such a status and without the mark counts as a failure: another target if the route allows it, else 502 without the target's signature. An attempt that goes out again after a missing input takes a new connection, as the refusal of the first one names it, too.

--- a/packages/turnford-serve/src/answer.rs
+++ b/packages/turnford-serve/src/answer.rs
@@ -24,6 +24,9 @@
 use turnford_adapter::refusal_headers;
 use turnford_policy::ResultCode;
 
+use crate::record::RequestRecord;
+use crate::send_log::NotRun;
+
 /// Error that ends a response body before it is complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct BodyTruncated;
@@ -108,31 +111,80 @@
     response
 }
 
-/// Whether a refused or failed request ran, as reported to the client.
+/// How a request failed that may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RanStatus {
-    /// Nothing ran, and nothing will run.
-    No,
-    /// The request may have run.
-    Unknown,
+pub(crate) enum RequestFailure {
+    /// A target failed it.
+    TargetFailed,
+    /// Its deadline passed.
+    DeadlinePassed,
+    /// It was sent, and its outcome is not known.
+    OutcomeUnknown,
 }
 
-/// Returns a response that the node itself generates.
-pub(crate) fn error_response(
+impl RequestFailure {
+    fn code(self) -> ResultCode {
+        match self {
+            RequestFailure::TargetFailed => ResultCode::StageFailed,
+            RequestFailure::DeadlinePassed => ResultCode::DeadlinePassed,
+            RequestFailure::OutcomeUnknown => ResultCode::OutcomeUnknown,
+        }
+    }
+}
+
+/// Returns the refusal of a request, which promises its client that the request has not run.
+pub(crate) fn refusal_response(
+    _proof: NotRun,
     attempt: &str,
     code: ResultCode,
-    ran: RanStatus,
     reason: &str,
     retry_after: Option<Duration>,
 ) -> Response<ResponseBody> {
-    let ran_text = match ran {
-        RanStatus::No => "no",
-        RanStatus::Unknown => "unknown",
+    error_response(attempt, code, "no", reason, retry_after)
+}
+
+/// Ends a request with a refusal, or with an unknown outcome if it may have run.
+pub(crate) fn refuse_request(
+    record: &RequestRecord,
+    code: ResultCode,
+    reason: &str,
+    retry_after: Option<Duration>,
+) -> Response<ResponseBody> {
+    let Some(proof) = record.sends.not_run() else {
+        return fail_request(record, RequestFailure::OutcomeUnknown, reason);
     };
+    record.end(code, reason);
+    let attempt = &record.attributes.attempt;
+    refusal_response(proof, attempt, code, reason, retry_after)
+}
+
+/// Ends a request with a response that promises nothing.
+pub(crate) fn fail_request(
+    record: &RequestRecord,
+    failure: RequestFailure,
+    reason: &str,
+) -> Response<ResponseBody> {
+    let code = failure.code();
+    record.end(code, reason);
+    let ran = match record.sends.not_run() {
+        Some(_) => "no",
+        None => "unknown",
+    };
+    error_response(&record.attributes.attempt, code, ran, reason, None)
+}
+
+/// Returns a response that the node itself generates.
+fn error_response(
+    attempt: &str,
+    code: ResultCode,
+    ran: &str,
+    reason: &str,
+    retry_after: Option<Duration>,
+) -> Response<ResponseBody> {
     let body = json!({
         "code": code.number(),
         "name": code.name(),
-        "ran": ran_text,
+        "ran": ran,
         "message": reason,
     });
     let mut response = Response::new(ResponseBody::full(Bytes::from(body.to_string())));
--- a/packages/turnford-serve/src/attempt_log.rs
+++ b/packages/turnford-serve/src/attempt_log.rs
@@ -32,8 +32,6 @@
     pub(crate) tried: Vec<TargetId>,
     /// Number of requests sent to a target.
     pub(crate) sent: u32,
-    /// Whether any of them may have run.
-    pub(crate) may_have_run: bool,
     /// Whether a response to another call arrived in place of that of an earlier attempt.
     has_other_response: bool,
     /// Number of the request's sends before the current attempt.
@@ -44,12 +42,20 @@
     unreached: usize,
     /// Number of times that a target's rate limit was used up when the request was to be sent.
     limited: usize,
-    /// A target's error response, returned if no better one follows.
-    pub(crate) failed: Option<Response<ResponseBody>>,
+    /// How the last target failed the request, if no better response follows.
+    pub(crate) failure: Option<AttemptFailure>,
+}
+
+/// A target's error response.
+pub(crate) enum AttemptFailure {
+    /// It is returned to the client as it is.
+    Response(Response<ResponseBody>),
+    /// Its status promises the client that the request has not run, which the target did not say.
+    FalsePromise,
 }
 
 pub(crate) fn may_attempt(traffic: &Traffic, job: &ForwardJob<'_>, log: &AttemptLog) -> bool {
-    let may_retry = !log.may_have_run || job.record.route.is_repeatable();
+    let may_retry = !job.record.sends.may_have_run() || job.record.route.is_repeatable();
     let has_time = traffic.shared.now() < job.record.deadline;
     may_retry
         && has_time
@@ -60,7 +66,9 @@
 /// Returns the connections that the next attempt may use. If its response is lost to a repeated one, another
 /// attempt may not be allowed.
 pub(crate) fn connection_choice(job: &ForwardJob<'_>, log: &AttemptLog) -> ConnectionChoice {
-    if log.has_other_response {
+    // The target may have refused the same attempt before, for a missing input, and may repeat that refusal.
+    let is_sent_again = log.sent == 0 && job.record.sends.sent() > 0;
+    if log.has_other_response || is_sent_again {
         return ConnectionChoice::New;
     }
     let is_last = log.sent + 1 >= job.record.route.max_targets;
@@ -127,7 +135,7 @@
             if log.sent > 0 {
                 job.context.allowance.borrow_mut().release();
             }
-            if !log.may_have_run {
+            if !job.record.sends.may_have_run() {
                 let refusal = SuspectRefusal::crashes_targets(traffic, job.record, *retry_after);
                 return Some(ForwardOutcome::Response(refuse_suspect(
                     job.record, &refusal,
@@ -153,7 +161,6 @@
         CallError::Disconnected(_) | CallError::OtherResponse | CallError::Unknown(_) => {
             let reason = error.reason();
             log.sent += 1;
-            log.may_have_run = true;
             log.has_other_response |= *error == CallError::OtherResponse;
             job.record
                 .trace(format_args!("{} gave no response: {reason}", target.id));
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -11,20 +11,23 @@
 use http::StatusCode;
 
 use turnford_adapter::encode_forward;
+use turnford_adapter::promises_not_run;
 use turnford_adapter::ForwardContext;
 use turnford_policy::CallKind;
 use turnford_policy::ResultCode;
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
 
-use crate::answer::error_response;
+use crate::answer::fail_request;
 use crate::answer::proxied_response;
-use crate::answer::RanStatus;
+use crate::answer::refuse_request;
+use crate::answer::RequestFailure;
 use crate::answer::ResponseBody;
 use crate::attempt_log::connection_choice;
 use crate::attempt_log::may_attempt;
 use crate::attempt_log::record_error;
 use crate::attempt_log::try_take_retry;
+use crate::attempt_log::AttemptFailure;
 use crate::attempt_log::AttemptLog;
 use crate::availability::suggest_retry_after;
 use crate::call::call_target;
@@ -91,22 +94,22 @@
             tried: &excluded,
             // Once a target has failed the request, the error response is not delayed by another
             // target's backoff.
-            may_wait: !log.may_have_run,
+            may_wait: !job.record.sends.may_have_run(),
         };
         let placed = place_request(traffic, job.record, job.context, &options).await;
         let mut placed = match placed {
             PlacementOutcome::Placed(placed) => placed,
-            PlacementOutcome::Suspect(refusal) if !log.may_have_run => {
+            PlacementOutcome::Suspect(refusal) if !job.record.sends.may_have_run() => {
                 return ForwardOutcome::Response(refuse_suspect(job.record, &refusal));
             }
             PlacementOutcome::Suspect(refusal) => {
                 job.record.trace(format_args!("{}", refusal.reason()));
                 break;
             }
-            PlacementOutcome::TooLate(retry_after) if !log.may_have_run => {
+            PlacementOutcome::TooLate(retry_after) if !job.record.sends.may_have_run() => {
                 return ForwardOutcome::Response(refuse_backoff(job.record, retry_after));
             }
-            PlacementOutcome::Full(retry_after) if !log.may_have_run => {
+            PlacementOutcome::Full(retry_after) if !job.record.sends.may_have_run() => {
                 return ForwardOutcome::Response(refuse_limited(job.record, retry_after));
             }
             PlacementOutcome::TooLate(_)
@@ -262,17 +265,21 @@
         }
     };
     log.sent += 1;
-    log.may_have_run = true;
-    let response = proxied_response(&parts, ResponseBody::full(body));
-    if status.is_server_error() {
+    let is_false_promise = promises_not_run(status);
+    if status.is_server_error() || is_false_promise {
         job.context.targets.borrow_mut().record_failure(&target.id);
-        if record.route.is_repeatable() {
-            log.failed = Some(response);
+        if is_false_promise {
+            log.failure = Some(AttemptFailure::FalsePromise);
             return None;
         }
     } else {
         job.context.record_success(traffic.shared.now(), &target.id);
     }
+    let response = proxied_response(&parts, ResponseBody::full(body));
+    if status.is_server_error() && record.route.is_repeatable() {
+        log.failure = Some(AttemptFailure::Response(response));
+        return None;
+    }
     record.record_first_byte();
     if status.is_success() {
         record_clean_end(traffic, &record.crash_keys());
@@ -327,23 +334,28 @@
     log: AttemptLog,
 ) -> Response<ResponseBody> {
     let record = job.record;
-    if let Some(response) = log.failed {
-        record.record_first_byte();
-        record.end(ResultCode::StageFailed, "a target returned an error");
-        return response;
+    match log.failure {
+        Some(AttemptFailure::Response(response)) => {
+            record.record_first_byte();
+            record.end(ResultCode::StageFailed, "a target returned an error");
+            return response;
+        }
+        Some(AttemptFailure::FalsePromise) => {
+            let reason = "a target failed it with the status of a refusal";
+            return fail_request(record, RequestFailure::TargetFailed, reason);
+        }
+        None => {}
+    }
+    if !record.sends.may_have_run() {
+        let retry_after = suggest_retry_after(traffic, job.context);
+        let reason = "no target took it";
+        return refuse_request(record, ResultCode::NoTarget, reason, Some(retry_after));
     }
     let is_late = traffic.shared.now() >= record.deadline;
-    let (code, ran, reason) = if log.may_have_run {
-        let code = if is_late {
-            ResultCode::DeadlinePassed
-        } else {
-            ResultCode::OutcomeUnknown
-        };
-        (code, RanStatus::Unknown, "no target gave an answer")
+    let failure = if is_late {
+        RequestFailure::DeadlinePassed
     } else {
-        (ResultCode::NoTarget, RanStatus::No, "no target took it")
+        RequestFailure::OutcomeUnknown
     };
-    record.end(code, reason);
-    let retry_after = (ran == RanStatus::No).then(|| suggest_retry_after(traffic, job.context));
-    error_response(&record.attributes.attempt, code, ran, reason, retry_after)
+    fail_request(record, failure, "no target gave an answer")
 }
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -21,8 +21,10 @@
 use turnford_policy::RouteSpec;
 
 use crate::admission::admit_flow;
-use crate::answer::error_response;
-use crate::answer::RanStatus;
+use crate::answer::fail_request;
+use crate::answer::refusal_response;
+use crate::answer::refuse_request;
+use crate::answer::RequestFailure;
 use crate::answer::ResponseBody;
 use crate::availability::check_availability;
 use crate::availability::AvailabilityError;
@@ -35,6 +37,7 @@
 use crate::record::RequestRecord;
 use crate::resume::find_source;
 use crate::resume::ResumeRefusal;
+use crate::send_log::NotRun;
 use crate::shared::RouteView;
 use crate::stages::run_stages;
 use crate::stages::StageError;
@@ -86,14 +89,7 @@
     let body = match read_body(&record, incoming, limit).await {
         Ok(body) => body,
         Err((code, reason)) => {
-            record.end(code, reason);
-            return error_response(
-                &record.attributes.attempt,
-                code,
-                RanStatus::No,
-                reason,
-                None,
-            );
+            return refuse_request(&record, code, reason, None);
         }
     };
     record.digest.set(request_digest(&record, &parts, &body));
@@ -106,10 +102,8 @@
 async fn wait_expired(record: &RequestRecord) -> Response<ResponseBody> {
     record.wait_deadline().await;
     Timer::after(RESPONSE_GRACE).await;
-    let (code, reason) = (ResultCode::DeadlinePassed, "no response by the deadline");
-    record.end(code, reason);
-    let attempt = &record.attributes.attempt;
-    error_response(attempt, code, RanStatus::Unknown, reason, None)
+    let reason = "no response by the deadline";
+    fail_request(record, RequestFailure::DeadlinePassed, reason)
 }
 
 /// Checks a request against its route and account, and starts its record.
@@ -198,10 +192,10 @@
     );
     let metrics = &traffic.shared.metrics;
     metrics.record_end("-", u8::MAX, refusal.code, Duration::ZERO);
-    error_response(
+    refusal_response(
+        NotRun::before_sends(),
         &attempt,
         refusal.code,
-        RanStatus::No,
         &refusal.reason,
         refusal.retry_after,
     )
@@ -244,7 +238,7 @@
     record.source.replace(source.clone());
     let Some(context) = context else {
         let reason = "the service is not known";
-        return refuse_admitted(record, ResultCode::NoTarget, reason, RETRY_AFTER);
+        return refuse_request(record, ResultCode::NoTarget, reason, Some(RETRY_AFTER));
     };
     record.set_service(&context.spec.borrow().name);
     let _suspect = match admit_suspect(traffic, record).await {
@@ -277,7 +271,7 @@
                 continue;
             }
             Err(StageError::Failed(reason)) => {
-                return refuse_admitted(record, ResultCode::Shed, reason, RETRY_AFTER);
+                return refuse_request(record, ResultCode::Shed, reason, Some(RETRY_AFTER));
             }
             Err(StageError::CrashesTargets(retry_after)) => {
                 let refusal = SuspectRefusal::crashes_targets(traffic, record, retry_after);
@@ -285,7 +279,7 @@
             }
             Err(StageError::Infeasible { retry_after }) => {
                 let reason = "its stages can't be done while its client waits";
-                return refuse_admitted(record, ResultCode::Shed, reason, retry_after);
+                return refuse_request(record, ResultCode::Shed, reason, Some(retry_after));
             }
         };
         drop(flow);
@@ -302,7 +296,7 @@
         }
     }
     let reason = "results of stages were gone";
-    refuse_admitted(record, ResultCode::Shed, reason, RETRY_AFTER)
+    refuse_request(record, ResultCode::Shed, reason, Some(RETRY_AFTER))
 }
 
 /// Waits until the node is about to stop.
@@ -320,7 +314,12 @@
     ));
     let reason = "the queues of its stages are too long";
     let retry_after = refusal.retry_after.max(RETRY_AFTER);
-    refuse_admitted(record, ResultCode::DeadlineTooShort, reason, retry_after)
+    refuse_request(
+        record,
+        ResultCode::DeadlineTooShort,
+        reason,
+        Some(retry_after),
+    )
 }
 
 /// Refuses a request because targets have crashed while running it. This attempt of it has not run.
@@ -328,12 +327,17 @@
     record: &RequestRecord,
     refusal: &SuspectRefusal,
 ) -> Response<ResponseBody> {
-    refuse_admitted(record, refusal.code, refusal.reason(), refusal.retry_after)
+    refuse_request(
+        record,
+        refusal.code,
+        refusal.reason(),
+        Some(refusal.retry_after),
+    )
 }
 
 /// Refuses a request that resumes a stream, because no target may go on with it.
 fn refuse_resume(record: &RequestRecord, refusal: &ResumeRefusal) -> Response<ResponseBody> {
-    refuse_admitted(record, refusal.code, refusal.reason, RETRY_AFTER)
+    refuse_request(record, refusal.code, refusal.reason, Some(RETRY_AFTER))
 }
 
 /// Refuses a request that no target accepts in time.
@@ -341,7 +345,7 @@
     match error {
         AvailabilityError::NoTarget => {
             let reason = "no target is left";
-            refuse_admitted(record, ResultCode::NoTarget, reason, RETRY_AFTER)
+            refuse_request(record, ResultCode::NoTarget, reason, Some(RETRY_AFTER))
         }
         AvailabilityError::TooLate(retry_after) => refuse_backoff(record, retry_after),
     }
@@ -353,7 +357,7 @@
     retry_after: Duration,
 ) -> Response<ResponseBody> {
     let reason = "all targets want rest";
-    refuse_admitted(record, ResultCode::NoTarget, reason, retry_after)
+    refuse_request(record, ResultCode::NoTarget, reason, Some(retry_after))
 }
 
 /// Refuses a request whose targets' rate limits allow no call in time.
@@ -363,17 +367,5 @@
 ) -> Response<ResponseBody> {
     let reason = "the limits of its targets leave no call for it in time";
     let retry_after = retry_after.max(RETRY_AFTER);
-    refuse_admitted(record, ResultCode::NoTarget, reason, retry_after)
-}
-
-/// Refuses a request that has not run and never will.
-fn refuse_admitted(
-    record: &RequestRecord,
-    code: ResultCode,
-    reason: &str,
-    retry_after: Duration,
-) -> Response<ResponseBody> {
-    record.end(code, reason);
-    let attempt = &record.attributes.attempt;
-    error_response(attempt, code, RanStatus::No, reason, Some(retry_after))
+    refuse_request(record, ResultCode::NoTarget, reason, Some(retry_after))
 }
--- a/packages/turnford-serve/src/send_log.rs
+++ b/packages/turnford-serve/src/send_log.rs
@@ -2,6 +2,18 @@
 
 use std::cell::Cell;
 
+/// Proof that a request has not run and never will. Only with it can a client be promised so.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NotRun(());
+
+impl NotRun {
+    /// Creates the proof for a request that is refused before it has a [`SendLog`], without which nothing is
+    /// sent.
+    pub(crate) fn before_sends() -> Self {
+        Self(())
+    }
+}
+
 /// Sends of one request to targets.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(crate) struct SendLog {
@@ -26,6 +38,11 @@
         self.sent.get()
     }
 
+    /// Returns the proof that the request has not run and never will, if there is one.
+    pub(crate) fn not_run(&self) -> Option<NotRun> {
+        (!self.may_have_run()).then_some(NotRun(()))
+    }
+
     /// Returns whether some send may have run the request, or may still do so.
     pub(crate) fn may_have_run(&self) -> bool {
         self.sent.get() > self.not_run.get()
