Take a call as not sent only if its relaying node says so

Cause: a reply of a relaying node that can't be decoded, or of another kind than expected, counted as "nothing was sent", and the call went to another node, although the first one may have sent it. Change: PeerError tells a request that can't be encoded from a reply that can't be decoded; only the former and a refusal mean that nothing was sent. Such a call has an unknown outcome now.

--- a/packages/turnford-serve/src/relay.rs
+++ b/packages/turnford-serve/src/relay.rs
@@ -145,7 +145,11 @@
             state.last_contact.set(traffic.shared.now());
             (reply, body)
         }
-        Some(Ok(_)) => return RelayAttempt::NotSent,
+        Some(Ok((WorkReply::Refused, _))) => return RelayAttempt::NotSent,
+        Some(Ok(_)) => {
+            let error = CallError::Unknown("the relaying node gave an unexpected reply");
+            return RelayAttempt::Failed(error);
+        }
         Some(Err(error)) => return relay_error(peer, error),
         None => {
             let error = CallError::Unknown("the relaying node does not respond");
--- a/packages/turnford-wire/src/body.rs
+++ b/packages/turnford-wire/src/body.rs
@@ -25,7 +25,7 @@
     let read = read_chunks(limit, FRAME_LIMIT, next).await;
     read.map_err(|error| match error {
         ReceiveError::Stalled(received) => PeerError::Stalled(received),
-        ReceiveError::TooLarge => PeerError::Frame(FrameError::TooLarge),
+        ReceiveError::TooLarge => PeerError::Reply(FrameError::TooLarge),
         ReceiveError::Transport(_) => PeerError::Disconnected,
     })
 }
--- a/packages/turnford-wire/src/client.rs
+++ b/packages/turnford-wire/src/client.rs
@@ -52,8 +52,10 @@
     Timeout,
     /// The response stalled after this many bytes.
     Stalled(usize),
-    /// The request could not be encoded or the reply could not be decoded.
+    /// The request could not be encoded, so that nothing was sent.
     Frame(FrameError),
+    /// The reply could not be decoded.
+    Reply(FrameError),
 }
 
 impl fmt::Display for PeerError {
@@ -65,7 +67,8 @@
             PeerError::Stalled(received) => {
                 write!(f, "response of the peer stalled, received={received}")
             }
-            PeerError::Frame(error) => write!(f, "{error}"),
+            PeerError::Frame(error) => write!(f, "request: {error}"),
+            PeerError::Reply(error) => write!(f, "reply: {error}"),
         }
     }
 }
@@ -136,7 +139,7 @@
         }
         let response = response?;
         *self.frame_bytes.borrow_mut() += response.len() as u64;
-        decode_frame(&response).map_err(PeerError::Frame)
+        decode_frame(&response).map_err(PeerError::Reply)
     }
 
     /// Sends a request and reads the reply, which may be followed by further bytes. There is no timeout for
@@ -144,8 +147,8 @@
     ///
     /// # Errors
     ///
-    /// Returns why the call failed. Only [`PeerError::NotConnected`] and [`PeerError::Frame`] for the request
-    /// mean that the peer has not received it.
+    /// Returns why the call failed. Only [`PeerError::NotConnected`] and [`PeerError::Frame`] mean that the peer
+    /// has not received it.
     pub async fn call_streamed<Q: Encode, R: Decode<()>>(
         &self,
         to: SocketAddr,
@@ -173,7 +176,7 @@
             self.connections.borrow_mut().remove(&to);
         }
         let (frame, body) = reply?;
-        let reply = decode_frame(&frame).map_err(|_| PeerError::Disconnected)?;
+        let reply = decode_frame(&frame).map_err(PeerError::Reply)?;
         Ok((reply, body))
     }
 
@@ -269,7 +272,7 @@
             .map_err(|_| PeerError::Disconnected)?;
         read.extend_from_slice(&chunk);
         if read.len() > FRAME_LIMIT {
-            return Err(PeerError::Frame(FrameError::TooLarge));
+            return Err(PeerError::Reply(FrameError::TooLarge));
         }
     }
     let first = Bytes::from(read.split_off(length));
