Believe a marked refusal whatever else is wrong with its head

Cause: one malformed header of a refusal, such as its load, made the outcome unknown, so that the client of a request that had not run could not come back. A relaying node chooses the connection of a call that needs a new one. Change: is_refusal goes by status and mark alone; a call that needs a new connection is not relayed.

--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use turnford_adapter::decode_response;
+use turnford_adapter::is_refusal;
 use turnford_adapter::promises_not_run;
 use turnford_adapter::set_remaining;
 use turnford_http::HttpConnection;
@@ -33,6 +34,7 @@
 use crate::target_body::BodySource;
 use crate::target_body::TargetBody;
 use crate::target_connection::open_connection;
+use crate::target_connection::ConnectionChoice;
 use crate::target_connection::DirectLink;
 use crate::target_connection::TargetConnection;
 use crate::target_response::drain_refusal;
@@ -77,6 +79,10 @@
     if let Some(error) = context.rejection_reason(now, &target.id, purpose) {
         return Err(error);
     }
+    if connection.is_none() && purpose.connection_choice() == ConnectionChoice::New {
+        // The relaying node would choose the connection.
+        return Err(CallError::NoRelay("the call needs a new connection"));
+    }
     traffic
         .shared
         .metrics
@@ -177,25 +183,28 @@
     response: TargetResponse,
 ) -> Result<TargetResponse, CallError> {
     let status = response.parts.status;
-    let attributes = decode_response(&response.parts).map_err(|error| {
-        log::warn!("target={} invalid response: {error}", target.id);
-        CallError::Unknown("the response head is invalid")
-    })?;
-    if let Some(sample) = attributes.load {
+    let metrics = &traffic.shared.metrics;
+    let attributes = decode_response(&response.parts);
+    let load = attributes.as_ref().ok().and_then(|known| known.load);
+    if let Some(sample) = load {
         let now = traffic.shared.now();
         let mut table = context.targets.borrow_mut();
         table.record_load(now, &target.id, sample);
     }
-    let is_complete = attempt.is_none() || (attributes.is_signed && !attributes.is_encoded);
-    if status.is_success() && !is_complete {
-        return Err(CallError::Unknown("the response is unsigned or encoded"));
-    }
-    let metrics = &traffic.shared.metrics;
-    if attributes.not_run {
+    // A refusal counts whatever else is wrong with its head.
+    if is_refusal(&response.parts) {
         drain_refusal(traffic, response.link, response.body).await;
         metrics.record_service_event(&target.service, ServiceEvent::NotRun);
         return Err(CallError::NotRun(status));
     }
+    let attributes = attributes.map_err(|error| {
+        log::warn!("target={} invalid response: {error}", target.id);
+        CallError::Unknown("the response head is invalid")
+    })?;
+    let is_complete = attempt.is_none() || (attributes.is_signed && !attributes.is_encoded);
+    if status.is_success() && !is_complete {
+        return Err(CallError::Unknown("the response is unsigned or encoded"));
+    }
     if promises_not_run(status) {
         log::warn!(
             "target={} request={} status={} marked={} signed={}: the request may have run",
