Decide code, status and ran of own answers from one evidence

Cause: the code of a failed stage came from its last attempt alone, `ran` from all of them, and the status from the code. A stage that may have run at one target and was refused by the next was answered 123 with status 503, as was a request whose earlier stages had run. Any status of a target that is not 200 counted as a run, also one that something before it sends, and tokens that arrived did not. A refusal ends a stage only if each of its attempts is known not to have run; otherwise the last one that may have run does. A claim is settled from the same evidence, and a status that the protocol does not define is evidence of nothing. Targets of the stand-ins can be scripted.

--- a/packages/turnford-node/src/claim.rs
+++ b/packages/turnford-node/src/claim.rs
@@ -11,9 +11,11 @@
 use turnford_fleet::ClaimRequest;
 use turnford_fleet::ClaimState;
 use turnford_fleet::ClaimVerdict;
+use turnford_policy::AttemptEvidence;
 use turnford_policy::AttemptId;
 use turnford_policy::ClaimEvidence;
 use turnford_policy::Moment;
+use turnford_policy::RanStatus;
 use turnford_policy::RequestEvidence;
 use turnford_policy::ResultCode;
 
@@ -41,29 +43,32 @@
     key: ClaimKey,
     owner: ClaimOwner,
     acquired_at: Moment,
-    /// Calls sent under this claim that a target may have started.
-    sent: u32,
+    /// Evidence of the calls sent under this claim.
+    evidence: RequestEvidence,
     outcome: Option<ResultCode>,
 }
 
 impl ClaimGuard {
     /// Records that a call is about to be sent. Returns false if the claim is too old to be used.
-    pub(crate) fn try_mark_sent(&mut self) -> bool {
+    pub(crate) fn try_record_send(&mut self) -> bool {
         let age = self.state.clock.now().saturating_sub(self.acquired_at);
         let usable = age < MAX_CLAIM_AGE;
-        self.sent += u32::from(usable);
+        if usable {
+            self.evidence.record_send();
+        }
         usable
     }
 
-    /// Records that the last call is known not to have started.
-    pub(crate) fn unmark_sent(&mut self) {
-        self.sent = self.sent.saturating_sub(1);
+    /// Records the end of the last call.
+    pub(crate) fn record_end(&mut self, evidence: AttemptEvidence) {
+        self.evidence.record_end(evidence);
     }
 
     /// Records the request's outcome and caches its output for repeated requests.
     pub(crate) fn finish(mut self, outcome: &RequestOutcome) {
-        self.outcome = Some(outcome.code);
-        if let Some(output) = outcome.output.as_deref().filter(|_| self.sent > 0) {
+        self.outcome = Some(outcome.result().code());
+        let ran = self.evidence.ran() != RanStatus::No;
+        if let Some(output) = outcome.output.as_deref().filter(|_| ran) {
             self.state.results.put(self.key, output);
         }
     }
@@ -71,11 +76,15 @@
 
 impl Drop for ClaimGuard {
     fn drop(&mut self) {
-        let request = if self.sent > 0 {
-            let code = self.outcome.unwrap_or(ResultCode::OutcomeUnknown);
-            ClaimRequest::Finish(self.key, self.owner, code.number())
-        } else {
-            ClaimRequest::Release(self.key, self.owner)
+        let unknown = ResultCode::OutcomeUnknown;
+        let code = match self.evidence.ran() {
+            RanStatus::No => None,
+            RanStatus::Yes => Some(self.outcome.unwrap_or(unknown)),
+            RanStatus::Unknown => Some(unknown),
+        };
+        let request = match code {
+            Some(code) => ClaimRequest::Finish(self.key, self.owner, code.number()),
+            None => ClaimRequest::Release(self.key, self.owner),
         };
         self.state.control.settle_claim(request, SETTLE_TIMEOUT);
     }
@@ -103,7 +112,7 @@
         key,
         owner,
         acquired_at: state.clock.now(),
-        sent: 0,
+        evidence: RequestEvidence::default(),
         outcome: None,
     };
     let remaining = request.budget.deadline().saturating_sub(state.clock.now());
@@ -149,17 +158,16 @@
             (ClaimEvidence::MayHaveRun, ResultCode::ClaimRunning, message)
         }
     };
-    let mut outcome = RequestOutcome::not_run(code, message);
-    outcome.ran = RequestEvidence::from_claim(evidence).ran();
+    let evidence = RequestEvidence::from_claim(evidence);
     let output = state
         .results
         .get(key)
         .filter(|_| code == ResultCode::ClaimFinished);
-    if let Some(output) = output {
-        outcome.code = ResultCode::DoneBefore;
-        outcome.message.clear();
-        outcome.output = Some(output);
+    if output.is_none() {
+        return RequestOutcome::new(code, &evidence, message);
     }
+    let mut outcome = RequestOutcome::new(ResultCode::DoneBefore, &evidence, "");
+    outcome.output = output;
     outcome
 }
 
--- a/packages/turnford-node/src/handler.rs
+++ b/packages/turnford-node/src/handler.rs
@@ -58,7 +58,9 @@
     trace: AttemptId,
 ) -> Result<AdmittedRequest, RequestOutcome> {
     let outcome = match admit_request(state, request, trace) {
-        Err(outcome) if outcome.code.is_limit() && state.settings.fleet_size > 1 => outcome,
+        Err(outcome) if outcome.result().code().is_limit() && state.settings.fleet_size > 1 => {
+            outcome
+        }
         other => return other,
     };
     let Some(account) = find_request_account(state, request) else {
@@ -70,9 +72,10 @@
 
 /// Counts a refused request without its account, which may be unknown.
 fn record_refusal(state: &NodeState, outcome: &RequestOutcome) {
+    let code = outcome.result().code();
     state
         .metrics
-        .record_end("-", u8::MAX, outcome.code, std::time::Duration::ZERO);
+        .record_end("-", u8::MAX, code, std::time::Duration::ZERO);
 }
 
 fn ready(state: &NodeState) -> HttpResponse {
--- a/packages/turnford-node/src/outcome.rs
+++ b/packages/turnford-node/src/outcome.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 use turnford_http::HttpResponse;
 use turnford_policy::AttemptId;
-use turnford_policy::RanStatus;
+use turnford_policy::RequestEvidence;
+use turnford_policy::RequestResult;
 use turnford_policy::ResultCode;
 
 /// Summary of a completed stage, for the client.
@@ -24,8 +25,7 @@
 /// The outcome of one request.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestOutcome {
-    pub(crate) code: ResultCode,
-    pub(crate) ran: RanStatus,
+    result: RequestResult,
     pub(crate) message: String,
     pub(crate) output: Option<String>,
     pub(crate) retry_after: Option<Duration>,
@@ -52,9 +52,17 @@
 impl RequestOutcome {
     /// Makes the outcome of a request that was never sent to a target.
     pub(crate) fn not_run(code: ResultCode, message: impl Into<String>) -> Self {
+        Self::new(code, &RequestEvidence::default(), message)
+    }
+
+    /// Makes the outcome of a request from the evidence of its attempts.
+    pub(crate) fn new(
+        code: ResultCode,
+        evidence: &RequestEvidence,
+        message: impl Into<String>,
+    ) -> Self {
         Self {
-            code,
-            ran: RanStatus::No,
+            result: RequestResult::new(code, evidence),
             message: message.into(),
             output: None,
             retry_after: None,
@@ -68,15 +76,21 @@
         self
     }
 
+    /// Returns the result code and whether anything ran.
+    pub(crate) fn result(&self) -> RequestResult {
+        self.result
+    }
+
     /// Encodes the outcome as JSON. The final event of a stream omits the output, which the client
     /// already has.
     pub(crate) fn json(&self, trace: AttemptId, with_output: bool) -> Vec<u8> {
         let millis = |duration: Duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        let code = self.result.code();
         let body = OutcomeBody {
-            code: self.code.number(),
-            name: self.code.name(),
-            ran: self.ran.as_str(),
-            whole: self.code.is_complete(),
+            code: code.number(),
+            name: code.name(),
+            ran: self.result.ran().as_str(),
+            whole: code.is_complete(),
             message: &self.message,
             output: self.output.as_deref().filter(|_| with_output),
             retry_after_ms: self.retry_after.map(millis),
@@ -89,11 +103,11 @@
 
     /// Builds the HTTP response.
     pub(crate) fn response(&self, trace: AttemptId) -> HttpResponse {
-        let status = StatusCode::try_from(self.code.http_status());
+        let status = StatusCode::try_from(self.result.http_status());
         let mut response = HttpResponse::new(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
         response.set_body(self.json(trace, true));
         response.insert_header("content-type", "application/json");
-        response.insert_header("turnford-code", self.code.number().to_string());
+        response.insert_header("turnford-code", self.result.code().number().to_string());
         response.insert_header("turnford-trace", trace.to_string());
         if let Some(duration) = self.retry_after {
             let seconds = duration.as_secs_f64().ceil().max(1.0);
--- a/packages/turnford-node/src/runner.rs
+++ b/packages/turnford-node/src/runner.rs
@@ -95,33 +95,24 @@
         } else {
             ResultCode::Done
         };
-        return RequestOutcome {
-            code,
-            ran: evidence.ran(),
-            message: String::new(),
-            output: Some(output),
-            retry_after: None,
-            stages: Vec::new(),
-        };
+        let mut outcome = RequestOutcome::new(code, evidence, "");
+        outcome.output = Some(output);
+        return outcome;
     };
-    RequestOutcome {
-        code: failure.code,
-        ran: evidence.ran(),
-        message: failure.message,
-        output: None,
-        retry_after: failure.retry_after,
-        stages: Vec::new(),
-    }
+    let mut outcome = RequestOutcome::new(failure.code, evidence, failure.message);
+    outcome.retry_after = failure.retry_after;
+    outcome
 }
 
 fn record_end(request: &AdmittedRequest, outcome: &RequestOutcome) {
     let time = request.state.clock.now().saturating_sub(request.started);
     let account = &request.account;
+    let result = outcome.result();
     request
         .state
         .metrics
-        .record_end(&account.name, account.class, outcome.code, time);
-    log_outcome(request, outcome.code, outcome.ran.as_str());
+        .record_end(&account.name, account.class, result.code(), time);
+    log_outcome(request, result.code(), result.ran().as_str());
 }
 
 /// Writes a request's log line.
--- a/packages/turnford-node/src/stage.rs
+++ b/packages/turnford-node/src/stage.rs
@@ -169,18 +169,24 @@
     let mut work = run.work(&pool);
     let mut guard = pool.place(work.clone()).await.map_err(placement_failure)?;
     let mut attempt = 0;
+    // The error of the last attempt that may have run.
+    let mut failed = None;
     loop {
         let waited = run.now().saturating_sub(started);
         // Checked immediately before the send, so that a suspended request doesn't use an old
         // claim.
         let claimed = claim.as_mut().filter(|_| !run.spec.repeatable);
-        if claimed.is_some_and(|claim| !claim.try_mark_sent()) {
+        if claimed.is_some_and(|claim| !claim.try_record_send()) {
             return Err(failure(
                 ResultCode::ClaimUnavailable,
                 "the claim is too old to be used",
             ));
         }
         let result = run_attempt(&mut run, &pool, &work, &guard, attempt, evidence).await;
+        let (result, known) = result;
+        if let Some(claim) = claim.as_mut().filter(|_| !run.spec.repeatable) {
+            claim.record_end(known);
+        }
         attempt += 1;
         let placement = guard.placement().cloned();
         let error = match result {
@@ -195,10 +201,8 @@
         if error == TargetError::AttemptMismatch {
             state.metrics.record_event(NodeEvent::AttemptMismatch);
         }
-        if is_known_not_run(error) {
-            if let Some(claim) = claim.as_mut().filter(|_| !run.spec.repeatable) {
-                claim.unmark_sent();
-            }
+        if !known.is_not_run() {
+            failed = Some(error);
         }
         if let (TargetError::Leaving, Some(placement)) = (error, &placement) {
             state
@@ -208,12 +212,13 @@
         work.tried
             .extend(placement.map(|placement| placement.target));
         let next = place_next_attempt(&run, &pool, &work, error, attempt).await;
-        guard = next.ok_or_else(|| final_failure(&run, error))?;
+        guard = next.ok_or_else(|| final_failure(&run, failed.unwrap_or(error)))?;
         state.metrics.record_event(NodeEvent::Retry);
     }
 }
 
-/// Makes one attempt. The evidence counts it as sent before the first byte is written.
+/// Makes one attempt and returns its evidence, too. The evidence counts it as sent before the first byte is
+/// written.
 async fn run_attempt(
     run: &mut StageRun<'_>,
     pool: &StagePool,
@@ -221,12 +226,12 @@
     guard: &PlacementGuard,
     attempt: u8,
     evidence: &mut RequestEvidence,
-) -> Result<TargetResponse, TargetError> {
+) -> (Result<TargetResponse, TargetError>, AttemptEvidence) {
     let state = run.request.state.clone();
     let target = guard.placement().map(|placement| placement.target.clone());
     let address = target.and_then(|target| state.addresses.load().get(&target).copied());
     let Some(address) = address else {
-        return Err(TargetError::NotSent);
+        return (Err(TargetError::NotSent), AttemptEvidence::NotSent);
     };
     let call = TargetCall {
         attempt: run.request.trace.with_attempt(run.index as u8, attempt),
@@ -244,10 +249,11 @@
     };
     let known = match &result {
         Ok(_) => AttemptEvidence::Ran,
+        Err(_) if run.received > call.resume_from => AttemptEvidence::Ran,
         Err(error) => error.evidence(),
     };
     evidence.record_end(known);
-    result
+    (result, known)
 }
 
 /// Reads a token stream and forwards its tokens.
@@ -294,7 +300,7 @@
     if attempt >= MAX_ATTEMPTS || run.now() >= run.request.budget.deadline() {
         return None;
     }
-    let not_run = is_known_not_run(error);
+    let not_run = error.evidence().is_not_run();
     if !run.spec.repeatable && !not_run {
         return None;
     }
@@ -308,14 +314,6 @@
     None
 }
 
-/// Returns whether the error proves that the call never started at its target.
-fn is_known_not_run(error: TargetError) -> bool {
-    matches!(
-        error.evidence(),
-        AttemptEvidence::NotSent | AttemptEvidence::RefusedBeforeStart
-    )
-}
-
 fn outcome_of(error: TargetError) -> StageOutcome {
     match error {
         TargetError::Full => StageOutcome::RefusedFull,
@@ -329,11 +327,12 @@
     }
 }
 
-/// Returns the failure of a stage that isn't retried.
+/// Returns the failure of a stage that isn't retried, from the error of its last attempt that may have run.
 fn final_failure(run: &StageRun<'_>, error: TargetError) -> StageFailure {
+    let is_late = run.now() >= run.request.budget.deadline();
     let code = match error {
         TargetError::NotSent | TargetError::Full | TargetError::Leaving => ResultCode::NoTarget,
-        TargetError::Timeout if run.spec.repeatable => ResultCode::DeadlinePassed,
+        TargetError::Timeout if run.spec.repeatable && is_late => ResultCode::DeadlinePassed,
         TargetError::Failed if run.received > 0 => ResultCode::StreamBroken,
         TargetError::Failed => ResultCode::StageFailed,
         _ if !run.spec.repeatable => ResultCode::OutcomeUnknown,
--- a/packages/turnford-policy/src/evidence.rs
+++ b/packages/turnford-policy/src/evidence.rs
@@ -15,6 +15,16 @@
     Unknown,
 }
 
+impl AttemptEvidence {
+    /// Returns whether the attempt is known not to have run.
+    pub fn is_not_run(self) -> bool {
+        matches!(
+            self,
+            AttemptEvidence::NotSent | AttemptEvidence::RefusedBeforeStart
+        )
+    }
+}
+
 /// Value of `ran` in a response: whether any part of the request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RanStatus {
--- a/packages/turnford-standin/src/fault.rs
+++ b/packages/turnford-standin/src/fault.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::AnswerScript;
+
 /// Kind of an injected fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -59,6 +61,7 @@
 pub struct FaultTable {
     start: Instant,
     faults: Mutex<Vec<FaultSpec>>,
+    script: AnswerScript,
 }
 
 impl FaultTable {
@@ -67,6 +70,7 @@
         Self {
             start: Instant::now(),
             faults: Mutex::new(faults),
+            script: AnswerScript::default(),
         }
     }
 
@@ -75,6 +79,11 @@
         self.start.elapsed()
     }
 
+    /// Returns the answers that targets give instead of their own.
+    pub fn script(&self) -> &AnswerScript {
+        &self.script
+    }
+
     /// Adds a fault that begins now.
     pub fn add_now(&self, kind: FaultKind, at: &str, duration: Duration, factor: f64) {
         let fault = FaultSpec {
--- a/packages/turnford-standin/src/lib.rs
+++ b/packages/turnford-standin/src/lib.rs
@@ -18,6 +18,7 @@
 mod report;
 mod route;
 mod scenario;
+mod script;
 mod store;
 mod target;
 
@@ -60,6 +61,9 @@
 pub use route::LIMIT_WINDOW;
 pub use scenario::Scenario;
 pub use scenario::ServiceSpec;
+pub use script::AnswerEnd;
+pub use script::AnswerScript;
+pub use script::ScriptedAnswer;
 pub use store::ObjectStore;
 pub use store::StoreError;
 
--- a/packages/turnford-standin/src/target.rs
+++ b/packages/turnford-standin/src/target.rs
@@ -174,6 +174,13 @@
         let Ok(body) = serde_json::from_slice::<RunBody>(&call.body) else {
             return Some(HttpResponse::new(StatusCode::BAD_REQUEST));
         };
+        if let Some(answer) = self.faults.script().take(&self.entry.name) {
+            let response = answer.response(&body.attempt);
+            if answer.runs {
+                drop(self.acquire_slot(body).await);
+            }
+            return Some(response);
+        }
         if self.fault(FaultKind::Leave).is_some() {
             return Some(rejection("leaving", &body.attempt));
         }
--- a/packages/turnford-target/src/error.rs
+++ b/packages/turnford-target/src/error.rs
@@ -14,7 +14,8 @@
     Full,
     /// The target refused the call before it started because it is leaving.
     Leaving,
-    /// The target started the call and failed.
+    /// The response has a status other than those of success and refusals. It does not tell whether the call
+    /// ran, or whether the target sent it.
     Failed,
     /// The connection was lost after the call was sent and before the response was complete.
     Disconnected,
@@ -32,8 +33,8 @@
         match self {
             TargetError::NotSent => AttemptEvidence::NotSent,
             TargetError::Full | TargetError::Leaving => AttemptEvidence::RefusedBeforeStart,
-            TargetError::Failed => AttemptEvidence::Ran,
-            TargetError::Disconnected
+            TargetError::Failed
+            | TargetError::Disconnected
             | TargetError::Timeout
             | TargetError::AttemptMismatch
             | TargetError::Malformed => AttemptEvidence::Unknown,
--- a/packages/turnford/tests/common/mod.rs
+++ b/packages/turnford/tests/common/mod.rs
@@ -135,14 +135,21 @@
 
 impl TestSite {
     pub fn start(nodes: usize) -> Self {
-        let executor = start_threads("standin", 1);
-        let scenario = Scenario::parse(SCENARIO).expect("the scenario is valid");
         let accounts = [account_text("one", 1000.0), account_text("two", 1000.0)];
-        let texts = [CHAT, RESERVE, LETTER]
-            .map(str::to_owned)
-            .into_iter()
-            .chain(accounts);
+        let texts = [CHAT, RESERVE, LETTER].map(str::to_owned);
+        Self::start_with(nodes, SCENARIO, texts.into_iter().chain(accounts))
+    }
+
+    /// Starts a site with its own services, templates and accounts.
+    pub fn start_with(
+        nodes: usize,
+        scenario: &str,
+        texts: impl IntoIterator<Item = String>,
+    ) -> Self {
+        let executor = start_threads("standin", 1);
+        let scenario = Scenario::parse(scenario).expect("the scenario is valid");
         let files: Vec<SiteFile> = texts
+            .into_iter()
             .enumerate()
             .map(|(number, text)| SiteFile {
                 name: format!("file-{number}"),
