Close connections on which a response to another call arrived

Cause: the client released the connection of a buffered response before it was known to which call the response belongs, so the next call on it read the response to the one before. Reports and orders share these connections and took a response that names an attempt for theirs. Change: `send_checked` keeps a connection only if the response belongs to the request. Calls and streams need their attempt in it, whatever its status; reports and orders fail with `AttemptMismatch` if it names one. A target that fails without naming the attempt costs a connection for each failure.

--- a/packages/turnford-http/src/client.rs
+++ b/packages/turnford-http/src/client.rs
@@ -184,12 +184,33 @@
         to: SocketAddr,
         request: HttpRequest,
         timeout: Duration,
+    ) -> Result<BufferedResponse, HttpError> {
+        self.send_checked(to, request, timeout, |_| true).await
+    }
+
+    /// Sends a request and reads the complete response as [`HttpClient::send`] does. The connection is kept
+    /// only if the response belongs to the request: after another one, the next response is not that to the
+    /// next request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether the server may have received the request.
+    pub async fn send_checked(
+        &self,
+        to: SocketAddr,
+        request: HttpRequest,
+        timeout: Duration,
+        belongs: impl FnOnce(&BufferedResponse) -> bool,
     ) -> Result<BufferedResponse, HttpError> {
         let clock = SystemClock::new();
         let mut stream = self.open(to, request, timeout).await?;
         let remaining = timeout.saturating_sub(clock.now());
         let body = within(remaining, HttpError::TimeoutAfterSend, stream.read_body()).await?;
-        Ok(stream.finish(body))
+        let response = stream.buffered(body);
+        if belongs(&response) {
+            stream.recycle();
+        }
+        Ok(response)
     }
 
     /// Sends a request and reads a response of up to [`LARGE_RESPONSE_LIMIT`] bytes as long as data keeps
@@ -392,13 +413,16 @@
 
     /// Returns the response with its complete body and releases the connection for reuse.
     fn finish(self, body: Vec<u8>) -> BufferedResponse {
-        let headers = self.headers();
-        let status = self.status;
+        let response = self.buffered(body);
         self.recycle();
+        response
+    }
+
+    fn buffered(&self, body: Vec<u8>) -> BufferedResponse {
         BufferedResponse {
-            status,
+            status: self.status,
             body,
-            headers,
+            headers: self.headers(),
         }
     }
 
--- a/packages/turnford-target/src/call.rs
+++ b/packages/turnford-target/src/call.rs
@@ -78,6 +78,18 @@
     }
 }
 
+/// Part of a response body that names the attempt.
+#[derive(Deserialize)]
+struct AttemptName {
+    attempt: String,
+}
+
+/// Returns the attempt that a response body names.
+pub(crate) fn named_attempt(body: &[u8]) -> Option<AttemptId> {
+    let name: AttemptName = serde_json::from_slice(body).ok()?;
+    name.attempt.parse().ok()
+}
+
 /// Returns the error for a response with a status other than 200 to a call of `attempt`.
 ///
 /// Only an explicit refusal of this attempt proves that the call did not start. With any other response the
--- a/packages/turnford-target/src/engine.rs
+++ b/packages/turnford-target/src/engine.rs
@@ -13,6 +13,7 @@
 use turnford_policy::Clock;
 use turnford_policy::SystemClock;
 
+use crate::call::named_attempt;
 use crate::call::parse_error;
 use crate::TargetCall;
 use crate::TargetClient;
@@ -74,7 +75,7 @@
             let remaining = call.limit.saturating_sub(clock.now());
             let body = within(remaining, stream.read_body()).await?;
             let error = parse_error(call.attempt, stream.status, &body);
-            if error != TargetError::AttemptMismatch {
+            if named_attempt(&body) == Some(call.attempt) {
                 stream.recycle();
             }
             return Err(error);
--- a/packages/turnford-target/src/lib.rs
+++ b/packages/turnford-target/src/lib.rs
@@ -21,8 +21,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use turnford_http::BufferedResponse;
 use turnford_http::HttpClient;
+use turnford_http::HttpRequest;
+
+use crate::call::named_attempt;
 
 /// Client of one thread for all targets.
 #[derive(Clone, Default)]
@@ -35,6 +40,22 @@
     pub fn new() -> Self {
         Self::default()
     }
+
+    /// Sends a request that is not an attempt. A response that names an attempt belongs to another call.
+    async fn send_unnamed(
+        &self,
+        to: SocketAddr,
+        request: HttpRequest,
+        timeout: Duration,
+    ) -> Result<BufferedResponse, TargetError> {
+        let belongs = |response: &BufferedResponse| named_attempt(&response.body).is_none();
+        let sent = self.http.send_checked(to, request, timeout, belongs);
+        let response = sent.await?;
+        if belongs(&response) {
+            return Ok(response);
+        }
+        Err(TargetError::AttemptMismatch)
+    }
 }
 
 /// Address of a target.
--- a/packages/turnford-target/src/order.rs
+++ b/packages/turnford-target/src/order.rs
@@ -37,7 +37,7 @@
         let bytes = serde_json::to_vec(&body).map_err(|_| TargetError::NotSent)?;
         let mut request = HttpClient::request(Method::POST, to, "/order")?;
         request.set_body(bytes);
-        let response = self.http.send(to, request, timeout).await?;
+        let response = self.send_unnamed(to, request, timeout).await?;
         match response.status {
             202 => Ok(()),
             409 | 422 => Err(TargetError::Full),
--- a/packages/turnford-target/src/report.rs
+++ b/packages/turnford-target/src/report.rs
@@ -77,7 +77,7 @@
         path: &str,
     ) -> Result<T, TargetError> {
         let request = HttpClient::request(Method::GET, to, path)?;
-        let response = self.http.send(to, request, REPORT_TIMEOUT).await?;
+        let response = self.send_unnamed(to, request, REPORT_TIMEOUT).await?;
         if response.status != 200 {
             return Err(TargetError::Failed);
         }
--- a/packages/turnford-target/src/unary.rs
+++ b/packages/turnford-target/src/unary.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use turnford_http::BufferedResponse;
 
+use crate::call::named_attempt;
 use crate::call::parse_error;
 use crate::TargetCall;
 use crate::TargetClient;
@@ -33,7 +35,10 @@
         call: &TargetCall,
     ) -> Result<TargetResponse, TargetError> {
         let request = call.request(to, false)?;
-        let response = self.http.send(to, request, call.limit).await?;
+        let belongs =
+            |response: &BufferedResponse| named_attempt(&response.body) == Some(call.attempt);
+        let sent = self.http.send_checked(to, request, call.limit, belongs);
+        let response = sent.await?;
         if response.status != 200 {
             return Err(parse_error(call.attempt, response.status, &response.body));
         }
--- a/packages/turnford-target/tests/common/mod.rs
+++ b/packages/turnford-target/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A target on loopback that sends given bytes.
 
+#![allow(dead_code)]
+
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
