End connections of callers that stop sending or reading

Cause: nothing ended the wait for a request's body or for a caller to take its response. While a connection can't be written to, the body of its response is not polled, so no timer in it runs, and a stream that nobody reads held its target, its place and the account's permit for good. Change: `serve_caller` has `CallerLimits`: the time between two parts of a body and for all of it (status 408, the request is not handled), and the time for which a connection takes no byte. Heads and idle connections have no limit yet; nothing of a target waits for them.

--- a/packages/turnford-http/src/lib.rs
+++ b/packages/turnford-http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client and server for all external interfaces: a client with persistent connections, and a
 //! server with bounded requests. The protocol is implemented by `hyper`, over `async-io`.
 
+mod caller;
 mod client;
 mod connection;
 mod connection_state;
@@ -15,6 +16,7 @@
 mod stream;
 mod timeout;
 
+pub use caller::CallerLimits;
 pub use client::BufferedResponse;
 pub use client::HttpClient;
 pub use client::HttpStream;
@@ -34,6 +36,7 @@
 pub use receive::ResponseTimeouts;
 pub use reset::reset_unread;
 pub use server::bind_listener;
+pub use server::serve_caller;
 pub use server::serve_connection;
 pub use server::serve_stream;
 pub use server::BufferedRequest;
--- a/packages/turnford-http/src/server.rs
+++ b/packages/turnford-http/src/server.rs
@@ -8,6 +8,7 @@
 use async_net::TcpStream;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
+use futures_lite::FutureExt;
 use http::header::HeaderName;
 use http::header::HeaderValue;
 use http::Request;
@@ -15,12 +16,14 @@
 use http::StatusCode;
 use http::Version;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use smol_hyper::rt::FuturesIo;
 
+use crate::caller::BoundedWriter;
+use crate::wait_timeout;
+use crate::CallerLimits;
 use crate::HttpBody;
 use crate::HttpResponse;
 
@@ -73,6 +76,16 @@
 /// cancels abandoned work down to the target. A handler that returns `None` closes the connection without a
 /// response.
 pub async fn serve_connection<F, Fut>(stream: TcpStream, body_limit: usize, handler: F)
+where
+    F: Fn(BufferedRequest) -> Fut,
+    Fut: Future<Output = Option<HttpResponse>>,
+{
+    serve_caller(stream, CallerLimits::of_size(body_limit), handler).await;
+}
+
+/// Serves the requests of a connection until it closes, as [`serve_connection`] does, or until the caller
+/// exceeds a limit. A request whose body does not arrive is not handled.
+pub async fn serve_caller<F, Fut>(stream: TcpStream, limits: CallerLimits, handler: F)
 where
     F: Fn(BufferedRequest) -> Fut,
     Fut: Future<Output = Option<HttpResponse>>,
@@ -81,7 +94,7 @@
         log::debug!("failed to configure a connection of a caller: {error}");
         return;
     }
-    serve_stream(stream, body_limit, handler).await;
+    serve_limited(stream, limits, handler).await;
 }
 
 /// Serves the requests of a stream until it closes, as [`serve_connection`] does.
@@ -91,7 +104,17 @@
     F: Fn(BufferedRequest) -> Fut,
     Fut: Future<Output = Option<HttpResponse>>,
 {
-    let service = service_fn(|request| respond(request, body_limit, &handler));
+    serve_limited(stream, CallerLimits::of_size(body_limit), handler).await;
+}
+
+async fn serve_limited<S, F, Fut>(stream: S, limits: CallerLimits, handler: F)
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    F: Fn(BufferedRequest) -> Fut,
+    Fut: Future<Output = Option<HttpResponse>>,
+{
+    let service = service_fn(|request| respond(request, &limits, &handler));
+    let stream = BoundedWriter::new(stream, limits.write_idle);
     let mut builder = http1::Builder::new();
     builder.auto_date_header(false);
     let served = builder.serve_connection(FuturesIo::new(stream), service);
@@ -102,17 +125,20 @@
 
 async fn respond<F, Fut>(
     request: Request<Incoming>,
-    body_limit: usize,
+    limits: &CallerLimits,
     handler: &F,
 ) -> io::Result<Response<HttpBody>>
 where
     F: Fn(BufferedRequest) -> Fut,
     Fut: Future<Output = Option<HttpResponse>>,
 {
-    let Some(request) = read_request(request, body_limit).await else {
-        let mut refusal = HttpResponse::new(StatusCode::PAYLOAD_TOO_LARGE);
-        refusal.insert_header("connection", "close");
-        return build_response(refusal);
+    let request = match read_request(request, limits).await {
+        Ok(request) => request,
+        Err(status) => {
+            let mut refusal = HttpResponse::new(status);
+            refusal.insert_header("connection", "close");
+            return build_response(refusal);
+        }
     };
     match handler(request).await {
         Some(response) => build_response(response),
@@ -136,24 +162,53 @@
     Ok(response)
 }
 
-async fn read_request(request: Request<Incoming>, body_limit: usize) -> Option<BufferedRequest> {
+/// Reads a request with its complete body. Returns the status of the refusal if the body can't be read.
+async fn read_request(
+    request: Request<Incoming>,
+    limits: &CallerLimits,
+) -> Result<BufferedRequest, StatusCode> {
     let (parts, body) = request.into_parts();
-    let body = Limited::new(body, body_limit).collect().await.ok()?;
+    let expired = async {
+        wait_timeout(limits.body_total).await;
+        Err(StatusCode::REQUEST_TIMEOUT)
+    };
+    let body = read_body(body, limits).or(expired).await?;
     let query = parts.uri.query().unwrap_or("");
     let query = form_urlencoded::parse(query.as_bytes());
     let headers = parts.headers.iter().filter_map(|(name, value)| {
         let value = value.to_str().ok()?;
         Some((name.as_str().to_owned(), value.to_owned()))
     });
-    Some(BufferedRequest {
+    Ok(BufferedRequest {
         method: parts.method.to_string(),
         path: parts.uri.path().to_owned(),
-        body: body.to_bytes().to_vec(),
+        body,
         query: query.into_owned().collect(),
         headers: headers.collect(),
     })
 }
 
+async fn read_body(mut body: Incoming, limits: &CallerLimits) -> Result<Vec<u8>, StatusCode> {
+    let mut bytes = Vec::new();
+    loop {
+        let next = async { Ok(body.frame().await) };
+        let stalled = async {
+            wait_timeout(limits.body_idle).await;
+            Err(StatusCode::REQUEST_TIMEOUT)
+        };
+        let Some(frame) = next.or(stalled).await? else {
+            return Ok(bytes);
+        };
+        let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
+        // Trailers are ignored.
+        let chunk = frame.into_data().unwrap_or_default();
+        bytes.extend_from_slice(&chunk);
+        if bytes.len() > limits.max_body_bytes {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+    }
+}
+
 fn lookup<'a>(pairs: &'a [(String, String)], name: &str) -> Option<&'a str> {
     let found = pairs.iter().find(|(key, _)| key == name);
     found.map(|(_, value)| value.as_str())
--- a/packages/turnford-node/src/node.rs
+++ b/packages/turnford-node/src/node.rs
@@ -13,7 +13,8 @@
 use async_net::TcpListener;
 use turnford_config::NodeSettings;
 use turnford_http::bind_listener;
-use turnford_http::serve_connection;
+use turnford_http::serve_caller;
+use turnford_http::CallerLimits;
 use turnford_http::DEFAULT_BODY_LIMIT;
 use turnford_policy::Clock;
 use turnford_policy::PoolSettings;
@@ -28,6 +29,14 @@
 /// Interval between checks for the end of running requests; also the pause after a failed `accept`.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Limits for callers.
+const CALLER_LIMITS: CallerLimits = CallerLimits {
+    max_body_bytes: DEFAULT_BODY_LIMIT,
+    body_idle: Duration::from_secs(5),
+    body_total: Duration::from_secs(30),
+    write_idle: Duration::from_secs(10),
+};
+
 /// Options outside the settings file, for baseline runs and tests.
 #[derive(Clone, Debug)]
 pub struct NodeOptions {
@@ -178,7 +187,7 @@
                 continue;
             };
             let state = state.clone();
-            let serve = serve_connection(stream, DEFAULT_BODY_LIMIT, move |request| {
+            let serve = serve_caller(stream, CALLER_LIMITS, move |request| {
                 handle_request(state.clone(), request)
             });
             connections.spawn(serve).detach();
