Bound the bytes that own connections read, not only what is kept

Cause: `hyper` reads on within one poll for as long as bytes are available and drops interim responses and the zeros of a chunk's length, so neither a size limit nor a timer ended an exchange with a peer that sends them fast; the thread with all its other requests stood still. A token stream had no end but its time: tokens beyond those asked for, and large ones, were taken. Change: `ReadAllowance` grants each step of an exchange its bytes on the wire; a step that needs more fails with `TooLarge` (a response) or waits for the body's limits (a caller). A stream ends at the tokens that were asked for and at 1 KiB for each.

--- a/packages/turnford-http/src/client.rs
+++ b/packages/turnford-http/src/client.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::task::Poll;
@@ -31,6 +32,8 @@
 use turnford_policy::SystemClock;
 
 use crate::open_stream;
+use crate::read_allowance::BoundedReader;
+use crate::read_allowance::ReadAllowance;
 use crate::read_chunks;
 use crate::wait_timeout;
 use crate::HttpError;
@@ -46,11 +49,14 @@
 /// Maximum length of a line in a streamed response, in bytes.
 const MAX_LINE_BYTES: usize = 64 * 1024;
 
+/// Maximum number of bytes received until the head of a response is complete, with all interim responses.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Size limit of a response to [`HttpClient::send_large`], in bytes.
 const LARGE_BODY_LIMIT: usize = 512 * 1024 * 1024;
 
 /// Future that performs the I/O of a connection.
-type ConnectionDriver = Connection<FuturesIo<TcpStream>, Full<Bytes>>;
+type ConnectionDriver = Connection<FuturesIo<BoundedReader<TcpStream>>, Full<Bytes>>;
 
 /// A connection that is driven by the task that waits for its response.
 struct DrivenConnection {
@@ -59,19 +65,23 @@
     /// Whether the driver has completed.
     is_done: bool,
     stream: TcpStream,
+    allowance: Arc<ReadAllowance>,
 }
 
 impl DrivenConnection {
     async fn open(to: SocketAddr) -> Result<Self, HttpError> {
         let stream = open_stream(to).await;
         let stream = stream.map_err(|_| HttpError::NotConnected)?;
-        let handshake = http1::handshake(FuturesIo::new(stream.clone())).await;
+        let allowance = Arc::new(ReadAllowance::default());
+        let reader = BoundedReader::new(stream.clone(), allowance.clone());
+        let handshake = http1::handshake(FuturesIo::new(reader)).await;
         let (sender, driver) = handshake.map_err(|_| HttpError::NotConnected)?;
         Ok(Self {
             sender,
             driver: Box::pin(driver),
             is_done: false,
             stream,
+            allowance,
         })
     }
 
@@ -91,8 +101,10 @@
             sender,
             driver,
             is_done,
+            allowance,
             ..
         } = self;
+        allowance.grant(MAX_HEAD_BYTES);
         let exchange = async {
             if sender.ready().await.is_err() {
                 return Err(HttpError::NotConnected);
@@ -103,26 +115,35 @@
                 None => HttpError::Disconnected,
             })
         };
-        drive(driver, is_done, exchange).await
+        drive(driver, is_done, allowance, exchange).await?
     }
 }
 
 /// Polls a step together with the driver of its connection until the step completes.
+///
+/// # Errors
+///
+/// Returns [`HttpError::TooLarge`] if the step needs more bytes than the connection may read.
 async fn drive<T>(
     driver: &mut Pin<Box<ConnectionDriver>>,
     is_done: &mut bool,
+    allowance: &ReadAllowance,
     step: impl Future<Output = T>,
-) -> T {
+) -> Result<T, HttpError> {
     let mut step = pin!(step);
     future::poll_fn(|context| {
         if let Poll::Ready(value) = step.as_mut().poll(context) {
-            return Poll::Ready(value);
+            return Poll::Ready(Ok(value));
         }
         if !*is_done {
             // The step reports connection errors.
             *is_done = driver.as_mut().poll(context).is_ready();
         }
-        step.as_mut().poll(context)
+        match step.as_mut().poll(context) {
+            Poll::Ready(value) => Poll::Ready(Ok(value)),
+            Poll::Pending if allowance.is_exceeded() => Poll::Ready(Err(HttpError::TooLarge)),
+            Poll::Pending => Poll::Pending,
+        }
     })
     .await
 }
@@ -226,6 +247,8 @@
         timeouts: &ResponseTimeouts,
     ) -> Result<BufferedResponse, HttpError> {
         let mut stream = self.open(to, request, timeouts.first_byte).await?;
+        let allowance = &stream.connection.allowance;
+        allowance.grant_body(LARGE_RESPONSE_LIMIT);
         let next = async || stream.next_chunk().await.transpose();
         let body = read_chunks(timeouts, LARGE_RESPONSE_LIMIT, next).await;
         let body = body.map_err(|error| match error {
@@ -349,8 +372,9 @@
     /// # Errors
     ///
     /// Returns [`HttpError::Disconnected`] if the connection fails, [`HttpError::TooLarge`] for a line
-    /// over the size limit.
+    /// over the size limit, with its framing.
     pub async fn next_line(&mut self) -> Result<Option<String>, HttpError> {
+        self.connection.allowance.grant_body(MAX_LINE_BYTES);
         loop {
             if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
                 let line = self.buffer.split_to(end + 1);
@@ -364,6 +388,7 @@
                 Ok(Some(chunk)) => self.buffer.extend_from_slice(&chunk),
                 Ok(None) if self.buffer.is_empty() => return Ok(None),
                 Ok(None) => return Err(HttpError::Truncated),
+                Err(HttpError::TooLarge) => return Err(HttpError::TooLarge),
                 Err(_) => return Err(HttpError::Disconnected),
             }
         }
@@ -380,6 +405,7 @@
     }
 
     async fn read_bounded(&mut self, max_bytes: usize) -> Result<Vec<u8>, HttpError> {
+        self.connection.allowance.grant_body(max_bytes);
         let mut body = std::mem::take(&mut self.buffer).to_vec();
         while let Some(chunk) = self.next_chunk().await? {
             body.extend_from_slice(&chunk);
@@ -394,8 +420,13 @@
         loop {
             let frame = self.body.frame();
             let connection = &mut self.connection;
-            let frame = drive(&mut connection.driver, &mut connection.is_done, frame).await;
-            match frame {
+            let DrivenConnection {
+                driver,
+                is_done,
+                allowance,
+                ..
+            } = connection;
+            match drive(driver, is_done, allowance, frame).await? {
                 None => return Ok(None),
                 // Trailers are ignored.
                 Some(Ok(frame)) => {
--- a/packages/turnford-http/src/lib.rs
+++ b/packages/turnford-http/src/lib.rs
@@ -10,6 +10,7 @@
 mod listen;
 mod message;
 mod pool;
+mod read_allowance;
 mod receive;
 mod reset;
 mod server;
--- a/packages/turnford-http/src/server.rs
+++ b/packages/turnford-http/src/server.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use async_net::TcpListener;
 use async_net::TcpStream;
@@ -22,6 +23,8 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::caller::BoundedWriter;
+use crate::read_allowance::BoundedReader;
+use crate::read_allowance::ReadAllowance;
 use crate::wait_timeout;
 use crate::CallerLimits;
 use crate::HttpBody;
@@ -113,8 +116,15 @@
     F: Fn(BufferedRequest) -> Fut,
     Fut: Future<Output = Option<HttpResponse>>,
 {
-    let service = service_fn(|request| respond(request, &limits, &handler));
+    let allowance = Arc::new(ReadAllowance::default());
+    allowance.grant(usize::MAX);
+    let service = service_fn(|request| {
+        // Before the response's future is polled, as `hyper` may read the body first.
+        allowance.grant_body(limits.max_body_bytes);
+        respond(request, &limits, &allowance, &handler)
+    });
     let stream = BoundedWriter::new(stream, limits.write_idle);
+    let stream = BoundedReader::new(stream, allowance.clone());
     let mut builder = http1::Builder::new();
     builder.auto_date_header(false);
     let served = builder.serve_connection(FuturesIo::new(stream), service);
@@ -126,13 +136,14 @@
 async fn respond<F, Fut>(
     request: Request<Incoming>,
     limits: &CallerLimits,
+    allowance: &ReadAllowance,
     handler: &F,
 ) -> io::Result<Response<HttpBody>>
 where
     F: Fn(BufferedRequest) -> Fut,
     Fut: Future<Output = Option<HttpResponse>>,
 {
-    let request = match read_request(request, limits).await {
+    let request = match read_request(request, limits, allowance).await {
         Ok(request) => request,
         Err(status) => {
             let mut refusal = HttpResponse::new(status);
@@ -166,6 +177,7 @@
 async fn read_request(
     request: Request<Incoming>,
     limits: &CallerLimits,
+    allowance: &ReadAllowance,
 ) -> Result<BufferedRequest, StatusCode> {
     let (parts, body) = request.into_parts();
     let expired = async {
@@ -173,6 +185,8 @@
         Err(StatusCode::REQUEST_TIMEOUT)
     };
     let body = read_body(body, limits).or(expired).await?;
+    // For the next request, whose head is bounded by the size of the buffer.
+    allowance.grant(usize::MAX);
     let query = parts.uri.query().unwrap_or("");
     let query = form_urlencoded::parse(query.as_bytes());
     let headers = parts.headers.iter().filter_map(|(name, value)| {
--- a/packages/turnford-http/tests/silent_callers.rs
+++ b/packages/turnford-http/tests/silent_callers.rs
@@ -176,3 +176,18 @@
     }
     assert!(length >= LARGE_LENGTH, "{length}");
 }
+
+/// A chunk's length without end is read and dropped, so no size limit applies to it.
+#[test]
+fn endless_chunk() {
+    let (mut client, events) = serve(accepted);
+    let mut reader = client.try_clone().expect("cloned");
+    let started_at = Instant::now();
+    let head = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n";
+    client.write_all(head).expect("sent");
+    std::thread::spawn(move || while client.write_all(&[b'0'; 65536]).is_ok() {});
+    let status = read_status(&mut reader);
+    assert!(status.contains("408"), "{status}");
+    assert!(started_at.elapsed() < LIMITS.body_idle + MARGIN);
+    assert_eq!(events.recv(), Ok("end"), "the request was not handled");
+}
--- a/packages/turnford-target/src/engine.rs
+++ b/packages/turnford-target/src/engine.rs
@@ -19,6 +19,10 @@
 use crate::TargetClient;
 use crate::TargetError;
 
+/// Maximum number of bytes of a stream's lines for each token that was asked for, and of its last line.
+const MAX_TOKEN_BYTES: usize = 1024;
+const MAX_END_BYTES: usize = 64 * 1024;
+
 /// A line of a token stream.
 #[derive(Deserialize)]
 struct StreamLine {
@@ -52,6 +56,9 @@
     stream: Option<HttpStream<'a>>,
     attempt: AttemptId,
     next_index: u32,
+    max_tokens: u32,
+    /// Bytes of further lines that are read.
+    remaining_bytes: usize,
     /// Time since the start of the call.
     clock: SystemClock,
     timeout: Duration,
@@ -84,6 +91,8 @@
             stream: Some(stream),
             attempt: call.attempt,
             next_index: call.resume_from,
+            max_tokens: call.max_tokens,
+            remaining_bytes: call.max_tokens as usize * MAX_TOKEN_BYTES + MAX_END_BYTES,
             clock,
             timeout: call.limit,
         })
@@ -96,13 +105,15 @@
     /// # Errors
     ///
     /// Returns [`TargetError::AttemptMismatch`] for a line of another attempt, [`TargetError::Malformed`] for
-    /// a malformed line or a token out of order, and [`TargetError::Disconnected`] or
+    /// a malformed line, a token out of order or more than the call asked for, and [`TargetError::Disconnected`] or
     /// [`TargetError::Timeout`] if the stream stops before its end.
     pub async fn next(&mut self) -> Result<StreamStep, TargetError> {
         let stream = self.stream.as_mut().ok_or(TargetError::Disconnected)?;
         let remaining = self.timeout.saturating_sub(self.clock.now());
         let line = within(remaining, stream.next_line()).await?;
         let line = line.ok_or(TargetError::Disconnected)?;
+        let remaining = self.remaining_bytes.checked_sub(line.len());
+        self.remaining_bytes = remaining.ok_or(TargetError::Malformed)?;
         let parsed: Result<StreamLine, _> = serde_json::from_str(&line);
         let line = parsed.map_err(|_| TargetError::Malformed)?;
         if line.attempt.parse() != Ok(self.attempt) {
@@ -115,7 +126,7 @@
                 cached: line.cached,
             });
         }
-        if line.index != self.next_index {
+        if line.index != self.next_index || line.index >= self.max_tokens {
             return Err(TargetError::Malformed);
         }
         self.next_index += 1;
