Tell other nodes of targets that repeat responses

Cause: A node learned that a target repeats responses only from a response of its own that was lost to one. A request that may not be repeated was lost at each node for each such target, and again every 30 s.

Change: An observation goes to six nodes, which pass on what is new to them (`WorkRequest::Repeats`, last in the enum; a node of an older build refuses the message, which costs it no work). Requests that may be repeated still use kept connections; what they observe extends the memory of all nodes. New gauge `repeating_targets`.

--- a/packages/turnford-serve/src/attribution.rs
+++ b/packages/turnford-serve/src/attribution.rs
@@ -2,6 +2,7 @@
 //! call where the response to the next one is due.
 
 use std::fmt;
+use std::rc::Rc;
 
 use http::response::Parts;
 
@@ -11,6 +12,7 @@
 
 use crate::call_error::CallError;
 use crate::metrics::ServiceEvent;
+use crate::repeats::process_repeat;
 use crate::traffic::Traffic;
 
 /// Checks that a response belongs to a call of `attempt`, `None` for a call without one. Must succeed
@@ -20,7 +22,7 @@
 ///
 /// Returns [`CallError::OtherResponse`] for a response to another call.
 pub(crate) fn check_attribution(
-    traffic: &Traffic,
+    traffic: &Rc<Traffic>,
     target: &TargetSpec,
     parts: &Parts,
     attempt: Option<&str>,
@@ -38,7 +40,6 @@
     );
     let metrics = &traffic.shared.metrics;
     metrics.record_service_event(&target.service, ServiceEvent::AttemptMismatch);
-    let now = traffic.shared.now();
-    traffic.repeats.borrow_mut().record_repeat(now, &target.id);
+    process_repeat(traffic, target);
     Err(CallError::OtherResponse)
 }
--- a/packages/turnford-serve/src/fanout.rs
+++ b/packages/turnford-serve/src/fanout.rs
@@ -12,7 +12,7 @@
 
 /// Number of nodes that a node notifies of an update; a few rounds reach nearly all of a large
 /// fleet.
-const UPDATE_FANOUT: usize = 6;
+pub(crate) const UPDATE_FANOUT: usize = 6;
 
 /// Timeout for another node's reply.
 pub(crate) const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -48,6 +48,7 @@
 mod relay;
 mod relay_handler;
 mod release;
+mod repeats;
 mod request;
 mod results;
 mod resume;
--- a/packages/turnford-serve/src/limit_sync.rs
+++ b/packages/turnford-serve/src/limit_sync.rs
@@ -18,6 +18,7 @@
 use crate::leaving::probe_health;
 use crate::limit_updates::apply_limits;
 use crate::limit_updates::known_limits;
+use crate::repeats;
 use crate::service_context::ServiceContext;
 use crate::traffic::Traffic;
 
@@ -40,6 +41,7 @@
         }
         update_gauges(&traffic);
         brittle::update_metrics(&traffic);
+        repeats::update_metrics(&traffic);
         sync_limits(&traffic);
     }
 }
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -151,6 +151,8 @@
     pub(crate) isolated: Gauge<u64, AtomicU64>,
     /// Services whose targets fail when they reject too many requests.
     pub(crate) brittle_services: Gauge<u64, AtomicU64>,
+    /// Targets that are expected to repeat responses.
+    pub(crate) repeating_targets: Gauge<u64, AtomicU64>,
     pub(crate) log_drops: Gauge<u64, AtomicU64>,
     /// Open connections of clients.
     pub(crate) client_connections: Gauge<u64, AtomicU64>,
@@ -187,6 +189,7 @@
             lost_targets: Gauge::default(),
             isolated: Gauge::default(),
             brittle_services: Gauge::default(),
+            repeating_targets: Gauge::default(),
             log_drops: Gauge::default(),
             client_connections: Gauge::default(),
             accepted_connections: Counter::default(),
@@ -287,6 +290,11 @@
             "Services whose targets fall over when they reject too much",
             self.brittle_services.clone(),
         );
+        registry.register(
+            "repeating_targets",
+            "Targets that were lately observed to repeat responses",
+            self.repeating_targets.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines that the full queue dropped",
--- a/packages/turnford-serve/src/process_check.rs
+++ b/packages/turnford-serve/src/process_check.rs
@@ -82,7 +82,7 @@
 
 /// Returns the start of the process behind a connection, `None` if the target does not report it.
 async fn read_process_start(
-    traffic: &Traffic,
+    traffic: &Rc<Traffic>,
     opened: &mut TargetConnection,
     target: &TargetSpec,
 ) -> Result<Option<ProcessStart>, CallError> {
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -48,7 +48,7 @@
     pub(crate) pool: RefCell<ConnectionPool>,
     /// Links of this node to targets.
     pub(crate) links: RefCell<LinkTable>,
-    /// Targets that repeated a response to this node.
+    /// Targets that repeat responses.
     pub(crate) repeats: RefCell<RepeatTable>,
     /// Admission of clients' connections.
     pub(crate) gate: RefCell<ConnectionGate>,
@@ -151,6 +151,9 @@
         let mut links = self.links.borrow_mut();
         links.retain_listed(|id| view.targets.contains_key(id));
         drop(links);
+        let mut repeats = self.repeats.borrow_mut();
+        repeats.retain_listed(|id| view.targets.contains_key(id));
+        drop(repeats);
         for (service, context) in services.iter() {
             let window = stream_window(view, service);
             let was_sole = context.has_sole_version(self.shared.now(), window);
--- a/packages/turnford-serve/src/work.rs
+++ b/packages/turnford-serve/src/work.rs
@@ -32,6 +32,7 @@
 use crate::placer::answer_place;
 use crate::progress::answer_progress;
 use crate::relay_handler::answer_relay;
+use crate::repeats::answer_repeats;
 use crate::resume::answer_query;
 use crate::traffic::Traffic;
 
@@ -111,6 +112,7 @@
         }
         WorkRequest::StreamQuery { key, services } => answer_query(traffic, key, &services),
         WorkRequest::Brittle(updates) => answer_brittle(traffic, updates),
+        WorkRequest::Repeats(updates) => answer_repeats(traffic, &updates),
         WorkRequest::Leaving(updates) => answer_leaving(traffic, updates),
         WorkRequest::Backoff(updates) => answer_backoff(traffic, &updates),
         WorkRequest::Progress { service, updates } => {
--- a/packages/turnford-serve/tests/repeated_responses.rs
+++ b/packages/turnford-serve/tests/repeated_responses.rs
@@ -153,6 +153,49 @@
     assert!(site.metrics(node).contains(mismatch));
 }
 
+/// Sends requests that may not be repeated to all nodes in turn. Returns how many were lost.
+fn count_lost(site: &RouteSite, row: &str, rounds: usize) -> usize {
+    let mut lost = 0;
+    for number in 0..rounds * site.nodes.len() {
+        let attempt = format!("{row}{number}-hold");
+        let call = ClientRequest::new(&attempt, "/hold/");
+        let response = site.call(number % site.nodes.len(), call);
+        if response.expect("a response").status != 200 {
+            lost += 1;
+            wait_known(site, lost);
+        }
+    }
+    lost
+}
+
+/// Waits until all nodes expect that many targets to repeat responses.
+fn wait_known(site: &RouteSite, targets: usize) {
+    let line = format!("turnford_repeating_targets {targets}\n");
+    wait_until("all nodes know of the targets", || {
+        let mut nodes = 0..site.nodes.len();
+        nodes.all(|node| site.metrics(node).contains(&line))
+    });
+}
+
+#[test]
+fn lost_once() {
+    // One node's observation of a target spares the others theirs.
+    let mut site = RouteSite::new();
+    let targets: Vec<RouteTarget> = (0..2)
+        .map(|number| site.target(&format!("b{number}"), "booking", QUICK))
+        .collect();
+    for number in 0..6 {
+        site.node(&format!("n{number}"));
+    }
+    site.settle();
+    assert_eq!(count_lost(&site, "before-", 4), 0);
+    for target in &targets {
+        target.repeat_responses(1);
+    }
+    let lost = count_lost(&site, "", 10);
+    assert!(lost <= targets.len(), "{lost} lost");
+}
+
 #[test]
 fn safe_served() {
     // A request that may run twice is sent again.
--- a/packages/turnford-wire/src/lib.rs
+++ b/packages/turnford-wire/src/lib.rs
@@ -50,6 +50,7 @@
 pub use route::ReachState;
 pub use route::RelayReply;
 pub use route::RelayRequest;
+pub use route::RepeatUpdate;
 pub use route::RunUpdate;
 pub use route::TargetEntry;
 pub use route::ViewCursor;
--- a/packages/turnford-wire/src/route.rs
+++ b/packages/turnford-wire/src/route.rs
@@ -455,6 +455,8 @@
     },
     /// Asks whether the node has processor time left.
     LoadQuery,
+    /// Targets that were observed to repeat responses.
+    Repeats(Vec<RepeatUpdate>),
 }
 
 /// A call to a target that the receiver sends for the sender.
@@ -491,6 +493,15 @@
     pub age_ms: u32,
 }
 
+/// A target that repeats responses on kept connections.
+#[derive(Clone, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct RepeatUpdate {
+    /// Id of the target.
+    pub target: String,
+    /// Time since the last repeated response, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Whether a node reaches a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
 pub enum ReachState {
