End crash updates that full tables pass on without end

Cause: A node passes on a crash update that is new to it, and took for new what it had evicted, even what it evicted at once for being the least relevant. Between nodes whose tables are full of more relevant suspects, and between nodes that keep other six crashes of one suspect of which more are known, each update went round for good, six messages for each one that arrived.

--- a/packages/turnford-fleet/src/crash.rs
+++ b/packages/turnford-fleet/src/crash.rs
@@ -24,6 +24,7 @@
 use crate::crash_update::CrashUpdate;
 use crate::crash_update::TargetProcess;
 use crate::crash_verdict::REFUSAL_SCORE;
+use crate::update_memory::UpdateMemory;
 use crate::Moment;
 
 /// Time after its last crash for which a request is remembered. Longer than the longest refusal.
@@ -46,6 +47,7 @@
     pub(crate) entries: BTreeMap<RequestDigest, CrashEntry>,
     /// Target processes that crashed during a trial, with the request on trial.
     pub(crate) trial_crashes: HashMap<TargetProcess, RequestDigest>,
+    seen: UpdateMemory,
 }
 
 impl CrashTable {
@@ -59,7 +61,8 @@
         self.entries.is_empty()
     }
 
-    /// Applies an update. Returns false if it was already known or is no longer relevant.
+    /// Applies an update. Returns false if it was already known, also if it has been evicted since, or is not
+    /// relevant enough to be kept.
     pub fn apply(&mut self, now: Moment, update: &CrashUpdate) -> bool {
         let digest = RequestDigest(update.digest);
         let occurred_at = now.saturating_sub(Duration::from_millis(u64::from(update.age_ms)));
@@ -86,6 +89,7 @@
         if now.saturating_sub(crash.crashed_at) >= RETENTION {
             return false;
         }
+        let is_new = self.seen.insert(&digest, &crash);
         let entry = self.entries.entry(digest).or_default();
         crash.is_cleared |= entry
             .succeeded_at
@@ -105,7 +109,7 @@
         }
         entry.crashes.push(crash);
         self.evict(now);
-        true
+        is_new && self.entries.contains_key(&digest)
     }
 
     /// Records that a request succeeded, which clears all of its earlier crashes. Returns true if it
--- a/packages/turnford-fleet/src/lib.rs
+++ b/packages/turnford-fleet/src/lib.rs
@@ -35,6 +35,7 @@
 mod stream_table;
 mod success_memory;
 mod trial;
+mod update_memory;
 mod watcher;
 
 pub use allocator_election::AllocationRole;
