Measure what stalled responses of streams and unsafe requests cost

Cause: What a silent response costs was measured for requests that may be repeated only. Streams and requests that may not be repeated are waited for until their deadline.

--- a/packages/turnford-serve/tests/stalled_responses.rs
+++ b/packages/turnford-serve/tests/stalled_responses.rs
@@ -17,6 +17,8 @@
 use common::ENGINE;
 use common::QUICK;
 use common::SHORT_TIMEOUT;
+use common::STAGE;
+use common::STAGED;
 use turnford_standin::LinkCut;
 use turnford_standin::RawEnd;
 use turnford_standin::RawResponse;
@@ -215,6 +217,105 @@
     });
 }
 
+/// Ends of calls to targets of which one response in twelve stalls.
+#[derive(Debug, Default)]
+struct StallCosts {
+    served: AtomicUsize,
+    /// Calls that ended more than a second after they were sent, far above the time of those that are served.
+    waited: AtomicUsize,
+    late: AtomicUsize,
+}
+
+/// Sends requests to a route from concurrent clients while one response in twelve stalls. Returns what
+/// became of them, and the number of stalled responses.
+fn count_stalled(
+    path: &str,
+    headers: &[(&str, &str)],
+    point: StallPoint,
+    requests: usize,
+) -> (StallCosts, usize) {
+    let mut site = RouteSite::new();
+    let services = [
+        ("booking", QUICK),
+        ("sprog", ENGINE),
+        ("kort", STAGE),
+        ("ejer", STAGE),
+    ];
+    let mut stalled = Vec::new();
+    for (service, role) in services {
+        for number in 0..8 {
+            let target = site.target(&format!("{service}{number}"), service, role.clone());
+            if matches!(service, "booking" | "sprog") {
+                stalled.push(target);
+            }
+        }
+    }
+    let node = site.node("one");
+    for target in &stalled {
+        target.stall_responses(12, point);
+    }
+    let costs = StallCosts::default();
+    std::thread::scope(|scope| {
+        for client in 0..8 {
+            let (site, costs) = (&site, &costs);
+            scope.spawn(move || {
+                for number in 0..requests / 8 {
+                    let attempt = format!("{client}-{number}");
+                    let started_at = Instant::now();
+                    let request = ClientRequest {
+                        headers,
+                        ..ClientRequest::new(&attempt, path)
+                    };
+                    let status = site
+                        .call(node, request)
+                        .map_or(0, |response| response.status);
+                    let elapsed = started_at.elapsed();
+                    let is_late = elapsed > SHORT_TIMEOUT + TIMEOUT_MARGIN;
+                    let is_waited = elapsed > Duration::from_secs(1);
+                    costs
+                        .served
+                        .fetch_add(usize::from(status == 200), Ordering::SeqCst);
+                    costs
+                        .waited
+                        .fetch_add(usize::from(is_waited), Ordering::SeqCst);
+                    costs.late.fetch_add(usize::from(is_late), Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    let stalls = stalled.iter().map(RouteTarget::stall_count).sum();
+    (costs, stalls)
+}
+
+/// Checks that a response that stalls costs its own request, and no other one.
+fn check_silent(path: &str, headers: &[(&str, &str)]) {
+    const REQUESTS: usize = 120;
+    for point in POINTS {
+        let (costs, stalls) = count_stalled(path, headers, point, REQUESTS);
+        let row = format!("{path} {point:?}: {costs:?} of {REQUESTS}, {stalls} stalled");
+        println!("{row}");
+        assert!(stalls > 0, "{row}");
+        assert_eq!(costs.late.into_inner(), 0, "{row}");
+        assert!(costs.served.into_inner() + stalls >= REQUESTS, "{row}");
+    }
+}
+
+#[test]
+fn silent_unsafe() {
+    check_silent("/hold-soon/", &[]);
+}
+
+#[test]
+fn silent_streams() {
+    check_silent("/draft-soon/", &[]);
+}
+
+#[test]
+fn silent_resumable() {
+    let headers = [STAGED, &[("x-turnford-deadline-ms", "1500")]].concat();
+    check_silent("/chat/", &headers);
+}
+
 #[test]
 fn lone_target() {
     // A slow response is waited for where no other target is left.
