--- a/packages/turnford-http/src/server.rs
+++ b/packages/turnford-http/src/server.rs
@@ -68,7 +68,10 @@
 ///
 /// Returns the I/O error, for example if the address is in use.
 pub fn bind_listener(address: SocketAddr) -> io::Result<TcpListener> {
-    let listener = std::net::TcpListener::bind(address)?;
+    let listener = std::net::TcpListener::bind(address).map_err(|error| {
+        let text = format!("{address} can't be bound: {error}");
+        io::Error::new(error.kind(), text)
+    })?;
     listener.set_nonblocking(true)?;
     TcpListener::try_from(listener)
 }
--- a/packages/turnford-serve/tests/common/mod.rs
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -107,15 +107,20 @@
     /// Starts a node in a hall of its own that finds the others only through the store, and waits
     /// until it accepts requests.
     pub(crate) fn node_in_hall(&mut self, name: &str, hall: &str) -> usize {
+        let number = self.node_unready_in(name, hall);
+        self.wait_ready(number);
+        number
+    }
+
+    /// Starts such a node without waiting until it is ready.
+    pub(crate) fn node_unready_in(&mut self, name: &str, hall: &str) -> usize {
         let (endpoint, store) = self
             .store
             .open_endpoint(&self.executor)
             .expect("a free port");
         let mut settings = settings(name, store, Vec::new());
         settings.hall = Arc::from(hall);
-        let number = self.start_node(settings, endpoint);
-        self.wait_ready(number);
-        number
+        self.start_node(settings, endpoint)
     }
 
     /// Starts a node that reaches each target through a proxy of its own, and returns the proxies.
