Don't pull a whole view again that is of no use

Cause: A node that pulls the view of another one in place of the store remembered how far it is only if it applied the answer. A peer that was behind (both had lost the store) was asked for all targets again, five times a second. A configuration that the node can't decode, as between builds, counted as valid: the peer sent it again at once, and the node asked again at once, without any delay.

Change: What a peer that is behind has sent is remembered as not applied: the next pull waits for a change after it, and once the peer has caught up its whole view is asked for once. An undecodable configuration is an error of `apply_spec`; after it a node waits 200 ms as after a view that is behind, and its configuration still has to be read from the store.

--- a/packages/turnford-serve/src/control/config.rs
+++ b/packages/turnford-serve/src/control/config.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 
 use turnford_adapter::decode_config;
+use turnford_adapter::DecodeError;
 use turnford_adapter::StoreObject;
 use turnford_adapter::CONFIG_KIND;
 use turnford_adapter::CONFIG_NAME;
@@ -72,30 +73,29 @@
         return;
     }
     let copy = || ConfigCopy::Parsed(object.spec.clone());
-    if apply_spec(context, &object.spec, "store", copy) {
+    if matches!(apply_spec(context, &object.spec, "store", copy), Ok(true)) {
         context.signal_update();
     }
 }
 
 /// Puts a configuration into force if its version is newer, and keeps the copy returned by `copy`
 /// for other nodes. Returns whether it was put into force.
+///
+/// # Errors
+///
+/// Returns the error of a configuration that can't be decoded.
 pub(super) fn apply_spec(
     context: &ControlContext,
     spec: &Value,
     source: &str,
     copy: impl FnOnce() -> ConfigCopy,
-) -> bool {
-    let config = match decode_config(spec) {
-        Ok(config) => config,
-        Err(error) => {
-            log::error!("configuration from={source} refused: {error}");
-            return false;
-        }
-    };
+) -> Result<bool, DecodeError> {
+    let config = decode_config(spec)
+        .inspect_err(|error| log::error!("configuration from={source} refused: {error}"))?;
     let shared = &context.shared;
     let old = shared.view.load().config.version;
     if config.version <= old {
-        return false;
+        return Ok(false);
     }
     log::info!(
         "configuration in force: version={} before={old} from={source} routes={} services={}",
@@ -113,5 +113,5 @@
         ..view.clone()
     });
     context.view_changed.notify(usize::MAX);
-    true
+    Ok(true)
 }
--- a/packages/turnford-serve/src/control/context.rs
+++ b/packages/turnford-serve/src/control/context.rs
@@ -81,6 +81,14 @@
     }
 }
 
+/// Position in a peer's log of target changes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PeerCursor {
+    pub(super) cursor: ViewCursor,
+    /// Whether the changes up to it were applied. A peer that was behind this node only has to be asked for later ones.
+    pub(super) is_applied: bool,
+}
+
 /// State of the control thread.
 pub(super) struct ControlContext {
     pub(super) executor: Rc<LocalExecutor<'static>>,
@@ -99,7 +107,7 @@
     /// Peers that are not followed, and the time until which they are avoided.
     pub(super) avoided: RefCell<HashMap<SocketAddr, Moment>>,
     /// Cursor of the last update from each peer.
-    pub(super) cursors: RefCell<HashMap<SocketAddr, ViewCursor>>,
+    pub(super) cursors: RefCell<HashMap<SocketAddr, PeerCursor>>,
     /// Time until which the store is followed directly after a watcher failed.
     pub(super) direct_until: Cell<Moment>,
     /// Notified when this node's view changes.
--- a/packages/turnford-serve/src/control/source.rs
+++ b/packages/turnford-serve/src/control/source.rs
@@ -47,9 +47,9 @@
 /// Interval for polling whether there is a watcher to follow.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Delay before a watcher with an older view than this node's is pulled from again: its own watch
+/// Delay before a watcher is pulled from again whose view is older than this node's, or can't be read: its own watch
 /// ends soon.
-const BEHIND_DELAY: Duration = Duration::from_millis(200);
+const USELESS_DELAY: Duration = Duration::from_millis(200);
 
 /// Time after the start of a process during which it assumes that other nodes depend on it, because
 /// it does not know them yet.
@@ -105,8 +105,8 @@
             if view.age <= MAX_VIEW_AGE {
                 record_store_reachable(context);
             }
-            if view.is_behind {
-                Timer::after(BEHIND_DELAY).await;
+            if view.is_useless {
+                Timer::after(USELESS_DELAY).await;
             }
             return;
         }
--- a/packages/turnford-serve/src/control/view.rs
+++ b/packages/turnford-serve/src/control/view.rs
@@ -24,6 +24,7 @@
 use super::config::apply_spec;
 use super::config::ConfigCopy;
 use super::context::ControlContext;
+use super::context::PeerCursor;
 use super::targets::publish;
 
 /// Timeout for the start of a peer's response, in addition to the requested wait.
@@ -42,8 +43,8 @@
 pub(super) struct PulledView {
     /// Time since the store confirmed that the peer's view is complete.
     pub(super) age: Duration,
-    /// Whether the peer knows less of the targets than this node.
-    pub(super) is_behind: bool,
+    /// Whether the peer knows less of the targets than this node, or has a configuration that this node can't read.
+    pub(super) is_useless: bool,
 }
 
 /// Pulls the view of another node at start, so that a starting node does not put an older copy held
@@ -77,15 +78,34 @@
     peer: SocketAddr,
     wait: Duration,
 ) -> Result<PulledView, PeerError> {
+    let known = context.cursors.borrow().get(&peer).copied();
+    let started_at = context.now();
+    let cursor = known.map(|known| known.cursor);
+    let (update, versions) = request_view(context, peer, cursor, wait).await?;
+    let is_skipped = known.is_some_and(|known| !known.is_applied);
+    if !is_skipped || update.target_position < context.targets.borrow().position() {
+        return Ok(apply_view(context, peer, started_at, update, versions));
+    }
+    // The peer is no longer behind, and what it had before the cursor is not known here.
+    context.cursors.borrow_mut().remove(&peer);
+    let started_at = context.now();
+    let (update, versions) = request_view(context, peer, None, Duration::ZERO).await?;
+    Ok(apply_view(context, peer, started_at, update, versions))
+}
+
+async fn request_view(
+    context: &ControlContext,
+    peer: SocketAddr,
+    cursor: Option<ViewCursor>,
+    wait: Duration,
+) -> Result<(ViewUpdate, Vec<Option<String>>), PeerError> {
     let config = context.shared.view.load().config.version;
-    let cursor = context.cursors.borrow().get(&peer).copied();
     let wait_ms = to_millis(wait);
     let request = ControlRequest::VersionedViewPull {
         config,
         cursor,
         wait_ms,
     };
-    let started_at = context.now();
     let reply = match call_pull(context, peer, &request, wait).await? {
         // A node of an older build, or one that is stopping.
         ControlReply::Refused => {
@@ -98,12 +118,11 @@
         }
         reply => reply,
     };
-    let (update, versions) = match reply {
-        ControlReply::VersionedView { view, versions } => (view, versions),
-        ControlReply::View(view) => (view, Vec::new()),
-        _ => return Err(PeerError::Disconnected),
-    };
-    Ok(apply_view(context, peer, started_at, update, versions))
+    match reply {
+        ControlReply::VersionedView { view, versions } => Ok((view, versions)),
+        ControlReply::View(view) => Ok((view, Vec::new())),
+        _ => Err(PeerError::Disconnected),
+    }
 }
 
 async fn call_pull(
@@ -147,8 +166,8 @@
         .targets
         .borrow_mut()
         .apply_update(now, position, update);
+    record_cursor(context, peer, cursor, !is_behind);
     if !is_behind {
-        context.cursors.borrow_mut().insert(peer, cursor);
         context.target_state.position.set(Some(position));
         publish(context);
     }
@@ -158,7 +177,20 @@
         let before = state.confirmed_at.get();
         state.confirmed_at.set(confirmed.max(before));
     }
-    PulledView { age, is_behind }
+    PulledView {
+        age,
+        is_useless: is_behind || !is_valid,
+    }
+}
+
+/// Records up to which change a peer's response is known. The next pull waits for a change after it, also if this
+/// one was not applied.
+fn record_cursor(context: &ControlContext, peer: SocketAddr, cursor: ViewCursor, is_applied: bool) {
+    let mut cursors = context.cursors.borrow_mut();
+    let known = cursors.get(&peer);
+    let is_known = known.is_some_and(|known| known.is_applied && known.cursor == cursor);
+    let is_applied = is_applied || is_known;
+    cursors.insert(peer, PeerCursor { cursor, is_applied });
 }
 
 /// Puts a peer's configuration into force if it is newer. Returns `false` if it is malformed.
@@ -176,8 +208,7 @@
     };
     let source = format!("peer {peer} packed={}", compressed.size());
     let copy = || ConfigCopy::Compressed(compressed.clone());
-    apply_spec(context, &spec, &source, copy);
-    true
+    apply_spec(context, &spec, &source, copy).is_ok()
 }
 
 /// Answers a view pull, immediately if there is something new.
