End announcements of brittle targets that nodes pass on without end

Cause: A node passes on an announcement that is newer than the one it knows, with its age at that moment. The time that a message takes is not in that age, so that each hop makes the announcement look later. Once some messages take longer than the second for which a node sends no other one, as over full links, each round of messages starts the next one, and all nodes count the service as brittle for as long as that lasts.

--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -75,6 +75,7 @@
 pub use route::BatchPlan;
 pub use route::BatchScheduler;
 pub use route::BatchSpec;
+pub use route::BrittleSignal;
 pub use route::CallAttributes;
 pub use route::CallKind;
 pub use route::CallPath;
--- a/packages/turnford-policy/src/route.rs
+++ b/packages/turnford-policy/src/route.rs
@@ -6,6 +6,7 @@
 mod affinity;
 mod allowance;
 mod batch;
+mod brittle_signal;
 mod call;
 mod capacity;
 mod cell;
@@ -38,6 +39,7 @@
 pub use allowance::RetryAllowance;
 pub use batch::BatchScheduler;
 pub use batch::RANK_COUNT;
+pub use brittle_signal::BrittleSignal;
 pub use call::CallAttributes;
 pub use call::PromptSegment;
 pub use cell::cell_of_hall;
--- a/packages/turnford-serve/src/limit_placement.rs
+++ b/packages/turnford-serve/src/limit_placement.rs
@@ -60,7 +60,7 @@
     queued: &QueuedRequest,
 ) -> LimitedPlacement {
     let now = traffic.shared.now();
-    if !context.brittleness.is_brittle(now) {
+    if !context.brittleness.get().is_brittle(now) {
         return place_limited(traffic, context, request, queued);
     }
     let untried = {
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -184,7 +184,7 @@
     let keys = record.crash_keys();
     let now = traffic.shared.now();
     let is_clear = traffic.crashes.suspect(now, &keys).is_none();
-    let is_brittle = context.brittleness.is_brittle(now);
+    let is_brittle = context.brittleness.get().is_brittle(now);
     if is_clear && !is_brittle && context.spec.borrow().engine.is_none() {
         if let Ok(target) = choose_limited(traffic, context, &placement.tried).await {
             return target.map_or(PlacementAttempt::NoTarget, |target| {
--- a/packages/turnford-serve/src/plain_choice.rs
+++ b/packages/turnford-serve/src/plain_choice.rs
@@ -23,7 +23,7 @@
     let node_count = traffic.shared.view.load().share_count();
     let limit = context.spec.borrow().connection_limit as f64 / node_count;
     let now = traffic.shared.now();
-    let is_brittle = context.brittleness.is_brittle(now);
+    let is_brittle = context.brittleness.get().is_brittle(now);
     let table = context.targets.borrow();
     let cost = |target: &TargetSpec, load: f64| {
         let is_local = target.hall == *own_hall;
--- a/packages/turnford-serve/src/progress.rs
+++ b/packages/turnford-serve/src/progress.rs
@@ -119,7 +119,7 @@
 async fn send_progress(traffic: Rc<Traffic>, key: (SocketAddr, ServiceId)) {
     let context = traffic.service(&key.1);
     let now = traffic.shared.now();
-    let is_brittle = context.is_some_and(|context| context.brittleness.is_brittle(now));
+    let is_brittle = context.is_some_and(|context| context.brittleness.get().is_brittle(now));
     // Requests wait for the room of brittle targets.
     let delay = if is_brittle {
         URGENT_FLUSH_DELAY
--- a/packages/turnford-serve/src/service_context.rs
+++ b/packages/turnford-serve/src/service_context.rs
@@ -12,6 +12,7 @@
 use turnford_fleet::TrialId;
 use turnford_fleet::TrialTable;
 use turnford_policy::split_cells;
+use turnford_policy::BrittleSignal;
 use turnford_policy::EngineScheduler;
 use turnford_policy::FlowController;
 use turnford_policy::LatencyModel;
@@ -27,7 +28,6 @@
 use turnford_policy::VersionHistory;
 use turnford_policy::RANK_COUNT;
 
-use crate::brittle::BrittleState;
 use crate::call_error::CallError;
 use crate::call_purpose::CallPurpose;
 use crate::limits::ServiceLimits;
@@ -68,7 +68,7 @@
     /// Requests that wait until a target accepts calls.
     pub(crate) wait_queue: Rc<WaitQueue>,
     /// Announcements that the targets are brittle.
-    pub(crate) brittleness: BrittleState,
+    pub(crate) brittleness: Cell<BrittleSignal>,
     /// Room of brittle targets, as this node allocates it while it places requests for all nodes.
     pub(crate) rooms: RefCell<RoomAllocator>,
     /// Queues of the cells, if the service runs pieces of stages.
@@ -107,7 +107,7 @@
             versions: RefCell::new(versions),
             version_window: Cell::new(Duration::ZERO),
             wait_queue: Rc::default(),
-            brittleness: BrittleState::default(),
+            brittleness: Cell::default(),
             rooms: RefCell::default(),
             cells: RefCell::default(),
             waits: RefCell::default(),
