Let nobody but the holder of a term place at brittle targets

Cause: a node that had no reply from the placer within 120 ms placed the request by itself, and used the next node in rank as the placer for 3 s while the late one went on; each filled the whole room. Assignments in late replies counted until after the deadline.

Change: while targets are brittle, the placer holds the term of the allocator of limits; a successor first checks the last holder, and begins with one request for each target. A request that no placer answers is refused after half a second. Places assigned in late replies are given back, also those of other services.

--- a/packages/turnford-fleet/src/room_allocator.rs
+++ b/packages/turnford-fleet/src/room_allocator.rs
@@ -107,6 +107,8 @@
     /// Moving average of the durations of runs.
     duration: Duration,
     last_request_at: Moment,
+    /// Number of the term in which it allocates.
+    term: u64,
 }
 
 impl Default for RoomAllocator {
@@ -117,11 +119,20 @@
             runs: HashMap::new(),
             duration: INITIAL_DURATION,
             last_request_at: Moment::ZERO,
+            term: 0,
         }
     }
 }
 
 impl RoomAllocator {
+    /// Begins a term, unless it has begun. Other nodes may have allocated since the last one.
+    pub fn begin_term(&mut self, number: u64) {
+        if self.term != number {
+            self.term = number;
+            self.reset_rooms();
+        }
+    }
+
     /// Decides whether a request may go to one of these targets now. If so, the caller sends it to
     /// one of [`RoomAllocator::free_targets`] and calls [`RoomAllocator::start`].
     pub fn request(
--- a/packages/turnford-fleet/tests/room_allocation.rs
+++ b/packages/turnford-fleet/tests/room_allocation.rs
@@ -124,6 +124,33 @@
     );
 }
 
+#[test]
+fn new_term() {
+    // Another node has allocated in the meantime, so what targets accept is unknown again.
+    let targets = &targets(4)[..1];
+    let mut allocator = RoomAllocator::default();
+    allocator.begin_term(1);
+    for number in 0..4 {
+        let now = at(100 * number);
+        assert!(send(&mut allocator, now, number, targets).is_some());
+        allocator.end(now + Duration::from_millis(50), number);
+    }
+    allocator.begin_term(1);
+    assert!(send(&mut allocator, at(400), 10, targets).is_some());
+    assert!(
+        send(&mut allocator, at(400), 11, targets).is_some(),
+        "the same term goes on"
+    );
+    allocator.end(at(450), 10);
+    allocator.end(at(450), 11);
+    allocator.begin_term(3);
+    assert!(send(&mut allocator, at(500), 20, targets).is_some());
+    assert!(
+        send(&mut allocator, at(500), 21, targets).is_none(),
+        "a new term starts small"
+    );
+}
+
 #[derive(Clone, Debug)]
 enum Event {
     Request,
--- a/packages/turnford-serve/src/limit_sync.rs
+++ b/packages/turnford-serve/src/limit_sync.rs
@@ -128,8 +128,8 @@
     });
     drop(election);
     limits.publish(false);
-    if !limits.table.borrow().has_limits() {
-        // Without limits, requests may be placed by the regular placer again.
+    if !context.needs_allocator(now) {
+        // Requests may be placed by the regular placer again.
         limits.is_allocated.set(false);
     }
     for target in idle {
--- a/packages/turnford-serve/src/peers.rs
+++ b/packages/turnford-serve/src/peers.rs
@@ -11,6 +11,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use futures_lite::FutureExt;
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::Rng;
@@ -18,8 +19,10 @@
 
 use turnford_fleet::rank_members;
 use turnford_fleet::Duty;
+use turnford_http::wait_timeout;
 use turnford_policy::Moment;
 use turnford_wire::PeerClient;
+use turnford_wire::PeerError;
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
@@ -32,6 +35,9 @@
 /// Timeout of that probe.
 pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time after which a reply that nobody waits for any more is given up.
+const LATE_REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time for which a node that did not respond gets no work. Its failure is detected by the
 /// membership probes in the meantime.
 const DOWN_PERIOD: Duration = Duration::from_secs(3);
@@ -122,9 +128,56 @@
         request: &WorkRequest,
         timeout: Duration,
     ) -> Option<WorkReply> {
-        let state = self.state(peer);
         let sent_at = self.shared.now();
-        match self.client.call(peer, request, timeout).await {
+        let reply = self.client.call(peer, request, timeout).await;
+        self.record_reply(peer, sent_at, timeout, reply)
+    }
+
+    /// Calls another node as [`PeerPool::call`] does. A reply that comes after the timeout, or once
+    /// the caller has stopped waiting, is passed to `release`.
+    pub(crate) async fn call_or_release(
+        self: &Rc<Self>,
+        peer: SocketAddr,
+        request: WorkRequest,
+        timeout: Duration,
+        release: impl FnOnce(WorkReply) + 'static,
+    ) -> Option<WorkReply> {
+        let sent_at = self.shared.now();
+        let (sender, receiver) = async_channel::bounded(1);
+        let peers = self.clone();
+        let call = async move {
+            let reply = peers.client.call(peer, &request, LATE_REPLY_TIMEOUT).await;
+            if let Err(unsent) = sender.try_send(reply) {
+                if let Ok(reply) = unsent.into_inner() {
+                    release(reply);
+                }
+            }
+        };
+        self.executor.spawn(call).detach();
+        let reply = async {
+            receiver
+                .recv()
+                .await
+                .unwrap_or(Err(PeerError::Disconnected))
+        };
+        let late = async {
+            wait_timeout(timeout).await;
+            self.client.forget_connection(peer);
+            Err(PeerError::Timeout)
+        };
+        let reply = reply.or(late).await;
+        self.record_reply(peer, sent_at, timeout, reply)
+    }
+
+    fn record_reply(
+        &self,
+        peer: SocketAddr,
+        sent_at: Moment,
+        timeout: Duration,
+        reply: Result<WorkReply, PeerError>,
+    ) -> Option<WorkReply> {
+        let state = self.state(peer);
+        match reply {
             Ok(WorkReply::Refused) => {
                 log::info!("node at {peer} refuses work");
                 self.mark_refusing(&state);
--- a/packages/turnford-serve/src/placed_run.rs
+++ b/packages/turnford-serve/src/placed_run.rs
@@ -62,6 +62,8 @@
 pub(crate) enum PlacementAttempt {
     Placed(Box<PlacedRun>),
     NoTarget,
+    /// No node that places for all nodes has replied.
+    Unanswered,
     Held,
     Refused(Duration),
     Wait(Duration),
--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -12,6 +12,7 @@
 use async_io::Timer;
 use siphasher::sip::SipHasher13;
 
+use turnford_fleet::AllocationRole;
 use turnford_fleet::CrashKeys;
 use turnford_fleet::QueuedRequest;
 use turnford_policy::PlacementRequest;
@@ -28,6 +29,7 @@
 use crate::placed_run::PlacedRun;
 use crate::placed_run::PlacementAttempt;
 use crate::placer::request_placement;
+use crate::placer::REDIRECT_DELAY;
 use crate::record::RequestRecord;
 use crate::service_context::ServiceContext;
 use crate::traffic::Traffic;
@@ -130,10 +132,13 @@
                 let refusal = SuspectRefusal::crashes_targets(traffic, record, retry_after);
                 return PlacementOutcome::Suspect(refusal);
             }
+            PlacementAttempt::Unanswered if traffic.shared.now() >= hold_until => {
+                return PlacementOutcome::Full(RETRY_AFTER);
+            }
             PlacementAttempt::Held if traffic.shared.now() >= hold_until => {
                 return PlacementOutcome::Suspect(SuspectRefusal::on_trial());
             }
-            PlacementAttempt::Held => {}
+            PlacementAttempt::Held | PlacementAttempt::Unanswered => {}
         }
         Timer::after(SUSPECT_POLL_INTERVAL).await;
     }
@@ -206,6 +211,11 @@
             }
             return found;
         }
+        if context.brittleness.is_brittle(traffic.shared.now()) {
+            // Nodes that place by themselves would all fill the same room.
+            record.trace(format_args!("not placed: no usable reply from {placer}"));
+            return PlacementAttempt::Unanswered;
+        }
         record.trace(format_args!(
             "placed locally: no usable reply from {placer}"
         ));
@@ -214,9 +224,20 @@
             return place_locally(traffic, context, &keys, placement, queued);
         }
     }
-    if context.limits.table.borrow().has_limits() {
+    let now = traffic.shared.now();
+    if context.needs_allocator(now) {
         let term = context.limits.election.borrow().term().cloned();
-        context.limits.resolve_role(term.as_ref());
+        let role = context.resolve_allocator(term.as_ref());
+        if context.brittleness.is_brittle(now) {
+            match role {
+                AllocationRole::Allocates { .. } => {}
+                AllocationRole::Remote(term) => {
+                    context.limits.record_holder(&term);
+                    return PlacementAttempt::Wait(REDIRECT_DELAY);
+                }
+                AllocationRole::Unconfirmed(_) => return PlacementAttempt::Unanswered,
+            }
+        }
     }
     place_locally(traffic, context, &keys, placement, queued)
 }
--- a/packages/turnford-serve/src/placer.rs
+++ b/packages/turnford-serve/src/placer.rs
@@ -32,7 +32,7 @@
 use crate::trial::SUSPECT_POLL_INTERVAL;
 
 /// Delay before following a redirect to another placer.
-const REDIRECT_DELAY: Duration = Duration::from_millis(2);
+pub(crate) const REDIRECT_DELAY: Duration = Duration::from_millis(2);
 
 /// Requests a placement from the placer. Returns `None` if it gives no answer, or one that can't be
 /// used.
@@ -48,9 +48,14 @@
     let request = WorkRequest::Place(encode_place_request(
         context, now, digest, placement, queued,
     ));
+    let release = {
+        let traffic = traffic.clone();
+        let context = context.clone();
+        move |reply| release_late(&traffic, &context, placer, &reply)
+    };
     let reply = traffic
         .peers
-        .call(placer, &request, PLACEMENT_TIMEOUT)
+        .call_or_release(placer, request, PLACEMENT_TIMEOUT, release)
         .await;
     let Some(WorkReply::Placed(reply)) = reply else {
         return None;
@@ -58,6 +63,19 @@
     handle_place_reply(traffic, context, now, placer, reply)
 }
 
+/// Reports the end of a placement whose reply came too late to be used. Otherwise the placer counts
+/// it as running until its deadline.
+fn release_late(
+    traffic: &Rc<Traffic>,
+    context: &Rc<ServiceContext>,
+    placer: SocketAddr,
+    reply: &WorkReply,
+) {
+    if let WorkReply::Placed(PlaceReply::Assigned { ticket, .. }) = reply {
+        drop(register_run(traffic, context, Some(placer), *ticket));
+    }
+}
+
 fn encode_place_request(
     context: &ServiceContext,
     now: Moment,
@@ -148,6 +166,10 @@
             context.limits.record_holder(&term);
             Some(PlacementAttempt::Wait(REDIRECT_DELAY))
         }
+        // Another node sees free room where the placer has none.
+        PlaceReply::NoTarget if context.brittleness.is_brittle(traffic.shared.now()) => {
+            Some(PlacementAttempt::NoTarget)
+        }
         PlaceReply::NoTarget => None,
         PlaceReply::Held => Some(PlacementAttempt::Held),
         PlaceReply::Refused { retry_after_ms } => Some(PlacementAttempt::Refused(
@@ -161,8 +183,9 @@
     let Some(context) = traffic.service(&place_request.service) else {
         return WorkReply::Refused;
     };
-    if context.limits.table.borrow().has_limits() {
-        match context.limits.resolve_role(place_request.term.as_ref()) {
+    let now = traffic.shared.now();
+    if context.needs_allocator(now) {
+        match context.resolve_allocator(place_request.term.as_ref()) {
             AllocationRole::Allocates { .. } => {}
             AllocationRole::Remote(term) => {
                 return WorkReply::Placed(PlaceReply::Redirect(term));
@@ -173,7 +196,6 @@
             }
         }
     }
-    let now = traffic.shared.now();
     let keys = crash_keys(traffic, &place_request);
     let queued = decode_queue_entry(&place_request, now);
     let placement = decode_placement(place_request, now);
--- a/packages/turnford-serve/src/service_context.rs
+++ b/packages/turnford-serve/src/service_context.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use turnford_fleet::AllocationRole;
+use turnford_fleet::LimitTerm;
 use turnford_fleet::RoomAllocator;
 use turnford_fleet::TrialId;
 use turnford_fleet::TrialTable;
@@ -114,6 +116,24 @@
         })
     }
 
+    /// Returns whether one node has to allocate the calls of all nodes to the targets: they have
+    /// limits, or they are brittle.
+    pub(crate) fn needs_allocator(&self, now: Moment) -> bool {
+        self.limits.table.borrow().has_limits() || self.brittleness.is_brittle(now)
+    }
+
+    /// Resolves which node allocates, for another node that requests it (`known` is the term which
+    /// that node knows) or for this node itself.
+    pub(crate) fn resolve_allocator(&self, known: Option<&LimitTerm>) -> AllocationRole {
+        let role = self.limits.resolve_role(known);
+        if matches!(role, AllocationRole::Allocates { .. }) {
+            let election = self.limits.election.borrow();
+            let number = election.term().map_or(0, |term| term.number);
+            self.rooms.borrow_mut().begin_term(number);
+        }
+        role
+    }
+
     /// Returns whether a target of a software version accepts new work.
     pub(crate) fn has_open_version(&self, version: &str) -> bool {
         let table = self.targets.borrow();
--- a/packages/turnford-serve/tests/brittle_targets.rs
+++ b/packages/turnford-serve/tests/brittle_targets.rs
@@ -11,6 +11,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::thread::ThreadId;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -48,6 +49,12 @@
 /// Tolerance for the time between a client and a node on a busy machine.
 const TRANSIT_TOLERANCE: Duration = Duration::from_millis(100);
 
+/// Time for which a traffic thread gets no processor time: longer than other nodes wait for a placer.
+const STALL: Duration = Duration::from_millis(300);
+
+/// Time between the stalls of two nodes.
+const STALL_INTERVAL: Duration = Duration::from_millis(900);
+
 /// Requests a second that the targets can run.
 fn capacity() -> f64 {
     TARGETS as f64 * ROOM as f64 / RUN_TIME.as_secs_f64()
@@ -65,6 +72,68 @@
     status: u16,
 }
 
+/// A logger that keeps traffic threads from running, as a machine without processor time does.
+struct ThreadStaller {
+    /// Traffic threads that have logged something.
+    threads: Mutex<Vec<ThreadId>>,
+    /// Thread that stalls at its next log line.
+    due: Mutex<Option<ThreadId>>,
+}
+
+static STALLER: ThreadStaller = ThreadStaller {
+    threads: Mutex::new(Vec::new()),
+    due: Mutex::new(None),
+};
+
+impl ThreadStaller {
+    /// Forgets the threads of earlier sites.
+    fn reset(&'static self) {
+        // The logger is already set if this is not the first test.
+        let _ = log::set_logger(self);
+        log::set_max_level(log::LevelFilter::Info);
+        self.threads.lock().expect("no panic").clear();
+    }
+
+    /// Stalls the traffic threads one after the other.
+    fn stall_all(&self) {
+        let threads = self.threads.lock().expect("no panic").clone();
+        assert!(!threads.is_empty(), "no traffic thread has logged anything");
+        for thread in threads {
+            *self.due.lock().expect("no panic") = Some(thread);
+            std::thread::sleep(STALL_INTERVAL);
+        }
+    }
+}
+
+impl log::Log for ThreadStaller {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, _: &log::Record<'_>) {
+        let thread = std::thread::current();
+        if thread.name() != Some("traffic") {
+            return;
+        }
+        let mut threads = self.threads.lock().expect("no panic");
+        if !threads.contains(&thread.id()) {
+            threads.push(thread.id());
+        }
+        drop(threads);
+        let is_due = self
+            .due
+            .lock()
+            .expect("no panic")
+            .take_if(|due| *due == thread.id())
+            .is_some();
+        if is_due {
+            std::thread::sleep(STALL);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
 struct BrittleSite {
     site: RouteSite,
     targets: Vec<RouteTarget>,
@@ -215,6 +284,23 @@
     site.assert_bounded(&sent);
 }
 
+#[test]
+fn late_placer() {
+    // Guards against nodes that place requests by themselves once the placer is late: each of them
+    // sent one request more to each target.
+    let site = BrittleSite::plain();
+    STALLER.reset();
+    let sent = site.send("/hold/1", 1.6 * capacity(), || STALLER.stall_all());
+    let falls = site.falls();
+    let served = sent.iter().filter(|sent| sent.status == 200).count();
+    assert!(falls <= max_falls(), "{falls} falls");
+    let least = (capacity() * PERIOD.as_secs_f64() * MIN_USED_RATIO) as usize;
+    assert!(served >= least, "{served} served, {least} at least");
+    for sent in &sent {
+        assert!([200, 503].contains(&sent.status), "{sent:?}");
+    }
+}
+
 #[test]
 fn one_falls() {
     let site = BrittleSite::plain();
--- a/packages/turnford-wire/src/client.rs
+++ b/packages/turnford-wire/src/client.rs
@@ -142,6 +142,11 @@
         decode_frame(&response).map_err(PeerError::Reply)
     }
 
+    /// Opens another connection to a peer for the next call. Calls on the last one go on.
+    pub fn forget_connection(&self, to: SocketAddr) {
+        self.connections.borrow_mut().remove(&to);
+    }
+
     /// Sends a request and reads the reply, which may be followed by further bytes. There is no timeout for
     /// the reply; a connection must be open within `connect_timeout`.
     ///
