Bound the bytes of buffered bodies of all calls of a node together

Cause: each body had a limit and their sum had none. 40 bodies of 4 MiB at once took a node over 260 MB. Bodies were also kept as the chunks in which they arrived, each of which may keep a read buffer of 64 KiB. Change: BodyBudget counts buffered requests and responses from their first byte until the last use of them, at most a quarter of the memory that the system tells and 96 MiB. Requests may use half, and an eighth of each part is for small bodies. A body announced or found without room is refused with 503 (122) and a time to come back, and what its client still sends is discarded, so that the refusal is not lost to a reset. A response over its limit, by its announced length at once, or without room fails its call with an unknown outcome, is logged and counted as oversized; its target counts as failed, and no crash check follows any more. Bodies are copied out of their chunks.

--- a/packages/turnford-serve/src/accept.rs
+++ b/packages/turnford-serve/src/accept.rs
@@ -108,6 +108,10 @@
     }
     let running = shared.running.load(std::sync::atomic::Ordering::SeqCst);
     shared.metrics.running.set(running);
+    let bodies = &shared.bodies;
+    shared.metrics.body_bytes.set(bodies.held() as u64);
+    let limit = bodies.limit() as u64;
+    shared.metrics.body_bytes_limit.set(limit);
     plain_response(StatusCode::OK, Bytes::from(shared.metrics.text()))
 }
 
--- a/packages/turnford-serve/src/call.rs
+++ b/packages/turnford-serve/src/call.rs
@@ -26,6 +26,8 @@
 use crate::links::record_contact;
 use crate::links::wait_link_lost;
 use crate::metrics::ServiceEvent;
+use crate::oversize::record_oversize;
+use crate::oversize::ResponsePart;
 use crate::process_check::check_process;
 use crate::relay::relay_call;
 use crate::service_context::InFlightGuard;
@@ -164,6 +166,7 @@
     };
     let signal = process_signals(traffic, context, target, &parts, attempt, sent_at);
     let response = TargetResponse {
+        target: target.clone(),
         parts,
         is_leaving: signal.is_leaving,
         body,
@@ -236,6 +239,10 @@
             HttpError::NotConnected => {
                 CallError::NotSent("the connection was closed before the request was sent")
             }
+            HttpError::TooLarge => {
+                let reason = format_args!("no end of the head");
+                record_oversize(traffic, target, ResponsePart::Head, reason)
+            }
             _ => CallError::Disconnected("the connection was lost"),
         })
     };
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -92,6 +92,8 @@
     StreamNotRecorded,
     /// A target's process is not the one of its store entry.
     ProcessReplaced,
+    /// A response was given up because of its size.
+    Oversized,
 }
 
 impl ServiceEvent {
@@ -117,6 +119,7 @@
             ServiceEvent::ResumeRefused => "resume-refused",
             ServiceEvent::StreamNotRecorded => "stream-not-recorded",
             ServiceEvent::ProcessReplaced => "process-replaced",
+            ServiceEvent::Oversized => "oversized",
         }
     }
 }
@@ -162,6 +165,11 @@
     pub(crate) rejected_connections: Counter,
     /// 1 while connections are accepted at a limited rate.
     pub(crate) saturated: Gauge<u64, AtomicU64>,
+    /// Bytes of buffered bodies, and those that they may use.
+    pub(crate) body_bytes: Gauge<u64, AtomicU64>,
+    pub(crate) body_bytes_limit: Gauge<u64, AtomicU64>,
+    /// Requests refused for lack of room for their bodies.
+    pub(crate) refused_bodies: Counter,
     /// Delay of timers on the traffic thread.
     loop_delay: Histogram,
 }
@@ -195,6 +203,9 @@
             accepted_connections: Counter::default(),
             rejected_connections: Counter::default(),
             saturated: Gauge::default(),
+            body_bytes: Gauge::default(),
+            body_bytes_limit: Gauge::default(),
+            refused_bodies: Counter::default(),
             loop_delay: Histogram::new(exponential_buckets(
                 SMALLEST_DELAY_BUCKET,
                 2.0,
@@ -320,6 +331,21 @@
             "1 while this node has less processor time than its clients need",
             self.saturated.clone(),
         );
+        registry.register(
+            "body_bytes",
+            "Bytes of buffered requests and responses",
+            self.body_bytes.clone(),
+        );
+        registry.register(
+            "body_bytes_limit",
+            "Bytes that buffered requests and responses may use",
+            self.body_bytes_limit.clone(),
+        );
+        registry.register(
+            "refused_bodies",
+            "Requests that were refused for lack of room for their bodies",
+            self.refused_bodies.clone(),
+        );
         registry.register(
             "loop_delay_seconds",
             "Delay of timers on the thread that serves clients",
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -29,6 +29,7 @@
 use crate::accept::record_accept;
 use crate::acceptor::accept_connections;
 use crate::acceptor::Acceptor;
+use crate::body_budget::BodyBudget;
 use crate::control::run_control;
 use crate::control::ControlListeners;
 use crate::crash_updates::pull_initial_crashes;
@@ -37,6 +38,7 @@
 use crate::limit_sync::maintain_limits;
 use crate::links::probe_lost_links;
 use crate::loop_monitor::monitor_loop;
+use crate::memory::usable_memory;
 use crate::metrics::ServeMetrics;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
@@ -107,6 +109,7 @@
             was_suspended: AtomicBool::new(false),
             running: AtomicU64::new(0),
             metrics: ServeMetrics::new(),
+            bodies: BodyBudget::for_memory(usable_memory()),
         });
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let (closing, closed) = async_channel::bounded::<()>(1);
--- a/packages/turnford-serve/src/process_check.rs
+++ b/packages/turnford-serve/src/process_check.rs
@@ -8,7 +8,6 @@
 
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 
 use turnford_adapter::decode_process_start;
 use turnford_adapter::encode_report;
@@ -17,8 +16,12 @@
 use turnford_policy::TargetSpec;
 
 use crate::attribution::check_attribution;
+use crate::body_budget::BodyKind;
+use crate::body_buffer::BodyBuffer;
 use crate::call_error::CallError;
 use crate::metrics::ServiceEvent;
+use crate::oversize::record_oversize;
+use crate::oversize::ResponsePart;
 use crate::service_context::ServiceContext;
 use crate::target_connection::TargetConnection;
 use crate::traffic::Traffic;
@@ -90,11 +93,19 @@
     let request = encode_report(&target.address.to_string(), &target.id)
         .map_err(|_| CallError::NotSent("the request for a status report can't be encoded"))?;
     let response = opened.connection.send(request).await;
-    let (parts, body) = response.map_err(|_| lost.clone())?.into_parts();
+    let (parts, mut body) = response.map_err(|_| lost.clone())?.into_parts();
     let port = opened.connection.local_port();
     check_attribution(traffic, target, &parts, None, format_args!("port={port}"))
         .map_err(|_| CallError::NotSent("the target gave no status report of its own"))?;
-    let body = Limited::new(body, MAX_REPORT_BYTES);
-    let body = body.collect().await.map_err(|_| lost)?.to_bytes();
-    Ok(decode_process_start(&body).filter(|_| parts.status.is_success()))
+    let budget = &traffic.shared.bodies;
+    let mut buffer = BodyBuffer::new(budget, BodyKind::Response, MAX_REPORT_BYTES);
+    while let Some(frame) = body.frame().await {
+        let chunk = frame.map_err(|_| lost.clone())?.into_data();
+        buffer.push(&chunk.unwrap_or_default()).map_err(|error| {
+            let reason = format_args!("{error}");
+            record_oversize(traffic, target, ResponsePart::Body, reason);
+            CallError::NotSent("the status report is too large")
+        })?;
+    }
+    Ok(decode_process_start(&buffer.finish()).filter(|_| parts.status.is_success()))
 }
--- a/packages/turnford-serve/src/request.rs
+++ b/packages/turnford-serve/src/request.rs
@@ -9,9 +9,6 @@
 use http::request::Parts;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 
 use turnford_adapter::decode_call;
@@ -35,6 +32,7 @@
 use crate::forward::RETRY_AFTER;
 use crate::placement::predict_hall;
 use crate::record::RequestRecord;
+use crate::request_body::read_body;
 use crate::resume::find_source;
 use crate::resume::ResumeRefusal;
 use crate::send_log::NotRun;
@@ -59,14 +57,14 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A refusal before a request is admitted.
-struct EarlyRefusal {
-    code: ResultCode,
-    reason: String,
-    retry_after: Option<Duration>,
+pub(crate) struct EarlyRefusal {
+    pub(crate) code: ResultCode,
+    pub(crate) reason: String,
+    pub(crate) retry_after: Option<Duration>,
 }
 
 impl EarlyRefusal {
-    fn new(code: ResultCode, reason: impl Into<String>) -> Self {
+    pub(crate) fn new(code: ResultCode, reason: impl Into<String>) -> Self {
         Self {
             code,
             reason: reason.into(),
@@ -86,10 +84,11 @@
         Err(refusal) => return refuse(&traffic, &parts, &refusal),
     };
     let limit = view.config.limits.max_body_bytes;
-    let body = match read_body(&record, incoming, limit).await {
+    let body = match read_body(&traffic, &record, &parts, incoming, limit).await {
         Ok(body) => body,
-        Err((code, reason)) => {
-            return refuse_request(&record, code, reason, None);
+        Err(refusal) => {
+            let retry_after = refusal.retry_after;
+            return refuse_request(&record, refusal.code, &refusal.reason, retry_after);
         }
     };
     record.digest.set(request_digest(&record, &parts, &body));
@@ -201,26 +200,6 @@
     )
 }
 
-async fn read_body(
-    record: &RequestRecord,
-    incoming: Incoming,
-    limit: usize,
-) -> Result<Bytes, (ResultCode, &'static str)> {
-    let read = async { Some(Limited::new(incoming, limit).collect().await) };
-    let late = async {
-        record.wait_deadline().await;
-        None
-    };
-    match read.or(late).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => {
-            Err((ResultCode::InputTooLarge, "the body is over the limit"))
-        }
-        Some(Err(_)) => Err((ResultCode::BadRequest, "the body broke off")),
-        None => Err((ResultCode::DeadlineTooShort, "the body came too late")),
-    }
-}
-
 /// Runs the stages and the final call of a request.
 async fn run_request(
     traffic: &Rc<Traffic>,
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -22,6 +22,7 @@
 use turnford_policy::TargetSpec;
 use turnford_policy::ThreadHeartbeat;
 
+use crate::body_budget::BodyBudget;
 use crate::metrics::ServeMetrics;
 use crate::suspect_channel::SuspectChannel;
 
@@ -111,6 +112,8 @@
     /// Number of requests and relayed calls in flight.
     pub(crate) running: AtomicU64,
     pub(crate) metrics: ServeMetrics,
+    /// Bytes of buffered bodies.
+    pub(crate) bodies: Arc<BodyBudget>,
 }
 
 impl ServeShared {
--- a/packages/turnford-serve/src/target_body.rs
+++ b/packages/turnford-serve/src/target_body.rs
@@ -84,6 +84,14 @@
         self.scanner = Some(EventScanner::default());
     }
 
+    /// Returns the length that the head announces, if it is known.
+    pub(crate) fn announced_length(&self) -> Option<usize> {
+        match &self.source {
+            BodySource::Direct(body) => usize::try_from(body.size_hint().exact()?).ok(),
+            BodySource::Relayed(_) => None,
+        }
+    }
+
     /// Returns how the target marks the end of the body.
     pub(crate) fn framing(&self) -> BodyFraming {
         self.framing
--- a/packages/turnford-serve/src/target_response.rs
+++ b/packages/turnford-serve/src/target_response.rs
@@ -8,9 +8,15 @@
 use futures_lite::FutureExt;
 use http::response::Parts;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 
+use turnford_policy::TargetSpec;
+
+use crate::body_budget::BodyKind;
+use crate::body_buffer::BodyBuffer;
+use crate::body_buffer::BufferError;
 use crate::call_error::CallError;
+use crate::oversize::record_oversize;
+use crate::oversize::ResponsePart;
 use crate::service_context::InFlightGuard;
 use crate::target_body::TargetBody;
 use crate::target_body::TargetBodyError;
@@ -26,6 +32,7 @@
 
 /// A target's response whose body has not been read yet.
 pub(crate) struct TargetResponse {
+    pub(crate) target: TargetSpec,
     pub(crate) parts: Parts,
     /// Whether the response announces that the target is leaving.
     pub(crate) is_leaving: bool,
@@ -60,8 +67,17 @@
         limit: usize,
         stalled: impl AsyncFn(),
     ) -> Result<(Parts, Bytes), CallError> {
-        let mut body = Limited::new(self.body, limit);
-        let mut chunks = Vec::new();
+        let budget = &traffic.shared.bodies;
+        let mut buffer = BodyBuffer::new(budget, BodyKind::Response, limit);
+        let mut body = self.body;
+        let give_up = |error: BufferError| {
+            let reason = format_args!("{error}");
+            record_oversize(traffic, &self.target, ResponsePart::Body, reason)
+        };
+        // The bytes of a response use the budget only once they arrive.
+        if let Some(length) = body.announced_length().filter(|length| *length > limit) {
+            return Err(give_up(BufferError::TooLarge(length)));
+        }
         loop {
             let next = async { Ok(body.frame().await) };
             let stalled = async {
@@ -70,17 +86,16 @@
             };
             match next.or(stalled).await? {
                 // Trailers are ignored.
-                Some(Ok(frame)) => chunks.extend(frame.into_data()),
-                Some(Err(error)) => return Err(body_error(&*error)),
+                Some(Ok(frame)) => {
+                    let chunk = frame.into_data().unwrap_or_default();
+                    buffer.push(&chunk).map_err(give_up)?;
+                }
+                Some(Err(error)) => return Err(body_error(&error)),
                 None => break,
             }
         }
         recycle_link(traffic, self.link);
-        let body = match <[Bytes; 1]>::try_from(chunks) {
-            Ok([chunk]) => chunk,
-            Err(chunks) => Bytes::from(chunks.concat()),
-        };
-        Ok((self.parts, body))
+        Ok((self.parts, buffer.finish()))
     }
 
     /// Returns the address of the node that relays the response, `None` if it comes directly from
@@ -102,9 +117,9 @@
     }
 }
 
-fn body_error(error: &(dyn std::error::Error + 'static)) -> CallError {
-    match error.downcast_ref() {
-        Some(TargetBodyError::Late) => CallError::Unknown("the response timed out"),
+fn body_error(error: &TargetBodyError) -> CallError {
+    match error {
+        TargetBodyError::Late => CallError::Unknown("the response timed out"),
         _ => CallError::Disconnected("the response body was truncated"),
     }
 }
@@ -134,10 +149,19 @@
 }
 
 /// Reads the rest of a refusal so that its connection can be reused.
-pub(crate) async fn drain_refusal(traffic: &Traffic, link: ResponseLink, body: TargetBody) {
+pub(crate) async fn drain_refusal(traffic: &Traffic, link: ResponseLink, mut body: TargetBody) {
     let read = async {
-        let body = Limited::new(body, MAX_REFUSAL_BYTES).collect().await;
-        body.is_ok()
+        let mut length = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return false;
+            };
+            length += frame.data_ref().map_or(0, Bytes::len);
+            if length > MAX_REFUSAL_BYTES {
+                return false;
+            }
+        }
+        true
     };
     let late = async {
         Timer::after(REFUSAL_TIMEOUT).await;
