Give up responses whose interim responses have no end

Cause: hyper skips interim responses (100) without counting them, and reads on in the same poll while any arrive. A target that sends them without end kept the traffic thread from everything else.

--- a/packages/turnford-http/src/connection.rs
+++ b/packages/turnford-http/src/connection.rs
@@ -1,6 +1,7 @@
 //! A persistent connection to a server, over `hyper`.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
@@ -14,6 +15,8 @@
 use hyper::client::conn::http1::SendRequest;
 use smol_hyper::rt::FuturesIo;
 
+use crate::head_limit::HeadAllowance;
+use crate::head_limit::LimitedStream;
 use crate::open_stream;
 use crate::wait_timeout;
 use crate::HttpError;
@@ -24,6 +27,7 @@
     address: SocketAddr,
     local_port: u16,
     sender: SendRequest<Full<Bytes>>,
+    allowance: Arc<HeadAllowance>,
 }
 
 impl HttpConnection {
@@ -46,6 +50,8 @@
         let local = stream.local_addr().map_err(|_| HttpError::NotConnected)?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER);
+        let allowance = HeadAllowance::new();
+        let stream = LimitedStream::new(stream, allowance.clone());
         let (sender, connection) = builder
             .handshake(FuturesIo::new(stream))
             .await
@@ -61,6 +67,7 @@
             address,
             local_port: local.port(),
             sender,
+            allowance,
         })
     }
 
@@ -88,8 +95,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`HttpError::NotConnected`] if no byte of the request was sent, and
-    /// [`HttpError::Disconnected`] if the connection was lost after that.
+    /// Returns [`HttpError::NotConnected`] if no byte of the request was sent,
+    /// [`HttpError::Disconnected`] if the connection was lost after that, and [`HttpError::TooLarge`] if
+    /// more bytes arrived than a head may have.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -97,11 +105,17 @@
         if self.sender.ready().await.is_err() {
             return Err(HttpError::NotConnected);
         }
+        self.allowance.expect_head();
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => HttpError::NotConnected,
+            None if self.allowance.is_exhausted() || error.error().is_parse_too_large() => {
+                HttpError::TooLarge
+            }
             None => HttpError::Disconnected,
-        })
+        })?;
+        self.allowance.record_head();
+        Ok(response)
     }
 }
 
--- a/packages/turnford-http/src/error.rs
+++ b/packages/turnford-http/src/error.rs
@@ -14,7 +14,7 @@
     TimeoutBeforeSend,
     /// The timeout expired after the request was sent.
     TimeoutAfterSend,
-    /// The response body exceeds the caller's size limit.
+    /// The response exceeds the size limit of its head, or the caller's limit of its body.
     TooLarge,
     /// The response ended before its announced length.
     Truncated,
--- a/packages/turnford-http/src/lib.rs
+++ b/packages/turnford-http/src/lib.rs
@@ -7,6 +7,7 @@
 mod connection_state;
 mod error;
 mod framing;
+mod head_limit;
 mod listen;
 mod message;
 mod pool;
--- a/packages/turnford-standin/src/lib.rs
+++ b/packages/turnford-standin/src/lib.rs
@@ -40,6 +40,7 @@
 pub use report::LoadReport;
 pub use route::limit_allowance;
 pub use route::max_window_calls;
+pub use route::EndlessResponse;
 pub use route::EndpointState;
 pub use route::MetaSnapshot;
 pub use route::MetaStore;
--- a/packages/turnford-standin/src/route.rs
+++ b/packages/turnford-standin/src/route.rs
@@ -3,6 +3,7 @@
 //! They implement the platform's wire protocol and therefore use its names. Apart from the protocol
 //! they only inject faults and record what they receive.
 
+mod endless;
 mod faulty_stream;
 mod listener;
 mod meta;
@@ -13,6 +14,7 @@
 mod site;
 mod target;
 
+pub use endless::EndlessResponse;
 pub use faulty_stream::StallPoint;
 pub use meta::EndpointState;
 pub use meta::MetaSnapshot;
--- a/packages/turnford-standin/src/route/faulty_stream.rs
+++ b/packages/turnford-standin/src/route/faulty_stream.rs
@@ -14,6 +14,8 @@
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
 
+use super::endless::EndlessResponses;
+use super::endless::EndlessWriter;
 use super::target::lock;
 
 /// Number of bytes sent of a response that stalls within its head.
@@ -40,6 +42,7 @@
     responses: AtomicUsize,
     stalls: AtomicUsize,
     repeats: AtomicUsize,
+    pub(super) endless: Arc<EndlessResponses>,
 }
 
 impl StreamFaults {
@@ -51,9 +54,11 @@
         *lock(&self.stall_every) = (every, Some(point));
     }
 
-    /// Returns whether responses are repeated or stall at present.
+    /// Returns whether responses are repeated, stall or have no end at present.
     pub(super) fn is_active(&self) -> bool {
-        self.repeat_every.load(Ordering::SeqCst) > 0 || lock(&self.stall_every).0 > 0
+        self.repeat_every.load(Ordering::SeqCst) > 0
+            || lock(&self.stall_every).0 > 0
+            || self.endless.is_set()
     }
 
     /// Returns the number of responses that were sent once more.
@@ -92,6 +97,8 @@
     /// Bytes of a repeated response that are still to be sent.
     repeated: Vec<u8>,
     is_stalled: bool,
+    /// Response without end, once its request has arrived.
+    endless: Option<EndlessWriter>,
 }
 
 impl FaultyStream {
@@ -102,6 +109,7 @@
             response: Vec::new(),
             repeated: Vec::new(),
             is_stalled: false,
+            endless: None,
         }
     }
 
@@ -148,6 +156,9 @@
         let read = ready!(Pin::new(&mut faulty.stream).poll_read(context, buffer))?;
         if read > 0 {
             faulty.begin_request();
+            if faulty.endless.is_none() {
+                faulty.endless = faulty.faults.endless.respond(&buffer[..read]);
+            }
             // What the socket does not take now goes before the response.
             if let Poll::Ready(Err(error)) = faulty.poll_repeated(context) {
                 return Poll::Ready(Err(error));
@@ -165,6 +176,9 @@
     ) -> Poll<io::Result<usize>> {
         let faulty = self.get_mut();
         ready!(faulty.poll_repeated(context))?;
+        if let Some(endless) = &mut faulty.endless {
+            return endless.poll_write(&mut faulty.stream, context).map(Err);
+        }
         if faulty.is_stalled {
             return Poll::Ready(Ok(bytes.len()));
         }
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -24,6 +24,7 @@
 use turnford_http::HttpBody;
 use turnford_http::HttpResponse;
 
+use super::endless::EndlessResponse;
 use super::faulty_stream::StallPoint;
 use super::listener::TargetListener;
 use super::meta::json_response;
@@ -413,6 +414,22 @@
         self.state.listener.faults.stall_count()
     }
 
+    /// Sets the response without end that some calls receive, which the journal sees as runs.
+    pub fn respond_endless(&self, response: Option<EndlessResponse>) {
+        self.state.journal.mark_unfinished_faulted(&self.state.id);
+        self.state.listener.faults.endless.set(response);
+    }
+
+    /// Returns the number of responses without end that began.
+    pub fn endless_count(&self) -> usize {
+        self.state.listener.faults.endless.begun()
+    }
+
+    /// Returns the number of responses without end that go on.
+    pub fn open_endless_count(&self) -> usize {
+        self.state.listener.faults.endless.open()
+    }
+
     /// Injects faults into the next calls, one per call.
     pub fn inject_faults(&self, faults: impl IntoIterator<Item = TargetFault>) {
         lock(&self.state.faults).extend(faults);
