Refuse bodies that a node never has room for as too large

Cause: a body over the part of the budget that requests may use, but within max_body_bytes, was refused as if there were room for it later. Change: the limit of a buffer is at most the largest body that the budget has room for.

--- a/packages/turnford-serve/src/body_budget.rs
+++ b/packages/turnford-serve/src/body_budget.rs
@@ -56,6 +56,11 @@
         self.held.load(Ordering::Relaxed)
     }
 
+    /// Returns the size of the largest body that finds room beside no other.
+    pub(crate) fn largest(&self, kind: BodyKind) -> usize {
+        self.limit_for(kind, usize::MAX)
+    }
+
     /// Returns an empty share of the budget.
     pub(crate) fn share(self: &Arc<Self>, kind: BodyKind) -> BodyShare {
         BodyShare {
--- a/packages/turnford-serve/src/body_buffer.rs
+++ b/packages/turnford-serve/src/body_buffer.rs
@@ -43,12 +43,12 @@
 }
 
 impl BodyBuffer {
-    /// Creates an empty buffer for at most `limit` bytes.
+    /// Creates an empty buffer for at most `limit` bytes, or as many as the budget ever has room for.
     pub(crate) fn new(budget: &Arc<BodyBudget>, kind: BodyKind, limit: usize) -> Self {
         Self {
             bytes: Vec::new(),
             share: budget.share(kind),
-            limit,
+            limit: limit.min(budget.largest(kind)),
         }
     }
 
--- a/packages/turnford-serve/tests/large_bodies.rs
+++ b/packages/turnford-serve/tests/large_bodies.rs
@@ -45,13 +45,13 @@
     LengthOnly,
 }
 
-/// Sends a request with a large body; returns the head of the response.
-fn send(to: SocketAddr, attempt: &str, sending: Sending) -> String {
+/// Sends the head of a request with a body of `length` bytes.
+fn open(to: SocketAddr, attempt: &str, sending: Sending, length: usize) -> TcpStream {
     let mut stream = TcpStream::connect(to).expect("a connection");
     stream.set_read_timeout(Some(LIMIT)).expect("a timeout");
     let framing = match sending {
         Sending::Chunks => "transfer-encoding: chunked".to_owned(),
-        _ => format!("content-length: {LARGE_BYTES}"),
+        _ => format!("content-length: {length}"),
     };
     let head = format!(
         "POST /hold/ HTTP/1.1\r\nhost: site.example\r\nx-turnford-attempt-id: {attempt}\r\n\
@@ -60,6 +60,12 @@
         CLIENT_TIMEOUT.as_millis()
     );
     stream.write_all(head.as_bytes()).expect("sent");
+    stream
+}
+
+/// Sends a request with a large body; returns the head of the response.
+fn send(to: SocketAddr, attempt: &str, sending: Sending) -> String {
+    let mut stream = open(to, attempt, sending, LARGE_BYTES);
     let bytes = vec![b'x'; CHUNK_BYTES];
     for _ in 0..LARGE_BYTES / CHUNK_BYTES {
         match sending {
@@ -87,10 +93,10 @@
     String::from_utf8_lossy(&response[..response.len().min(1000)]).to_ascii_lowercase()
 }
 
-fn site() -> (RouteSite, usize) {
+fn site(max_body_bytes: usize) -> (RouteSite, usize) {
     let mut site = RouteSite::new();
     let mut config = config(2);
-    config["limits"]["max_body_bytes"] = json!(LARGE_BYTES);
+    config["limits"]["max_body_bytes"] = json!(max_body_bytes);
     site.store.put("config", "main", config);
     for id in ["b1", "b2"] {
         site.target(id, "booking", TargetRole::Plain(RUN_TIME));
@@ -108,7 +114,7 @@
 
 /// Sends large bodies from all clients at once.
 fn check_burst(sending: Sending) {
-    let (site, node) = site();
+    let (site, node) = site(LARGE_BYTES);
     let address = site.nodes[node].settings.listen;
     let limit = metric(&site, node, "turnford_body_bytes_limit");
     let is_done = AtomicBool::new(false);
@@ -174,20 +180,15 @@
 #[test]
 fn unsent_bodies() {
     // Bodies that were announced are counted, and one without room is refused before it is sent.
-    let (site, node) = site();
+    let (site, node) = site(LARGE_BYTES);
     let address = site.nodes[node].settings.listen;
     let limit = metric(&site, node, "turnford_body_bytes_limit");
     let fitting = usize::try_from(limit).expect("a size") / LARGE_BYTES;
-    let mut open = Vec::new();
+    let mut waiting = Vec::new();
     for number in 0..fitting {
-        let mut stream = TcpStream::connect(address).expect("a connection");
-        let head = format!(
-            "POST /hold/ HTTP/1.1\r\nhost: site.example\r\nx-turnford-attempt-id: open-{number}\r\n\
-             x-turnford-deadline-ms: 5000\r\nauthorization: Bearer key-skagen\r\n\
-             content-length: {LARGE_BYTES}\r\n\r\n"
-        );
-        stream.write_all(head.as_bytes()).expect("sent");
-        open.push(stream);
+        let attempt = format!("open-{number}");
+        let stream = open(address, &attempt, Sending::LengthOnly, LARGE_BYTES);
+        waiting.push(stream);
     }
     wait_until("bodies were refused", || {
         metric(&site, node, "turnford_refused_bodies_total") > 0
@@ -197,9 +198,24 @@
     let elapsed = started_at.elapsed();
     assert!(response.starts_with("http/1.1 503"), "{response}");
     assert!(elapsed < REFUSAL_LIMIT, "{elapsed:?}");
-    drop(open);
+    drop(waiting);
     wait_until("no bytes are held", || {
         metric(&site, node, "turnford_body_bytes") == 0
     });
     assert!(send(address, "fits", Sending::Length).starts_with("http/1.1 200"));
 }
+
+#[test]
+fn unfitting_body() {
+    // A body that the node never has room for is not asked for again.
+    const MAX_BODY_BYTES: usize = 1 << 40;
+    let (site, node) = site(MAX_BODY_BYTES);
+    let address = site.nodes[node].settings.listen;
+    let limit = metric(&site, node, "turnford_body_bytes_limit");
+    let length = usize::try_from(limit).expect("a size");
+    let mut stream = open(address, "unfitting", Sending::LengthOnly, length);
+    let mut response = [0; CHUNK_BYTES];
+    let received = stream.read(&mut response).expect("a response");
+    let response = String::from_utf8_lossy(&response[..received]);
+    assert!(response.starts_with("HTTP/1.1 413"), "{response}");
+}
