--- a/packages/turnford-serve/src/placement.rs
+++ b/packages/turnford-serve/src/placement.rs
@@ -211,7 +211,7 @@
             }
             return found;
         }
-        if context.brittleness.is_brittle(traffic.shared.now()) {
+        if context.brittleness.get().is_brittle(traffic.shared.now()) {
             // Nodes that place by themselves would all fill the same room.
             record.trace(format_args!("not placed: no usable reply from {placer}"));
             return PlacementAttempt::Unanswered;
@@ -228,7 +228,7 @@
     if context.needs_allocator(now) {
         let term = context.limits.election.borrow().term().cloned();
         let role = context.resolve_allocator(term.as_ref());
-        if context.brittleness.is_brittle(now) {
+        if context.brittleness.get().is_brittle(now) {
             match role {
                 AllocationRole::Allocates { .. } => {}
                 AllocationRole::Remote(term) => {
--- a/packages/turnford-serve/src/placer.rs
+++ b/packages/turnford-serve/src/placer.rs
@@ -167,7 +167,7 @@
             Some(PlacementAttempt::Wait(REDIRECT_DELAY))
         }
         // Another node sees free room where the placer has none.
-        PlaceReply::NoTarget if context.brittleness.is_brittle(traffic.shared.now()) => {
+        PlaceReply::NoTarget if context.brittleness.get().is_brittle(traffic.shared.now()) => {
             Some(PlacementAttempt::NoTarget)
         }
         PlaceReply::NoTarget => None,
--- a/packages/turnford-serve/src/service_context.rs
+++ b/packages/turnford-serve/src/service_context.rs
@@ -119,7 +119,7 @@
     /// Returns whether one node has to allocate the calls of all nodes to the targets: they have
     /// limits, or they are brittle.
     pub(crate) fn needs_allocator(&self, now: Moment) -> bool {
-        self.limits.table.borrow().has_limits() || self.brittleness.is_brittle(now)
+        self.limits.table.borrow().has_limits() || self.brittleness.get().is_brittle(now)
     }
 
     /// Resolves which node allocates, for another node that requests it (`known` is the term which
