Wait at a planned stop until clients have received their responses

Cause: the record of a request ends when its response is handed to hyper, and the stop waited for records only. The node left 2.6 s after SIGTERM with responses in its memory. Nothing ended a connection whose client did not read its response. A response without another end than that of its connection looked complete if the process ended within it.

Change: a connection counts for the stop until its writing side is shut down and the client's system has acknowledged everything; one with only a part of a request's head does not. Without progress a client is given up after 4 s at a stop, after 30 s otherwise. A response that ends with its connection has its reset armed until it is sent.

--- a/packages/turnford-http/src/connection_state.rs
+++ b/packages/turnford-http/src/connection_state.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::Waker;
@@ -19,9 +20,17 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
-/// Maximum time for which the end of a truncated response waits for a client that does not read.
+use crate::delivery::DeliveryCounter;
+use crate::delivery::DeliveryGuard;
+use crate::reset::set_reset;
+
+/// Maximum time for which the end of a truncated response, or of a closing connection, waits for a client that does
+/// not read.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum time for which a complete response is kept for a client that does not read it.
+const SEND_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Limits for a client on one connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionLimits {
@@ -42,35 +51,49 @@
     Head,
     /// A request is being served.
     Busy,
+    /// The last response is complete and not yet passed to the socket.
+    Sending,
 }
 
 /// State of one connection, shared by its stream and its response bodies.
 #[derive(Debug)]
 pub(crate) struct ConnectionState {
+    socket: TcpStream,
     phase: Cell<ConnectionPhase>,
-    /// Number of phase changes; identifies timers of earlier phases.
+    /// Number of changes that restart the phase's timer; identifies timers set before.
     changes: Cell<u64>,
     /// Whether everything that response bodies have produced was passed to the socket.
     is_flushed: Cell<bool>,
     /// Waker of a response body that waits for that.
     flush_waker: RefCell<Option<Waker>>,
-    /// Whether a response was truncated whose end is that of the connection.
+    /// Whether a response is incomplete whose end is that of the connection, so that its close must be a reset.
     needs_reset: Cell<bool>,
+    is_closing: Cell<bool>,
+    deliveries: Arc<DeliveryCounter>,
+    delivery: RefCell<Option<DeliveryGuard>>,
 }
 
 impl ConnectionState {
-    pub(crate) fn new() -> Rc<Self> {
+    pub(crate) fn new(socket: TcpStream, deliveries: Arc<DeliveryCounter>) -> Rc<Self> {
         Rc::new(Self {
+            socket,
             phase: Cell::new(ConnectionPhase::Idle),
             changes: Cell::new(0),
             is_flushed: Cell::new(true),
             flush_waker: RefCell::default(),
             needs_reset: Cell::new(false),
+            is_closing: Cell::new(false),
+            delivery: RefCell::new(Some(deliveries.begin())),
+            deliveries,
         })
     }
 
     fn enter(&self, phase: ConnectionPhase) {
         self.phase.set(phase);
+        self.restart_timer();
+    }
+
+    fn restart_timer(&self) {
         self.changes.set(self.changes.get() + 1);
     }
 
@@ -80,26 +103,64 @@
         }
     }
 
+    fn record_write(&self) {
+        if self.phase.get() == ConnectionPhase::Sending {
+            self.restart_timer();
+        }
+    }
+
     fn record_flush(&self) {
         self.is_flushed.set(true);
+        if self.phase.get() == ConnectionPhase::Sending {
+            self.set_reset(false);
+            self.enter(ConnectionPhase::Idle);
+        }
         if let Some(waker) = self.flush_waker.take() {
             waker.wake();
         }
     }
 
-    /// Returns whether the connection must be reset, so that the client doesn't take its end for that of
-    /// the response.
-    pub(crate) fn needs_reset(&self) -> bool {
-        self.needs_reset.get()
+    /// Sets whether the close of the connection resets it. Otherwise a client would take its end for that of a
+    /// response without another end, also if this process is killed.
+    pub(crate) fn set_reset(&self, resets: bool) {
+        if self.needs_reset.replace(resets) != resets {
+            set_reset(&self.socket, resets);
+        }
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        self.is_closing.get()
+    }
+
+    /// Records that the connection has to close after the current response. A request of which only a part has
+    /// arrived has no response to deliver.
+    pub(crate) fn begin_close(&self) {
+        self.is_closing.set(true);
+        self.restart_timer();
+        if self.phase.get() == ConnectionPhase::Head {
+            self.delivery.take();
+        }
     }
 
     /// Enters the busy phase until the returned guard is dropped.
     pub(crate) fn serve(self: &Rc<Self>) -> BusyGuard {
         self.enter(ConnectionPhase::Busy);
+        let mut delivery = self.delivery.borrow_mut();
+        delivery.get_or_insert_with(|| self.deliveries.begin());
         BusyGuard {
             state: self.clone(),
         }
     }
+
+    fn phase_timeout(&self, limits: &ConnectionLimits) -> Option<Duration> {
+        match self.phase.get() {
+            ConnectionPhase::Idle => Some(limits.idle_timeout),
+            ConnectionPhase::Head => Some(limits.header_timeout),
+            ConnectionPhase::Busy => None,
+            ConnectionPhase::Sending if self.is_closing.get() => Some(FLUSH_TIMEOUT),
+            ConnectionPhase::Sending => Some(SEND_TIMEOUT),
+        }
+    }
 }
 
 /// Keeps a connection in the busy phase until it is dropped.
@@ -110,7 +171,7 @@
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
-        self.state.enter(ConnectionPhase::Idle);
+        self.state.enter(ConnectionPhase::Sending);
     }
 }
 
@@ -139,12 +200,8 @@
         let change = self.state.changes.get();
         if self.armed_for != Some(change) {
             self.armed_for = Some(change);
-            let limits = (self.limits)();
-            self.timer = match phase {
-                ConnectionPhase::Idle => Some(Timer::after(limits.idle_timeout)),
-                ConnectionPhase::Head => Some(Timer::after(limits.header_timeout)),
-                ConnectionPhase::Busy => None,
-            };
+            let timeout = self.state.phase_timeout(&(self.limits)());
+            self.timer = timeout.map(Timer::after);
         }
         let Some(timer) = &mut self.timer else {
             return Poll::Pending;
@@ -185,7 +242,11 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if written.is_ready() {
+            self.state.record_write();
+        }
+        written
     }
 
     fn poll_write_vectored(
@@ -193,7 +254,11 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        if written.is_ready() {
+            self.state.record_write();
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -214,8 +279,6 @@
 pub(crate) struct GuardedBody<B: Body> {
     body: Pin<Box<B>>,
     guard: BusyGuard,
-    /// Whether the connection's end is the only end of the response.
-    ends_with_connection: bool,
     truncation: Option<Truncation<B::Error>>,
 }
 
@@ -226,20 +289,18 @@
 }
 
 impl<B: Body> GuardedBody<B> {
+    /// Creates the body of a response; `ends_with_connection` tells whether the connection's end is its only end.
     pub(crate) fn new(body: B, guard: BusyGuard, ends_with_connection: bool) -> Self {
         guard.state.is_flushed.set(false);
+        guard.state.set_reset(ends_with_connection);
         Self {
             body: Box::pin(body),
             guard,
-            ends_with_connection,
             truncation: None,
         }
     }
 
     fn truncate(&mut self, error: B::Error) {
-        if self.ends_with_connection {
-            self.guard.state.needs_reset.set(true);
-        }
         self.truncation = Some(Truncation {
             error,
             timeout: Timer::after(FLUSH_TIMEOUT),
--- a/packages/turnford-http/src/reset.rs
+++ b/packages/turnford-http/src/reset.rs
@@ -1,4 +1,4 @@
-//! Resets of connections.
+//! Ends of connections: deliveries of what was sent, and resets.
 
 use std::io;
 use std::time::Duration;
@@ -19,29 +19,27 @@
 /// Number of polls without progress after which the peer is given up.
 const MAX_STALLED_POLLS: u32 = 400;
 
-/// Makes the close of a connection reset it, once the peer has acknowledged what was sent: a reset discards
-/// the rest.
-pub(crate) async fn reset_on_close(stream: &TcpStream) {
-    wait_acknowledged(stream).await;
-    if let Err(error) = set_socket_linger(stream, Some(Duration::ZERO)) {
-        log::warn!("failed to reset a connection of a client: {error}");
+/// Sets whether the close of a connection resets it, which discards what its peer has not acknowledged.
+pub(crate) fn set_reset(stream: &TcpStream, resets: bool) {
+    if let Err(error) = set_socket_linger(stream, resets.then_some(Duration::ZERO)) {
+        log::warn!("failed to set how a connection of a client closes: {error}");
     }
 }
 
 /// Closes a connection by a reset before anything was read from it, which tells its client that the
 /// request has not been received.
 pub fn reset_unread(stream: TcpStream) {
-    if let Err(error) = set_socket_linger(&stream, Some(Duration::ZERO)) {
-        log::warn!("failed to reset a new connection of a client: {error}");
-    }
+    set_reset(&stream, true);
 }
 
-async fn wait_acknowledged(stream: &TcpStream) {
+/// Waits until the peer has acknowledged what was sent, but for the last `excepted` sequence numbers, or until the
+/// connection is closed or makes no progress.
+pub(crate) async fn wait_acknowledged(stream: &TcpStream, excepted: i32) {
     let mut before = None;
     let mut stalled_polls = 0;
-    while stalled_polls < MAX_STALLED_POLLS {
+    while stalled_polls < MAX_STALLED_POLLS && is_open(stream) {
         let length = match unacknowledged_bytes(stream) {
-            Ok(0) => return,
+            Ok(length) if length <= excepted => return,
             Ok(length) => length,
             Err(error) => {
                 log::warn!("failed to read the unacknowledged bytes of a connection: {error}");
@@ -54,6 +52,11 @@
     }
 }
 
+/// Returns whether the peer can still acknowledge anything. The system names no peer after a reset.
+fn is_open(stream: &TcpStream) -> bool {
+    stream.peer_addr().is_ok()
+}
+
 fn unacknowledged_bytes(stream: &TcpStream) -> io::Result<i32> {
     // SAFETY: the kernel writes an `int` for this opcode.
     let length = unsafe { ioctl(stream, Getter::<UNACKNOWLEDGED_BYTES, i32>::new()) };
--- a/packages/turnford-http/tests/library_findings.rs
+++ b/packages/turnford-http/tests/library_findings.rs
@@ -125,7 +125,7 @@
                 header_timeout: Duration::from_secs(60),
                 idle_timeout: Duration::from_secs(60),
             };
-            serve_client(stream, limits, closing, handler).await;
+            serve_client(stream, limits, closing, Arc::default(), handler).await;
         });
     });
     let mut stream = TcpStream::connect(address).expect("a connection");
--- a/packages/turnford-http/tests/slow_heads.rs
+++ b/packages/turnford-http/tests/slow_heads.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -49,7 +50,7 @@
                 header_timeout: HEADER_TIMEOUT,
                 idle_timeout: IDLE_TIMEOUT,
             };
-            serve_client(stream, limits, closing, handler).await;
+            serve_client(stream, limits, closing, Arc::default(), handler).await;
         });
     });
     let stream = TcpStream::connect(address).expect("a connection");
--- a/packages/turnford-serve/src/acceptor.rs
+++ b/packages/turnford-serve/src/acceptor.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -19,6 +20,7 @@
 use turnford_http::reset_unread;
 use turnford_http::serve_client;
 use turnford_http::ConnectionLimits;
+use turnford_http::DeliveryCounter;
 use turnford_policy::ClientLimits;
 
 use crate::answer::ResponseBody;
@@ -40,6 +42,8 @@
     pub(crate) listener: TcpListener,
     /// Closed when connections have to end after their responses.
     pub(crate) closing: Receiver<()>,
+    /// Counts the connections until they have ended.
+    pub(crate) deliveries: Arc<DeliveryCounter>,
 }
 
 impl Acceptor {
@@ -105,7 +109,8 @@
                     let limits = limits.clone();
                     let limits = move || connection_limits(&limits());
                     let closing = acceptor.closing.clone();
-                    let serve = serve_client(stream, limits, closing, handler.clone());
+                    let deliveries = acceptor.deliveries.clone();
+                    let serve = serve_client(stream, limits, closing, deliveries, handler.clone());
                     let serve = async move {
                         serve.await;
                         drop(guard);
--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -65,6 +65,7 @@
         executor: executor.clone(),
         listener: listeners.ready,
         closing: closing.clone(),
+        deliveries: Arc::default(),
     };
     let probes = accept_connections(acceptor, probe_limits, |_| (), || Some(()), handler);
     executor.spawn(probes).detach();
@@ -76,6 +77,7 @@
         executor: executor.clone(),
         listener: listeners.metrics,
         closing,
+        deliveries: Arc::default(),
     };
     let readers = accept_connections(acceptor, probe_limits, |_| (), || Some(()), handler);
     executor.spawn(readers).detach();
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -55,7 +55,7 @@
 /// failed probes.
 const READINESS_DELAY: Duration = Duration::from_millis(2500);
 
-/// Time for the last responses to reach their clients after idle connections were told to close.
+/// Time for the last refusals and relayed bytes to be sent.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 
 /// A running node that serves routes.
@@ -108,6 +108,7 @@
             suspects: SuspectChannel::default(),
             was_suspended: AtomicBool::new(false),
             running: AtomicU64::new(0),
+            deliveries: Arc::default(),
             metrics: ServeMetrics::new(),
             bodies: BodyBudget::for_memory(usable_memory()),
         });
@@ -163,8 +164,9 @@
         self.shared.metrics.log_drops.set(drops);
     }
 
-    /// Stops as planned: reports the node as not ready, serves the requests that still arrive, and
-    /// returns how many were still running at the end of the grace time.
+    /// Stops as planned: reports the node as not ready, serves the requests that still arrive, and waits until their
+    /// clients have received the responses. Returns how many requests, or connections with responses, were left at
+    /// the end of the grace time.
     pub async fn drain(&self) -> u64 {
         log::info!("planned stop started: not ready for new connections");
         self.shared.begin_stop();
@@ -175,20 +177,25 @@
         let deadline = self.shared.exit_deadline().unwrap_or(started_at);
         let settled = (started_at + READINESS_DELAY).min(deadline);
         loop {
-            let running = self.shared.running.load(Ordering::SeqCst);
             let now = self.shared.now();
             if now >= settled {
                 // Idle connections close now, the others after their responses.
                 self.closing.close();
             }
-            if now >= deadline || (running == 0 && now >= settled) {
+            if now >= deadline || (now >= settled && self.unfinished() == 0) {
                 break;
             }
             Timer::after(DRAIN_POLL_INTERVAL).await;
         }
         self.ending.close();
         Timer::after(FLUSH_DELAY).await;
-        self.shared.running.load(Ordering::SeqCst)
+        self.unfinished()
+    }
+
+    /// Returns the number of requests and relayed calls that run, or that of connections of clients if it is larger.
+    fn unfinished(&self) -> u64 {
+        let running = self.shared.running.load(Ordering::SeqCst);
+        running.max(self.shared.deliveries.count())
     }
 
     /// Ends the node's threads immediately. Requests that still run are cut; a planned stop calls
@@ -264,6 +271,7 @@
     executor.spawn(probe_lost_links(traffic.clone())).detach();
     executor.spawn(monitor_loop(traffic.clone())).detach();
     let listener = listeners.listener;
+    let deliveries = traffic.shared.deliveries.clone();
     let limits_traffic = traffic.clone();
     let limits = move || limits_traffic.current_view().config.limits;
     let event_traffic = traffic.clone();
@@ -275,6 +283,7 @@
         executor: executor.clone(),
         listener,
         closing: signals.closing,
+        deliveries,
     };
     let accept = accept_connections(acceptor, limits, on_event, admit, handler);
     executor.spawn(accept).detach();
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -13,6 +13,7 @@
 
 use turnford_config::ServeSettings;
 use turnford_fleet::is_duty_eligible;
+use turnford_http::DeliveryCounter;
 use turnford_policy::CallKind;
 use turnford_policy::Clock;
 use turnford_policy::Moment;
@@ -111,6 +112,8 @@
     pub(crate) suspects: SuspectChannel,
     /// Number of requests and relayed calls in flight.
     pub(crate) running: AtomicU64,
+    /// Counts connections of clients that a planned stop waits for.
+    pub(crate) deliveries: Arc<DeliveryCounter>,
     pub(crate) metrics: ServeMetrics,
     /// Bytes of buffered bodies.
     pub(crate) bodies: Arc<BodyBudget>,
--- a/packages/turnford-serve/tests/common/mod.rs
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -123,6 +123,19 @@
         self.start_node(settings, endpoint)
     }
 
+    /// Starts a node with the given grace time of a planned stop, and waits until it accepts requests.
+    pub(crate) fn node_with_grace(&mut self, name: &str, grace: Duration) -> usize {
+        let (endpoint, store) = self
+            .store
+            .open_endpoint(&self.executor)
+            .expect("a free port");
+        let mut settings = settings(name, store, Vec::new());
+        settings.stop_grace = grace;
+        let number = self.start_node(settings, endpoint);
+        self.wait_ready(number);
+        number
+    }
+
     /// Starts a node that reaches each target through a proxy of its own, and returns the proxies.
     pub(crate) fn node_behind(
         &mut self,
