Let other tasks run while a client sends bytes without end

Cause: hyper reads on within one poll while bytes arrive that complete nothing, such as zeros before a chunk's length, so that one client kept the traffic thread from everything else. Change: ReadBurst ends a poll of a client's connection after 16 KiB; the task is woken behind those that wait. The same from a target (endless_response) did not stop the thread before either.

--- a/packages/turnford-http/src/connection_state.rs
+++ b/packages/turnford-http/src/connection_state.rs
@@ -20,6 +20,8 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
+use crate::read_burst::ReadBurst;
+
 use crate::delivery::DeliveryCounter;
 use crate::delivery::DeliveryGuard;
 use crate::reset::set_reset;
@@ -214,23 +216,30 @@
 pub(crate) struct TrackedStream {
     stream: TcpStream,
     state: Rc<ConnectionState>,
+    burst: ReadBurst,
 }
 
 impl TrackedStream {
     pub(crate) fn new(stream: TcpStream, state: Rc<ConnectionState>) -> Self {
-        Self { stream, state }
+        Self {
+            stream,
+            state,
+            burst: ReadBurst::default(),
+        }
     }
 }
 
 impl AsyncRead for TrackedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let tracked = self.get_mut();
+        let stream = Pin::new(&mut tracked.stream);
+        let read = tracked.burst.poll_read(stream, context, buffer);
         if matches!(read, Poll::Ready(Ok(length)) if length > 0) {
-            self.state.record_read();
+            tracked.state.record_read();
         }
         read
     }
--- a/packages/turnford-http/src/lib.rs
+++ b/packages/turnford-http/src/lib.rs
@@ -13,6 +13,7 @@
 mod message;
 mod pool;
 mod read_allowance;
+mod read_burst;
 mod receive;
 mod reset;
 mod server;
--- a/packages/turnford-serve/tests/slow_readers.rs
+++ b/packages/turnford-serve/tests/slow_readers.rs
@@ -148,6 +148,7 @@
 fn response(length: usize) -> RawResponse {
     RawResponse {
         attempt: None,
+        is_signed: true,
         status: 200,
         framing: format!("content-length: {length}\r\n"),
         body: vec![b'~'; length],
