--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -103,6 +103,8 @@
     AttemptMismatch,
     /// The call runs and fails.
     Fail,
+    /// The call runs and fails with this status, without the mark of a refusal.
+    FailWith(StatusCode),
     /// The call takes longer by this time.
     Slow(Duration),
     /// The call is rejected before it runs, after a short delay, with this `retry-after` value.
@@ -749,6 +751,9 @@
     if fault == Some(&TargetFault::Fail) {
         return HttpResponse::new(StatusCode::INTERNAL_SERVER_ERROR);
     }
+    if let Some(TargetFault::FailWith(status)) = fault {
+        return HttpResponse::new(*status);
+    }
     let text = format!("answer to {attempt}");
     let mut response = HttpResponse::new(StatusCode::OK);
     if fault == Some(&TargetFault::Truncate) {
--- a/packages/turnford/tests/soak/plan.rs
+++ b/packages/turnford/tests/soak/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::StatusCode;
 use rand::rngs::StdRng;
 use rand::Rng;
 use rand::SeedableRng;
@@ -57,6 +58,10 @@
 /// The targets that repeat responses: those of the services whose calls name an attempt.
 const REPEATING: std::ops::Range<usize> = 0..4;
 
+/// Number of times per run that a plain target fails some calls that it runs with the status of a refusal.
+const FALSE_REFUSALS: usize = 3;
+const PLAIN: std::ops::Range<usize> = 0..2;
+
 /// Periods per run in which most new connections go to one node that gets a part of a core.
 const HOT_NODES: usize = 2;
 
@@ -196,6 +201,11 @@
             let at = WARM_UP + FAULT_PERIOD.mul_f64(rng.random());
             steps.push((at, random_stall(&mut rng)));
         }
+        let mut rng = StdRng::seed_from_u64(seed.rotate_left(29));
+        for _ in 0..FALSE_REFUSALS {
+            let at = WARM_UP + FAULT_PERIOD.mul_f64(rng.random());
+            steps.push((at, random_false_refusals(&mut rng)));
+        }
         steps.sort_by_key(|(at, _)| *at);
         let mut rng = StdRng::seed_from_u64(seed.rotate_left(17));
         Self {
@@ -284,6 +294,17 @@
     )
 }
 
+fn random_false_refusals(rng: &mut StdRng) -> Fault {
+    let statuses = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    let status = statuses[rng.random_range(0..statuses.len())];
+    let fault = TargetFault::FailWith(status);
+    Fault::Target(rng.random_range(PLAIN), fault, rng.random_range(4..16))
+}
+
 fn random_replacement(rng: &mut StdRng) -> Fault {
     let target = ENGINES[rng.random_range(0..ENGINES.len())];
     let version = VERSIONS[rng.random_range(0..VERSIONS.len())];
