Take ports of the review's processes where no system takes them

Cause: a port given back by the system may be taken by a connection before a node binds it, and the case couldn't run.

--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -251,11 +251,6 @@
     r#"{"version":3,"routes":[{"name":"r-draft","host":"api.example","path_prefix":"/draft/","kind":"streaming","timeout_ms":8000,"target_latency_ms":1600,"target_gap_ms":500,"priority":1,"service":"llm","max_attempts":2,"stages":[],"allow_anonymous":true,"sticky_sessions":true,"resumable":false}],"services":[{"name":"llm","health_check_path":"/health","connection_limit":610,"protocol":"h1","tls":false,"inference_engine":{"slots":128,"kv_cache_tokens":286093,"kv_token_bytes":131072,"link_mbps":130000.0,"moves":true,"backups":true,"stride":3,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":15000}}"#
 }
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address").port()
-}
-
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     if arguments[0] == "engine" {
@@ -271,8 +266,12 @@
     store.put("config", "main", config());
     let seen: Arc<Mutex<Seen>> = Arc::default();
     for index in 0..ENGINES {
-        let (store, record, seen, port) =
-            (store.clone(), record.clone(), seen.clone(), free_port());
+        let (store, record, seen, port) = (
+            store.clone(),
+            record.clone(),
+            seen.clone(),
+            standin::free_port(),
+        );
         std::thread::spawn(move || keep_engine(index, port, has_trouble, &store, &record, &seen));
     }
     std::thread::sleep(Duration::from_millis(500));
--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -13,6 +13,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
@@ -445,10 +447,22 @@
     }
 }
 
-/// Returns a port that is free now.
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address").port()
+/// Ports for nodes and engines: below those that systems choose themselves for connections and for port 0, so that
+/// none is taken between its choice and its use.
+const FIRST_PORT: u16 = 20_000;
+const PORT_COUNT: u32 = 12_000;
+
+/// Returns a port that is free now, another one at each call.
+pub fn free_port() -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(97);
+    loop {
+        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst)) % PORT_COUNT;
+        let port = FIRST_PORT + number as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// A node, as a process of the project's own program.
