--- a/packages/turnford-serve/tests/crashing_requests.rs
+++ b/packages/turnford-serve/tests/crashing_requests.rs
@@ -106,6 +106,18 @@
     assert!(reached <= MAX_RUNS, "it reached {reached} engines");
 }
 
+#[test]
+fn before_head() {
+    // Guards against a request that crashes each engine before the head of a response, and so left no
+    // record.
+    let site = start_site();
+    for engine in fragile_targets(&site, "sprog", &LASTING) {
+        engine.crash_before_head();
+    }
+    let reached = send_crashing(&site, "/draft/1");
+    assert!(reached <= MAX_RUNS, "it reached {reached} engines");
+}
+
 #[test]
 fn few_services() {
     // A target of a plain service gives no sign of a run before its response.
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -129,6 +129,8 @@
     pub(super) crash_body: Mutex<Option<String>>,
     /// Id of the prompt segment that crashes the target.
     crash_segment: Mutex<Option<String>>,
+    /// Whether an engine crashes before the head of its response.
+    crashes_before_head: AtomicBool,
     /// State in the target's last store entry, `ready` or `draining`.
     listed_state: Mutex<String>,
     /// Number of crashes.
@@ -238,6 +240,7 @@
             version: Mutex::new(identity.version.to_owned()),
             crash_body: Mutex::default(),
             crash_segment: Mutex::default(),
+            crashes_before_head: AtomicBool::new(false),
             listed_state: Mutex::default(),
             crashes: AtomicU64::new(0),
             entry_changes: AtomicU64::new(0),
@@ -294,6 +297,11 @@
         *lock(&self.state.crash_body) = Some(body.to_owned());
     }
 
+    /// Makes an engine crash before it sends the head of its response.
+    pub fn crash_before_head(&self) {
+        self.state.crashes_before_head.store(true, Ordering::SeqCst);
+    }
+
     /// Makes the target crash whenever it runs a request with this prompt segment.
     pub fn crash_on_segment(&self, segment: &str) {
         *lock(&self.state.crash_segment) = Some(segment.to_owned());
@@ -684,11 +692,18 @@
         Some(response)
     }
 
-    /// Starts the response to a request that crashes the target: an engine sends the headers only.
+    /// Starts the response to a request that crashes the target: an engine sends the headers at most.
     async fn unfinished_response(&self, attempt: &str) -> Option<HttpResponse> {
-        let TargetRole::Engine { first_event, .. } = self.role else {
-            Timer::after(UNRESPONSIVE_TIME).await;
-            return None;
+        let first_event = match self.role {
+            TargetRole::Engine { first_event, .. }
+                if !self.crashes_before_head.load(Ordering::SeqCst) =>
+            {
+                first_event
+            }
+            _ => {
+                Timer::after(UNRESPONSIVE_TIME).await;
+                return None;
+            }
         };
         Timer::after(first_event).await;
         let mut response = HttpResponse::new(StatusCode::OK);
