Count the retries of pieces

Cause: service_events_total counted the retries of requests, not those of pieces and hedges, so that what a service had spent could not be read. Change: all of them are taken and counted in one function (retries.rs). Result: no decision changes.

--- a/packages/turnford-serve/src/attempt_log.rs
+++ b/packages/turnford-serve/src/attempt_log.rs
@@ -14,6 +14,7 @@
 use crate::forward::ForwardOutcome;
 use crate::metrics::ServiceEvent;
 use crate::request::refuse_suspect;
+use crate::retries::try_take_retries;
 use crate::target_connection::ConnectionChoice;
 use crate::traffic::Traffic;
 use crate::trial::SuspectRefusal;
@@ -95,19 +96,11 @@
 
 /// Takes a retry from the service's allowance.
 pub(crate) fn try_take_retry(traffic: &Traffic, job: &ForwardJob<'_>) -> bool {
-    let now = traffic.shared.now();
-    let allowed = job.context.allowance.borrow_mut().try_take(now);
-    let event = if allowed {
-        ServiceEvent::Repeated
-    } else {
+    let allowed = try_take_retries(traffic, job.context, 1);
+    if !allowed {
         job.record
             .trace(format_args!("no retry allowed for another target"));
-        ServiceEvent::RepeatDenied
-    };
-    traffic
-        .shared
-        .metrics
-        .record_service_event(&job.context.spec.borrow().name, event);
+    }
     allowed
 }
 
--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -23,6 +23,7 @@
 use crate::crash_check::check_broken_pieces;
 use crate::metrics::ServiceEvent;
 use crate::pieces::PieceCell;
+use crate::retries::try_take_retries;
 
 /// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 256 * 1024;
@@ -240,14 +241,13 @@
         plan.pieces.len()
     );
     record_speed(cell, target, expected.mul_f64(HEDGE_FACTOR), expected);
-    let now = cell.traffic.shared.now();
     if cell.queue.scheduler.borrow().queue_len() > 0 {
         // Other targets have enough queued work; running these pieces twice would only delay it.
         return;
     }
     for (ticket, work) in &plan.pieces {
         let is_possible = cell.queue.has_inputs(*ticket);
-        if is_possible && cell.context.allowance.borrow_mut().try_take(now) {
+        if is_possible && try_take_retries(&cell.traffic, &cell.context, 1) {
             let mut scheduler = cell.queue.scheduler.borrow_mut();
             scheduler.requeue(*ticket, work.clone());
         }
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -57,6 +57,7 @@
 mod request_body;
 mod results;
 mod resume;
+mod retries;
 mod send_log;
 mod service_context;
 mod shared;
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -54,7 +54,7 @@
 pub(crate) enum ServiceEvent {
     /// A request was sent to a target for the first time.
     Sent,
-    /// A request was sent to one more target.
+    /// A request or piece may be sent once more.
     Repeated,
     /// A retry was denied because the retry budget of the window was used up.
     RepeatDenied,
@@ -380,11 +380,16 @@
 
     /// Records an event of a service.
     pub(crate) fn record_service_event(&self, service: &str, event: ServiceEvent) {
+        self.record_service_events(service, event, 1);
+    }
+
+    /// Counts this number of events of a service.
+    pub(crate) fn record_service_events(&self, service: &str, event: ServiceEvent, count: usize) {
         let labels = ServiceLabels {
             service: service.to_owned(),
             event: event.label(),
         };
-        self.services.get_or_create(&labels).inc();
+        self.services.get_or_create(&labels).inc_by(count as u64);
     }
 
     /// Returns all metrics as OpenMetrics text.
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -29,6 +29,7 @@
 use crate::limits::PermitOutcome;
 use crate::release::release_results;
 use crate::release::PieceResult;
+use crate::retries::try_take_retries;
 use crate::service_context::ServiceContext;
 use crate::traffic::Traffic;
 
@@ -365,7 +366,6 @@
     /// Requeues the pieces of a failed call. If they may have run, each one needs a retry from the
     /// allowance.
     pub(crate) fn requeue_pieces(&self, plan: BatchPlan, reason: &'static str, may_have_run: bool) {
-        let now = self.traffic.shared.now();
         for (ticket, mut work) in plan.pieces {
             let verdict = self.verdict(&work);
             work.is_suspect = verdict != CrashVerdict::Clear;
@@ -384,7 +384,7 @@
             if !self.record_unread(ticket) {
                 continue;
             }
-            if !may_have_run || self.context.allowance.borrow_mut().try_take(now) {
+            if !may_have_run || try_take_retries(&self.traffic, &self.context, 1) {
                 self.queue.scheduler.borrow_mut().requeue(ticket, work);
             } else {
                 // The request may have ended.
--- a/packages/turnford-serve/src/stage.rs
+++ b/packages/turnford-serve/src/stage.rs
@@ -18,6 +18,7 @@
 use crate::record::RequestRecord;
 use crate::release::PieceResult;
 use crate::results::HeldResults;
+use crate::retries::try_take_retries;
 use crate::service_context::ServiceContext;
 use crate::stages::StageError;
 use crate::traffic::Traffic;
@@ -122,7 +123,8 @@
         }
         failures += 1;
         if failures > MAX_PIECE_RETRIES
-            || !try_take_retries(&traffic, &record, &cell_ref, attempted)
+            || now >= record.deadline
+            || !try_take_retries(&traffic, &cell_ref.context, attempted)
         {
             return Err(StageError::Failed("a piece was not made"));
         }
@@ -174,18 +176,6 @@
     allowance.record_first_attempts(now, count);
 }
 
-/// Takes retries of `count` pieces from the service's allowance, all or none.
-fn try_take_retries(
-    traffic: &Traffic,
-    record: &RequestRecord,
-    cell_ref: &CellRef,
-    count: usize,
-) -> bool {
-    let now = traffic.shared.now();
-    let mut allowance = cell_ref.context.allowance.borrow_mut();
-    now < record.deadline && allowance.try_take_many(now, count)
-}
-
 fn build_piece_work(
     traffic: &Traffic,
     record: &RequestRecord,
