Save the retries that a node may send instead of counting those of a process

Cause: each process counted its own retries in a window. One that started had its part of the slack once more, and retries funded by requests from before its start fell into the same window. Change: RetryAllowance saves what is not used, up to a limit, and starts with nothing, but for the first process of a node. What a fleet sends in a window was saved before it or earned within it. A node has a part of the slack once it has read the list of nodes, by the most nodes that it has known. Nodes of the tests in turnford-serve are the first processes of their names and say so now.

--- a/packages/turnford-serve/src/control/members.rs
+++ b/packages/turnford-serve/src/control/members.rs
@@ -124,8 +124,12 @@
     let missing_count = members.all().filter(is_missing).count();
     let shared = &context.shared;
     let view = shared.view.load();
+    let has_member_list = view.has_member_list || context.registered_era.get().is_some();
     let is_unchanged = *view.members == live && view.fleet_size == fleet_size;
-    if is_unchanged && view.missing_count == missing_count {
+    if is_unchanged
+        && view.missing_count == missing_count
+        && view.has_member_list == has_member_list
+    {
         return;
     }
     shared.metrics.members.set(live.len() as u64);
@@ -133,6 +137,8 @@
     shared.set_view(|view| RouteView {
         members: live.clone(),
         fleet_size,
+        max_fleet_size: view.max_fleet_size.max(fleet_size),
+        has_member_list,
         missing_count,
         ..view.clone()
     });
@@ -281,13 +287,15 @@
 async fn register(context: Rc<ControlContext>) {
     loop {
         let result = try_register(&context).await;
+        if result.is_ok() {
+            context.registered_era.set(Some(context.era()));
+        }
         publish(&context);
         context
             .shared
             .has_queried_members
             .store(true, Ordering::SeqCst);
         let Err(error) = result else {
-            context.registered_era.set(Some(context.era()));
             return;
         };
         log::warn!("registration of this node failed, will retry: {error}");
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -61,6 +61,10 @@
     pub(crate) members: Arc<Vec<FleetMember>>,
     /// Upper bound on the number of live nodes, including this one.
     pub(crate) fleet_size: usize,
+    /// Largest [`Self::fleet_size`] since the start of this process.
+    pub(crate) max_fleet_size: usize,
+    /// Whether the store's list of nodes has been read since the start of this process.
+    pub(crate) has_member_list: bool,
     /// Number of nodes among them that recently became unreachable without a planned stop.
     pub(crate) missing_count: usize,
 }
@@ -71,6 +75,15 @@
         self.fleet_size.max(MIN_FLEET_SIZE) as f64
     }
 
+    /// Returns this node's part of the retries that the whole fleet may send. A node that is cut off from the
+    /// others keeps the part that it had; one that has not read the list of nodes has none.
+    pub(crate) fn retry_share(&self) -> f64 {
+        if !self.has_member_list {
+            return 0.0;
+        }
+        1.0 / self.max_fleet_size.max(MIN_FLEET_SIZE) as f64
+    }
+
     /// Returns whether this node reaches at least half of the nodes that may be alive, including
     /// itself.
     pub(crate) fn reaches_half(&self) -> bool {
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -145,7 +145,7 @@
                 .entry(spec.name.clone())
                 .or_insert_with(|| self.new_service(spec));
             *context.spec.borrow_mut() = spec.clone();
-            let slack = self.shared.settings.retries.slack / view.share_count();
+            let slack = self.shared.settings.retries.slack * view.retry_share();
             context.allowance.borrow_mut().set_slack(slack);
         }
         let mut links = self.links.borrow_mut();
@@ -168,7 +168,13 @@
 
     fn new_service(self: &Rc<Self>, spec: &Arc<ServiceSpec>) -> Rc<ServiceContext> {
         let retries = self.shared.settings.retries;
-        let allowance = RetryAllowance::new(retries.window, retries.ratio, 0.0);
+        let mut allowance = RetryAllowance::new(retries.window, retries.ratio, 0.0);
+        if spec.batch.is_some() {
+            allowance = allowance.for_pieces();
+        }
+        if self.shared.settings.is_first_start {
+            allowance = allowance.first();
+        }
         let (traffic, service) = (Rc::downgrade(self), spec.name.clone());
         let on_change = move || {
             let traffic = traffic.upgrade();
--- a/packages/turnford-serve/tests/common/mod.rs
+++ b/packages/turnford-serve/tests/common/mod.rs
@@ -212,6 +212,26 @@
         self.nodes.len() - 1
     }
 
+    /// Stops a node, starts a further process of it and waits until that accepts requests.
+    pub(crate) fn restart(&mut self, number: usize) {
+        let site_node = &mut self.nodes[number];
+        site_node.node.take().expect("a node").stop();
+        let ports = settings("", site_node.settings.store, Vec::new());
+        let node = ServeNode::start(ServeSettings {
+            is_first_start: false,
+            listen: ports.listen,
+            ready: ports.ready,
+            inner: ports.inner,
+            work: ports.work,
+            metrics: ports.metrics,
+            ..site_node.settings.clone()
+        });
+        let node = node.expect("free ports");
+        site_node.settings = node.settings().clone();
+        site_node.node = Some(node);
+        self.wait_ready(number);
+    }
+
     /// Sends a request to a node and reads the whole response.
     pub(crate) fn call(
         &self,
@@ -329,7 +349,7 @@
         metrics: free_address(),
         store,
         peers,
-        is_first_start: false,
+        is_first_start: true,
         stop_grace: Duration::from_secs(6),
         target_addresses: BTreeMap::new(),
         retries: RetrySettings {
