Take a retry for each piece that is sent once more

Cause: a piece counted as repeated only if it may have run. The rule counts arrivals, also those that a target refuses. Pieces handed to another node counted as first attempts at both nodes, and stages that run again as new. Change: pieces that were refused, found no space or run again in a later round take retries; first attempts count at the node of the request.

--- a/packages/turnford-serve/src/batch.rs
+++ b/packages/turnford-serve/src/batch.rs
@@ -300,7 +300,7 @@
                 .scheduler
                 .borrow_mut()
                 .record_refusal(now, &target.id);
-            cell.requeue_pieces(plan, "the target refused it", false);
+            cell.requeue_pieces(plan, "the target refused it", true);
         }
         CallError::Disconnected(_) | CallError::OtherResponse | CallError::Unknown(_) => {
             let reason = error.reason();
--- a/packages/turnford-serve/src/batching.rs
+++ b/packages/turnford-serve/src/batching.rs
@@ -281,12 +281,6 @@
         index: piece_request.cell as usize,
     };
     let works = decode_works(&piece_request, traffic.shared.now());
-    let now = traffic.shared.now();
-    cell_ref
-        .context
-        .allowance
-        .borrow_mut()
-        .record_first_attempts(now, works.len());
     let inputs = decode_inputs(traffic, &piece_request.last_use);
     // Results that are unknown here are released by the requesting node.
     let knows_all = inputs.len() == piece_request.last_use.len();
--- a/packages/turnford-serve/src/pieces.rs
+++ b/packages/turnford-serve/src/pieces.rs
@@ -352,9 +352,9 @@
     }
 
     /// Requeues a piece whose result did not fit into the target's free space because it is larger
-    /// than expected. Nothing ran, so this does not count as a retry.
+    /// than expected. Returns false if nobody waits for it or no retry is allowed.
     fn requeue_larger(&self, target: &str, ticket: PieceTicket, work: &PieceWork) -> bool {
-        if !self.record_unread(ticket) {
+        if !self.record_unread(ticket) || !try_take_retries(&self.traffic, &self.context, 1) {
             return false;
         }
         let mut scheduler = self.queue.scheduler.borrow_mut();
@@ -363,9 +363,9 @@
         true
     }
 
-    /// Requeues the pieces of a failed call. If they may have run, each one needs a retry from the
-    /// allowance.
-    pub(crate) fn requeue_pieces(&self, plan: BatchPlan, reason: &'static str, may_have_run: bool) {
+    /// Requeues the pieces of a failed call. If it may have reached its target, each one needs a retry from
+    /// the allowance.
+    pub(crate) fn requeue_pieces(&self, plan: BatchPlan, reason: &'static str, was_sent: bool) {
         for (ticket, mut work) in plan.pieces {
             let verdict = self.verdict(&work);
             work.is_suspect = verdict != CrashVerdict::Clear;
@@ -384,7 +384,7 @@
             if !self.record_unread(ticket) {
                 continue;
             }
-            if !may_have_run || try_take_retries(&self.traffic, &self.context, 1) {
+            if !was_sent || try_take_retries(&self.traffic, &self.context, 1) {
                 self.queue.scheduler.borrow_mut().requeue(ticket, work);
             } else {
                 // The request may have ended.
--- a/packages/turnford-serve/src/record.rs
+++ b/packages/turnford-serve/src/record.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -61,6 +62,8 @@
     pub(crate) final_call_time: Cell<Duration>,
     /// Sends of the request to targets.
     pub(crate) sends: SendLog,
+    /// Stages whose pieces were handed out.
+    started_stages: RefCell<BTreeSet<usize>>,
     final_call_start: Cell<Moment>,
     trace: RefCell<String>,
     /// Time until the first byte of the response.
@@ -104,6 +107,7 @@
             crash_keys: RefCell::default(),
             final_call_time: Cell::new(Duration::ZERO),
             sends: SendLog::default(),
+            started_stages: RefCell::default(),
             final_call_start: Cell::new(started_at),
             trace: RefCell::new(String::new()),
             first_byte: Cell::new(None),
@@ -120,6 +124,11 @@
         })
     }
 
+    /// Records that the pieces of a stage are handed out. Returns false if they were before.
+    pub(crate) fn start_stage(&self, stage: usize) -> bool {
+        self.started_stages.borrow_mut().insert(stage)
+    }
+
     /// Returns what the request may crash its targets by.
     pub(crate) fn crash_keys(&self) -> Rc<CrashKeys> {
         self.crash_keys.borrow().clone()
--- a/packages/turnford-serve/src/stage.rs
+++ b/packages/turnford-serve/src/stage.rs
@@ -67,7 +67,11 @@
     let context = context.ok_or(StageError::Failed("the stage's service is not known"))?;
     let cell_ref = choose_cell(&traffic, &record, context, &params);
     let mut missing: Vec<u32> = (0..params.count).collect();
-    record_first_attempts(&traffic, &cell_ref, missing.len());
+    if record.start_stage(params.stage) {
+        record_first_attempts(&traffic, &cell_ref, missing.len());
+    } else if !try_take_retries(&traffic, &cell_ref.context, missing.len()) {
+        return Err(StageError::Failed("no retry is allowed for its pieces"));
+    }
     let mut results = HeldResults::new(&traffic, 1);
     let mut made: Vec<Option<PieceResult>> = vec![None; missing.len()];
     let mut failures = 0;
