Keep the count of attempts when a final call begins anew

Cause: after a missing input the attempts of a request were counted from zero, so that it could run on more targets than its route allows. Change: attempts that may have run count on. Result: by reading; no test shows it before or after.

--- a/packages/turnford-serve/src/attempt_log.rs
+++ b/packages/turnford-serve/src/attempt_log.rs
@@ -31,7 +31,8 @@
 #[derive(Default)]
 pub(crate) struct AttemptLog {
     pub(crate) tried: Vec<TargetId>,
-    /// Number of attempts that count towards the route's limit.
+    /// Number of attempts that count towards the route's limit, with those that may have run before the final
+    /// call began anew.
     pub(crate) attempts: u32,
     /// Number of the request's sends before its final call began anew, for lack of a stage result.
     earlier_sends: u32,
@@ -52,6 +53,7 @@
 impl AttemptLog {
     pub(crate) fn new(job: &ForwardJob<'_>) -> Self {
         Self {
+            attempts: job.record.sends.runs(),
             earlier_sends: job.record.sends.sent(),
             ..Self::default()
         }
--- a/packages/turnford-serve/src/send_log.rs
+++ b/packages/turnford-serve/src/send_log.rs
@@ -38,6 +38,11 @@
         self.sent.get()
     }
 
+    /// Returns the number of sends that may have run the request.
+    pub(crate) fn runs(&self) -> u32 {
+        self.sent.get().saturating_sub(self.not_run.get())
+    }
+
     /// Returns the proof that the request has not run and never will, if there is one.
     pub(crate) fn not_run(&self) -> Option<NotRun> {
         (!self.may_have_run()).then_some(NotRun(()))
@@ -45,6 +50,6 @@
 
     /// Returns whether some send may have run the request, or may still do so.
     pub(crate) fn may_have_run(&self) -> bool {
-        self.sent.get() > self.not_run.get()
+        self.runs() > 0
     }
 }
