Record crashes of requests that have no head of a response yet

Cause: a call without a head at a crashed engine was ruled out as the cause, since an engine was taken to send its head when it starts to run a request. Change: a crash counts against each request at the target. The simulated world records the same, and hidden_starts plays harmful requests that never show a start.

--- a/packages/turnford-fleet/tests/common/crash_world.rs
+++ b/packages/turnford-fleet/tests/common/crash_world.rs
@@ -111,6 +111,8 @@
     next: RunNumber,
     /// Requests that crash their targets.
     pub(crate) harmful: HashSet<RequestDigest>,
+    /// Whether harmful requests crash their targets before it shows that they have started to run.
+    pub(crate) hides_start: bool,
     /// Keys of requests with followed prompt segments.
     pub(crate) keys: HashMap<RequestDigest, CrashKeys>,
     /// Times at which harmful requests crashed a target, and at which they reached one.
@@ -137,6 +139,7 @@
             runs: HashMap::new(),
             next: 0,
             harmful: HashSet::new(),
+            hides_start: false,
             keys: HashMap::new(),
             crashed: Vec::new(),
             reached: Vec::new(),
@@ -280,8 +283,8 @@
         let Some(run) = self.runs.get_mut(&number) else {
             return;
         };
-        run.has_started = true;
         let is_harmful = self.harmful.contains(&run.digest);
+        run.has_started = !(is_harmful && self.hides_start);
         let (from, to) = if is_harmful { (20, 150) } else { (200, 1500) };
         self.after(from, to, Step::End(number));
     }
@@ -323,9 +326,7 @@
         let Some(run) = self.runs.get(&number).cloned() else {
             return;
         };
-        if run.has_started || run.is_alone {
-            self.record_crash(&run);
-        }
+        self.record_crash(&run);
         if !self.harmful.contains(&run.digest) {
             // The client retries.
             let at = self.now + self.millis(200, 1500);
--- a/packages/turnford-fleet/tests/crash_spread.rs
+++ b/packages/turnford-fleet/tests/crash_spread.rs
@@ -119,7 +119,10 @@
 
 /// Runs one simulation and returns the violated condition, if any.
 fn check_history(seed: u64) -> Result<(), String> {
-    let mut world = World::new(seed);
+    check_world(World::new(seed))
+}
+
+fn check_world(mut world: World) -> Result<(), String> {
     plan(&mut world);
     world.play();
     let late = world.late_sends(3, CONTAINMENT_DELAY);
@@ -169,4 +172,13 @@
     fn bounded_crashes(seed in any::<u64>()) {
         prop_assert_eq!(check_history(seed), Ok(()));
     }
+
+    /// Guards against harmful requests that leave no record, since their targets crash before they show that
+    /// the request has started to run.
+    #[test]
+    fn hidden_starts(seed in any::<u64>()) {
+        let mut world = World::new(seed);
+        world.hides_start = true;
+        prop_assert_eq!(check_world(world), Ok(()));
+    }
 }
--- a/packages/turnford-serve/src/crash.rs
+++ b/packages/turnford-serve/src/crash.rs
@@ -172,8 +172,8 @@
     }
 }
 
-/// Records that a target crashed during a call and notifies other nodes. A call that shared the
-/// target with others and had not started to run is ruled out as the cause.
+/// Records that a target crashed during a call and notifies other nodes. A request may crash its target
+/// before anything shows that it has started to run.
 pub(crate) fn record_crash(traffic: &Rc<Traffic>, call: &BrokenCall, evidence: &str) {
     traffic.shared.metrics.target_crashes.inc();
     let (keys, target) = (&call.keys, &call.target);
@@ -186,9 +186,6 @@
         call.is_alone,
         call.has_started
     );
-    if !call.is_alone && !call.has_started {
-        return;
-    }
     let now = traffic.shared.now();
     let tested = traffic.crashes.table.borrow().tested(now, keys);
     let mut events = Vec::new();
--- a/packages/turnford-serve/src/forward.rs
+++ b/packages/turnford-serve/src/forward.rs
@@ -154,7 +154,7 @@
                     return end;
                 }
                 if matches!(error, CallError::Disconnected(_)) {
-                    // An engine sends the head of its response when it starts to run a request.
+                    // Without a head, an engine may have had the request in its queue.
                     let has_started = job.context.spec.borrow().engine.is_none();
                     check_crash(traffic, job, &log, *placed, has_started).await;
                 }
