Let other tasks run while a target sends bytes without end

Cause: hyper reads on within one poll while bytes arrive that complete nothing. ReadBurst bounds that for clients; connections to targets had a bound on the head alone, which zeros behind a whole chunk don't reach. Change: LimitedStream reads through ReadBurst, which also bounds a single read.

--- a/packages/turnford-http/src/head_limit.rs
+++ b/packages/turnford-http/src/head_limit.rs
@@ -15,6 +15,8 @@
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
 
+use crate::read_burst::ReadBurst;
+
 /// Maximum number of bytes before the end of a response's head, interim responses included.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
 
@@ -59,15 +61,20 @@
     }
 }
 
-/// TCP stream whose reads fail once its allowance is exhausted.
+/// TCP stream whose reads fail once its allowance is exhausted, and let other tasks run in between.
 pub(crate) struct LimitedStream {
     stream: TcpStream,
+    burst: ReadBurst,
     allowance: Arc<HeadAllowance>,
 }
 
 impl LimitedStream {
     pub(crate) fn new(stream: TcpStream, allowance: Arc<HeadAllowance>) -> Self {
-        Self { stream, allowance }
+        Self {
+            stream,
+            burst: ReadBurst::default(),
+            allowance,
+        }
     }
 }
 
@@ -77,7 +84,9 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let read = ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let this = &mut *self;
+        let stream = Pin::new(&mut this.stream);
+        let read = ready!(this.burst.poll_read(stream, context, buffer))?;
         if !self.allowance.take(read) {
             let reason = "no end of the head of a response";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
--- a/packages/turnford-http/src/read_burst.rs
+++ b/packages/turnford-http/src/read_burst.rs
@@ -32,7 +32,8 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let read = stream.poll_read(context, buffer);
+        let length = buffer.len().min(MAX_BURST_BYTES - self.bytes);
+        let read = stream.poll_read(context, &mut buffer[..length]);
         match read {
             Poll::Ready(Ok(length)) => self.bytes += length,
             Poll::Ready(Err(_)) | Poll::Pending => self.bytes = 0,
--- a/packages/turnford-http/tests/fair_reads.rs
+++ b/packages/turnford-http/tests/fair_reads.rs
@@ -58,16 +58,23 @@
 
 #[test]
 fn endless_response() {
+    check_response(b"HTTP/1.1 200 -\r\ntransfer-encoding: chunked\r\n\r\n");
+}
+
+/// Guards against zeros behind a whole chunk, which no longer count as part of the head.
+#[test]
+fn endless_chunk() {
+    check_response(b"HTTP/1.1 200 -\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n");
+}
+
+fn check_response(begin: &'static [u8]) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let to = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         let length = stream.read(&mut [0; 4096]).expect("a request");
         assert!(length > 0);
-        send_without_end(
-            stream,
-            b"HTTP/1.1 200 -\r\ntransfer-encoding: chunked\r\n\r\n",
-        );
+        send_without_end(stream, begin);
     });
     let executor: Rc<LocalExecutor<'static>> = Rc::default();
     let driver = executor.clone();
