Ask other nodes for the versions that a started process doesn't know

Cause: without a record, a stream is resumed only where a node has known the service's only version for as long as a stream lasts. Nodes that had started since did not know it, and the last one that did took the knowledge with it when it stopped. Change: a started process asks others and adopts a version that they have known for long enough, if it has seen no other one.

--- a/packages/turnford-fleet/src/stream_evidence.rs
+++ b/packages/turnford-fleet/src/stream_evidence.rs
@@ -91,7 +91,7 @@
     }
 
     /// Returns the version that all nodes that know a service for long enough agree on.
-    fn sole_version(&self, service: usize) -> Option<SoftwareVersion> {
+    pub fn sole_version(&self, service: usize) -> Option<SoftwareVersion> {
         let mut sole: Option<&str> = None;
         for answer in &self.answers {
             match answer.versions.get(service)? {
--- a/packages/turnford-policy/src/route/version_history.rs
+++ b/packages/turnford-policy/src/route/version_history.rs
@@ -28,6 +28,14 @@
         }
     }
 
+    /// Records that another node, which has known the targets for the whole window, saw only this version
+    /// until now. Changes nothing if targets of another version were seen here.
+    pub fn adopt_sole(&mut self, version: &str) {
+        let mut versions = self.versions.keys();
+        self.is_complete |=
+            versions.len() == 1 && versions.all(|known| known.as_deref() == Some(version));
+    }
+
     /// Records the versions of the targets that are listed now.
     pub fn observe(
         &mut self,
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -40,6 +40,7 @@
 use crate::loop_monitor::monitor_loop;
 use crate::memory::usable_memory;
 use crate::metrics::ServeMetrics;
+use crate::resume::adopt_versions;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
 use crate::suspect_channel::SuspectChannel;
@@ -265,6 +266,7 @@
     executor
         .spawn(pull_initial_crashes(traffic.clone()))
         .detach();
+    executor.spawn(adopt_versions(traffic.clone())).detach();
     executor.spawn(sync_crashes(traffic.clone())).detach();
     executor.spawn(probe_leaving(traffic.clone())).detach();
     executor.spawn(maintain_limits(traffic.clone())).detach();
--- a/packages/turnford-serve/src/resume.rs
+++ b/packages/turnford-serve/src/resume.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_io::Timer;
+
 use turnford_fleet::find_version;
 use turnford_fleet::stream_key;
 use turnford_fleet::stream_origin;
@@ -28,6 +30,12 @@
 /// Time after a client's deadline for which the record of its stream is kept.
 const RECORD_GRACE: Duration = Duration::from_secs(2);
 
+/// Interval at which a process asks for versions that it does not know.
+const ADOPTION_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for which it does so. After that, it has known them for the length of most streams itself.
+const ADOPTION_PERIOD: Duration = Duration::from_secs(30);
+
 /// Maximum time for which the record of a stream is kept, whatever deadline its client states.
 const MAX_RECORD_LIFETIME: Duration = Duration::from_secs(120);
 
@@ -185,6 +193,29 @@
     }
 }
 
+/// Asks other nodes for the versions of services that this process has not known for long enough. Streams
+/// without a record can then be resumed here once those nodes have ended.
+pub(crate) async fn adopt_versions(traffic: Rc<Traffic>) {
+    let started_at = traffic.shared.now();
+    while traffic.shared.now().saturating_sub(started_at) < ADOPTION_PERIOD {
+        Timer::after(ADOPTION_INTERVAL).await;
+        let contexts = traffic.all_services().into_iter();
+        let names = contexts.map(|context| context.spec.borrow().name.to_string());
+        let is_recent =
+            |name: &String| version_knowledge(&traffic, name) == VersionKnowledge::Recent;
+        let services: Vec<String> = names.filter(is_recent).collect();
+        if services.is_empty() {
+            continue;
+        }
+        let versions = traffic.streams.ask_versions(&services).await;
+        for (service, version) in services.iter().zip(versions) {
+            if let Some((context, version)) = traffic.service(service).zip(version) {
+                context.versions.borrow_mut().adopt_sole(&version);
+            }
+        }
+    }
+}
+
 /// Answers another node's question about a stream.
 pub(crate) fn answer_query(traffic: &Traffic, key: StreamKey, services: &[String]) -> WorkReply {
     WorkReply::Stream(answer_of(traffic, key, services))
--- a/packages/turnford-serve/src/stream_directory.rs
+++ b/packages/turnford-serve/src/stream_directory.rs
@@ -19,6 +19,7 @@
 use turnford_fleet::StreamTable;
 use turnford_fleet::StreamVerdict;
 use turnford_policy::Moment;
+use turnford_policy::SoftwareVersion;
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
@@ -41,6 +42,9 @@
 /// Time for which a node that resumes a stream waits for the answers of others.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Key of no stream, for questions about versions alone.
+const UNUSED_KEY: StreamKey = 0;
+
 /// Time for which a node that can't keep records, such as one of an older build, is passed over.
 const UNSUPPORTED_PERIOD: Duration = Duration::from_secs(10);
 
@@ -175,6 +179,17 @@
         evidence.verdict(services.len(), has_peers)
     }
 
+    /// Asks a few other nodes for the versions of services. Returns, for each service, the only version that
+    /// those which know it for long enough have seen.
+    pub(crate) async fn ask_versions(&self, services: &[String]) -> Vec<Option<SoftwareVersion>> {
+        let mut evidence = StreamEvidence::default();
+        let peers = self.peers.sample(HOLDER_COUNT);
+        self.ask_nodes(&peers, UNUSED_KEY, services, &mut evidence)
+            .await;
+        let versions = (0..services.len()).map(|service| evidence.sole_version(service));
+        versions.collect()
+    }
+
     async fn ask_nodes(
         &self,
         nodes: &[SocketAddr],
--- a/packages/turnford-serve/tests/resumed_streams.rs
+++ b/packages/turnford-serve/tests/resumed_streams.rs
@@ -36,6 +36,9 @@
 /// Minimum ratio of resumed streams that go on, relative to new streams that begin.
 const MIN_RESUMED_RATIO: f64 = 0.9;
 
+/// Time within which a started node has asked the others for versions.
+const ADOPTION_TIME: Duration = Duration::from_millis(1500);
+
 /// Longest time for which a stream that can't be resumed may be held.
 const MAX_HOLD: Duration = Duration::from_millis(700);
 
@@ -287,6 +290,23 @@
     site.count.check();
 }
 
+#[test]
+fn stopped_in_turn() {
+    // Guards against a node that started a short time ago and doesn't know that the service has one version,
+    // which only the node that stops now knew.
+    let mut site = VersionSite::new(2, &["v1", "v1"]);
+    site.site.restart(0);
+    std::thread::sleep(ADOPTION_TIME);
+    let begun: Vec<_> = (0..12).filter_map(|_| site.begin(1)).collect();
+    site.site.nodes[1].node.take().expect("a node").stop();
+    for (attempt, stream) in begun {
+        let last_event = stream.last_event;
+        drop(stream);
+        site.resume(0, &attempt, last_event);
+    }
+    site.count.check();
+}
+
 #[test]
 fn silent_store() {
     let mut site = VersionSite::new(4, &["v1", "v1", "v2", "v2"]);
