--- a/packages/turnford-policy/src/route/allowance.rs
+++ b/packages/turnford-policy/src/route/allowance.rs
@@ -22,9 +22,10 @@
 /// One node's share of the retries allowed for a service within a sliding window.
 ///
 /// Each request earns a fraction of a retry, and a part of the slack accrues with time. What is not used is
-/// saved, up to the rest of the slack and of what the requests of the last window allow. What is taken within a window was saved before it or added within it, so the sum over
-/// all nodes stays below ratio x requests + slack, with the requests counted in the window or in the one
-/// before. This holds whenever processes start, since these have nothing saved.
+/// saved, up to a limit: the rest of the slack, and of what the requests of the last window allow. What is
+/// taken within a window was saved before it or added within it, so the sum over all nodes stays below
+/// ratio x requests + slack, with the requests counted in the window or in the one before. This holds
+/// whenever processes start, since these have nothing saved.
 #[derive(Debug)]
 pub struct RetryAllowance {
     window: Duration,
--- a/packages/turnford-standin/src/route/target.rs
+++ b/packages/turnford-standin/src/route/target.rs
@@ -93,6 +93,8 @@
 pub enum TargetFault {
     /// The call is rejected before it runs.
     Reject,
+    /// The call is rejected before it runs, as one of its inputs is gone.
+    InputMissing,
     /// The call runs, and the connection closes without a response.
     Disconnect,
     /// The call runs, and its response is truncated.
@@ -631,7 +633,7 @@
         let occupied = Occupied::new(&self.running);
         match self.signals.admit_brittle(occupied.others) {
             BrittleDecision::Run => {}
-            BrittleDecision::Reject => return Some(rejection()),
+            BrittleDecision::Reject => return Some(rejection(StatusCode::SERVICE_UNAVAILABLE)),
             BrittleDecision::Fail => {
                 self.crash_for(RESTART_DELAY + BRITTLE_DOWNTIME);
                 return None;
@@ -783,20 +785,21 @@
 /// Returns the response to a call that a fault rejects, `None` for other faults.
 pub(super) fn rejection_for(fault: &TargetFault) -> Option<HttpResponse> {
     match fault {
-        TargetFault::Reject => Some(rejection()),
+        TargetFault::Reject => Some(rejection(StatusCode::SERVICE_UNAVAILABLE)),
+        TargetFault::InputMissing => Some(rejection(StatusCode::CONFLICT)),
         TargetFault::Backoff(backoff) => Some(rejection_with_backoff(backoff)),
         _ => None,
     }
 }
 
 fn rejection_with_backoff(backoff: &str) -> HttpResponse {
-    let mut response = rejection();
+    let mut response = rejection(StatusCode::SERVICE_UNAVAILABLE);
     response.insert_header("retry-after", backoff);
     response
 }
 
-fn rejection() -> HttpResponse {
-    let mut response = HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE);
+fn rejection(status: StatusCode) -> HttpResponse {
+    let mut response = HttpResponse::new(status);
     response.insert_header("x-turnford-not-run", "1");
     response
 }
