--- a/packages/turnford-http/src/read_allowance.rs
+++ b/packages/turnford-http/src/read_allowance.rs
@@ -12,6 +12,8 @@
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
 
+use crate::read_burst::ReadBurst;
+
 /// Maximum number of bytes received for each byte of a body, for its chunks' lengths, and for the end of a
 /// body.
 const FRAMING_FACTOR: usize = 2;
@@ -47,16 +49,21 @@
     }
 }
 
-/// A stream that reads only as many bytes as its allowance has. Without any, reads are pending until the next
-/// step polls the stream again.
+/// A stream that reads only as many bytes as its allowance has, and lets other tasks run in between. Without
+/// any bytes left, reads are pending until the next step polls the stream again.
 pub(crate) struct BoundedReader<S> {
     stream: S,
+    burst: ReadBurst,
     allowance: Arc<ReadAllowance>,
 }
 
 impl<S> BoundedReader<S> {
     pub(crate) fn new(stream: S, allowance: Arc<ReadAllowance>) -> Self {
-        Self { stream, allowance }
+        Self {
+            stream,
+            burst: ReadBurst::default(),
+            allowance,
+        }
     }
 }
 
@@ -66,14 +73,19 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let Self { stream, allowance } = self.get_mut();
+        let Self {
+            stream,
+            burst,
+            allowance,
+        } = self.get_mut();
         let remaining = allowance.remaining.load(Ordering::Relaxed);
         if remaining == 0 {
             allowance.is_exceeded.store(true, Ordering::Relaxed);
             return Poll::Pending;
         }
         let length = buffer.len().min(remaining);
-        let read = Pin::new(stream).poll_read(context, &mut buffer[..length]);
+        let stream = Pin::new(stream);
+        let read = burst.poll_read(stream, context, &mut buffer[..length]);
         if let Poll::Ready(Ok(length)) = read {
             let remaining = remaining.saturating_sub(length);
             allowance.remaining.store(remaining, Ordering::Relaxed);
--- a/packages/turnford-http/tests/fair_reads.rs
+++ b/packages/turnford-http/tests/fair_reads.rs
@@ -14,6 +14,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use bytes::Bytes;
+use http::Method;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -22,6 +23,7 @@
 use turnford_http::bind_listener;
 use turnford_http::serve_client;
 use turnford_http::ConnectionLimits;
+use turnford_http::HttpClient;
 use turnford_http::HttpConnection;
 
 /// Time after which a timer beside the peer's bytes expires.
@@ -90,6 +92,29 @@
     assert!(time < LATE, "the timer's task ran after {time:?}");
 }
 
+/// Guards against a large response of the own interface, whose bytes are bounded, but not those of one poll.
+#[test]
+fn endless_fetch() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let to = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let length = stream.read(&mut [0; 4096]).expect("a request");
+        assert!(length > 0);
+        let head = b"HTTP/1.1 200 -\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n";
+        send_without_end(stream, head);
+    });
+    let executor: Rc<LocalExecutor<'static>> = Rc::default();
+    let fetch = async move {
+        let client = HttpClient::new();
+        let request = HttpClient::request(Method::GET, to, "/").expect("a path");
+        let response = client.send_large(to, request, PEER_TIME).await;
+        assert!(response.is_err(), "the body has no end");
+    };
+    let time = time_beside(&executor, fetch);
+    assert!(time < LATE, "the timer's task ran after {time:?}");
+}
+
 #[test]
 fn endless_request() {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
