Prove the version of a stream by a ledger in the store

Callers saw streams that were joined from two software versions, and after a kill of all nodes none that went on, also where the service had one version alone. Cause: A node took the only version that it had seen for the longest timeout of a route and five seconds for the one that began a stream. Clients' deadlines may be longer than that, and the knowledge was lost with the last process. Class: a proof that rests on a bound nobody keeps. Change: turnford-versions/main in the store names the versions whose streams may still be resumed, each written before its first use. It is read for each resumption without a record, and proves a version only if it is the only one. Versions leave it through a numbered retirement, after twice the longest deadline of any stream. Windows of time and the adoption of other nodes' knowledge are removed.

--- a/packages/turnford-fleet/src/lib.rs
+++ b/packages/turnford-fleet/src/lib.rs
@@ -36,6 +36,7 @@
 mod success_memory;
 mod trial;
 mod update_memory;
+mod version_ledger;
 mod watcher;
 
 pub use allocator_election::AllocationRole;
@@ -138,6 +139,9 @@
 pub use trial::TrialAdmission;
 pub use trial::TrialId;
 pub use trial::TrialTable;
+pub use version_ledger::VersionLedger;
+pub use version_ledger::VersionUse;
+pub use version_ledger::VersionWitness;
 pub use watcher::choose_watchers;
 
 /// Name of a node, unique in the fleet.
--- a/packages/turnford-fleet/src/stream_evidence.rs
+++ b/packages/turnford-fleet/src/stream_evidence.rs
@@ -27,49 +27,39 @@
 }
 
 /// Outcome of a question about a stream's origin.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StreamVerdict {
     /// The origin was recorded this many milliseconds ago.
     Recorded(StreamOrigin, u32),
-    /// Each service that may have begun the stream had only this version at that time.
-    Sole(Vec<SoftwareVersion>),
     /// Records contradict each other.
     Conflicting,
-    /// Nothing proves the origin.
+    /// No node has a record.
     Unknown,
 }
 
 /// Answers collected so far, this node's own included.
 #[derive(Clone, Debug, Default)]
 pub struct StreamEvidence {
-    answers: Vec<StreamAnswer>,
-    peer_answers: usize,
+    lookups: Vec<StreamLookup>,
 }
 
 impl StreamEvidence {
-    /// Adds what this node knows itself.
-    pub fn add_own(&mut self, answer: StreamAnswer) {
-        self.answers.push(answer);
+    /// Adds the lookup of a node.
+    pub fn add(&mut self, lookup: StreamLookup) {
+        self.lookups.push(lookup);
     }
 
-    /// Adds another node's answer.
-    pub fn add_peer(&mut self, answer: StreamAnswer) {
-        self.answers.push(answer);
-        self.peer_answers += 1;
-    }
-
-    /// Returns whether the answers contain a record.
+    /// Returns whether a node has a record.
     pub fn has_record(&self) -> bool {
-        let mut lookups = self.answers.iter().map(|answer| answer.lookup);
-        lookups.any(|lookup| lookup != StreamLookup::Unknown)
+        let mut lookups = self.lookups.iter();
+        lookups.any(|lookup| *lookup != StreamLookup::Unknown)
     }
 
-    /// Returns the verdict on a stream that one of `service_count` services began. `has_peers` tells
-    /// whether other nodes are alive, one of which must then have confirmed sole versions.
-    pub fn verdict(&self, service_count: usize, has_peers: bool) -> StreamVerdict {
+    /// Returns the verdict on the stream.
+    pub fn verdict(&self) -> StreamVerdict {
         let mut recorded: Option<(StreamOrigin, u32)> = None;
-        for answer in &self.answers {
-            match answer.lookup {
+        for lookup in &self.lookups {
+            match *lookup {
                 StreamLookup::Conflicting => return StreamVerdict::Conflicting,
                 StreamLookup::Unknown => {}
                 StreamLookup::Recorded(origin, age) => match recorded {
@@ -79,31 +69,9 @@
                 },
             }
         }
-        if let Some((origin, age)) = recorded {
-            return StreamVerdict::Recorded(origin, age);
-        }
-        if service_count == 0 || (has_peers && self.peer_answers == 0) {
-            return StreamVerdict::Unknown;
-        }
-        let versions = (0..service_count).map(|service| self.sole_version(service));
-        let versions: Option<Vec<SoftwareVersion>> = versions.collect();
-        versions.map_or(StreamVerdict::Unknown, StreamVerdict::Sole)
-    }
-
-    /// Returns the version that all nodes that know a service for long enough agree on.
-    pub fn sole_version(&self, service: usize) -> Option<SoftwareVersion> {
-        let mut sole: Option<&str> = None;
-        for answer in &self.answers {
-            match answer.versions.get(service)? {
-                VersionKnowledge::Mixed => return None,
-                VersionKnowledge::Recent => {}
-                VersionKnowledge::Sole(version) if sole.is_none_or(|sole| sole == version) => {
-                    sole = Some(version);
-                }
-                VersionKnowledge::Sole(_) => return None,
-            }
-        }
-        sole.map(Into::into)
+        recorded.map_or(StreamVerdict::Unknown, |(origin, age)| {
+            StreamVerdict::Recorded(origin, age)
+        })
     }
 }
 
--- a/packages/turnford-policy/src/lib.rs
+++ b/packages/turnford-policy/src/lib.rs
@@ -123,7 +123,6 @@
 pub use route::TargetSpec;
 pub use route::TargetTable;
 pub use route::TargetUpdate;
-pub use route::VersionHistory;
 pub use route::DIGEST_BYTES;
 pub use route::MAX_RETRY_AFTER;
 pub use route::RANK_COUNT;
--- a/packages/turnford-policy/src/route.rs
+++ b/packages/turnford-policy/src/route.rs
@@ -33,7 +33,6 @@
 mod target_record;
 mod target_table;
 mod target_update;
-mod version_history;
 
 pub use affinity::PromptAffinity;
 pub use allowance::RetryAllowance;
@@ -93,4 +92,3 @@
 pub use target_update::ExpiredTargets;
 pub use target_update::ListedTarget;
 pub use target_update::TargetUpdate;
-pub use version_history::VersionHistory;
--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -3,6 +3,7 @@
 mod config;
 mod context;
 mod follow;
+mod ledger;
 mod members;
 mod notify;
 mod peers;
@@ -98,6 +99,9 @@
     executor
         .spawn(suspects::persist_suspects(context.clone()))
         .detach();
+    executor
+        .spawn(ledger::keep_ledger(context.clone()))
+        .detach();
     executor
         .spawn(suspend::watch_suspend(context.clone()))
         .detach();
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -29,6 +29,7 @@
 mod forward;
 mod inputs;
 mod leaving;
+mod ledger_channel;
 mod limit_placement;
 mod limit_sync;
 mod limit_updates;
--- a/packages/turnford-serve/src/metrics.rs
+++ b/packages/turnford-serve/src/metrics.rs
@@ -90,6 +90,8 @@
     ResumeRefused,
     /// A stream began whose version no other node keeps.
     StreamNotRecorded,
+    /// A stream began at a version that the ledger does not contain yet.
+    VersionNotStored,
     /// A target's process is not the one of its store entry.
     ProcessReplaced,
     /// A response was given up because of its size.
@@ -118,6 +120,7 @@
             ServiceEvent::Resumed => "resumed",
             ServiceEvent::ResumeRefused => "resume-refused",
             ServiceEvent::StreamNotRecorded => "stream-not-recorded",
+            ServiceEvent::VersionNotStored => "version-not-stored",
             ServiceEvent::ProcessReplaced => "process-replaced",
             ServiceEvent::Oversized => "oversized",
         }
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -35,12 +35,12 @@
 use crate::crash_updates::pull_initial_crashes;
 use crate::crash_updates::sync_crashes;
 use crate::leaving::probe_leaving;
+use crate::ledger_channel::LedgerChannel;
 use crate::limit_sync::maintain_limits;
 use crate::links::probe_lost_links;
 use crate::loop_monitor::monitor_loop;
 use crate::memory::usable_memory;
 use crate::metrics::ServeMetrics;
-use crate::resume::adopt_versions;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
 use crate::suspect_channel::SuspectChannel;
@@ -107,6 +107,7 @@
             has_view_snapshot: AtomicBool::new(false),
             is_relieved: AtomicBool::new(false),
             suspects: SuspectChannel::default(),
+            ledger_requests: LedgerChannel::default(),
             was_suspended: AtomicBool::new(false),
             running: AtomicU64::new(0),
             deliveries: Arc::default(),
@@ -266,7 +267,6 @@
     executor
         .spawn(pull_initial_crashes(traffic.clone()))
         .detach();
-    executor.spawn(adopt_versions(traffic.clone())).detach();
     executor.spawn(sync_crashes(traffic.clone())).detach();
     executor.spawn(probe_leaving(traffic.clone())).detach();
     executor.spawn(maintain_limits(traffic.clone())).detach();
--- a/packages/turnford-serve/src/process_check.rs
+++ b/packages/turnford-serve/src/process_check.rs
@@ -80,7 +80,7 @@
         .borrow()
         .state(&target.id)
         .needs_permit();
-    target.process_start != 0 && !context.version_window.get().is_zero() && !is_limited
+    target.process_start != 0 && context.has_streams.get() && !is_limited
 }
 
 /// Returns the start of the process behind a connection, `None` if the target does not report it.
--- a/packages/turnford-serve/src/resume.rs
+++ b/packages/turnford-serve/src/resume.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::Timer;
+use futures_lite::future::zip;
 
 use turnford_fleet::find_version;
 use turnford_fleet::stream_key;
@@ -14,6 +14,7 @@
 use turnford_fleet::StreamRecord;
 use turnford_fleet::StreamVerdict;
 use turnford_fleet::VersionKnowledge;
+use turnford_fleet::VersionUse;
 use turnford_policy::CallKind;
 use turnford_policy::ResultCode;
 use turnford_policy::ServiceId;
@@ -22,6 +23,7 @@
 use turnford_policy::TargetSpec;
 use turnford_wire::WorkReply;
 
+use crate::ledger_channel::LedgerView;
 use crate::metrics::ServiceEvent;
 use crate::record::RequestRecord;
 use crate::service_context::ServiceContext;
@@ -30,11 +32,12 @@
 /// Time after a client's deadline for which the record of its stream is kept.
 const RECORD_GRACE: Duration = Duration::from_secs(2);
 
-/// Interval at which a process asks for versions that it does not know.
-const ADOPTION_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a node that resumes a stream waits until it has read the ledger. Reads may have to
+/// wait for the end of the interval between two.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time for which it does so. After that, it has known them for the length of most streams itself.
-const ADOPTION_PERIOD: Duration = Duration::from_secs(30);
+/// Time for which the first event waits until the ledger contains the version of its stream.
+const ADMIT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Maximum time for which the record of a stream is kept, whatever deadline its client states.
 const MAX_RECORD_LIFETIME: Duration = Duration::from_secs(120);
@@ -105,35 +108,97 @@
     record: &RequestRecord,
 ) -> Result<StreamSource, ResumeRefusal> {
     let key = stream_key_of(record);
-    let shares = record.route.shares.iter();
-    let services: Vec<String> = shares.map(|share| share.service.to_string()).collect();
-    let own = answer_of(traffic, key, &services);
-    match traffic.streams.find_origin(key, &services, own).await {
+    let services = services_of(record);
+    let own = traffic.streams.lookup(key);
+    let found = traffic.streams.find_origin(key, &services, own);
+    if let Some(source) = recorded_source(traffic, record, found.await)? {
+        return Ok(source);
+    }
+    if let Some(source) = prove_sole_source(traffic, record).await? {
+        return Ok(source);
+    }
+    let found = traffic.streams.find_moved_origin(key, &services);
+    let source = recorded_source(traffic, record, found.await)?;
+    let reason = "the version that began the stream is not known";
+    source.ok_or(ResumeRefusal::unknown(reason))
+}
+
+/// Returns the source that records name, or `None` if there is no record.
+///
+/// # Errors
+///
+/// Returns why the stream can't be resumed although there are records.
+fn recorded_source(
+    traffic: &Traffic,
+    record: &RequestRecord,
+    verdict: StreamVerdict,
+) -> Result<Option<StreamSource>, ResumeRefusal> {
+    match verdict {
         StreamVerdict::Recorded(origin, age_ms) => {
             let source = source_of(traffic, record, origin);
             let source = source.ok_or_else(ResumeRefusal::version_gone)?;
             log_source(record, &source, format_args!("record age_ms={age_ms}"));
-            Ok(source)
-        }
-        StreamVerdict::Sole(versions) => {
-            let drawn = record.route.draw_service(traffic.random());
-            let mut pairs = record.route.shares.iter().zip(versions);
-            let found = pairs.find(|(share, _)| Some(&share.service) == drawn);
-            let (share, version) = found.ok_or_else(ResumeRefusal::version_gone)?;
-            let source = StreamSource {
-                service: share.service.clone(),
-                version,
-            };
-            log_source(record, &source, format_args!("sole"));
-            Ok(source)
+            Ok(Some(source))
         }
         StreamVerdict::Conflicting => Err(ResumeRefusal::unknown(
             "attempts with this id began streams at different versions",
         )),
-        StreamVerdict::Unknown => Err(ResumeRefusal::unknown(
-            "the version that began the stream is not known",
-        )),
+        StreamVerdict::Unknown => Ok(None),
+    }
+}
+
+/// Finds the source of a stream without records, if each of the route's services can have begun it at one
+/// version only. The ledger is read for this, as the known copy may lack a version that other nodes
+/// use already.
+///
+/// # Errors
+///
+/// Returns that no target of that version is left.
+async fn prove_sole_source(
+    traffic: &Rc<Traffic>,
+    record: &RequestRecord,
+) -> Result<Option<StreamSource>, ResumeRefusal> {
+    let known = traffic.shared.view.load().ledger.clone();
+    if !known.is_reachable || (known.ledger.is_some() && !is_proved_sole(traffic, record, &known)) {
+        return Ok(None);
+    }
+    let channel = &traffic.shared.ledger_requests;
+    let Some(current) = channel.request(None, CONFIRM_TIMEOUT).await else {
+        return Ok(None);
+    };
+    // Targets may have changed while the ledger was read.
+    traffic.current_view();
+    if !is_proved_sole(traffic, record, &current) {
+        return Ok(None);
     }
+    let service = record.route.draw_service(traffic.random());
+    let service = service.ok_or_else(ResumeRefusal::version_gone)?;
+    let version = current.sole_version(service);
+    let version = version.ok_or_else(ResumeRefusal::version_gone)?;
+    let source = StreamSource {
+        service: service.clone(),
+        version: version.into(),
+    };
+    log_source(record, &source, format_args!("ledger era={}", current.era));
+    Ok(Some(source))
+}
+
+/// Returns whether a ledger names a single version for each of a route's services, and no target of
+/// another one is listed.
+fn is_proved_sole(traffic: &Traffic, record: &RequestRecord, ledger: &LedgerView) -> bool {
+    let mut shares = record.route.shares.iter();
+    shares.all(|share| {
+        let context = traffic.service(&share.service);
+        let version = ledger.sole_version(&share.service);
+        context
+            .zip(version)
+            .is_some_and(|(context, version)| context.has_only_version(version))
+    })
+}
+
+fn services_of(record: &RequestRecord) -> Vec<String> {
+    let shares = record.route.shares.iter();
+    shares.map(|share| share.service.to_string()).collect()
 }
 
 fn log_source(record: &RequestRecord, source: &StreamSource, proof: std::fmt::Arguments<'_>) {
@@ -146,14 +211,16 @@
     );
 }
 
-/// Returns the service of the route, and its version, whose origin a record names.
+/// Returns the service of the route, and its version, whose origin a record names, if it has a
+/// target.
 fn source_of(traffic: &Traffic, record: &RequestRecord, origin: u64) -> Option<StreamSource> {
-    let now = traffic.shared.now();
     let mut shares = record.route.shares.iter();
     shares.find_map(|share| {
         let context = traffic.service(&share.service)?;
-        let history = context.versions.borrow();
-        let versions = history.known_versions(now, context.version_window.get());
+        let table = context.targets.borrow();
+        let versions = table
+            .all_targets()
+            .filter_map(|target| target.version.as_ref());
         let version = find_version(origin, &share.service, versions)?;
         Some(StreamSource {
             service: share.service.clone(),
@@ -169,56 +236,28 @@
     stream_key(record.account.as_deref().unwrap_or(""), attempt)
 }
 
-/// Returns what this node knows of a stream and of the services that may have begun it.
-fn answer_of(traffic: &Traffic, key: StreamKey, services: &[String]) -> StreamAnswer {
-    let versions = services
-        .iter()
-        .map(|service| version_knowledge(traffic, service));
-    StreamAnswer {
-        lookup: traffic.streams.lookup(key),
-        versions: versions.collect(),
-    }
-}
-
+/// Returns what nodes of older builds believe of a service's versions.
 fn version_knowledge(traffic: &Traffic, service: &str) -> VersionKnowledge {
-    let Some(context) = traffic.service(service) else {
+    let view = traffic.shared.view.load();
+    let context = traffic.service(service);
+    if view.ledger.ledger.is_none() || context.is_none() {
         return VersionKnowledge::Recent;
-    };
-    let (now, window) = (traffic.shared.now(), context.version_window.get());
-    let history = context.versions.borrow();
-    match history.sole_version(now, window) {
-        Some(version) => VersionKnowledge::Sole(version.to_string()),
-        None if history.is_mixed(now, window) => VersionKnowledge::Mixed,
-        None => VersionKnowledge::Recent,
-    }
-}
-
-/// Asks other nodes for the versions of services that this process has not known for long enough. Streams
-/// without a record can then be resumed here once those nodes have ended.
-pub(crate) async fn adopt_versions(traffic: Rc<Traffic>) {
-    let started_at = traffic.shared.now();
-    while traffic.shared.now().saturating_sub(started_at) < ADOPTION_PERIOD {
-        Timer::after(ADOPTION_INTERVAL).await;
-        let contexts = traffic.all_services().into_iter();
-        let names = contexts.map(|context| context.spec.borrow().name.to_string());
-        let is_recent =
-            |name: &String| version_knowledge(&traffic, name) == VersionKnowledge::Recent;
-        let services: Vec<String> = names.filter(is_recent).collect();
-        if services.is_empty() {
-            continue;
-        }
-        let versions = traffic.streams.ask_versions(&services).await;
-        for (service, version) in services.iter().zip(versions) {
-            if let Some((context, version)) = traffic.service(service).zip(version) {
-                context.versions.borrow_mut().adopt_sole(&version);
-            }
-        }
     }
+    let is_sole = context.is_some_and(|context| context.is_sole.get());
+    let version = view.ledger.sole_version(service).filter(|_| is_sole);
+    version.map_or(VersionKnowledge::Mixed, |version| {
+        VersionKnowledge::Sole(version.to_owned())
+    })
 }
 
 /// Answers another node's question about a stream.
 pub(crate) fn answer_query(traffic: &Traffic, key: StreamKey, services: &[String]) -> WorkReply {
-    WorkReply::Stream(answer_of(traffic, key, services))
+    let versions = services.iter();
+    let versions = versions.map(|service| version_knowledge(traffic, service));
+    WorkReply::Stream(StreamAnswer {
+        lookup: traffic.streams.lookup(key),
+        versions: versions.collect(),
+    })
 }
 
 /// Returns the targets of a service that may not go on with a stream.
@@ -230,8 +269,8 @@
     others.map(|target| target.id.clone()).collect()
 }
 
-/// Records the service and version of a stream that a target has begun. Waits until other nodes keep
-/// the record, unless the version is known without it.
+/// Records the service and version of a stream that a target has begun. Waits until the ledger
+/// contains the version and, unless that proves it alone, until other nodes keep the record.
 pub(crate) async fn record_source(
     traffic: &Rc<Traffic>,
     record: &RequestRecord,
@@ -241,6 +280,39 @@
         return;
     };
     traffic.streams.begin(stream);
+    let admit = admit_version(traffic, record, target);
+    let announce = announce_record(traffic, record, target, stream);
+    zip(admit, announce).await;
+}
+
+/// Has the ledger contain the version of a stream.
+async fn admit_version(traffic: &Rc<Traffic>, record: &RequestRecord, target: &TargetSpec) {
+    let used = VersionUse {
+        service: target.service.to_string(),
+        version: target.version.as_deref().map(str::to_owned),
+        lifetime: stream_lifetime(record),
+    };
+    if traffic.shared.view.load().ledger.admits(&used) {
+        return;
+    }
+    let channel = &traffic.shared.ledger_requests;
+    if channel.request(Some(used), ADMIT_TIMEOUT).await.is_none() {
+        record.trace(format_args!(
+            "the version of {} is not in the ledger yet",
+            target.id
+        ));
+        let metrics = &traffic.shared.metrics;
+        metrics.record_service_event(&target.service, ServiceEvent::VersionNotStored);
+    }
+}
+
+/// Has other nodes keep the record of a stream, unless its version is known without it.
+async fn announce_record(
+    traffic: &Rc<Traffic>,
+    record: &RequestRecord,
+    target: &TargetSpec,
+    stream: StreamRecord,
+) {
     if is_sole(traffic, record) {
         return;
     }
@@ -257,9 +329,7 @@
     if !record.route.resumable {
         return None;
     }
-    let client_timeout = record.attributes.client_timeout;
-    let lifetime = client_timeout.unwrap_or(record.route.timeout) + RECORD_GRACE;
-    let lifetime = lifetime.min(MAX_RECORD_LIFETIME).as_millis();
+    let lifetime = stream_lifetime(record).min(MAX_RECORD_LIFETIME).as_millis();
     Some(StreamRecord {
         key: stream_key_of(record),
         origin: stream_origin(&target.service, version),
@@ -267,12 +337,19 @@
     })
 }
 
+/// Returns the time within which the client of a stream may resume it.
+fn stream_lifetime(record: &RequestRecord) -> Duration {
+    let client_timeout = record.attributes.client_timeout;
+    let lifetime = client_timeout.unwrap_or(record.route.timeout);
+    lifetime.saturating_add(RECORD_GRACE)
+}
+
 /// Returns whether the version of a route's streams is known without a record.
 fn is_sole(traffic: &Traffic, record: &RequestRecord) -> bool {
     let mut shares = record.route.shares.iter();
     shares.all(|share| {
-        let knowledge = version_knowledge(traffic, &share.service);
-        matches!(knowledge, VersionKnowledge::Sole(_))
+        let context = traffic.service(&share.service);
+        context.is_some_and(|context| context.is_sole.get())
     })
 }
 
--- a/packages/turnford-serve/src/service_context.rs
+++ b/packages/turnford-serve/src/service_context.rs
@@ -27,7 +27,6 @@
 use turnford_policy::TargetId;
 use turnford_policy::TargetSpec;
 use turnford_policy::TargetTable;
-use turnford_policy::VersionHistory;
 use turnford_policy::RANK_COUNT;
 
 use crate::call_error::CallError;
@@ -63,10 +62,10 @@
     next_trial: Cell<TrialId>,
     /// Model of the time to the first event of this node's final calls, by unique prompt tokens.
     latency_model: RefCell<LatencyModel>,
-    /// Software versions of the targets.
-    pub(crate) versions: RefCell<VersionHistory>,
-    /// Time for which a stream of the service may go on.
-    pub(crate) version_window: Cell<Duration>,
+    /// Whether routes send streams to the service.
+    pub(crate) has_streams: Cell<bool>,
+    /// Whether the ledger proves the version of all streams of the service without records.
+    pub(crate) is_sole: Cell<bool>,
     /// Requests that wait until a target accepts calls.
     pub(crate) wait_queue: Rc<WaitQueue>,
     /// Announcements that the targets are brittle.
@@ -90,7 +89,6 @@
         spec: Arc<ServiceSpec>,
         allowance: RetryAllowance,
         limits: Rc<ServiceLimits>,
-        versions: VersionHistory,
     ) -> Rc<Self> {
         Rc::new(Self {
             spec: RefCell::new(spec),
@@ -106,8 +104,8 @@
                 INITIAL_LATENCY_TOKENS,
                 INITIAL_LATENCY.1,
             )),
-            versions: RefCell::new(versions),
-            version_window: Cell::new(Duration::ZERO),
+            has_streams: Cell::default(),
+            is_sole: Cell::default(),
             wait_queue: Rc::default(),
             brittleness: Cell::default(),
             rooms: RefCell::default(),
@@ -141,10 +139,11 @@
         open.any(|target| target.version.as_deref() == Some(version))
     }
 
-    /// Returns whether all targets within a window had the same software version.
-    pub(crate) fn has_sole_version(&self, now: Moment, window: Duration) -> bool {
-        let history = self.versions.borrow();
-        history.sole_version(now, window).is_some()
+    /// Returns whether all targets that are listed have a software version.
+    pub(crate) fn has_only_version(&self, version: &str) -> bool {
+        let table = self.targets.borrow();
+        let mut targets = table.all_targets();
+        targets.all(|target| target.version.as_deref() == Some(version))
     }
 
     /// Predicts the time to the first event of a final call.
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -24,6 +24,8 @@
 use turnford_policy::ThreadHeartbeat;
 
 use crate::body_budget::BodyBudget;
+use crate::ledger_channel::LedgerChannel;
+use crate::ledger_channel::LedgerView;
 use crate::metrics::ServeMetrics;
 use crate::suspect_channel::SuspectChannel;
 
@@ -67,6 +69,8 @@
     pub(crate) has_member_list: bool,
     /// Number of nodes among them that recently became unreachable without a planned stop.
     pub(crate) missing_count: usize,
+    /// Software versions whose streams may still be resumed.
+    pub(crate) ledger: Arc<LedgerView>,
 }
 
 impl RouteView {
@@ -123,6 +127,8 @@
     pub(crate) is_relieved: AtomicBool,
     /// Channel for suspects that are stored.
     pub(crate) suspects: SuspectChannel,
+    /// Channel for the ledger of software versions.
+    pub(crate) ledger_requests: LedgerChannel,
     /// Number of requests and relayed calls in flight.
     pub(crate) running: AtomicU64,
     /// Counts connections of clients that a planned stop waits for.
--- a/packages/turnford-serve/src/stream_directory.rs
+++ b/packages/turnford-serve/src/stream_directory.rs
@@ -11,7 +11,6 @@
 
 use turnford_fleet::rank_members;
 use turnford_fleet::Duty;
-use turnford_fleet::StreamAnswer;
 use turnford_fleet::StreamEvidence;
 use turnford_fleet::StreamKey;
 use turnford_fleet::StreamLookup;
@@ -19,7 +18,6 @@
 use turnford_fleet::StreamTable;
 use turnford_fleet::StreamVerdict;
 use turnford_policy::Moment;
-use turnford_policy::SoftwareVersion;
 use turnford_wire::WorkReply;
 use turnford_wire::WorkRequest;
 
@@ -42,9 +40,6 @@
 /// Time for which a node that resumes a stream waits for the answers of others.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Key of no stream, for questions about versions alone.
-const UNUSED_KEY: StreamKey = 0;
-
 /// Time for which a node that can't keep records, such as one of an older build, is passed over.
 const UNSUPPORTED_PERIOD: Duration = Duration::from_secs(10);
 
@@ -160,34 +155,29 @@
         }
     }
 
-    /// Finds the origin of a stream from this node's own answer and those of others.
+    /// Finds the origin of a stream from this node's own lookup and those of the nodes that are to
+    /// keep the record.
     pub(crate) async fn find_origin(
         &self,
         key: StreamKey,
         services: &[String],
-        own: StreamAnswer,
+        own: StreamLookup,
     ) -> StreamVerdict {
-        let mut evidence = StreamEvidence::default();
-        evidence.add_own(own);
-        let ranked = self.holders(key, HOLDER_COUNT + FALLBACK_COUNT);
-        let (first, further) = ranked.split_at(HOLDER_COUNT.min(ranked.len()));
-        self.ask_nodes(first, key, services, &mut evidence).await;
-        let has_peers = !self.peers.shared.view.load().members.is_empty();
-        if evidence.verdict(services.len(), has_peers) == StreamVerdict::Unknown {
-            self.ask_nodes(further, key, services, &mut evidence).await;
-        }
-        evidence.verdict(services.len(), has_peers)
+        let holders = self.holders(key, HOLDER_COUNT);
+        self.ask_nodes(&holders, key, services, own).await
     }
 
-    /// Asks a few other nodes for the versions of services. Returns, for each service, the only version that
-    /// those which know it for long enough have seen.
-    pub(crate) async fn ask_versions(&self, services: &[String]) -> Vec<Option<SoftwareVersion>> {
-        let mut evidence = StreamEvidence::default();
-        let peers = self.peers.sample(HOLDER_COUNT);
-        self.ask_nodes(&peers, UNUSED_KEY, services, &mut evidence)
-            .await;
-        let versions = (0..services.len()).map(|service| evidence.sole_version(service));
-        versions.collect()
+    /// Finds the origin of a stream at the nodes that may have been its holders before nodes joined
+    /// or left.
+    pub(crate) async fn find_moved_origin(
+        &self,
+        key: StreamKey,
+        services: &[String],
+    ) -> StreamVerdict {
+        let ranked = self.holders(key, HOLDER_COUNT + FALLBACK_COUNT);
+        let further = ranked.get(HOLDER_COUNT..).unwrap_or_default();
+        self.ask_nodes(further, key, services, StreamLookup::Unknown)
+            .await
     }
 
     async fn ask_nodes(
@@ -195,9 +185,12 @@
         nodes: &[SocketAddr],
         key: StreamKey,
         services: &[String],
-        evidence: &mut StreamEvidence,
-    ) {
+        own: StreamLookup,
+    ) -> StreamVerdict {
+        let mut evidence = StreamEvidence::default();
+        evidence.add(own);
         let (sender, replies) = async_channel::bounded(nodes.len().max(1));
+        // Nodes of older builds answer for the services as well.
         let request = WorkRequest::StreamQuery {
             key,
             services: services.to_vec(),
@@ -216,11 +209,12 @@
         }
         drop(sender);
         while let Ok(answer) = replies.recv().await {
-            evidence.add_peer(answer);
+            evidence.add(answer.lookup);
             if evidence.has_record() {
                 break;
             }
         }
+        evidence.verdict()
     }
 
     /// Sends records to a node. Returns whether it keeps them.
--- a/packages/turnford-serve/src/traffic.rs
+++ b/packages/turnford-serve/src/traffic.rs
@@ -20,7 +20,6 @@
 use turnford_policy::RetryAllowance;
 use turnford_policy::ServiceId;
 use turnford_policy::ServiceSpec;
-use turnford_policy::VersionHistory;
 
 use crate::crash::CrashTracker;
 use crate::crash_check::check_restarts;
@@ -35,9 +34,6 @@
 use crate::shared::ServeShared;
 use crate::stream_directory::StreamDirectory;
 
-/// Time after the longest timeout of a stream within which its client may still resume it.
-const RESUME_MARGIN: Duration = Duration::from_secs(5);
-
 /// Interval between sweeps for expired idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -155,12 +151,14 @@
         repeats.retain_listed(|id| view.targets.contains_key(id));
         drop(repeats);
         for (service, context) in services.iter() {
-            let window = stream_window(view, service);
-            let was_sole = context.has_sole_version(self.shared.now(), window);
-            context.version_window.set(window);
+            context.has_streams.set(has_streams(view, service));
             self.refresh_targets(view, service, context);
             check_restarts(self, context);
-            if was_sole && !context.has_sole_version(self.shared.now(), window) {
+            let sole = view.ledger.sole_version(service);
+            let is_sole = sole.is_some_and(|version| context.has_only_version(version));
+            // Without the store no node can prove a version by the ledger.
+            let is_sole = is_sole && view.ledger.is_reachable;
+            if context.is_sole.replace(is_sole) && !is_sole {
                 self.streams.announce_begun();
             }
         }
@@ -187,12 +185,7 @@
             }
         };
         let limits = ServiceLimits::new(self.peers.clone(), spec.name.clone(), on_change);
-        let versions = if self.shared.settings.is_first_start {
-            VersionHistory::complete()
-        } else {
-            VersionHistory::default()
-        };
-        ServiceContext::new(spec.clone(), allowance, limits, versions)
+        ServiceContext::new(spec.clone(), allowance, limits)
     }
 
     fn refresh_targets(&self, view: &RouteView, service: &str, context: &ServiceContext) {
@@ -222,9 +215,6 @@
         if let Some(engine) = &context.spec.borrow().engine {
             engines.set_capacity(engine.cache_tokens);
         }
-        let versions = table.all_targets().map(|target| target.version.clone());
-        let window = context.version_window.get();
-        context.versions.borrow_mut().observe(now, window, versions);
         drop(table);
         context.refresh_cells();
     }
@@ -261,15 +251,13 @@
     }
 }
 
-/// Returns the time for which streams of a service may go on; zero if it has none.
-fn stream_window(view: &RouteView, service: &str) -> Duration {
-    let routes = view.config.routes.iter();
-    let streams = routes.filter(|route| {
+/// Returns whether routes send streams to a service.
+fn has_streams(view: &RouteView, service: &str) -> bool {
+    let mut routes = view.config.routes.iter();
+    routes.any(|route| {
         let mut shares = route.shares.iter();
         route.kind == CallKind::Stream && shares.any(|share| &*share.service == service)
-    });
-    let longest = streams.map(|route| route.timeout).max();
-    longest.map_or(Duration::ZERO, |longest| longest + RESUME_MARGIN)
+    })
 }
 
 /// Applies each change of the view.
--- a/packages/turnford-standin/src/route/meta.rs
+++ b/packages/turnford-standin/src/route/meta.rs
@@ -285,8 +285,12 @@
         };
         let current = &mut self.lock().current;
         let key = (kind.to_owned(), name.to_owned());
-        if !current.objects.contains_key(&key) {
+        let Some(object) = current.objects.get(&key) else {
             return HttpResponse::new(StatusCode::NOT_FOUND);
+        };
+        let expected = body["metadata"]["revision"].as_u64();
+        if expected.is_some_and(|revision| revision != object.revision) {
+            return json_response(StatusCode::CONFLICT, &object_json(name, object));
         }
         current.put(kind, name, body["specification"].clone());
         json_response(StatusCode::OK, &json!({}))
--- a/packages/turnford/tests/soak/process.rs
+++ b/packages/turnford/tests/soak/process.rs
@@ -24,6 +24,9 @@
 const WORK_PORT: u16 = 7743;
 const METRICS_PORT: u16 = 7744;
 
+/// Setting of a node that starts for the first time together with its fleet.
+const FIRST_START: &str = "first_start = true\n";
+
 /// Grace period of a planned stop, in seconds.
 pub(crate) const GRACE_PERIOD_S: u64 = 6;
 
@@ -103,8 +106,20 @@
         self.started.map_or(Duration::ZERO, |at| at.elapsed())
     }
 
+    /// Marks the next start as the first one of the whole fleet, as the platform does.
+    pub(crate) fn set_first_start(&self) {
+        let text = std::fs::read_to_string(&self.settings).expect("the settings file");
+        let text = format!("{FIRST_START}{text}");
+        std::fs::write(&self.settings, text).expect("a folder for settings");
+    }
+
     /// Starts the process; its output is appended to the log file.
     pub(crate) fn start(&mut self) {
+        if self.starts > 0 {
+            let text = std::fs::read_to_string(&self.settings).expect("the settings file");
+            let text = text.replace(FIRST_START, "");
+            std::fs::write(&self.settings, text).expect("a folder for settings");
+        }
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.expect("a file for the log");
         let errors = log.try_clone().expect("a second handle of the log");
--- a/packages/turnford/tests/soak/run.rs
+++ b/packages/turnford/tests/soak/run.rs
@@ -245,6 +245,7 @@
                 NodeProcess::new(&folder, run, node, "hal-a", store.address, &addresses);
             targets.push(own_targets);
             links.push(LinkProxy::start(&executor, process.listen()).expect("a free port"));
+            process.set_first_start();
             process.start();
             nodes.push(process);
             stores.push(store);
