Keep the records of streams in the store while versions are mixed

Callers whose streams broke when all nodes were killed were refused, with two versions in service, for as long as their streams could last. Cause: The records of streams are kept at other nodes alone, and end with them. Class: what a request began with is kept only in memory that fails together. Change: While the ledger doesn't prove a service's versions, each node writes the records of its streams to an object of its own in the store, behind the streams, and has them kept again at its next start.

--- a/packages/turnford-serve/src/control.rs
+++ b/packages/turnford-serve/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: follows the configuration, the targets and the other nodes.
 
+mod backup;
 mod config;
 mod context;
 mod follow;
@@ -99,6 +100,9 @@
     executor
         .spawn(suspects::persist_suspects(context.clone()))
         .detach();
+    executor
+        .spawn(backup::back_up_streams(context.clone()))
+        .detach();
     executor
         .spawn(ledger::keep_ledger(context.clone()))
         .detach();
--- a/packages/turnford-serve/src/lib.rs
+++ b/packages/turnford-serve/src/lib.rs
@@ -67,6 +67,7 @@
 mod stages;
 mod stall;
 mod stream;
+mod stream_backup;
 mod stream_directory;
 mod suspect_channel;
 mod suspect_persistence;
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -43,6 +43,9 @@
 use crate::metrics::ServeMetrics;
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
+use crate::stream_backup::back_up_streams;
+use crate::stream_backup::restore_streams;
+use crate::stream_backup::StreamBackup;
 use crate::suspect_channel::SuspectChannel;
 use crate::traffic::close_idle_connections;
 use crate::traffic::follow_changes;
@@ -108,6 +111,7 @@
             is_relieved: AtomicBool::new(false),
             suspects: SuspectChannel::default(),
             ledger_requests: LedgerChannel::default(),
+            stream_backup: StreamBackup::default(),
             was_suspended: AtomicBool::new(false),
             running: AtomicU64::new(0),
             deliveries: Arc::default(),
@@ -267,6 +271,8 @@
     executor
         .spawn(pull_initial_crashes(traffic.clone()))
         .detach();
+    executor.spawn(restore_streams(traffic.clone())).detach();
+    executor.spawn(back_up_streams(traffic.clone())).detach();
     executor.spawn(sync_crashes(traffic.clone())).detach();
     executor.spawn(probe_leaving(traffic.clone())).detach();
     executor.spawn(maintain_limits(traffic.clone())).detach();
--- a/packages/turnford-serve/src/shared.rs
+++ b/packages/turnford-serve/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::ledger_channel::LedgerChannel;
 use crate::ledger_channel::LedgerView;
 use crate::metrics::ServeMetrics;
+use crate::stream_backup::StreamBackup;
 use crate::suspect_channel::SuspectChannel;
 
 /// Minimum number of nodes assumed when fleet-wide limits are divided, so that a node that knows no
@@ -129,6 +130,8 @@
     pub(crate) suspects: SuspectChannel,
     /// Channel for the ledger of software versions.
     pub(crate) ledger_requests: LedgerChannel,
+    /// Copy of the records of this node's streams in the store.
+    pub(crate) stream_backup: StreamBackup,
     /// Number of requests and relayed calls in flight.
     pub(crate) running: AtomicU64,
     /// Counts connections of clients that a planned stop waits for.
--- a/packages/turnford-serve/src/stream_directory.rs
+++ b/packages/turnford-serve/src/stream_directory.rs
@@ -137,11 +137,32 @@
 
     /// Has other nodes keep the records of all streams of this node that have not completed.
     pub(crate) fn announce_begun(self: &Rc<Self>) {
-        let begun: Vec<BegunStream> = self.begun.borrow().values().copied().collect();
+        self.announce_records(&self.begun_records());
+    }
+
+    /// Returns the records of all streams of this node that have not completed, with the rest of their lifetimes,
+    /// by key.
+    pub(crate) fn begun_records(&self) -> Vec<StreamRecord> {
+        let now = self.peers.shared.now();
+        let begun = self.begun.borrow();
+        let records = begun.values().map(|stream| {
+            let lifetime = stream.expires_at.saturating_sub(now).as_millis();
+            StreamRecord {
+                lifetime_ms: u32::try_from(lifetime).unwrap_or(u32::MAX),
+                ..stream.record
+            }
+        });
+        let mut records: Vec<StreamRecord> = records.collect();
+        records.sort_unstable_by_key(|record| record.key);
+        records
+    }
+
+    /// Has other nodes keep records.
+    pub(crate) fn announce_records(self: &Rc<Self>, records: &[StreamRecord]) {
         let mut batches: HashMap<SocketAddr, Vec<StreamRecord>> = HashMap::new();
-        for stream in begun {
-            for peer in self.holders(stream.record.key, HOLDER_COUNT) {
-                batches.entry(peer).or_default().push(stream.record);
+        for record in records {
+            for peer in self.holders(record.key, HOLDER_COUNT) {
+                batches.entry(peer).or_default().push(*record);
             }
         }
         for (peer, records) in batches {
--- a/packages/turnford/tests/rejoined_streams/main.rs
+++ b/packages/turnford/tests/rejoined_streams/main.rs
@@ -74,6 +74,13 @@
 /// Minimum part of the streams of a service with one version that go on.
 const MIN_RESUMED: usize = STREAMS * 9 / 10;
 
+/// Minimum part of the streams that go on while two versions serve: half of those that begin, by the platform's
+/// rule.
+const MIN_RECORDED: usize = STREAMS / 2;
+
+/// Time within which a small fleet has stored the records of its streams.
+const BACKUP_TIME: Duration = Duration::from_millis(800);
+
 /// Number of runs that this process has started; gives each run its own addresses.
 static RUNS: AtomicU16 = AtomicU16::new(0);
 
@@ -390,11 +397,13 @@
     fleet.add_targets("v2");
     std::thread::sleep(CHANGE_TIME);
     let (begun, open) = fleet.begin(&[0, 1, 2, 3]);
+    std::thread::sleep(BACKUP_TIME);
     fleet.kill(&[0, 1, 2, 3]);
     drop(open);
     fleet.restart();
     let count = fleet.resume(&[3, 2, 1, 0], &begun);
     assert_eq!(count.mixed, 0, "{count:?}");
+    assert!(count.whole >= MIN_RECORDED, "{count:?}");
 }
 
 #[test]
