Keep restored records of streams in the next copy

Cause: A started node had the records of its last process kept by others, not by itself, so that its own first copy overwrote them. Clients of streams that fell silent return after seconds, and a second kill in between lost their records. Copies were also written twice a second only, which is longer than many streams last. Change: Restored records are the node's own again. Copies are written up to five times a second. A line tells how many records were read and their age.

--- a/packages/turnford-serve/src/control/backup.rs
+++ b/packages/turnford-serve/src/control/backup.rs
@@ -16,9 +16,6 @@
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// Interval for checking for records to write.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Delay between attempts to read the records at the start.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -69,11 +66,7 @@
     if !context.shared.settings.is_first_start {
         backup.set_restored(load(&context).await);
     }
-    loop {
-        Timer::after(CHECK_INTERVAL).await;
-        let Some(records) = backup.take_pending() else {
-            continue;
-        };
+    while let Some(records) = backup.next_pending().await {
         if let Err(error) = write(&context, &records).await {
             log::info!(
                 "records of {} streams were not stored: {error}",
@@ -93,7 +86,16 @@
                         log::warn!("stream records of {name} are malformed: {error}");
                         Vec::new()
                     },
-                    |object| object.records(context.shared.age_of(object.written)),
+                    |object| {
+                        let age = context.shared.age_of(object.written);
+                        let records = object.records(age);
+                        log::info!(
+                            "stream records of {name} read: streams={} age_ms={}",
+                            records.len(),
+                            age.as_millis()
+                        );
+                        records
+                    },
                 );
             }
             Err(StoreError::NotFound) => return Vec::new(),
--- a/packages/turnford-serve/src/stream_backup.rs
+++ b/packages/turnford-serve/src/stream_backup.rs
@@ -6,6 +6,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use async_channel::Receiver;
+use async_channel::Sender;
 use async_io::Timer;
 
 use turnford_fleet::StreamRecord;
@@ -13,7 +15,7 @@
 use crate::traffic::Traffic;
 
 /// Minimum interval between two copies.
-const MIN_INTERVAL: Duration = Duration::from_millis(500);
+const MIN_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Part of that interval for each node of the fleet: 100 writes a second of all nodes together.
 const INTERVAL_PER_NODE: Duration = Duration::from_millis(10);
@@ -30,24 +32,26 @@
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Records that the traffic thread and the control thread exchange.
-#[derive(Default)]
 pub(crate) struct StreamBackup {
-    /// Records to be written, if they have changed.
-    pending: Mutex<Option<Vec<StreamRecord>>>,
+    /// Records to be written.
+    pending: (Sender<Vec<StreamRecord>>, Receiver<Vec<StreamRecord>>),
     /// Records read at the start of the process; `None` until they have been read.
     restored: Mutex<Option<Vec<StreamRecord>>>,
 }
 
-impl StreamBackup {
-    fn set_pending(&self, records: Vec<StreamRecord>) {
-        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
-        *pending = Some(records);
+impl Default for StreamBackup {
+    fn default() -> Self {
+        Self {
+            pending: async_channel::bounded(1),
+            restored: Mutex::default(),
+        }
     }
+}
 
-    /// Removes and returns the records to be written.
-    pub(crate) fn take_pending(&self) -> Option<Vec<StreamRecord>> {
-        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
-        pending.take()
+impl StreamBackup {
+    /// Waits for records to be written.
+    pub(crate) async fn next_pending(&self) -> Option<Vec<StreamRecord>> {
+        self.pending.1.recv().await.ok()
     }
 
     /// Sets the records that an earlier process of this node wrote.
@@ -87,9 +91,10 @@
         };
         let keys = records.iter().map(|record| record.key);
         let keys: Vec<_> = keys.collect();
-        if keys != last {
+        // While the last copy is being written, the records are tried again after the next interval.
+        let pending = &traffic.shared.stream_backup.pending.0;
+        if keys != last && pending.try_send(records).is_ok() {
             last = keys;
-            traffic.shared.stream_backup.set_pending(records);
         }
     }
 }
@@ -105,8 +110,10 @@
     if records.is_empty() {
         return;
     }
-    log::info!("records of {} streams restored", records.len());
-    traffic.streams.keep(&records);
+    // As this node's own again, they are part of its next copy.
+    for record in &records {
+        traffic.streams.begin(*record);
+    }
     for delay in ANNOUNCE_DELAYS {
         Timer::after(delay).await;
         traffic.streams.announce_records(&records);
--- a/packages/turnford/tests/rejoined_streams/main.rs
+++ b/packages/turnford/tests/rejoined_streams/main.rs
@@ -406,6 +406,27 @@
     assert!(count.whole >= MIN_RECORDED, "{count:?}");
 }
 
+#[test]
+fn killed_twice() {
+    // The records that a node had restored were lost with its second kill.
+    let mut fleet = VersionFleet::start(ServiceKind::Engine, "v1");
+    fleet.add_targets("v2");
+    std::thread::sleep(CHANGE_TIME);
+    let (begun, open) = fleet.begin(&[0, 1, 2, 3]);
+    std::thread::sleep(BACKUP_TIME);
+    fleet.kill(&[0, 1, 2, 3]);
+    drop(open);
+    fleet.restart();
+    let (_, open) = fleet.begin(&[0, 1, 2, 3]);
+    std::thread::sleep(BACKUP_TIME);
+    fleet.kill(&[0, 1, 2, 3]);
+    drop(open);
+    fleet.restart();
+    let count = fleet.resume(&[3, 2, 1, 0], &begun);
+    assert_eq!(count.mixed, 0, "{count:?}");
+    assert!(count.whole >= MIN_RECORDED, "{count:?}");
+}
+
 #[test]
 fn one_version() {
     // No node remembered that the service had only one version.
