Restore the records of streams before the first copy is written

Cause: By reading: a node's first copy could be written while its last one was being restored, and lacked it. A node of a first start waited for a copy that is never read, and woke up twenty times a second for it. Change: One task restores the records and then copies; the restored ones arrive over a channel.

--- a/packages/turnford-serve/src/control/backup.rs
+++ b/packages/turnford-serve/src/control/backup.rs
@@ -63,9 +63,12 @@
 /// Reads the records of this node's last process, and writes those of this one for as long as it runs.
 pub(super) async fn back_up_streams(context: Rc<ControlContext>) {
     let backup = &context.shared.stream_backup;
-    if !context.shared.settings.is_first_start {
-        backup.set_restored(load(&context).await);
-    }
+    let restored = if context.shared.settings.is_first_start {
+        Vec::new()
+    } else {
+        load(&context).await
+    };
+    backup.set_restored(restored);
     while let Some(records) = backup.next_pending().await {
         if let Err(error) = write(&context, &records).await {
             log::info!(
--- a/packages/turnford-serve/src/control/ledger.rs
+++ b/packages/turnford-serve/src/control/ledger.rs
@@ -28,14 +28,14 @@
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// Minimum interval between the beginnings of two reads. Requests in between share the second one,
-/// so that a large fleet stays below the store's rate of reads.
+/// Minimum interval between the starts of two reads. Requests in between share the second one, so that a
+/// large fleet stays below the store's rate of reads.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Interval for checking what this node has to write.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Mean delay before this node writes what no stream waits for. Another node's write is found then.
+/// Mean delay before this node writes what no stream waits for. By then another node may have done so.
 const WRITE_DELAY: Duration = Duration::from_millis(500);
 
 /// Mean delay between attempts while the store does not respond.
@@ -184,7 +184,11 @@
         }
     }
 
-    /// Adds uses to the ledger until it contains them. Returns it as it is in the store then.
+    /// Adds uses to the ledger, and applies what this node has seen. Returns the ledger as stored.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's error, [`StoreError::Conflict`] if other nodes kept changing the ledger.
     async fn write_missing(&mut self, uses: &[VersionUse]) -> Result<VersionLedger, StoreError> {
         for _ in 0..MAX_ATTEMPTS {
             let (stored, revision) = self.read().await?;
--- a/packages/turnford-serve/src/node.rs
+++ b/packages/turnford-serve/src/node.rs
@@ -44,7 +44,6 @@
 use crate::shared::RouteView;
 use crate::shared::ServeShared;
 use crate::stream_backup::back_up_streams;
-use crate::stream_backup::restore_streams;
 use crate::stream_backup::StreamBackup;
 use crate::suspect_channel::SuspectChannel;
 use crate::traffic::close_idle_connections;
@@ -271,7 +270,6 @@
     executor
         .spawn(pull_initial_crashes(traffic.clone()))
         .detach();
-    executor.spawn(restore_streams(traffic.clone())).detach();
     executor.spawn(back_up_streams(traffic.clone())).detach();
     executor.spawn(sync_crashes(traffic.clone())).detach();
     executor.spawn(probe_leaving(traffic.clone())).detach();
--- a/packages/turnford-serve/src/service_context.rs
+++ b/packages/turnford-serve/src/service_context.rs
@@ -139,7 +139,7 @@
         open.any(|target| target.version.as_deref() == Some(version))
     }
 
-    /// Returns whether all targets that are listed have a software version.
+    /// Returns whether all listed targets have this software version.
     pub(crate) fn has_only_version(&self, version: &str) -> bool {
         let table = self.targets.borrow();
         let mut targets = table.all_targets();
--- a/packages/turnford-serve/src/stream_backup.rs
+++ b/packages/turnford-serve/src/stream_backup.rs
@@ -2,14 +2,13 @@
 //! nodes have these records again.
 
 use std::rc::Rc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_io::Timer;
 
+use turnford_fleet::StreamKey;
 use turnford_fleet::StreamRecord;
 
 use crate::traffic::Traffic;
@@ -28,22 +27,19 @@
     Duration::from_millis(2000),
 ];
 
-/// Interval for checking whether the control thread has read the last copy.
-const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Records that the traffic thread and the control thread exchange.
 pub(crate) struct StreamBackup {
     /// Records to be written.
     pending: (Sender<Vec<StreamRecord>>, Receiver<Vec<StreamRecord>>),
-    /// Records read at the start of the process; `None` until they have been read.
-    restored: Mutex<Option<Vec<StreamRecord>>>,
+    /// Records of an earlier process, once they have been read.
+    restored: (Sender<Vec<StreamRecord>>, Receiver<Vec<StreamRecord>>),
 }
 
 impl Default for StreamBackup {
     fn default() -> Self {
         Self {
             pending: async_channel::bounded(1),
-            restored: Mutex::default(),
+            restored: async_channel::bounded(1),
         }
     }
 }
@@ -54,27 +50,35 @@
         self.pending.1.recv().await.ok()
     }
 
-    /// Sets the records that an earlier process of this node wrote.
+    /// Sets the records that an earlier process of this node wrote. Called once.
     pub(crate) fn set_restored(&self, records: Vec<StreamRecord>) {
-        let mut restored = self.restored.lock().unwrap_or_else(PoisonError::into_inner);
-        *restored = Some(records);
+        // The channel has room for the only message.
+        let _ = self.restored.0.try_send(records);
     }
 
-    fn take_restored(&self) -> Option<Vec<StreamRecord>> {
-        let mut restored = self.restored.lock().unwrap_or_else(PoisonError::into_inner);
-        restored.take()
+    async fn wait_restored(&self) -> Vec<StreamRecord> {
+        self.restored.1.recv().await.unwrap_or_default()
     }
 }
 
 /// Returns the interval between two copies of a node.
-pub(crate) fn backup_interval(fleet_size: usize) -> Duration {
+fn backup_interval(fleet_size: usize) -> Duration {
     let nodes = u32::try_from(fleet_size).unwrap_or(u32::MAX);
     INTERVAL_PER_NODE.saturating_mul(nodes).max(MIN_INTERVAL)
 }
 
-/// Copies the records of this node's streams for as long as the node runs, while the ledger alone
-/// doesn't prove their versions.
+/// Restores the records of an earlier process of this node, then copies those of this one for as long as
+/// the node runs.
 pub(crate) async fn back_up_streams(traffic: Rc<Traffic>) {
+    // A copy before that would replace the records that are to be restored.
+    let restored = traffic.shared.stream_backup.wait_restored().await;
+    for record in &restored {
+        traffic.streams.begin(*record);
+    }
+    if !restored.is_empty() {
+        let announce = announce_restored(traffic.clone(), restored);
+        traffic.executor.spawn(announce).detach();
+    }
     let mut last = Vec::new();
     loop {
         let fleet_size = traffic.shared.view.load().fleet_size;
@@ -82,15 +86,8 @@
         if !traffic.shared.view.load().ledger.is_reachable {
             continue;
         }
-        let mut services = traffic.all_services().into_iter();
-        let is_proved = services.all(|context| context.is_sole.get() || !context.has_streams.get());
-        let records = if is_proved {
-            Vec::new()
-        } else {
-            traffic.streams.begun_records()
-        };
-        let keys = records.iter().map(|record| record.key);
-        let keys: Vec<_> = keys.collect();
+        let records = records_to_copy(&traffic);
+        let keys: Vec<StreamKey> = records.iter().map(|record| record.key).collect();
         // While the last copy is being written, the records are tried again after the next interval.
         let pending = &traffic.shared.stream_backup.pending.0;
         if keys != last && pending.try_send(records).is_ok() {
@@ -99,21 +96,16 @@
     }
 }
 
-/// Restores the records of an earlier process of this node, when the node starts.
-pub(crate) async fn restore_streams(traffic: Rc<Traffic>) {
-    let records = loop {
-        if let Some(records) = traffic.shared.stream_backup.take_restored() {
-            break records;
-        }
-        Timer::after(LOAD_POLL_INTERVAL).await;
-    };
-    if records.is_empty() {
-        return;
-    }
-    // As this node's own again, they are part of its next copy.
-    for record in &records {
-        traffic.streams.begin(*record);
+/// Returns the records of this node's streams, or none while the ledger alone proves their versions.
+fn records_to_copy(traffic: &Traffic) -> Vec<StreamRecord> {
+    let mut services = traffic.all_services().into_iter();
+    if services.all(|context| context.is_sole.get() || !context.has_streams.get()) {
+        return Vec::new();
     }
+    traffic.streams.begun_records()
+}
+
+async fn announce_restored(traffic: Rc<Traffic>, records: Vec<StreamRecord>) {
     for delay in ANNOUNCE_DELAYS {
         Timer::after(delay).await;
         traffic.streams.announce_records(&records);
