Create the ledger of versions before a node of a new fleet may start again

Cause: The ledger was created half a second after the first targets were seen. Change: Nodes of a first start create it at once.

--- a/packages/turnford-serve/src/control/ledger.rs
+++ b/packages/turnford-serve/src/control/ledger.rs
@@ -135,7 +135,7 @@
                 let listed = targets.filter(|target| &*target.service == service);
                 let versions = listed.map(|target| target.version.as_deref().map(str::to_owned));
                 let added = self.witness.observe(service, versions);
-                if !added.is_empty() {
+                if !added.is_empty() && !self.creates_ledger(&view) {
                     let delay = self.context.jitter(WRITE_DELAY);
                     self.next_check = self.next_check.max(now + delay);
                 }
@@ -146,6 +146,12 @@
         self.publish(None);
     }
 
+    /// Returns whether this node may create the ledger of a new fleet. Only nodes of its first start can, so they
+    /// do it before one of them may start again.
+    fn creates_ledger(&self, view: &RouteView) -> bool {
+        self.context.shared.settings.is_first_start && view.ledger.ledger.is_none()
+    }
+
     /// Returns whether the ledger has to be read or written though no stream waits for it.
     fn is_due(&self, now: Moment) -> bool {
         if now < self.next_check {
--- a/packages/turnford/tests/rejoined_streams/main.rs
+++ b/packages/turnford/tests/rejoined_streams/main.rs
@@ -119,6 +119,13 @@
 
 impl VersionFleet {
     fn start(kind: ServiceKind, version: &str) -> Self {
+        let fleet = Self::start_unsettled(kind, version);
+        std::thread::sleep(CHANGE_TIME);
+        fleet
+    }
+
+    /// Starts a fleet whose nodes have just become ready.
+    fn start_unsettled(kind: ServiceKind, version: &str) -> Self {
         let executor = start_threads("standin", 2);
         let store = MetaStore::new();
         store.put("config", "main", config(kind));
@@ -145,7 +152,6 @@
             node.start();
         }
         fleet.nodes.iter().for_each(wait_ready);
-        std::thread::sleep(CHANGE_TIME);
         fleet
     }
 
@@ -467,3 +473,18 @@
     assert_eq!(count.mixed, 0, "{count:?}");
     assert!(count.whole >= MIN_RESUMED, "{count:?}");
 }
+
+#[test]
+fn restarted_early() {
+    // A node that starts again within the first second doesn't take the fleet for one with older streams.
+    let mut fleet = VersionFleet::start_unsettled(ServiceKind::Engine, "v1");
+    fleet.kill(&[0]);
+    fleet.restart();
+    let (begun, open) = fleet.begin(&[0, 1, 2, 3]);
+    fleet.kill(&[0, 1, 2, 3]);
+    drop(open);
+    fleet.restart();
+    let count = fleet.resume(&[3, 2, 1, 0], &begun);
+    assert_eq!(count.mixed, 0, "{count:?}");
+    assert!(count.whole >= MIN_RESUMED, "{count:?}");
+}
